Add the design page, wire protocol, transport and checks

Cause: nothing to build on yet. The design page fixes invariants, figures, modules and messages, so that the parts can be written side by side against fixed headers. Change: messages with a CBOR codec, event loop, WebSocket links with heartbeat and fleet key, HTTP server and client, log events, interfaces of the cores, format, lint and test scripts. Conclusion: the parts behind the headers can follow independently.

--- /dev/null
+++ b/src/agent/endpoint_runner.h
@@ -0,0 +1,41 @@
+// Runs tasks on the local endpoint. The agent decides whether a task may start; the runner carries
+// the request.
+
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <string>
+
+#include "protocol/message.h"
+
+namespace greengagehead::agent {
+
+struct run_request {
+    std::string url; ///< Base URL from the endpoint's announcement.
+    protocol::task_start task;
+    std::chrono::milliseconds timeout {0}; ///< Smaller of task timeout and remaining deadline.
+};
+
+struct run_result {
+    protocol::outcome_kind kind = protocol::outcome_kind::unknown;
+    std::string result; ///< JSON text; only when succeeded.
+    std::string message; ///< Reason when not succeeded.
+};
+
+class endpoint_runner {
+public:
+    using callback = std::function<void(run_result)>;
+
+    endpoint_runner() = default;
+    virtual ~endpoint_runner() = default;
+    endpoint_runner(endpoint_runner const&) = delete;
+    endpoint_runner& operator=(endpoint_runner const&) = delete;
+
+    /// Writes the request to the endpoint at once. Calls `done` exactly once, later.
+    virtual void start(run_request const& request, callback done) = 0;
+    /// Asks the endpoint to stop a task. `done` of its start is still called.
+    virtual void stop(std::string const& url, protocol::task_ref const& task) = 0;
+};
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/base/log_event.cpp
@@ -0,0 +1,50 @@
+// The catalogue itself.
+
+#include "base/log_event.h"
+
+#include <algorithm>
+#include <array>
+
+namespace greengagehead::base {
+
+namespace {
+
+constexpr std::array catalogue {
+    event_description {log_event::process_started, severity::info, "process_started"},
+    event_description {log_event::process_stopping, severity::info, "process_stopping"},
+    event_description {log_event::process_stopped, severity::info, "process_stopped"},
+    event_description {log_event::listening, severity::info, "listening"},
+    event_description {log_event::peer_connected, severity::info, "peer_connected"},
+    event_description {log_event::peer_disconnected, severity::warning, "peer_disconnected"},
+    event_description {log_event::peer_refused, severity::warning, "peer_refused"},
+    event_description {log_event::message_rejected, severity::warning, "message_rejected"},
+    event_description {log_event::http_rejected, severity::info, "http_rejected"},
+    event_description {log_event::lease_granted, severity::debug, "lease_granted"},
+    event_description {log_event::entry_joined, severity::info, "entry_joined"},
+    event_description {log_event::entry_removed, severity::warning, "entry_removed"},
+    event_description {log_event::view_committed, severity::info, "view_committed"},
+    event_description {log_event::job_accepted, severity::info, "job_accepted"},
+    event_description {log_event::job_refused, severity::info, "job_refused"},
+    event_description {log_event::job_finished, severity::info, "job_finished"},
+    event_description {log_event::task_placed, severity::info, "task_placed"},
+    event_description {log_event::task_waiting, severity::debug, "task_waiting"},
+    event_description {log_event::task_finished, severity::debug, "task_finished"},
+    event_description {log_event::endpoint_announced, severity::info, "endpoint_announced"},
+    event_description {log_event::endpoint_left, severity::info, "endpoint_left"},
+    event_description {log_event::start_refused, severity::info, "start_refused"},
+    event_description {log_event::start_admitted, severity::debug, "start_admitted"},
+    event_description {log_event::outcome_recorded, severity::debug, "outcome_recorded"},
+};
+
+} // namespace
+
+event_description describe(log_event event)
+{
+    auto const* found = std::find_if(catalogue.begin(), catalogue.end(),
+                                     [event](auto const& entry) { return entry.event == event; });
+    if (found == catalogue.end())
+        return {event, severity::error, "unlisted_event"};
+    return *found;
+}
+
+} // namespace greengagehead::base
--- /dev/null
+++ b/src/base/log_event.h
@@ -0,0 +1,51 @@
+// Catalogue of numbered log events. docs/events.md lists the same numbers and names; CI compares
+// the two.
+
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace greengagehead::base {
+
+enum class severity : std::uint8_t { debug, info, warning, error };
+
+/// Numbers are never reused. Ranges: 1xxx process and transport, 2xxx control, 3xxx entry,
+/// 4xxx agent.
+enum class log_event : std::uint16_t {
+    process_started = 1001,
+    process_stopping = 1002,
+    process_stopped = 1003,
+    listening = 1010,
+    peer_connected = 1011,
+    peer_disconnected = 1012,
+    peer_refused = 1013,
+    message_rejected = 1014,
+    http_rejected = 1020,
+    lease_granted = 2001,
+    entry_joined = 2002,
+    entry_removed = 2003,
+    view_committed = 2004,
+    job_accepted = 3001,
+    job_refused = 3002,
+    job_finished = 3003,
+    task_placed = 3010,
+    task_waiting = 3011,
+    task_finished = 3012,
+    endpoint_announced = 4001,
+    endpoint_left = 4002,
+    start_refused = 4003,
+    start_admitted = 4004,
+    outcome_recorded = 4005,
+};
+
+struct event_description {
+    log_event event;
+    severity level;
+    std::string_view name;
+};
+
+/// Looks up the level and name of `event`. Unlisted events are reported as errors.
+[[nodiscard]] event_description describe(log_event event);
+
+} // namespace greengagehead::base
--- /dev/null
+++ b/src/entry/entry_core.h
@@ -0,0 +1,130 @@
+// Job handling of one entry: admission, claims, placement, retries, assembly of answers, and
+// takeover of jobs of lost entries.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "protocol/message.h"
+#include "protocol/message_sender.h"
+
+namespace greengagehead::entry {
+
+struct entry_settings {
+    protocol::process_id id; ///< Peer name, for example `entry.recife-1`, and random incarnation.
+    std::string region;
+    std::string zone;
+    std::string http_address;
+    std::vector<std::string> controls; ///< Peer names of the control members.
+    std::string placement = "least_loaded";
+    std::uint64_t seed = 1; ///< For random choices.
+    std::chrono::milliseconds renew_interval {300};
+    std::chrono::milliseconds copy_timeout {20};
+    std::chrono::milliseconds claim_timeout {5000};
+    std::chrono::milliseconds default_deadline {30'000};
+    std::chrono::milliseconds answer_retention {900'000};
+};
+
+/// Reply to a submission, exactly one per call.
+struct submit_reply {
+    enum class kind : std::uint8_t {
+        answered, ///< Final answer in `answer`.
+        running, ///< Accepted, not finished within the wait.
+        conflict, ///< The submission exists with other content.
+        refused, ///< Nothing ran and nothing will run.
+        unknown, ///< State cannot be told now, for example without contact to control or the owner.
+    };
+    kind what = kind::refused;
+    protocol::job_answer answer; ///< `job` is always set; for refusals `failure` and `retry_after`.
+};
+
+struct team_status {
+    std::string team;
+    std::size_t waiting = 0;
+    std::uint32_t in_progress = 0;
+};
+
+struct endpoint_status {
+    std::string name;
+    std::string agent;
+    std::string zone;
+    std::string health;
+    std::uint32_t slots = 0;
+    std::uint32_t used_slots = 0;
+    bool draining = false;
+};
+
+struct entry_status {
+    protocol::process_id id;
+    std::string leader; ///< Control member that last answered.
+    bool lease_valid = false;
+    protocol::view_number applied_view = 0;
+    protocol::view_number settled_view = 0;
+    std::size_t running_jobs = 0;
+    std::vector<team_status> teams;
+    std::vector<endpoint_status> endpoints;
+};
+
+/// Counters since start.
+struct entry_counters {
+    std::uint64_t jobs_accepted = 0;
+    std::uint64_t jobs_refused = 0;
+    std::uint64_t jobs_complete = 0;
+    std::uint64_t jobs_failed = 0;
+    std::uint64_t first_attempts = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t hedges = 0;
+    std::uint64_t messages_sent = 0;
+    std::uint64_t wasted_outcomes = 0; ///< Outcomes that added nothing to an answer.
+};
+
+class entry_core {
+public:
+    entry_core(entry_settings settings, protocol::message_sender& sender, base::steady_time now);
+    ~entry_core();
+    entry_core(entry_core const&) = delete;
+    entry_core& operator=(entry_core const&) = delete;
+
+    /// `reply` is called once: with the final answer, or after `wait` with what is known.
+    void submit(protocol::job_request request, std::chrono::milliseconds wait,
+                std::function<void(submit_reply const&)> reply, base::steady_time now);
+    /// Answer or decisions of a job of any entry. An empty `answer` means an unknown job.
+    void query(std::string const& job, bool explain, std::chrono::milliseconds wait,
+               std::function<void(protocol::job_reply const&)> reply, base::steady_time now);
+    /// Stops a job; replies with its answer once it is final or after two seconds.
+    void cancel(std::string const& job, std::function<void(protocol::job_reply const&)> reply,
+                base::steady_time now);
+    /// Sends an operator's request to the control leader, following leader hints and resending
+    /// under the same request id. Replies with `error_code::timeout` when no answer came within
+    /// `timeout`; the change may be in force then or later.
+    void control(protocol::control_request_body body, std::chrono::milliseconds timeout,
+                 std::function<void(protocol::control_result const&)> reply, base::steady_time now);
+
+    void receive(std::string const& peer, protocol::message const& body, base::steady_time now);
+    /// Expected every 10 ms.
+    void tick(base::steady_time now);
+    void peer_up(std::string const& peer, base::steady_time now);
+    void peer_down(std::string const& peer, base::steady_time now);
+
+    /// Refuses new jobs from now on; accepted ones go on.
+    void begin_shutdown(base::steady_time now);
+    /// No accepted job is unfinished and no reply is outstanding.
+    [[nodiscard]] bool idle() const;
+
+    [[nodiscard]] entry_status status(base::steady_time now) const;
+    [[nodiscard]] entry_counters const& counters() const;
+    [[nodiscard]] protocol::view const& applied_view() const;
+
+private:
+    struct parts;
+    std::unique_ptr<parts> own;
+};
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/policy/endpoint_health.h
@@ -0,0 +1,32 @@
+// Notices endpoints that fail or lag, takes them out of placement, probes them and returns them
+// gradually.
+
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "base/clock.h"
+
+namespace greengagehead::policy {
+
+enum class health_state : std::uint8_t { healthy, excluded, probing, returning };
+
+class endpoint_health {
+public:
+    /// Result of one attempt. `succeeded` is false for failures, unknown outcomes and refusals by
+    /// the endpoint, but not for refusals by the agent's admission.
+    void record(std::string const& endpoint, bool succeeded, std::chrono::microseconds run_time,
+                std::chrono::microseconds expected, base::steady_time now);
+    void forget(std::string const& endpoint);
+
+    /// Whether the endpoint may get one more task now. At most half of the known endpoints are
+    /// excluded at a time, so that a common cause does not empty the fleet.
+    [[nodiscard]] bool accepts(std::string const& endpoint, std::uint32_t in_progress,
+                               std::size_t known_endpoints, base::steady_time now);
+    [[nodiscard]] health_state state(std::string const& endpoint) const;
+};
+
+} // namespace greengagehead::policy
--- /dev/null
+++ b/src/policy/placement_policy.h
@@ -0,0 +1,54 @@
+// Choice of an endpoint for one task. Each policy is a small strategy object.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace greengagehead::policy {
+
+class endpoint_health;
+class endpoint_table;
+
+struct placement_request {
+    std::string team;
+    std::string kind;
+    std::string region; ///< Required region; empty for any.
+    std::string zone; ///< Required zone; empty for any.
+    std::uint32_t cpu = 0;
+    std::uint32_t memory_mb = 0;
+    std::vector<std::string> avoid; ///< Endpoints of earlier attempts, used only as a last resort.
+};
+
+struct placement_choice {
+    std::string endpoint;
+    std::string reason; ///< Short text for logs and `explain`.
+    std::uint32_t candidates = 0; ///< Endpoints that could have taken the task.
+};
+
+class placement_policy {
+public:
+    placement_policy() = default;
+    virtual ~placement_policy() = default;
+    placement_policy(placement_policy const&) = delete;
+    placement_policy& operator=(placement_policy const&) = delete;
+
+    /// Empty when no suitable endpoint has a free slot now.
+    [[nodiscard]] virtual std::optional<placement_choice>
+    choose(placement_request const& request, endpoint_table const& endpoints,
+           endpoint_health& health, base::steady_time now)
+        = 0;
+    [[nodiscard]] virtual std::string_view name() const = 0;
+};
+
+/// Makes a policy by name: `least_loaded` or the baseline `random`. Null for an unknown name.
+[[nodiscard]] std::unique_ptr<placement_policy> make_placement_policy(std::string_view name,
+                                                                      std::uint64_t seed);
+
+} // namespace greengagehead::policy
--- /dev/null
+++ b/src/policy/retry_budget.h
@@ -0,0 +1,22 @@
+// Limits extra attempts to a percentage of first attempts, so that failures never multiply load.
+
+#pragma once
+
+#include <cstdint>
+
+namespace greengagehead::policy {
+
+class retry_budget {
+public:
+    /// @param percent extra attempts allowed per hundred first attempts.
+    /// @param reserve extra attempts allowed before any first attempt, so that small loads can
+    /// retry.
+    retry_budget(std::uint32_t percent, std::uint32_t reserve);
+
+    void note_first_attempt();
+    /// Takes one extra attempt from the budget. False when it is used up.
+    [[nodiscard]] bool try_take();
+    void set_percent(std::uint32_t percent);
+};
+
+} // namespace greengagehead::policy
--- /dev/null
+++ b/src/policy/run_time_estimator.h
@@ -0,0 +1,26 @@
+// Learned run times per team and kind. Declared times are only used until enough runs were seen.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace greengagehead::policy {
+
+struct run_time_estimate {
+    std::chrono::microseconds typical {0}; ///< Median.
+    std::chrono::microseconds slow {0}; ///< 95th percentile; a run beyond it is a straggler.
+    std::uint64_t samples = 0; ///< 0 when the estimate is the declared or default time.
+};
+
+class run_time_estimator {
+public:
+    void record(std::string const& team, std::string const& kind,
+                std::chrono::microseconds run_time);
+    /// `declared` is the caller's hint; 0 when not given.
+    [[nodiscard]] run_time_estimate estimate(std::string const& team, std::string const& kind,
+                                             std::chrono::microseconds declared) const;
+};
+
+} // namespace greengagehead::policy
--- /dev/null
+++ b/src/protocol/codec.cpp
@@ -0,0 +1,68 @@
+// Encoding of messages: a version number followed by the message, as one CBOR array.
+
+#include "protocol/codec.h"
+
+#include <exception>
+
+#include "protocol/json_fields.h"
+
+namespace greengagehead::protocol {
+
+namespace {
+
+template <typename T> std::string encode_versioned(T const& body)
+{
+    std::string bytes;
+    detail::json::to_cbor(detail::json::array({protocol_version, detail::to_value(body)}), bytes);
+    return bytes;
+}
+
+base::error malformed(std::string text)
+{
+    return {base::error_code::malformed, base::error_step::decode, {}, std::move(text)};
+}
+
+template <typename T> base::result<T> decode_versioned(std::string_view bytes)
+{
+    try {
+        auto const value = detail::json::from_cbor(bytes.begin(), bytes.end());
+        auto const version = value.at(0).get<std::uint32_t>();
+        if (version != protocol_version)
+            return malformed("protocol version " + std::to_string(version)
+                             + " is not supported, expected " + std::to_string(protocol_version));
+        T body;
+        detail::from_value(value.at(1), body);
+        return body;
+    } catch (std::exception const& failure) {
+        return malformed(failure.what());
+    }
+}
+
+} // namespace
+
+std::string encode(message const& body)
+{
+    return encode_versioned(body);
+}
+
+base::result<message> decode_message(std::string_view bytes)
+{
+    return decode_versioned<message>(bytes);
+}
+
+std::string encode(command const& body)
+{
+    return encode_versioned(body);
+}
+
+base::result<command> decode_command(std::string_view bytes)
+{
+    return decode_versioned<command>(bytes);
+}
+
+std::string encode(job_request const& body)
+{
+    return encode_versioned(body);
+}
+
+} // namespace greengagehead::protocol
--- /dev/null
+++ b/src/protocol/codec.h
@@ -0,0 +1,26 @@
+// CBOR form of messages and replicated commands.
+
+#pragma once
+
+#include <string>
+#include <string_view>
+
+#include "base/error.h"
+#include "protocol/message.h"
+
+namespace greengagehead::protocol {
+
+/// Version of the wire format. A message of another version is refused when decoded.
+constexpr std::uint32_t protocol_version = 1;
+
+[[nodiscard]] std::string encode(message const& body);
+
+/// Errors: `error_code::malformed` for anything that is not a message of this version.
+[[nodiscard]] base::result<message> decode_message(std::string_view bytes);
+
+[[nodiscard]] std::string encode(command const& body);
+[[nodiscard]] base::result<command> decode_command(std::string_view bytes);
+
+[[nodiscard]] std::string encode(job_request const& body);
+
+} // namespace greengagehead::protocol
--- /dev/null
+++ b/src/protocol/json_fields.h
@@ -0,0 +1,150 @@
+// Converts structs with a field list to and from JSON values, the in-memory form of CBOR. Heavy
+// include: only codecs use it.
+
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "protocol/fields.h"
+
+namespace greengagehead::protocol::detail {
+
+using json = nlohmann::json;
+
+template <typename T>
+concept has_fields = requires(T& value)
+{
+    field_list<std::remove_cv_t<T>>::of(value);
+};
+
+template <typename T> struct is_vector : std::false_type {
+};
+template <typename T> struct is_vector<std::vector<T>> : std::true_type {
+};
+template <typename T> struct is_optional : std::false_type {
+};
+template <typename T> struct is_optional<std::optional<T>> : std::true_type {
+};
+template <typename T> struct is_variant : std::false_type {
+};
+template <typename... T> struct is_variant<std::variant<T...>> : std::true_type {
+};
+template <typename T> struct is_duration : std::false_type {
+};
+template <typename R, typename P> struct is_duration<std::chrono::duration<R, P>> : std::true_type {
+};
+
+template <typename T> json to_value(T const& value)
+{
+    if constexpr (has_fields<T const>) {
+        json array = json::array();
+        std::apply([&array](auto const&... field) { (array.push_back(to_value(field)), ...); },
+                   field_list<T>::of(value));
+        return array;
+    } else if constexpr (is_vector<T>::value) {
+        json array = json::array();
+        for (auto const& item : value)
+            array.push_back(to_value(item));
+        return array;
+    } else if constexpr (is_optional<T>::value) {
+        return value ? json::array({to_value(*value)}) : json::array();
+    } else if constexpr (is_variant<T>::value) {
+        json array = json::array({value.index()});
+        std::visit([&array](auto const& item) { array.push_back(to_value(item)); }, value);
+        return array;
+    } else if constexpr (is_duration<T>::value) {
+        return value.count();
+    } else if constexpr (std::is_enum_v<T>) {
+        return static_cast<std::underlying_type_t<T>>(value);
+    } else if constexpr (std::is_same_v<T, std::string>) {
+        // Binary, because task results and log records need not be valid UTF-8.
+        return json::binary({value.begin(), value.end()});
+    } else {
+        return value;
+    }
+}
+
+template <typename T> void from_value(json const& value, T& target);
+
+template <typename Variant, std::size_t Index = 0>
+void read_alternative(std::size_t wanted, json const& value, Variant& target)
+{
+    if constexpr (Index < std::variant_size_v<Variant>) {
+        if (wanted == Index)
+            return from_value(value, target.template emplace<Index>());
+        read_alternative<Variant, Index + 1>(wanted, value, target);
+    } else {
+        throw std::out_of_range("unknown message type");
+    }
+}
+
+template <typename Tuple, std::size_t... Index>
+void read_fields(json const& array, Tuple const& fields,
+                 std::index_sequence<Index...> /*positions*/)
+{
+    (from_value(array.at(Index), std::get<Index>(fields)), ...);
+}
+
+/// Throws a standard exception when `value` does not have the shape of `target`.
+template <typename T> void from_value(json const& value, T& target)
+{
+    if constexpr (has_fields<T>) {
+        auto fields = field_list<T>::of(target);
+        constexpr auto count = std::tuple_size_v<decltype(fields)>;
+        if (!value.is_array() || value.size() != count)
+            throw std::out_of_range("wrong number of fields");
+        read_fields(value, fields, std::make_index_sequence<count> {});
+    } else if constexpr (is_vector<T>::value) {
+        if (!value.is_array())
+            throw std::out_of_range("not an array");
+        target.resize(value.size());
+        for (std::size_t index = 0; index < value.size(); ++index)
+            from_value(value[index], target[index]);
+    } else if constexpr (is_optional<T>::value) {
+        if (!value.is_array())
+            throw std::out_of_range("not an optional value");
+        target.reset();
+        if (!value.empty())
+            from_value(value[0], target.emplace());
+    } else if constexpr (is_variant<T>::value) {
+        read_alternative(value.at(0).get<std::size_t>(), value.at(1), target);
+    } else if constexpr (is_duration<T>::value) {
+        target = T(value.get<typename T::rep>());
+    } else if constexpr (std::is_enum_v<T>) {
+        target = static_cast<T>(value.get<std::underlying_type_t<T>>());
+    } else if constexpr (std::is_same_v<T, std::string>) {
+        auto const& bytes = value.get_binary();
+        target.assign(bytes.begin(), bytes.end());
+    } else {
+        value.get_to(target);
+    }
+}
+
+/// CBOR bytes of any struct with a field list.
+template <typename T> std::string to_cbor(T const& value)
+{
+    std::string bytes;
+    nlohmann::json::to_cbor(to_value(value), bytes);
+    return bytes;
+}
+
+/// Throws a standard exception for bytes that are not CBOR of `T`.
+template <typename T> T from_cbor(std::string_view bytes)
+{
+    T target;
+    from_value(json::from_cbor(bytes.begin(), bytes.end()), target);
+    return target;
+}
+
+} // namespace greengagehead::protocol::detail
--- /dev/null
+++ b/src/protocol/raft_message.h
@@ -0,0 +1,74 @@
+// Messages between members of the control group.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace greengagehead::protocol {
+
+/// Random identity of a member's data folder. A wiped disk gets a new one.
+using member_id = std::uint64_t;
+
+enum class log_entry_kind : std::uint8_t { empty, command, membership };
+
+struct log_entry {
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    log_entry_kind kind = log_entry_kind::empty;
+    std::string data; ///< Encoded command or membership.
+};
+
+struct vote_request {
+    bool pre_vote = false;
+    std::uint64_t last_index = 0;
+    std::uint64_t last_term = 0;
+};
+
+struct vote_reply {
+    bool pre_vote = false;
+    bool granted = false;
+};
+
+struct append_request {
+    std::uint64_t previous_index = 0;
+    std::uint64_t previous_term = 0;
+    std::uint64_t commit_index = 0;
+    std::uint64_t round = 0; ///< Echoed in the reply; proves contact after the send.
+    std::vector<log_entry> entries;
+};
+
+struct append_reply {
+    bool success = false;
+    std::uint64_t match_index = 0; ///< On failure: highest index at which the logs may agree.
+    std::uint64_t round = 0;
+};
+
+/// One piece of a snapshot; `done` marks the last one.
+struct snapshot_chunk {
+    std::uint64_t last_index = 0;
+    std::uint64_t last_term = 0;
+    std::uint64_t offset = 0;
+    bool done = false;
+    std::string data;
+    std::uint64_t round = 0;
+};
+
+struct snapshot_reply {
+    std::uint64_t last_index = 0;
+    std::uint64_t next_offset = 0;
+    std::uint64_t round = 0;
+};
+
+struct raft_message {
+    member_id from = 0;
+    member_id to = 0;
+    std::uint64_t term = 0;
+    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_chunk,
+                 snapshot_reply>
+        body;
+};
+
+} // namespace greengagehead::protocol
--- /dev/null
+++ b/src/transport/http_client.cpp
@@ -0,0 +1,163 @@
+// HTTP client over evhttp.
+
+#include "transport/http_client.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "transport/event_loop.h"
+
+namespace greengagehead::transport {
+
+namespace {
+
+constexpr std::size_t idle_connections_per_address = 64;
+
+evhttp_cmd_type to_command(http_method method)
+{
+    switch (method) {
+    case http_method::post:
+        return EVHTTP_REQ_POST;
+    case http_method::put:
+        return EVHTTP_REQ_PUT;
+    case http_method::del:
+        return EVHTTP_REQ_DELETE;
+    default:
+        return EVHTTP_REQ_GET;
+    }
+}
+
+http_client_response read_response(evhttp_request* source)
+{
+    http_client_response response;
+    response.status = http_client_status::answered;
+    response.code = evhttp_request_get_response_code(source);
+    evkeyvalq const* const headers = evhttp_request_get_input_headers(source);
+    for (evkeyval const* item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
+        std::string name(item->key);
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char letter) { return std::tolower(letter); });
+        response.headers[name] = item->value;
+    }
+    evbuffer* const body = evhttp_request_get_input_buffer(source);
+    response.body.resize(evbuffer_get_length(body));
+    evbuffer_remove(body, response.body.data(), response.body.size());
+    return response;
+}
+
+} // namespace
+
+struct http_client::connection {
+    http_client* owner = nullptr;
+    std::string address;
+    std::unique_ptr<evhttp_connection, decltype(&evhttp_connection_free)> handle {
+        nullptr, &evhttp_connection_free};
+    callback done;
+    // Bytes of the current request that left the output buffer. Dropped bytes count too, which
+    // errs towards "sent".
+    std::size_t sent_bytes = 0;
+
+    static void on_output(evbuffer* /*buffer*/, evbuffer_cb_info const* info, void* self)
+    {
+        static_cast<connection*>(self)->sent_bytes += info->n_deleted;
+    }
+
+    static void on_done(evhttp_request* request, void* self)
+    {
+        auto* const used = static_cast<connection*>(self);
+        if (request != nullptr && evhttp_request_get_response_code(request) != 0)
+            return used->owner->finish(used, read_response(request), true);
+        http_client_response failed;
+        failed.status
+            = used->sent_bytes == 0 ? http_client_status::not_sent : http_client_status::no_answer;
+        used->owner->finish(used, std::move(failed), false);
+    }
+};
+
+http_client::http_client(event_loop& owner) : loop(owner) { }
+
+http_client::~http_client() = default;
+
+void http_client::send(http_client_request const& request, callback done)
+{
+    connection* const used = this->take_idle(request.address);
+    used->done = std::move(done);
+    used->sent_bytes = 0;
+    timeval const timeout {request.timeout.count() / 1000, (request.timeout.count() % 1000) * 1000};
+    evhttp_connection_set_timeout_tv(used->handle.get(), &timeout);
+
+    evhttp_request* const outgoing = evhttp_request_new(&connection::on_done, used);
+    evkeyvalq* const headers = evhttp_request_get_output_headers(outgoing);
+    evhttp_add_header(headers, "Host", request.address.to_string().c_str());
+    for (auto const& [name, value] : request.headers)
+        evhttp_add_header(headers, name.c_str(), value.c_str());
+    evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(),
+                 request.body.size());
+    // On failure evhttp has freed the request without calling back.
+    if (evhttp_make_request(used->handle.get(), outgoing, to_command(request.method),
+                            request.path.c_str())
+        != 0)
+        this->finish(used, {http_client_status::not_sent, 0, {}, {}}, false);
+}
+
+http_client::connection* http_client::take_idle(socket_address const& address)
+{
+    std::string const key = address.to_string();
+    auto& waiting = this->idle[key];
+    if (!waiting.empty()) {
+        connection* const reused = waiting.back();
+        waiting.pop_back();
+        return reused;
+    }
+    auto created = std::make_unique<connection>();
+    created->owner = this;
+    created->address = key;
+    created->handle.reset(
+        evhttp_connection_base_new(this->loop.base(), nullptr, address.host.c_str(), address.port));
+    evhttp_connection_set_retries(created->handle.get(), 0);
+    bufferevent* const stream = evhttp_connection_get_bufferevent(created->handle.get());
+    evbuffer_add_cb(bufferevent_get_output(stream), &connection::on_output, created.get());
+    this->connections.push_back(std::move(created));
+    return this->connections.back().get();
+}
+
+void http_client::finish(connection* used, http_client_response&& response, bool reusable)
+{
+    callback const done = std::move(used->done);
+    used->done = nullptr;
+    auto& waiting = this->idle[used->address];
+    if (reusable && waiting.size() < idle_connections_per_address) {
+        waiting.push_back(used);
+    } else {
+        // evhttp still uses the connection after this callback, so it is freed by the loop later.
+        auto const owned = std::find_if(this->connections.begin(), this->connections.end(),
+                                        [used](auto const& item) { return item.get() == used; });
+        std::shared_ptr<connection> const retired = std::move(*owned);
+        this->connections.erase(owned);
+        this->loop.post([retired] {});
+    }
+    done(std::move(response));
+}
+
+base::result<std::pair<socket_address, std::string>> parse_http_url(std::string const& url)
+{
+    static std::string const scheme = "http://";
+    if (url.rfind(scheme, 0) != 0)
+        return base::error {base::error_code::invalid_argument, base::error_step::settings, url,
+                            "a URL must have the form http://IP:PORT"};
+    std::string const rest = url.substr(scheme.size());
+    auto const slash = rest.find('/');
+    BOOST_OUTCOME_TRY(address, parse_address(rest.substr(0, slash)));
+    std::string prefix = slash == std::string::npos ? "" : rest.substr(slash);
+    while (!prefix.empty() && prefix.back() == '/')
+        prefix.pop_back();
+    return std::pair {address, prefix};
+}
+
+} // namespace greengagehead::transport
--- /dev/null
+++ b/src/transport/http_server.h
@@ -0,0 +1,104 @@
+// HTTP server of one role task over evhttp, with replies that may be sent later.
+
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/error.h"
+#include "transport/socket_address.h"
+
+struct evhttp;
+struct evhttp_bound_socket;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace greengagehead::transport {
+
+class event_loop;
+
+enum class http_method : std::uint8_t { get, post, put, del, other };
+
+struct http_request {
+    http_method method = http_method::other;
+    std::string path; ///< Decoded, without the query.
+    std::map<std::string, std::string> query; ///< Decoded parameters.
+    std::map<std::string, std::string> headers; ///< Names in lower case.
+    std::string body;
+};
+
+struct http_response {
+    int status = 200;
+    std::string body;
+    std::string content_type = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+/// One request that waits for its reply. Kept alive by whoever will reply.
+class http_exchange {
+public:
+    explicit http_exchange(evhttp_request* request) : pending(request) { }
+    ~http_exchange();
+
+    http_exchange(http_exchange const&) = delete;
+    http_exchange& operator=(http_exchange const&) = delete;
+    http_exchange(http_exchange&&) = delete;
+    http_exchange& operator=(http_exchange&&) = delete;
+
+    /// Sends the reply. Does nothing when the caller has gone or a reply was sent before.
+    void respond(http_response const& response);
+    /// False once the reply is sent or the caller has closed its connection.
+    [[nodiscard]] bool open() const { return this->pending != nullptr; }
+
+private:
+    friend class http_server;
+
+    evhttp_request* pending; // Owned by evhttp; null once replied or closed.
+};
+
+struct http_limits {
+    std::size_t body_bytes = 8UL * 1024 * 1024;
+    std::size_t header_bytes = 16UL * 1024;
+};
+
+class http_server {
+public:
+    using handler = std::function<void(http_request&, std::shared_ptr<http_exchange> const&)>;
+
+    http_server(event_loop& loop, http_limits limits, handler on_request);
+    ~http_server();
+
+    http_server(http_server const&) = delete;
+    http_server& operator=(http_server const&) = delete;
+    http_server(http_server&&) = delete;
+    http_server& operator=(http_server&&) = delete;
+
+    /// Port 0 picks a free one. Returns the address in use.
+    /// Errors: `error_step::listen` when the address cannot be bound.
+    base::result<socket_address> listen(socket_address const& address);
+
+    /// Accepts no further connections; open ones are served on.
+    void stop_listening();
+
+    /// Requests that wait for their reply.
+    [[nodiscard]] std::size_t open_exchanges() const;
+
+private:
+    void accept_request(evhttp_request* request);
+    static void on_request(evhttp_request* request, void* self);
+    static void on_close(evhttp_connection* connection, void* self);
+
+    handler handle;
+    evhttp* server;
+    evhttp_bound_socket* bound = nullptr;
+    // Open exchanges by connection: evhttp handles one request per connection at a time.
+    std::map<evhttp_connection*, std::weak_ptr<http_exchange>> exchanges;
+};
+
+} // namespace greengagehead::transport
--- /dev/null
+++ b/src/transport/link.cpp
@@ -0,0 +1,225 @@
+// Connection handshake, heartbeat and framing.
+//
+// After the WebSocket handshake each side sends a hello (random nonce and its name). Each side then
+// proves that it knows the fleet key by an HMAC over the role of the sender, the peer's nonce, its
+// own nonce and its name. Nonces make recorded proofs worthless; the role keeps a proof from being
+// reflected to its sender.
+
+#include "transport/link.h"
+
+#include <array>
+#include <utility>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <sys/socket.h>
+
+#include "base/log_record.h"
+#include "protocol/codec.h"
+#include "transport/event_loop.h"
+#include "transport/socket_address.h"
+#include "transport/websocket_session.h"
+
+namespace greengagehead::transport {
+
+namespace {
+
+constexpr std::size_t nonce_bytes = 16;
+constexpr std::size_t maximum_message_bytes = 64UL * 1024 * 1024;
+
+std::string random_nonce()
+{
+    std::array<unsigned char, nonce_bytes> bytes {};
+    RAND_bytes(bytes.data(), nonce_bytes);
+    return {bytes.begin(), bytes.end()};
+}
+
+std::string keyed_digest(std::string const& key, std::string const& text)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    unsigned int size = 0;
+    std::vector<unsigned char> const input(text.begin(), text.end());
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), input.data(), input.size(),
+         digest.data(), &size);
+    return {digest.begin(), digest.begin() + size};
+}
+
+std::string proof_of(std::string const& key, bool by_acceptor, std::string const& verifier_nonce,
+                     std::string const& prover_nonce, std::string const& name)
+{
+    return keyed_digest(key, (by_acceptor ? "a" : "c") + verifier_nonce + prover_nonce + name);
+}
+
+} // namespace
+
+link::link(event_loop& owner, int socket, link_identity const& own_identity, link_timing times)
+    : loop(owner), identity(own_identity), timing(times), accepted(true),
+      stream(bufferevent_socket_new(owner.base(), socket, BEV_OPT_CLOSE_ON_FREE)),
+      last_arrival(std::chrono::steady_clock::now())
+{
+    this->open_session(true, {});
+    this->session->start();
+}
+
+link::link(event_loop& owner, socket_address const& address, link_identity const& own_identity,
+           link_timing times)
+    : loop(owner), identity(own_identity), timing(times), accepted(false),
+      stream(bufferevent_socket_new(owner.base(), -1, BEV_OPT_CLOSE_ON_FREE)),
+      last_arrival(std::chrono::steady_clock::now())
+{
+    this->open_session(false, address.to_string());
+    auto target = to_sockaddr(address);
+    bufferevent_socket_connect(this->stream, reinterpret_cast<sockaddr*>(&target), sizeof target);
+}
+
+link::~link()
+{
+    bufferevent_free(this->stream);
+}
+
+void link::open_session(bool accepting, std::string const& host)
+{
+    websocket_events events;
+    events.output = [this](char const* bytes, std::size_t size) {
+        bufferevent_write(this->stream, bytes, size);
+    };
+    events.message = [this](std::string&& message) { this->handle_frame(message); };
+    events.opened = [this] { this->begin_proof(); };
+    events.closed = [this](std::string const& reason) { this->close(reason); };
+    this->session = accepting
+        ? websocket_session::accept(std::move(events), maximum_message_bytes)
+        : websocket_session::connect(host, std::move(events), maximum_message_bytes);
+
+    bufferevent_setcb(this->stream, &link::on_read, nullptr, &link::on_event, this);
+    bufferevent_enable(this->stream, EV_READ | EV_WRITE);
+    this->heartbeat = this->loop.every(this->timing.heartbeat, [this] { this->check_silence(); });
+}
+
+void link::begin_proof()
+{
+    this->state = stage::proving;
+    this->own_nonce = random_nonce();
+    this->send_frame(frame::hello, this->own_nonce + this->identity.name);
+}
+
+void link::handle_frame(std::string const& bytes)
+{
+    if (bytes.empty() || this->state == stage::closed)
+        return;
+    auto const kind = static_cast<frame>(bytes.front());
+    if (kind == frame::heartbeat)
+        return;
+    if (this->state == stage::ready && kind == frame::message) {
+        auto decoded = protocol::decode_message(std::string_view(bytes).substr(1));
+        if (!decoded) {
+            base::log_record(base::log_event::message_rejected)
+                .with("peer", this->peer_name)
+                .with("reason", decoded.error().message);
+            return;
+        }
+        this->message_received.emit(decoded.value());
+        return;
+    }
+    if (this->state == stage::proving && kind == frame::hello)
+        return this->handle_hello(bytes.substr(1));
+    if (this->state == stage::proving && kind == frame::proof)
+        return this->handle_proof(bytes.substr(1));
+    this->close("unexpected frame");
+}
+
+void link::handle_hello(std::string const& body)
+{
+    if (body.size() <= nonce_bytes || !this->claimed_name.empty())
+        return this->close("malformed hello");
+    this->peer_nonce = body.substr(0, nonce_bytes);
+    this->claimed_name = body.substr(nonce_bytes);
+    this->send_frame(frame::proof,
+                     proof_of(this->identity.fleet_key, this->accepted, this->peer_nonce,
+                              this->own_nonce, this->identity.name));
+}
+
+void link::handle_proof(std::string const& body)
+{
+    if (this->claimed_name.empty())
+        return this->close("proof without hello");
+    std::string const expected = proof_of(this->identity.fleet_key, !this->accepted,
+                                          this->own_nonce, this->peer_nonce, this->claimed_name);
+    if (body.size() != expected.size()
+        || CRYPTO_memcmp(body.data(), expected.data(), expected.size()) != 0) {
+        base::log_record(base::log_event::peer_refused)
+            .with("peer", this->claimed_name)
+            .with("reason", "wrong fleet key");
+        return this->close("peer does not know the fleet key");
+    }
+    this->peer_name = this->claimed_name;
+    this->state = stage::ready;
+    this->became_ready.emit();
+}
+
+void link::send(protocol::message const& body)
+{
+    if (this->state == stage::ready)
+        this->send_frame(frame::message, protocol::encode(body));
+}
+
+void link::send_frame(frame kind, std::string_view body)
+{
+    std::string bytes(1, static_cast<char>(kind));
+    bytes += body;
+    this->session->send(bytes);
+}
+
+void link::check_silence()
+{
+    if (std::chrono::steady_clock::now() - this->last_arrival > this->timing.silence_limit)
+        return this->close("silent for too long");
+    if (this->state == stage::ready)
+        this->send_frame(frame::heartbeat, {});
+}
+
+void link::close(std::string const& reason)
+{
+    if (this->state == stage::closed)
+        return;
+    this->state = stage::closed;
+    bufferevent_disable(this->stream, EV_READ | EV_WRITE);
+    this->heartbeat.reset();
+    this->closed.emit(reason);
+}
+
+void link::on_read(bufferevent* source, void* self)
+{
+    auto& target = *static_cast<link*>(self);
+    target.last_arrival = std::chrono::steady_clock::now();
+    evbuffer* const input = bufferevent_get_input(source);
+    while (target.state != stage::closed) {
+        std::size_t const size = evbuffer_get_contiguous_space(input);
+        if (size == 0)
+            return;
+        std::string bytes(size, '\0');
+        evbuffer_remove(input, bytes.data(), size);
+        target.session->feed(bytes.data(), bytes.size());
+    }
+}
+
+void link::on_event(bufferevent* source, short what, void* self)
+{
+    auto& target = *static_cast<link*>(self);
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        int const enabled = 1;
+        setsockopt(bufferevent_getfd(source), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
+        target.session->start();
+        return;
+    }
+    if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+        target.close((what & BEV_EVENT_EOF) != 0 ? "closed by peer" : "connection failed");
+}
+
+} // namespace greengagehead::transport
--- /dev/null
+++ b/tests/protocol/codec_test.cpp
@@ -0,0 +1,83 @@
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include "protocol/codec.h"
+
+namespace {
+
+using namespace greengagehead::protocol;
+
+start_batch example_batch()
+{
+    start_batch batch;
+    batch.lease = {{"entry.recife-1", 7}, 12, std::chrono::microseconds(1'500'000)};
+    batch.agent_incarnation = 99;
+    task_start start;
+    start.task = {"00ff", 3};
+    start.endpoint = "ordering-1";
+    start.kind = "quote";
+    start.payload = "{\"seats\":40}";
+    start.remaining = std::chrono::milliseconds(900);
+    batch.starts.push_back(start);
+    return batch;
+}
+
+} // namespace
+
+SCENARIO("messages survive encoding and decoding")
+{
+    GIVEN("a batch of starts")
+    {
+        auto const bytes = encode(message(example_batch()));
+
+        WHEN("it is decoded")
+        {
+            auto const decoded = decode_message(bytes);
+            REQUIRE(decoded);
+
+            // Guards against fields that are listed in another order than they are declared.
+            THEN("every field has its value again")
+            {
+                auto const& batch = std::get<start_batch>(decoded.value());
+                CHECK(batch.lease.entry == process_id {"entry.recife-1", 7});
+                CHECK(batch.lease.view == 12);
+                CHECK(batch.lease.expires_at == std::chrono::microseconds(1'500'000));
+                CHECK(batch.agent_incarnation == 99);
+                REQUIRE(batch.starts.size() == 1);
+                CHECK(batch.starts[0].task == task_ref {"00ff", 3});
+                CHECK(batch.starts[0].payload == "{\"seats\":40}");
+                CHECK(batch.starts[0].remaining == std::chrono::milliseconds(900));
+            }
+        }
+
+        // Guards against a truncated frame being taken for a shorter message.
+        WHEN("any part of the end is missing")
+        {
+            THEN("decoding fails without an exception")
+            {
+                for (std::size_t size = 0; size < bytes.size(); ++size)
+                    REQUIRE_FALSE(decode_message(std::string_view(bytes).substr(0, size)));
+            }
+        }
+    }
+
+    GIVEN("a command with an optional field and a nested variant")
+    {
+        command original;
+        original.proposed_at = std::chrono::milliseconds(5);
+        original.body = put_setting {"/teams/hospital/weight", "3", 4, "key-1", "ana"};
+
+        THEN("it is the same after a round trip")
+        {
+            auto const decoded = decode_command(encode(original));
+            REQUIRE(decoded);
+            auto const& put = std::get<put_setting>(decoded.value().body);
+            CHECK(put.expected_version == 4);
+            CHECK(put.idempotency_key == "key-1");
+        }
+    }
+
+    // Guards against a crash of the process by bytes from a faulty or foreign sender.
+    rc::prop("arbitrary bytes are refused or decoded, never a crash",
+             [](std::string const& bytes) { (void)decode_message(bytes); });
+}
