Add the HTTP interface, settings, command line, role tasks and examples

Cause: the cores need a process around them. Change: routes of the entry, checked settings files, verbs, role tasks with graceful shutdown, stand-in endpoint, example deployments, demo script, API, settings and glossary pages. Conclusion: ready to be joined with the cores as they land.

--- /dev/null
+++ b/src/api/control_routes.cpp
@@ -0,0 +1,229 @@
+// Routes whose requests are passed on to the control leader.
+
+#include "api/control_routes.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "api/json_replies.h"
+#include "entry/entry_core.h"
+
+namespace greengagehead::api {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Longest time until a change must be in force everywhere at full size.
+constexpr std::chrono::milliseconds change_timeout {18'000};
+constexpr std::chrono::milliseconds read_timeout {5'000};
+
+base::steady_time steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+base::error invalid(std::string message)
+{
+    return {base::error_code::invalid_argument, base::error_step::settings, {}, std::move(message)};
+}
+
+base::error forbidden()
+{
+    return {base::error_code::unauthorized,
+            base::error_step::admission,
+            {},
+            "the token does not allow this"};
+}
+
+void pass_on(route_context& context, route_call const& call, protocol::control_request_body body,
+             std::chrono::milliseconds timeout)
+{
+    context.core.control(
+        std::move(body), timeout,
+        [exchange = call.exchange](protocol::control_result const& result) {
+            exchange->respond(control_response(result));
+        },
+        steady_now());
+}
+
+/// Reads `If-Match: VERSION`, quoted or not.
+base::result<std::optional<std::uint64_t>> read_expected_version(route_call const& call)
+{
+    auto const found = call.request.headers.find("if-match");
+    if (found == call.request.headers.end())
+        return std::optional<std::uint64_t>();
+    std::string text = found->second;
+    std::erase(text, '"');
+    std::uint64_t version = 0;
+    auto const [end, failure] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (failure != std::errc() || end != text.data() + text.size())
+        return invalid("If-Match must be a version number");
+    return std::optional(version);
+}
+
+std::string header_or_empty(route_call const& call, std::string const& name)
+{
+    auto const found = call.request.headers.find(name);
+    return found == call.request.headers.end() ? std::string() : found->second;
+}
+
+/// Reads a JSON object whose members are all strings with known names.
+base::result<std::map<std::string, std::string>> read_strings(std::string const& text,
+                                                              std::set<std::string> const& known)
+{
+    auto const body = json::parse(text, nullptr, false);
+    if (!body.is_object())
+        return invalid("body must be a JSON object");
+    std::map<std::string, std::string> values;
+    for (auto const& [key, value] : body.items()) {
+        if (!known.contains(key))
+            return invalid("unknown field " + key);
+        if (!value.is_string())
+            return invalid(key + " must be a string");
+        values[key] = value.get<std::string>();
+    }
+    return values;
+}
+
+std::string author_of(caller const& sender)
+{
+    return sender.may_operate() ? "operator" : "team " + sender.team;
+}
+
+} // namespace
+
+void show_setting(route_context& context, route_call& call)
+{
+    std::string const path = "/" + call.rest;
+    if (!call.sender.may_use_path(path))
+        return call.exchange->respond(error_response(forbidden()));
+    if (call.request.query.contains("history"))
+        return pass_on(context, call, protocol::read_history {path}, read_timeout);
+    context.core.control(
+        protocol::read_settings {path}, read_timeout,
+        [exchange = call.exchange, path](protocol::control_result const& result) {
+            auto const* const list = std::get_if<protocol::settings_list>(&result);
+            // A path that names exactly one setting is answered as that setting with its version.
+            if (list != nullptr && list->settings.size() == 1 && list->settings[0].path == path) {
+                protocol::change_result single;
+                single.current = list->settings[0];
+                return exchange->respond(control_response(single));
+            }
+            exchange->respond(control_response(result));
+        },
+        steady_now());
+}
+
+void change_setting(route_context& context, route_call& call)
+{
+    protocol::put_setting change;
+    change.path = "/" + call.rest;
+    if (!call.sender.may_use_path(change.path))
+        return call.exchange->respond(error_response(forbidden()));
+    auto body = json::parse(call.request.body, nullptr, false);
+    // Both a bare value and {"value": ...} are accepted.
+    if (body.is_object() && body.size() == 1 && body.contains("value"))
+        body = json(body["value"]);
+    if (body.is_discarded() || body.is_structured() || body.is_null())
+        return call.exchange->respond(
+            error_response(invalid("body must be a number, a string or a boolean in JSON")));
+    auto const expected = read_expected_version(call);
+    if (!expected)
+        return call.exchange->respond(error_response(expected.error()));
+    change.value = body.dump();
+    change.expected_version = expected.value();
+    change.idempotency_key = header_or_empty(call, "idempotency-key");
+    change.author = author_of(call.sender);
+    pass_on(context, call, protocol::command_body(std::move(change)), change_timeout);
+}
+
+void show_zones(route_context& context, route_call& call)
+{
+    auto const& view = context.core.applied_view();
+    std::set<std::string> names(view.zones_out.begin(), view.zones_out.end());
+    for (auto const& member : view.entries)
+        names.insert(member.zone);
+    for (auto const& endpoint : context.core.status(steady_now()).endpoints)
+        names.insert(endpoint.zone);
+    json zones = json::array();
+    for (auto const& name : names) {
+        bool const out
+            = std::find(view.zones_out.begin(), view.zones_out.end(), name) != view.zones_out.end();
+        zones.push_back({{"zone", name}, {"state", out ? "out" : "in"}});
+    }
+    transport::http_response response;
+    response.body = dump({{"zones", std::move(zones)}, {"view", view.number}});
+    call.exchange->respond(response);
+}
+
+void change_zone(route_context& context, route_call& call)
+{
+    if (!call.sender.may_operate())
+        return call.exchange->respond(error_response(forbidden()));
+    auto const body = read_strings(call.request.body, {"state"});
+    if (!body)
+        return call.exchange->respond(error_response(body.error()));
+    auto const state = body.value().find("state");
+    if (call.rest.empty() || state == body.value().end()
+        || (state->second != "out" && state->second != "in"))
+        return call.exchange->respond(error_response(invalid("state must be \"out\" or \"in\"")));
+    protocol::put_zone_state change;
+    change.zone = call.rest;
+    change.out = state->second == "out";
+    pass_on(context, call, protocol::command_body(std::move(change)), change_timeout);
+}
+
+void drain_endpoint(route_context& context, route_call& call)
+{
+    static constexpr std::string_view suffix = "/drain";
+    if (!call.sender.may_operate())
+        return call.exchange->respond(error_response(forbidden()));
+    if (call.rest.size() <= suffix.size() || !call.rest.ends_with(suffix))
+        return call.exchange->respond(error_response(
+            {base::error_code::not_found, base::error_step::admission, {}, "no such path"}));
+    protocol::put_endpoint_drain change;
+    change.endpoint = call.rest.substr(0, call.rest.size() - suffix.size());
+    // `?undo=1` puts the endpoint back.
+    change.draining = !call.request.query.contains("undo");
+    pass_on(context, call, protocol::command_body(std::move(change)), change_timeout);
+}
+
+void show_control(route_context& context, route_call& call)
+{
+    pass_on(context, call, protocol::read_control_status {}, read_timeout);
+}
+
+void change_control(route_context& context, route_call& call)
+{
+    if (!call.sender.may_operate())
+        return call.exchange->respond(error_response(forbidden()));
+    auto const body
+        = read_strings(call.request.body, {"action", "member", "replacement", "address"});
+    if (!body)
+        return call.exchange->respond(error_response(body.error()));
+    auto values = body.value();
+    static std::map<std::string, protocol::change_members::action> const actions {
+        {"add", protocol::change_members::action::add},
+        {"remove", protocol::change_members::action::remove},
+        {"replace", protocol::change_members::action::replace},
+    };
+    auto const action = actions.find(values["action"]);
+    if (action == actions.end() || values["member"].empty())
+        return call.exchange->respond(error_response(
+            invalid("action must be \"add\", \"remove\" or \"replace\", with a member")));
+    pass_on(context, call,
+            protocol::change_members {action->second, values["member"], values["replacement"],
+                                      values["address"]},
+            change_timeout);
+}
+
+} // namespace greengagehead::api
--- /dev/null
+++ b/src/api/status_routes.cpp
@@ -0,0 +1,167 @@
+// Status routes.
+
+#include "api/status_routes.h"
+
+#include <array>
+#include <chrono>
+#include <string_view>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "api/json_replies.h"
+#include "entry/entry_core.h"
+
+namespace greengagehead::api {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr std::chrono::milliseconds status_timeout {1'000};
+
+base::steady_time steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
+void respond_json(route_call const& call, int status, json const& body)
+{
+    transport::http_response response;
+    response.status = status;
+    response.body = dump(body);
+    call.exchange->respond(response);
+}
+
+/// What an operator should look at, in words.
+json degraded_parts(entry::entry_status const& status, protocol::control_status const* control)
+{
+    json parts = json::array();
+    if (!status.lease_valid)
+        parts.push_back("this entry has no valid lease: it starts no task");
+    if (control == nullptr) {
+        parts.push_back("no control leader answers");
+        return parts;
+    }
+    for (auto const& member : control->members) {
+        if (!member.reachable)
+            parts.push_back("control member " + member.name + " does not answer");
+    }
+    if (control->in_force < control->view)
+        parts.push_back("view " + std::to_string(control->view) + " is not in force everywhere");
+    return parts;
+}
+
+struct counter_line {
+    std::string_view name;
+    std::string_view help;
+    std::uint64_t entry::entry_counters::*value;
+};
+
+constexpr std::array counter_lines {
+    counter_line {"jobs_accepted_total", "Jobs admitted.", &entry::entry_counters::jobs_accepted},
+    counter_line {"jobs_refused_total", "Jobs refused, nothing ran.",
+                  &entry::entry_counters::jobs_refused},
+    counter_line {"jobs_complete_total", "Jobs answered whole.",
+                  &entry::entry_counters::jobs_complete},
+    counter_line {"jobs_failed_total", "Jobs marked failed.", &entry::entry_counters::jobs_failed},
+    counter_line {"first_attempts_total", "First attempts of tasks.",
+                  &entry::entry_counters::first_attempts},
+    counter_line {"retries_total", "Further attempts after a failure.",
+                  &entry::entry_counters::retries},
+    counter_line {"hedges_total", "Second attempts of stragglers.", &entry::entry_counters::hedges},
+    counter_line {"messages_sent_total", "Messages to other processes.",
+                  &entry::entry_counters::messages_sent},
+    counter_line {"wasted_outcomes_total", "Outcomes that added nothing to an answer.",
+                  &entry::entry_counters::wasted_outcomes},
+};
+
+void append_gauge(std::string& text, std::string_view name, std::string const& labels,
+                  std::uint64_t value)
+{
+    text.append("greengagehead_").append(name);
+    if (!labels.empty())
+        text += "{" + labels + "}";
+    text += " " + std::to_string(value) + "\n";
+}
+
+void append_gauges(std::string& text, entry::entry_status const& status)
+{
+    text += "# TYPE greengagehead_lease_valid gauge\n";
+    append_gauge(text, "lease_valid", "", status.lease_valid ? 1 : 0);
+    text += "# TYPE greengagehead_running_jobs gauge\n";
+    append_gauge(text, "running_jobs", "", status.running_jobs);
+    text += "# TYPE greengagehead_waiting_tasks gauge\n";
+    for (auto const& team : status.teams)
+        append_gauge(text, "waiting_tasks", "team=\"" + team.team + "\"", team.waiting);
+    text += "# TYPE greengagehead_tasks_in_progress gauge\n";
+    for (auto const& team : status.teams)
+        append_gauge(text, "tasks_in_progress", "team=\"" + team.team + "\"", team.in_progress);
+    text += "# TYPE greengagehead_slots gauge\n";
+    for (auto const& endpoint : status.endpoints)
+        append_gauge(text, "slots",
+                     "endpoint=\"" + endpoint.name + "\",zone=\"" + endpoint.zone + "\"",
+                     endpoint.slots);
+    text += "# TYPE greengagehead_used_slots gauge\n";
+    for (auto const& endpoint : status.endpoints)
+        append_gauge(text, "used_slots",
+                     "endpoint=\"" + endpoint.name + "\",zone=\"" + endpoint.zone + "\"",
+                     endpoint.used_slots);
+}
+
+} // namespace
+
+void show_health(route_context& /*context*/, route_call& call)
+{
+    respond_json(call, 200, {{"status", "ok"}});
+}
+
+void show_readiness(route_context& context, route_call& call)
+{
+    if (context.shutting_down)
+        return respond_json(call, 503, {{"ready", false}, {"reason", "shutting down"}});
+    if (!context.core.status(steady_now()).lease_valid)
+        return respond_json(call, 503, {{"ready", false}, {"reason", "no valid lease"}});
+    respond_json(call, 200, {{"ready", true}});
+}
+
+void show_status(route_context& context, route_call& call)
+{
+    context.core.control(
+        protocol::read_control_status {}, status_timeout,
+        [&core = context.core, exchange = call.exchange](protocol::control_result const& result) {
+            auto const status = core.status(steady_now());
+            auto const* const control = std::get_if<protocol::control_status>(&result);
+            json body {{"entry", status_json(status)},
+                       {"control", control == nullptr ? json() : control_json(*control)},
+                       {"zones_out", core.applied_view().zones_out},
+                       {"degraded", degraded_parts(status, control)}};
+            json entries = json::array();
+            for (auto const& member : core.applied_view().entries)
+                entries.push_back({{"name", member.id.name},
+                                   {"zone", member.zone},
+                                   {"http", member.http_address}});
+            body["entries"] = std::move(entries);
+            transport::http_response response;
+            response.body = dump(body);
+            exchange->respond(response);
+        },
+        steady_now());
+}
+
+void show_metrics(route_context& context, route_call& call)
+{
+    std::string text;
+    auto const& counters = context.core.counters();
+    for (auto const& line : counter_lines) {
+        text.append("# HELP greengagehead_").append(line.name).append(" ");
+        text.append(line.help).append("\n# TYPE greengagehead_").append(line.name);
+        text += " counter\n";
+        append_gauge(text, line.name, "", counters.*(line.value));
+    }
+    append_gauges(text, context.core.status(steady_now()));
+    context.metrics.append_to(text);
+    call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
+}
+
+} // namespace greengagehead::api
--- /dev/null
+++ b/src/app/control_task.h
@@ -0,0 +1,30 @@
+// Control role: replicated log and control_core joined to links and the data folder.
+
+#pragma once
+
+#include "app/role_task.h"
+#include "consensus/durable_log.h"
+#include "control/control_core.h"
+#include "settings/process_settings.h"
+#include "storage/posix_file_system.h"
+
+namespace greengagehead::app {
+
+class control_task : public role_task {
+public:
+    explicit control_task(settings::process_settings const& settings);
+    ~control_task() override;
+
+    /// Address for links. Errors: `error_step::listen`, `error_step::recover`.
+    base::result<transport::socket_address> open(settings::process_settings const& settings);
+
+protected:
+    void tick(base::steady_time now) override;
+    void begin_shutdown(base::steady_time now) override;
+    [[nodiscard]] bool idle() const override;
+
+private:
+    void receive(std::string const& peer, protocol::message const& body);
+};
+
+} // namespace greengagehead::app
--- /dev/null
+++ b/src/app/entry_task.cpp
@@ -0,0 +1,87 @@
+// Wiring of the entry role.
+
+#include "app/entry_task.h"
+
+#include "app/peer_wiring.h"
+#include "base/random.h"
+
+namespace greengagehead::app {
+
+namespace {
+
+entry::entry_settings core_settings(settings::process_settings const& settings,
+                                    std::vector<settings::peer_settings> const& controls)
+{
+    entry::entry_settings core;
+    core.id = {settings::peer_name(settings::role::entry, settings.name), base::random_number()};
+    core.region = settings.region;
+    core.zone = settings.zone;
+    core.http_address = settings.entry_http;
+    for (auto const& control : controls)
+        core.controls.push_back(settings::peer_name(settings::role::control, control.name));
+    core.placement = settings.placement;
+    core.seed = core.id.incarnation;
+    core.answer_retention = settings.timing.claim_retention;
+    return core;
+}
+
+} // namespace
+
+entry_task::entry_task(settings::process_settings const& own,
+                       std::vector<settings::peer_settings> const& controls)
+    : role_task({settings::peer_name(settings::role::entry, own.name), own.fleet_key}),
+      settings(own), core(core_settings(own, controls), this->hub, steady_now()),
+      routes(this->core, this->settings),
+      server(
+          this->loop, {own.limits.body_bytes, own.limits.header_bytes},
+          [this](auto& request, auto const& exchange) { this->routes.handle(request, exchange); })
+{
+    wire_core(this->hub, this->core);
+    connect_peers(this->hub, settings::role::control, controls);
+    std::vector<settings::peer_settings> others;
+    for (auto const& peer : own.entries) {
+        // One link per pair of entries is enough: the one with the lower name dials.
+        if (own.name < peer.name)
+            others.push_back(peer);
+    }
+    connect_peers(this->hub, settings::role::entry, others);
+}
+
+entry_task::~entry_task()
+{
+    this->stop();
+}
+
+base::result<transport::socket_address> entry_task::open_links()
+{
+    BOOST_OUTCOME_TRY(address, transport::parse_address(this->settings.entry_listen));
+    return this->hub.listen(address);
+}
+
+base::result<transport::socket_address> entry_task::open_http()
+{
+    BOOST_OUTCOME_TRY(address, transport::parse_address(this->settings.entry_http));
+    return this->server.listen(address);
+}
+
+void entry_task::tick(base::steady_time now)
+{
+    this->core.tick(now);
+}
+
+void entry_task::begin_shutdown(base::steady_time /*now*/)
+{
+    this->leaving = true;
+    this->routes.begin_shutdown();
+    this->leave_timer = this->loop.after(this->settings.timing.leave_delay, [this] {
+        this->core.begin_shutdown(steady_now());
+        this->leaving = false;
+    });
+}
+
+bool entry_task::idle() const
+{
+    return !this->leaving && this->core.idle() && this->server.open_exchanges() == 0;
+}
+
+} // namespace greengagehead::app
--- /dev/null
+++ b/src/app/process.cpp
@@ -0,0 +1,174 @@
+// Start and shutdown of the roles of one process.
+
+#include "app/process.h"
+
+#include <csignal>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include <event2/event.h>
+
+#include "app/agent_task.h"
+#include "app/control_task.h"
+#include "app/entry_task.h"
+#include "base/log_record.h"
+#include "transport/event_loop.h"
+
+namespace greengagehead::app {
+
+namespace {
+
+using settings::role;
+
+void log_listening(std::string_view what, transport::socket_address const& address)
+{
+    base::log_record(base::log_event::listening)
+        .with("what", what)
+        .with("address", address.to_string());
+}
+
+/// The roles of one process. Members are destroyed in reverse order: agent, entry, control.
+class role_set {
+public:
+    explicit role_set(settings::process_settings wanted) : settings(std::move(wanted)) { }
+
+    base::result<void> open()
+    {
+        if (this->settings.has(role::control)) {
+            BOOST_OUTCOME_TRYV(this->open_control());
+        }
+        if (this->settings.has(role::entry)) {
+            BOOST_OUTCOME_TRYV(this->open_entry());
+        }
+        if (this->settings.has(role::agent)) {
+            BOOST_OUTCOME_TRYV(this->open_agent());
+        }
+        return boost::outcome_v2::success();
+    }
+
+    /// Ends the roles one after the other: the entry needs its agents and control until the last
+    /// answer, so it goes first.
+    void shut_down(transport::event_loop& main_loop, std::function<void()> done)
+    {
+        role_task* next = nullptr;
+        if (this->entry) {
+            next = this->entry.get();
+        } else if (this->agent) {
+            next = this->agent.get();
+        }
+        if (next == nullptr)
+            return done();
+        next->shut_down([this, &main_loop, next, finished = std::move(done)] {
+            main_loop.post([this, &main_loop, next, finished] {
+                if (next == this->entry.get())
+                    this->entry.reset();
+                else
+                    this->agent.reset();
+                this->shut_down(main_loop, finished);
+            });
+        });
+    }
+
+private:
+    base::result<void> open_control()
+    {
+        this->control = std::make_unique<control_task>(this->settings);
+        BOOST_OUTCOME_TRY(address, this->control->open(this->settings));
+        log_listening("control links", address);
+        if (this->settings.controls.empty())
+            this->settings.controls.push_back({this->settings.name, address.to_string()});
+        this->control->start();
+        return boost::outcome_v2::success();
+    }
+
+    base::result<void> open_entry()
+    {
+        this->entry = std::make_unique<entry_task>(this->settings, this->settings.controls);
+        BOOST_OUTCOME_TRY(links, this->entry->open_links());
+        BOOST_OUTCOME_TRY(http, this->entry->open_http());
+        log_listening("entry links", links);
+        log_listening("callers", http);
+        if (this->settings.entries.empty())
+            this->settings.entries.push_back({this->settings.name, links.to_string()});
+        this->entry->start();
+        return boost::outcome_v2::success();
+    }
+
+    base::result<void> open_agent()
+    {
+        this->agent = std::make_unique<agent_task>(this->settings, this->settings.entries);
+        BOOST_OUTCOME_TRY(address, this->agent->open(this->settings));
+        log_listening("announcements", address);
+        this->agent->start();
+        return boost::outcome_v2::success();
+    }
+
+    settings::process_settings settings;
+    std::unique_ptr<control_task> control;
+    std::unique_ptr<entry_task> entry;
+    std::unique_ptr<agent_task> agent;
+};
+
+/// Turns SIGTERM and SIGINT into one graceful shutdown.
+class signal_watch {
+public:
+    signal_watch(transport::event_loop& loop, std::function<void()> action)
+        : on_signal(std::move(action))
+    {
+        for (int const number : {SIGTERM, SIGINT}) {
+            event* const watched = evsignal_new(loop.base(), number, &signal_watch::fire, this);
+            event_add(watched, nullptr);
+            this->events.push_back(watched);
+        }
+    }
+
+    ~signal_watch()
+    {
+        for (event* const watched : this->events)
+            event_free(watched);
+    }
+
+    signal_watch(signal_watch const&) = delete;
+    signal_watch& operator=(signal_watch const&) = delete;
+
+private:
+    static void fire(int /*number*/, short /*what*/, void* self)
+    {
+        static_cast<signal_watch*>(self)->on_signal();
+    }
+
+    std::function<void()> on_signal;
+    std::vector<event*> events;
+};
+
+} // namespace
+
+base::result<void> run_process(settings::process_settings settings)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    transport::event_loop main_loop;
+    auto const shutdown_limit = settings.timing.shutdown_limit;
+    base::log_record(base::log_event::process_started)
+        .with("process", settings.name)
+        .with("zone", settings.zone)
+        .with("data", settings.data_folder);
+    role_set roles(std::move(settings));
+    BOOST_OUTCOME_TRYV(roles.open());
+
+    bool stopping = false;
+    std::unique_ptr<transport::loop_timer> limit;
+    signal_watch const watch(main_loop, [&] {
+        if (stopping)
+            return main_loop.stop();
+        stopping = true;
+        base::log_record(base::log_event::process_stopping);
+        limit = main_loop.after(shutdown_limit, [&main_loop] { main_loop.stop(); });
+        roles.shut_down(main_loop, [&main_loop] { main_loop.stop(); });
+    });
+    main_loop.run();
+    base::log_record(base::log_event::process_stopped);
+    return boost::outcome_v2::success();
+}
+
+} // namespace greengagehead::app
--- /dev/null
+++ b/src/app/role_task.cpp
@@ -0,0 +1,59 @@
+// Thread and shutdown of a role.
+
+#include "app/role_task.h"
+
+#include <utility>
+
+namespace greengagehead::app {
+
+namespace {
+
+constexpr std::chrono::milliseconds tick_interval {10};
+
+} // namespace
+
+role_task::role_task(transport::link_identity identity)
+    : hub(this->loop, std::move(identity), transport::link_timing {})
+{
+}
+
+role_task::~role_task()
+{
+    this->stop();
+}
+
+void role_task::start()
+{
+    this->ticker = this->loop.every(tick_interval, [this] {
+        this->tick(steady_now());
+        this->check_shutdown();
+    });
+    this->thread = std::thread([this] { this->loop.run(); });
+}
+
+void role_task::shut_down(std::function<void()> done)
+{
+    this->loop.post([this, finished = std::move(done)]() mutable {
+        this->begin_shutdown(steady_now());
+        this->on_shut_down = std::move(finished);
+    });
+}
+
+void role_task::check_shutdown()
+{
+    if (!this->on_shut_down || !this->idle())
+        return;
+    auto const done = std::move(this->on_shut_down);
+    this->on_shut_down = nullptr;
+    done();
+}
+
+void role_task::stop()
+{
+    if (!this->thread.joinable())
+        return;
+    this->loop.stop();
+    this->thread.join();
+}
+
+} // namespace greengagehead::app
--- /dev/null
+++ b/src/app/role_task.h
@@ -0,0 +1,55 @@
+// One role of a process: a thread with its own event loop, links and state.
+
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "transport/event_loop.h"
+#include "transport/link_hub.h"
+
+namespace greengagehead::app {
+
+/// Derived classes own a core and connect it to the hub. Everything but the public functions runs
+/// on the task's thread.
+class role_task {
+public:
+    explicit role_task(transport::link_identity identity);
+    virtual ~role_task();
+    role_task(role_task const&) = delete;
+    role_task& operator=(role_task const&) = delete;
+
+    /// Starts the thread. Call after the task has been set up.
+    void start();
+    /// Lets work in progress finish, then calls `done` on the task's thread. Thread-safe.
+    void shut_down(std::function<void()> done);
+    /// Ends the thread at once. Thread-safe.
+    void stop();
+
+protected:
+    /// Runs every 10 ms.
+    virtual void tick(base::steady_time now) = 0;
+    /// Refuses new work from now on.
+    virtual void begin_shutdown(base::steady_time now) = 0;
+    /// Nothing is in progress any more.
+    [[nodiscard]] virtual bool idle() const = 0;
+
+    [[nodiscard]] static base::steady_time steady_now() { return std::chrono::steady_clock::now(); }
+
+    transport::event_loop loop;
+    transport::link_hub hub;
+
+private:
+    void check_shutdown();
+
+    std::unique_ptr<transport::loop_timer> ticker;
+    std::function<void()> on_shut_down; // Set while a shutdown is in progress.
+    std::thread thread;
+};
+
+} // namespace greengagehead::app
--- /dev/null
+++ b/src/cli/control_verbs.cpp
@@ -0,0 +1,283 @@
+// Verbs for operators: config, zone, drain, status, control.
+
+#include <chrono>
+#include <iostream>
+#include <string>
+#include <thread>
+
+#include "base/random.h"
+#include "cli/command_line.h"
+#include "cli/table_printer.h"
+#include "cli/verb_options.h"
+#include "cli/verb_reply.h"
+
+namespace greengagehead::cli {
+
+namespace {
+
+using nlohmann::json;
+using transport::http_method;
+
+constexpr std::chrono::milliseconds watch_interval {1'000};
+
+std::string text_of(json const& value)
+{
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+exit_code print_json(std::optional<json> const& reply)
+{
+    if (!reply)
+        return exit_code::failed;
+    std::cout << reply->dump() << "\n";
+    return exit_code::done;
+}
+
+std::string normalized(std::string path)
+{
+    if (path.empty() || path.front() != '/')
+        path.insert(0, "/");
+    std::string encoded;
+    std::size_t begin = 1;
+    while (begin <= path.size()) {
+        auto const end = std::min(path.find('/', begin), path.size());
+        encoded += "/" + encode_segment(path.substr(begin, end - begin));
+        begin = end + 1;
+    }
+    return encoded;
+}
+
+void print_settings(json const& list, bool with_history)
+{
+    table_printer table(with_history
+                            ? std::vector<std::string> {"PATH", "VALUE", "VERSION", "AUTHOR"}
+                            : std::vector<std::string> {"PATH", "VALUE", "VERSION"});
+    for (auto const& item : list) {
+        std::vector<std::string> row {text_of(item["path"]), text_of(item["value"]),
+                                      text_of(item["version"])};
+        if (with_history)
+            row.push_back(text_of(item["author"]));
+        table.add(std::move(row));
+    }
+    table.print(std::cout);
+}
+
+exit_code show_config(entry_session& session, std::string const& action, std::string const& path)
+{
+    std::string const query = action == "history" ? "?history=1" : "";
+    auto const reply
+        = session.call({http_method::get, "/v1/config" + normalized(path) + query, "", {}});
+    if (!reply || session.json())
+        return print_json(reply);
+    if (reply->contains("history"))
+        print_settings((*reply)["history"], true);
+    else if (reply->contains("settings"))
+        print_settings((*reply)["settings"], false);
+    else
+        std::cout << text_of((*reply)["value"]) << "\n";
+    bool const absent
+        = action == "get" && reply->contains("settings") && (*reply)["settings"].empty();
+    if (absent)
+        std::cerr << "no setting at " << path << "\n";
+    return absent ? exit_code::failed : exit_code::done;
+}
+
+exit_code set_config(entry_session& session, cxxopts::ParseResult const& parsed)
+{
+    auto const text = parsed["VALUE"].as<std::string>();
+    // A value that is not JSON counts as a string.
+    auto value = json::parse(text, nullptr, false);
+    if (value.is_discarded())
+        value = text;
+    api_client::request request {http_method::put,
+                                 "/v1/config" + normalized(parsed["PATH"].as<std::string>()),
+                                 value.dump(),
+                                 {{"Idempotency-Key", std::to_string(base::random_number())}}};
+    if (parsed.count("expect") > 0)
+        request.headers.emplace_back("If-Match",
+                                     std::to_string(parsed["expect"].as<std::uint64_t>()));
+    auto const reply = session.call(request);
+    if (!reply || session.json())
+        return print_json(reply);
+    std::cout << (*reply)["path"].get<std::string>() << " is " << text_of((*reply)["value"])
+              << " everywhere, version " << (*reply)["version"] << "\n";
+    return exit_code::done;
+}
+
+void print_status(json const& status)
+{
+    auto const& entry = status["entry"];
+    std::cout << "entry " << text_of(entry["entry"]) << ", lease "
+              << (entry["lease_valid"].get<bool>() ? "valid" : "NOT VALID") << ", view "
+              << entry["applied_view"] << " applied, " << entry["settled_view"] << " settled, "
+              << entry["running_jobs"] << " jobs running\n";
+    for (auto const& part : status["degraded"])
+        std::cout << "DEGRADED: " << text_of(part) << "\n";
+    for (auto const& zone : status["zones_out"])
+        std::cout << "ZONE OUT: " << text_of(zone) << "\n";
+    std::cout << "\n";
+
+    table_printer members({"CONTROL", "ADDRESS", "VOTER", "LEADER", "REACHABLE"});
+    if (status["control"].is_object()) {
+        for (auto const& member : status["control"]["members"])
+            members.add({text_of(member["name"]), text_of(member["address"]),
+                         text_of(member["voter"]), text_of(member["leader"]),
+                         text_of(member["reachable"])});
+    }
+    members.print(std::cout);
+    std::cout << "\n";
+
+    table_printer entries({"ENTRY", "ZONE", "HTTP"});
+    for (auto const& item : status["entries"])
+        entries.add({text_of(item["name"]), text_of(item["zone"]), text_of(item["http"])});
+    entries.print(std::cout);
+    std::cout << "\n";
+
+    table_printer endpoints({"ENDPOINT", "ZONE", "SLOTS", "USED", "HEALTH", "DRAINING"});
+    for (auto const& item : entry["endpoints"])
+        endpoints.add({text_of(item["name"]), text_of(item["zone"]), text_of(item["slots"]),
+                       text_of(item["used_slots"]), text_of(item["health"]),
+                       text_of(item["draining"])});
+    endpoints.print(std::cout);
+    std::cout << "\n";
+
+    table_printer teams({"TEAM", "WAITING", "IN PROGRESS"});
+    for (auto const& item : entry["teams"])
+        teams.add({text_of(item["team"]), text_of(item["waiting"]), text_of(item["in_progress"])});
+    teams.print(std::cout);
+}
+
+} // namespace
+
+exit_code config_verb(arguments const& words)
+{
+    verb_options options("config", "Read or change settings of the fleet.");
+    options.add()("expect", "Change only from this version.", cxxopts::value<std::uint64_t>());
+    options.positional({"ACTION", "PATH", "VALUE"}, 2);
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+    auto const action = (*parsed)["ACTION"].as<std::string>();
+    entry_session session(*parsed);
+    if (action == "get" || action == "list" || action == "history")
+        return show_config(session, action, (*parsed)["PATH"].as<std::string>());
+    if (action == "set" && parsed->count("VALUE") > 0)
+        return set_config(session, *parsed);
+    options.wrong_usage("ACTION must be get, set, list or history; set needs a VALUE");
+    return options.ended;
+}
+
+exit_code zone_verb(arguments const& words)
+{
+    verb_options options("zone", "Take a zone out or bring it back.");
+    options.positional({"ACTION", "ZONE"}, 2);
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+    auto const action = (*parsed)["ACTION"].as<std::string>();
+    auto const zone = (*parsed)["ZONE"].as<std::string>();
+    if (action != "out" && action != "in") {
+        options.wrong_usage("ACTION must be out or in");
+        return options.ended;
+    }
+    entry_session session(*parsed);
+    auto const reply = session.call({http_method::put,
+                                     "/v1/zones/" + encode_segment(zone),
+                                     json {{"state", action}}.dump(),
+                                     {}});
+    if (!reply || session.json())
+        return print_json(reply);
+    std::cout << "zone " << zone << " is " << action << " everywhere\n";
+    return exit_code::done;
+}
+
+exit_code drain_verb(arguments const& words)
+{
+    verb_options options("drain", "Give an endpoint no new work.");
+    options.add()("undo", "Give it work again.");
+    options.positional({"ENDPOINT"}, 1);
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+    auto const endpoint = (*parsed)["ENDPOINT"].as<std::string>();
+    bool const undo = parsed->count("undo") > 0;
+    entry_session session(*parsed);
+    auto const reply = session.call(
+        {http_method::post,
+         "/v1/endpoints/" + encode_segment(endpoint) + "/drain" + (undo ? "?undo=1" : ""),
+         "",
+         {}});
+    if (!reply || session.json())
+        return print_json(reply);
+    std::cout << "endpoint " << endpoint
+              << (undo ? " gets work again\n" : " gets no new work anywhere\n");
+    return exit_code::done;
+}
+
+exit_code status_verb(arguments const& words)
+{
+    verb_options options("status", "Show processes, zones, endpoints and queues.");
+    options.add()("watch", "Show again every second until interrupted.");
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+    bool const watch = parsed->count("watch") > 0;
+    entry_session session(*parsed);
+    while (true) {
+        auto const reply = session.call({http_method::get, "/v1/status", "", {}});
+        if (session.json()) {
+            if (auto const code = print_json(reply); !watch)
+                return code;
+        } else if (reply) {
+            // Clears the terminal between two rounds.
+            std::cout << (watch ? "\033[2J\033[H" : "");
+            print_status(*reply);
+        }
+        if (!watch)
+            return reply ? exit_code::done : exit_code::failed;
+        std::cout << std::flush;
+        std::this_thread::sleep_for(watch_interval);
+    }
+}
+
+exit_code control_verb(arguments const& words)
+{
+    verb_options options("control", "Show or change the members of the control group.");
+    options.add()("address", "Address for links of the new member, IP:PORT.",
+                  cxxopts::value<std::string>()->default_value(""));
+    options.positional({"ACTION", "MEMBER", "REPLACEMENT"}, 1);
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+    auto const action = (*parsed)["ACTION"].as<std::string>();
+    entry_session session(*parsed);
+    if (action == "list") {
+        auto const reply = session.call({http_method::get, "/v1/control", "", {}});
+        if (!reply || session.json())
+            return print_json(reply);
+        table_printer table({"MEMBER", "ADDRESS", "VOTER", "LEADER", "REACHABLE", "MATCH"});
+        for (auto const& member : (*reply)["members"])
+            table.add({text_of(member["name"]), text_of(member["address"]),
+                       text_of(member["voter"]), text_of(member["leader"]),
+                       text_of(member["reachable"]), text_of(member["match_index"])});
+        table.print(std::cout);
+        return exit_code::done;
+    }
+    if ((action != "add" && action != "remove" && action != "replace")
+        || parsed->count("MEMBER") == 0) {
+        options.wrong_usage("ACTION must be list, or add, remove or replace with a MEMBER");
+        return options.ended;
+    }
+    json body {{"action", action},
+               {"member", (*parsed)["MEMBER"].as<std::string>()},
+               {"address", (*parsed)["address"].as<std::string>()}};
+    if (parsed->count("REPLACEMENT") > 0)
+        body["replacement"] = (*parsed)["REPLACEMENT"].as<std::string>();
+    auto const reply = session.call({http_method::post, "/v1/control", body.dump(), {}});
+    if (!reply || session.json())
+        return print_json(reply);
+    std::cout << "change of the control group accepted\n";
+    return exit_code::done;
+}
+
+} // namespace greengagehead::cli
--- /dev/null
+++ b/src/cli/exit_code.h
@@ -0,0 +1,13 @@
+// Exit codes of all verbs.
+
+#pragma once
+
+namespace greengagehead::cli {
+
+enum class exit_code : int {
+    done = 0,
+    failed = 1, ///< Failed or refused.
+    usage = 2, ///< Wrong usage or settings.
+};
+
+} // namespace greengagehead::cli
--- /dev/null
+++ b/src/cli/run_verbs.cpp
@@ -0,0 +1,115 @@
+// Verbs that need no running fleet: run and check.
+
+#include <array>
+#include <iostream>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+
+#include "app/process.h"
+#include "base/log_sink.h"
+#include "cli/command_line.h"
+#include "cli/verb_options.h"
+#include "settings/settings_file.h"
+#include "transport/socket_address.h"
+
+namespace greengagehead::cli {
+
+namespace {
+
+base::severity severity_of(std::string_view name)
+{
+    static constexpr std::array names {
+        std::string_view {"debug"},
+        std::string_view {"info"},
+        std::string_view {"warning"},
+        std::string_view {"error"},
+    };
+    auto const* const found = std::find(names.begin(), names.end(), name);
+    return found == names.end() ? base::severity::info
+                                : static_cast<base::severity>(found - names.begin());
+}
+
+exit_code report(settings::settings_check const& check)
+{
+    for (auto const& problem : check.problems)
+        std::cerr << problem.to_string() << "\n";
+    return exit_code::usage;
+}
+
+exit_code run_with(settings::process_settings const& wanted)
+{
+    auto const style = wanted.log_format == "json" ? base::log_style::json : base::log_style::text;
+    base::open_log(style, severity_of(wanted.log_level));
+    auto const ended = app::run_process(wanted);
+    base::flush_log();
+    if (ended)
+        return exit_code::done;
+    std::cerr << base::describe(ended.error()) << "\n";
+    return exit_code::failed;
+}
+
+} // namespace
+
+exit_code run_verb(arguments const& words)
+{
+    verb_options options("run", "Run the roles of a settings file, or all roles on loopback.");
+    options.add()("config", "Settings file.", cxxopts::value<std::string>())(
+        "data", "Data folder.", cxxopts::value<std::string>())(
+        "http", "Address for callers, IP:PORT.", cxxopts::value<std::string>())(
+        "announce", "Address for endpoints, 127.x.y.z:PORT.", cxxopts::value<std::string>())(
+        "log-level", "debug, info, warning or error.", cxxopts::value<std::string>());
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+
+    auto wanted = settings::embedded_settings();
+    if (parsed->count("config") > 0) {
+        auto const check = settings::read_settings_file((*parsed)["config"].as<std::string>());
+        if (!check.problems.empty())
+            return report(check);
+        wanted = check.settings;
+    }
+    for (auto const& [option, target] :
+         {std::pair {"data", &wanted.data_folder}, std::pair {"http", &wanted.entry_http},
+          std::pair {"announce", &wanted.agent_announce},
+          std::pair {"log-level", &wanted.log_level}}) {
+        if (parsed->count(option) > 0)
+            *target = (*parsed)[option].as<std::string>();
+    }
+    for (auto const& [option, address] :
+         {std::pair {"http", &wanted.entry_http}, std::pair {"announce", &wanted.agent_announce}}) {
+        if (parsed->count(option) > 0 && !transport::parse_address(*address)) {
+            options.wrong_usage(std::string("--") + option + " must be IP:PORT");
+            return options.ended;
+        }
+    }
+    return run_with(wanted);
+}
+
+exit_code check_verb(arguments const& words)
+{
+    verb_options options("check", "Check a settings file and list every problem.");
+    options.positional({"FILE"}, 1);
+    auto const parsed = options.parse(words);
+    if (!parsed)
+        return options.ended;
+    auto const file = (*parsed)["FILE"].as<std::string>();
+    auto const check = settings::read_settings_file(file);
+    if (parsed->count("json") > 0) {
+        auto list = nlohmann::json::array();
+        for (auto const& problem : check.problems)
+            list.push_back({{"file", problem.file},
+                            {"line", problem.line},
+                            {"key", problem.key},
+                            {"message", problem.message}});
+        std::cout << nlohmann::json {{"problems", list}}.dump() << "\n";
+        return check.problems.empty() ? exit_code::done : exit_code::usage;
+    }
+    if (!check.problems.empty())
+        return report(check);
+    std::cout << file << ": no problems\n";
+    return exit_code::done;
+}
+
+} // namespace greengagehead::cli
--- /dev/null
+++ b/src/settings/process_settings.cpp
@@ -0,0 +1,48 @@
+// Names of roles and the embedded defaults.
+
+#include "settings/process_settings.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace greengagehead::settings {
+
+bool process_settings::has(role wanted) const
+{
+    return std::find(this->roles.begin(), this->roles.end(), wanted) != this->roles.end();
+}
+
+std::string_view to_string(role which)
+{
+    static constexpr std::array names {
+        std::string_view {"control"},
+        std::string_view {"entry"},
+        std::string_view {"agent"},
+    };
+    return names.at(static_cast<std::size_t>(which));
+}
+
+std::string peer_name(role which, std::string const& process)
+{
+    return std::string(to_string(which)) + "." + process;
+}
+
+process_settings embedded_settings()
+{
+    process_settings embedded;
+    embedded.name = "local";
+    embedded.zone = "local";
+    embedded.region = "local";
+    embedded.data_folder = "greengagehead-data";
+    embedded.roles = {role::control, role::entry, role::agent};
+    embedded.control_listen = "127.0.0.1:0";
+    embedded.entry_listen = "127.0.0.1:0";
+    embedded.entry_http = "127.0.0.1:8410";
+    embedded.agent_announce = "127.0.0.1:8420";
+    // No balancer stands in front of the embedded deployment.
+    embedded.timing.leave_delay = std::chrono::milliseconds(0);
+    return embedded;
+}
+
+} // namespace greengagehead::settings
--- /dev/null
+++ b/src/settings/process_settings.h
@@ -0,0 +1,75 @@
+// Settings of one process, read from its TOML file or taken from the embedded defaults.
+
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace greengagehead::settings {
+
+enum class role : std::uint8_t { control, entry, agent };
+
+/// A fixed peer: a control member or an entry.
+struct peer_settings {
+    std::string name; ///< Process name; the peer name is the role, a dot and this name.
+    std::string address;
+};
+
+/// Bearer token of a team or of an operator. Only the digest is stored.
+struct token_settings {
+    std::string team; ///< Empty for an operator, who may do everything.
+    std::string sha256;
+};
+
+struct limit_settings {
+    std::uint64_t body_bytes = 8'388'608;
+    std::uint64_t header_bytes = 16'384;
+    std::uint64_t tasks_per_job = 2'000;
+    std::chrono::milliseconds longest_deadline {600'000};
+    std::chrono::milliseconds longest_wait {600'000};
+};
+
+struct timing_settings {
+    std::chrono::milliseconds claim_retention {900'000};
+    std::chrono::milliseconds tombstone_retention {86'400'000};
+    /// After a shutdown request an entry serves on for this long while /readyz already fails, so
+    /// that the balancer stops sending before requests are refused.
+    std::chrono::milliseconds leave_delay {2'000};
+    /// A shutdown that has not finished by then ends the process anyway.
+    std::chrono::milliseconds shutdown_limit {60'000};
+};
+
+struct process_settings {
+    std::string name;
+    std::string zone;
+    std::string region;
+    std::string data_folder; ///< Only for control.
+    std::vector<role> roles;
+    std::string control_listen; ///< Address for links of the control role.
+    std::string entry_listen; ///< Address for links of the entry role.
+    std::string entry_http; ///< Address for callers and operators.
+    std::string agent_announce; ///< Loopback address for endpoints.
+    std::string fleet_key; ///< Shared by all processes; empty switches the proof off.
+    std::string placement = "least_loaded";
+    std::vector<peer_settings> controls;
+    std::vector<peer_settings> entries;
+    std::vector<token_settings> tokens; ///< Empty switches access checks off.
+    limit_settings limits;
+    timing_settings timing;
+    std::string log_format = "text";
+    std::string log_level = "info";
+
+    [[nodiscard]] bool has(role wanted) const;
+};
+
+[[nodiscard]] std::string_view to_string(role which);
+/// Peer name of a role of a process, for example `entry.recife-1`.
+[[nodiscard]] std::string peer_name(role which, std::string const& process);
+
+/// All three roles on loopback, without access checks.
+[[nodiscard]] process_settings embedded_settings();
+
+} // namespace greengagehead::settings
--- /dev/null
+++ b/tests/settings/settings_file_test.cpp
@@ -0,0 +1,84 @@
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "settings/settings_file.h"
+
+namespace {
+
+using namespace greengagehead::settings;
+
+char const* const entry_file = R"(
+name = "recife-1"
+zone = "recife"
+roles = ["entry"]
+
+[entry]
+listen = "127.0.0.1:9101"
+http = "127.0.0.1:9102"
+
+[[controls]]
+name = "recife-c"
+address = "127.0.0.1:9001"
+)";
+
+bool has_problem(settings_check const& check, std::string const& key, std::uint32_t line)
+{
+    return std::any_of(check.problems.begin(), check.problems.end(), [&](auto const& problem) {
+        return problem.key == key && problem.line == line;
+    });
+}
+
+} // namespace
+
+SCENARIO("a settings file is checked as a whole")
+{
+    GIVEN("a correct file of an entry")
+    {
+        auto const check = read_settings_text(entry_file, "entry.toml");
+        THEN("it is read without problems")
+        {
+            CHECK(check.problems.empty());
+            CHECK(check.settings.entry_http == "127.0.0.1:9102");
+            CHECK(check.settings.controls.size() == 1);
+        }
+    }
+
+    // Guards against an operator having to fix a file one error at a time.
+    GIVEN("a file with an unknown key, a value out of range and a malformed address")
+    {
+        std::string text(entry_file);
+        text.replace(text.find("127.0.0.1:9102"), 14, "localhost:9102");
+        text += "\n[limits]\ntasks_per_job = 0\n\n[timing]\nleave_dely_ms = 5\n";
+        auto const check = read_settings_text(text, "entry.toml");
+        THEN("all three are reported with their lines")
+        {
+            CHECK(check.problems.size() == 3);
+            CHECK(has_problem(check, "entry.http", 8));
+            CHECK(has_problem(check, "limits.tasks_per_job", 15));
+            CHECK(has_problem(check, "timing.leave_dely_ms", 18));
+        }
+    }
+
+    // Guards against a process that starts and then cannot do its work.
+    GIVEN("a control member without a data folder")
+    {
+        auto const check = read_settings_text(
+            "name = \"c\"\nzone = \"z\"\nroles = [\"control\"]\n[control]\nlisten = "
+            "\"127.0.0.1:1\"\n",
+            "control.toml");
+        THEN("the missing key is named")
+        {
+            CHECK(has_problem(check, "data", 0));
+        }
+    }
+
+    GIVEN("a file that is not TOML")
+    {
+        auto const check = read_settings_text("name = \n", "broken.toml");
+        THEN("its line is named")
+        {
+            CHECK(has_problem(check, "", 1));
+        }
+    }
+}
