--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -3,10 +3,12 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
-#include <vector>
 
+#include "agent/announcement.h"
 #include "agent/endpoint_runner.h"
 #include "base/clock.h"
 #include "base/error.h"
@@ -24,24 +26,24 @@
     /// Finished outcomes are kept this long: the longest deadline plus claim retention.
     std::chrono::milliseconds outcome_retention {1'500'000};
     std::uint32_t queue_per_endpoint = 2; ///< Admitted tasks that may wait for a slot.
-};
-
-/// What an endpoint says of itself.
-struct announcement {
-    std::string name;
-    std::string url;
-    std::vector<std::string> kinds;
-    std::uint32_t slots = 0;
-    std::uint32_t connections = 0;
-    std::uint32_t cpu = 0;
-    std::uint32_t memory_mb = 0;
-    std::string rack;
+    /// Refused attempts, and idempotent ones without a kept result, are remembered this long.
+    /// Must be longer than any start message can be delayed.
+    std::chrono::milliseconds refusal_memory {60'000};
+    /// No entry can hold a lease for longer; stamps beyond it come from another clock.
+    std::chrono::milliseconds longest_lease {1500};
+    std::size_t outcome_bytes = 8UL * 1024 * 1024; ///< Memory for finished outcomes.
 };
 
 class agent_core {
 public:
+    /// `sender` and `runner` must outlive the core.
     agent_core(agent_settings settings, protocol::message_sender& sender, endpoint_runner& runner,
                base::steady_time now);
+    ~agent_core();
+    agent_core(agent_core const&) = delete;
+    agent_core& operator=(agent_core const&) = delete;
+    agent_core(agent_core&&) = delete;
+    agent_core& operator=(agent_core&&) = delete;
 
     /// Adds an endpoint or refreshes it. Repeated as heartbeat; an endpoint that misses three
     /// announcements counts as gone. Errors: `error_code::invalid_argument`.
@@ -60,6 +62,10 @@
     void begin_shutdown(base::steady_time now);
     /// No task runs and every outcome is acknowledged.
     [[nodiscard]] bool idle() const;
+
+private:
+    class parts;
+    std::shared_ptr<parts> own; // Callbacks of the runner hold it weakly.
 };
 
 } // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/agent_parts.cpp
@@ -0,0 +1,305 @@
+// Handling of start messages, runs, cancellations and queries.
+
+#include "agent/agent_parts.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "base/log_record.h"
+
+namespace greengagehead::agent {
+
+namespace {
+
+using protocol::outcome_kind;
+using std::chrono::milliseconds;
+
+template <typename T>
+concept handled = std::is_same_v<T, protocol::start_batch> || std::is_same_v<
+    T, protocol::lease_update> || std::is_same_v<T, protocol::cancel_batch> || std::
+    is_same_v<T, protocol::outcome_query> || std::is_same_v<T, protocol::outcome_ack>;
+
+std::string_view name_of(outcome_kind kind)
+{
+    static constexpr std::string_view names[]
+        = {"running", "succeeded", "failed", "not_run", "unknown", "cancelled"};
+    return names[static_cast<std::size_t>(kind)];
+}
+
+} // namespace
+
+agent_core::parts::parts(agent_settings wanted, protocol::message_sender& messages,
+                         endpoint_runner& tasks)
+    : settings(std::move(wanted)), sender(messages), runner(tasks),
+      leases(this->settings.longest_lease),
+      outcomes({this->settings.outcome_retention, this->settings.refusal_memory,
+                this->settings.outcome_bytes}),
+      endpoints(this->settings.announcement_interval, this->settings.queue_per_endpoint),
+      admission({this->settings.id, this->settings.zone, this->settings.refusal_memory},
+                this->leases, this->outcomes, this->endpoints),
+      deliveries(this->settings.id, messages, this->outcomes),
+      reports(this->settings.report_interval, messages)
+{
+}
+
+void agent_core::parts::receive(std::string const& peer, protocol::message const& body,
+                                base::steady_time now)
+{
+    std::visit(
+        [&](auto const& message) {
+            if constexpr (handled<std::remove_cvref_t<decltype(message)>>)
+                this->handle(peer, message, now);
+        },
+        body);
+}
+
+void agent_core::parts::settle(base::steady_time now)
+{
+    this->review_queues(now);
+    for (auto const& endpoint : this->endpoints.names())
+        this->start_waiting(endpoint, now);
+    this->deliveries.flush(now);
+    this->report_if_due(now);
+}
+
+void agent_core::parts::handle(std::string const& peer, protocol::start_batch const& batch,
+                               base::steady_time now)
+{
+    this->leases.note(batch.lease, now);
+    for (auto const& task : batch.starts)
+        this->handle_start({peer, batch.lease, batch.agent_incarnation, task, now + task.remaining},
+                           now);
+}
+
+void agent_core::parts::handle(std::string const& /*peer*/, protocol::lease_update const& update,
+                               base::steady_time now)
+{
+    this->leases.note(update, now);
+}
+
+void agent_core::parts::handle(std::string const& peer, protocol::cancel_batch const& batch,
+                               base::steady_time now)
+{
+    for (auto const& attempt : batch.attempts)
+        this->cancel(peer, attempt, now);
+}
+
+void agent_core::parts::handle(std::string const& peer, protocol::outcome_query const& query,
+                               base::steady_time now)
+{
+    protocol::outcome_report report {this->settings.id, query.query_id, {}};
+    for (auto const& item : query.jobs) {
+        bool const current = item.epoch >= this->outcomes.fence(item.job);
+        if (current)
+            this->outcomes.raise_fence(item.job, item.epoch, now);
+    }
+    // Waiting attempts of lower epochs are refused before the report says what is known.
+    this->review_queues(now);
+    for (auto const& item : query.jobs) {
+        bool const current = item.epoch >= this->outcomes.fence(item.job);
+        for (auto const& key : this->outcomes.of_job(item.job)) {
+            auto* const record = this->outcomes.find(key);
+            if (current && record->details && record->details->owner != peer) {
+                record->details->owner = peer;
+                if (record->phase == attempt_phase::finished && !record->acknowledged)
+                    this->deliveries.enqueue(key);
+            }
+            report.outcomes.push_back(this->outcomes.outcome(key));
+        }
+    }
+    this->sender.send(peer, report);
+}
+
+void agent_core::parts::handle(std::string const& peer, protocol::outcome_ack const& ack,
+                               base::steady_time /*now*/)
+{
+    if (ack.agent_incarnation == this->settings.id.incarnation)
+        this->deliveries.acknowledge(peer, ack.batch_id);
+}
+
+void agent_core::parts::handle_start(start_request request, base::steady_time now)
+{
+    auto const key = key_of(request.task);
+    if (auto* const known = this->outcomes.find(key); known != nullptr)
+        return this->repeat(*known, key, request.peer);
+    if (auto const* const run = this->outcomes.find_run(request.task.task, request.task.idempotent);
+        run != nullptr)
+        return this->follow({request.task.task, run->epoch, run->attempt}, request, now);
+
+    auto const refused = this->admission.refuse(request, admission_stage::receipt, now);
+    auto& record = this->outcomes.add(key, request.task.idempotent);
+    record.details->owner = request.peer;
+    record.details->endpoint = request.task.endpoint;
+    if (refused)
+        return this->refuse(key, *refused, now);
+    this->outcomes.raise_fence(key.task.job, key.epoch, now);
+    auto const endpoint = request.task.endpoint;
+    record.details->request = std::make_unique<start_request>(std::move(request));
+    this->endpoints.present(endpoint)->enqueue(key);
+    this->start_waiting(endpoint, now);
+}
+
+void agent_core::parts::repeat(attempt_record& known, attempt_key const& key,
+                               std::string const& peer)
+{
+    if (known.phase != attempt_phase::finished)
+        return;
+    this->outcomes.reopen(key, peer);
+    this->deliveries.enqueue(key);
+}
+
+void agent_core::parts::follow(attempt_key const& run, start_request const& request,
+                               base::steady_time now)
+{
+    auto const key = key_of(request.task);
+    auto& record = this->outcomes.add(key, request.task.idempotent);
+    record.phase = attempt_phase::following;
+    record.details->owner = request.peer;
+    record.details->endpoint = request.task.endpoint;
+    auto const* const leader = this->outcomes.find(run);
+    if (leader->phase != attempt_phase::finished)
+        return;
+    auto known = this->outcomes.outcome(run);
+    this->finish(key, {known.kind, std::move(known.result), std::move(known.message)}, now);
+}
+
+void agent_core::parts::cancel(std::string const& peer, protocol::attempt_ref const& attempt,
+                               base::steady_time now)
+{
+    bool known = false;
+    for (auto const& key : this->outcomes.of_job(attempt.task.job)) {
+        if (key.task != attempt.task || key.attempt != attempt.attempt)
+            continue;
+        known = true;
+        auto* const record = this->outcomes.find(key);
+        if (!record->details || record->details->owner != peer)
+            continue;
+        if (record->phase == attempt_phase::waiting) {
+            this->endpoints.find(record->details->endpoint)->remove(key);
+            this->refuse(key, {"cancelled before it started"}, now);
+        } else if (record->phase == attempt_phase::running) {
+            record->details->stop_requested = true;
+            auto const url = record->details->url;
+            this->runner.stop(url, key.task);
+        }
+    }
+    if (!known)
+        this->outcomes.refuse_early(attempt.task, attempt.attempt, now);
+}
+
+void agent_core::parts::refuse(attempt_key const& key, refusal const& reason, base::steady_time now)
+{
+    base::log_record(base::log_event::start_refused)
+        .with("job", key.task.job)
+        .with("task", key.task.index)
+        .with("attempt", key.attempt)
+        .with("reason", reason.reason);
+    auto const kind = reason.may_have_run ? outcome_kind::unknown : outcome_kind::not_run;
+    this->finish(key, {kind, {}, std::string(reason.reason)}, now);
+}
+
+void agent_core::parts::review_queues(base::steady_time now)
+{
+    for (auto const& [endpoint, key] : this->endpoints.waiting()) {
+        auto const* const record = this->outcomes.find(key);
+        auto const refused
+            = this->admission.refuse(*record->details->request, admission_stage::waiting, now);
+        if (!refused)
+            continue;
+        this->endpoints.find(endpoint)->remove(key);
+        this->refuse(key, *refused, now);
+    }
+}
+
+void agent_core::parts::start_waiting(std::string const& endpoint, base::steady_time now)
+{
+    auto* const slots = this->endpoints.present(endpoint);
+    if (slots == nullptr)
+        return;
+    while (auto const key = slots->take_next()) {
+        auto& request = *this->outcomes.find(*key)->details->request;
+        // The entry may have renewed its lease while the task waited.
+        if (auto const renewed = this->leases.latest(request.stamp.entry); renewed)
+            request.stamp = *renewed;
+        auto const refused = this->admission.refuse(request, admission_stage::start, now);
+        if (refused)
+            this->refuse(*key, *refused, now);
+        else
+            this->run(*key, *slots, now);
+    }
+}
+
+void agent_core::parts::run(attempt_key const& key, endpoint_slots& slots, base::steady_time now)
+{
+    auto& record = *this->outcomes.find(key);
+    auto& details = *record.details;
+    auto const request = std::move(details.request);
+    auto const remaining = std::chrono::ceil<milliseconds>(request->deadline - now);
+    auto const limit = request->task.timeout;
+    record.phase = attempt_phase::running;
+    details.url = slots.description().url;
+    details.started = now;
+    slots.acquire();
+    base::log_record(base::log_event::start_admitted)
+        .with("job", key.task.job)
+        .with("task", key.task.index)
+        .with("attempt", key.attempt)
+        .with("endpoint", details.endpoint);
+    run_request const order {
+        details.url, std::move(request->task),
+        limit == milliseconds(0) ? remaining : std::min(limit, remaining),
+        std::min(base::from_reading(request->stamp.expires_at), request->deadline)};
+    this->runner.start(
+        order, [weak = this->weak_from_this(), key](run_result result, base::steady_time finished) {
+            if (auto const self = weak.lock())
+                self->finish_run(key, std::move(result), finished);
+        });
+}
+
+void agent_core::parts::finish_run(attempt_key const& key, run_result result, base::steady_time now)
+{
+    auto* const record = this->outcomes.find(key);
+    if (record == nullptr || record->phase != attempt_phase::running)
+        return;
+    auto& details = *record->details;
+    details.run_time = std::chrono::duration_cast<std::chrono::microseconds>(now - details.started);
+    if (details.stop_requested
+        && (result.kind == outcome_kind::failed || result.kind == outcome_kind::unknown))
+        result.kind = outcome_kind::cancelled;
+    this->endpoints.find(details.endpoint)->release();
+    this->finish(key, result, now);
+    this->settle(now);
+}
+
+void agent_core::parts::finish(attempt_key const& key, run_result const& result,
+                               base::steady_time now)
+{
+    base::log_record(base::log_event::outcome_recorded)
+        .with("job", key.task.job)
+        .with("task", key.task.index)
+        .with("attempt", key.attempt)
+        .with("outcome", name_of(result.kind));
+    this->outcomes.finish(key, result.kind, result.result, result.message, now);
+    this->deliveries.enqueue(key);
+    for (auto const& other : this->outcomes.of_job(key.task.job)) {
+        auto const* const record = this->outcomes.find(other);
+        if (record->phase != attempt_phase::following || other.task != key.task)
+            continue;
+        this->outcomes.finish(other, result.kind, result.result, result.message, now);
+        this->deliveries.enqueue(other);
+    }
+}
+
+void agent_core::parts::report_if_due(base::steady_time now)
+{
+    state_reporter::notable_state current {this->leases.known_view(), this->endpoints.fullness()};
+    if (!this->reports.due(current, now))
+        return;
+    this->reports.send({this->settings.id, this->settings.region, this->settings.zone,
+                        base::to_reading(now), this->leases.known_view(),
+                        this->endpoints.states(this->leases)},
+                       std::move(current), now);
+}
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/agent_parts.h
@@ -0,0 +1,63 @@
+// The parts of an agent core and how they work together. Included by the agent core only.
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "agent/agent_core.h"
+#include "agent/endpoint_list.h"
+#include "agent/lease_book.h"
+#include "agent/outcome_sender.h"
+#include "agent/outcome_store.h"
+#include "agent/start_admission.h"
+#include "agent/state_reporter.h"
+
+namespace greengagehead::agent {
+
+/// Every path to `endpoint_runner::start` goes through `start_waiting`, which checks the attempt
+/// right before.
+class agent_core::parts : public std::enable_shared_from_this<parts> {
+public:
+    parts(agent_settings settings, protocol::message_sender& sender, endpoint_runner& runner);
+
+    void receive(std::string const& peer, protocol::message const& body, base::steady_time now);
+    /// Answers waiting attempts that can no longer start, fills free slots, and sends what is due.
+    /// Ends the handling of every input.
+    void settle(base::steady_time now);
+
+    agent_settings settings;
+    protocol::message_sender& sender;
+    endpoint_runner& runner;
+    lease_book leases;
+    outcome_store outcomes;
+    endpoint_list endpoints;
+    start_admission admission;
+    outcome_sender deliveries;
+    state_reporter reports;
+
+private:
+    void handle(std::string const& peer, protocol::start_batch const& batch, base::steady_time now);
+    void handle(std::string const& peer, protocol::lease_update const& update,
+                base::steady_time now);
+    void handle(std::string const& peer, protocol::cancel_batch const& batch,
+                base::steady_time now);
+    void handle(std::string const& peer, protocol::outcome_query const& query,
+                base::steady_time now);
+    void handle(std::string const& peer, protocol::outcome_ack const& ack, base::steady_time now);
+
+    void handle_start(start_request request, base::steady_time now);
+    void repeat(attempt_record& known, attempt_key const& key, std::string const& peer);
+    void follow(attempt_key const& run, start_request const& request, base::steady_time now);
+    void cancel(std::string const& peer, protocol::attempt_ref const& attempt,
+                base::steady_time now);
+    void refuse(attempt_key const& key, refusal const& reason, base::steady_time now);
+    void review_queues(base::steady_time now);
+    void start_waiting(std::string const& endpoint, base::steady_time now);
+    void run(attempt_key const& key, endpoint_slots& slots, base::steady_time now);
+    void finish_run(attempt_key const& key, run_result result, base::steady_time now);
+    void finish(attempt_key const& key, run_result const& result, base::steady_time now);
+    void report_if_due(base::steady_time now);
+};
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/endpoint_list.cpp
@@ -0,0 +1,141 @@
+// Arrival and loss of endpoints.
+
+#include "agent/endpoint_list.h"
+
+#include "agent/lease_book.h"
+#include "base/log_record.h"
+
+namespace greengagehead::agent {
+
+namespace {
+
+constexpr int missed_announcements_until_gone = 3;
+constexpr std::uint32_t maximum_slots = 10'000;
+
+base::error invalid(announcement const& description, std::string message)
+{
+    return {base::error_code::invalid_argument, base::error_step::admission, description.name,
+            std::move(message)};
+}
+
+base::result<void> check(announcement const& description)
+{
+    if (description.name.empty())
+        return invalid(description, "name must not be empty");
+    if (description.url.empty())
+        return invalid(description, "url must not be empty");
+    if (description.slots == 0 || description.slots > maximum_slots)
+        return invalid(description, "slots must be a whole number from 1 to 10000");
+    return boost::outcome_v2::success();
+}
+
+} // namespace
+
+endpoint_list::endpoint_list(std::chrono::milliseconds interval, std::uint32_t queue_places)
+    : announcement_interval(interval), queue_limit(queue_places)
+{
+}
+
+base::result<void> endpoint_list::announce(announcement const& description, base::steady_time now)
+{
+    BOOST_OUTCOME_TRYV(check(description));
+    auto const [item, added] = this->endpoints.try_emplace(
+        description.name,
+        listed_endpoint {endpoint_slots(description, this->queue_limit, now), false});
+    auto& known = item->second;
+    if (added || known.gone || known.slots.description() != description)
+        base::log_record(base::log_event::endpoint_announced)
+            .with("endpoint", description.name)
+            .with("url", description.url)
+            .with("slots", description.slots);
+    known.gone = false;
+    known.slots.refresh(description, now);
+    return boost::outcome_v2::success();
+}
+
+base::result<void> endpoint_list::leave(std::string const& name)
+{
+    auto const found = this->endpoints.find(name);
+    if (found == this->endpoints.end() || found->second.gone)
+        return base::error {base::error_code::not_found, base::error_step::admission, name,
+                            "no endpoint " + name + " has announced itself"};
+    found->second.gone = true;
+    base::log_record(base::log_event::endpoint_left).with("endpoint", name).with("reason", "left");
+    return boost::outcome_v2::success();
+}
+
+bool endpoint_list::expire(base::steady_time now)
+{
+    auto const limit = missed_announcements_until_gone * this->announcement_interval;
+    bool any = false;
+    for (auto& [name, known] : this->endpoints) {
+        if (known.gone || now - known.slots.announced_at() <= limit)
+            continue;
+        known.gone = true;
+        any = true;
+        base::log_record(base::log_event::endpoint_left)
+            .with("endpoint", name)
+            .with("reason", "missed announcements");
+    }
+    std::erase_if(this->endpoints, [](auto const& item) {
+        auto const& [name, known] = item;
+        return known.gone && known.slots.used() == 0 && known.slots.queued() == 0;
+    });
+    return any;
+}
+
+endpoint_slots* endpoint_list::present(std::string const& name)
+{
+    auto const found = this->endpoints.find(name);
+    return found == this->endpoints.end() || found->second.gone ? nullptr : &found->second.slots;
+}
+
+endpoint_slots* endpoint_list::find(std::string const& name)
+{
+    auto const found = this->endpoints.find(name);
+    return found == this->endpoints.end() ? nullptr : &found->second.slots;
+}
+
+std::vector<std::pair<std::string, attempt_key>> endpoint_list::waiting() const
+{
+    std::vector<std::pair<std::string, attempt_key>> keys;
+    for (auto const& [name, known] : this->endpoints) {
+        for (auto const& key : known.slots.queue())
+            keys.emplace_back(name, key);
+    }
+    return keys;
+}
+
+std::vector<std::string> endpoint_list::names() const
+{
+    std::vector<std::string> all;
+    for (auto const& [name, known] : this->endpoints)
+        all.push_back(name);
+    return all;
+}
+
+std::vector<protocol::endpoint_state> endpoint_list::states(lease_book const& leases) const
+{
+    std::vector<protocol::endpoint_state> all;
+    for (auto const& [name, known] : this->endpoints) {
+        if (known.gone)
+            continue;
+        auto const& description = known.slots.description();
+        all.push_back({name, description.kinds, known.slots.capacity(), known.slots.used(),
+                       static_cast<std::uint32_t>(known.slots.queued()), description.cpu,
+                       description.memory_mb, description.rack, leases.draining(name)});
+    }
+    return all;
+}
+
+std::vector<std::pair<std::string, bool>> endpoint_list::fullness() const
+{
+    std::vector<std::pair<std::string, bool>> all;
+    for (auto const& [name, known] : this->endpoints) {
+        if (!known.gone)
+            all.emplace_back(name, known.slots.full());
+    }
+    return all;
+}
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/endpoint_list.h
@@ -0,0 +1,55 @@
+// Endpoints that announce themselves to the agent.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "agent/endpoint_slots.h"
+#include "base/error.h"
+#include "protocol/message.h"
+
+namespace greengagehead::agent {
+
+class lease_book;
+
+/// An endpoint that left or missed its announcements is gone: it takes no starts and is not
+/// reported, but stays in the list until its running tasks have ended.
+class endpoint_list {
+public:
+    endpoint_list(std::chrono::milliseconds announcement_interval, std::uint32_t queue_limit);
+
+    /// Errors: `error_code::invalid_argument`.
+    base::result<void> announce(announcement const& description, base::steady_time now);
+    /// Errors: `error_code::not_found`.
+    base::result<void> leave(std::string const& name);
+    /// Marks endpoints that missed their announcements as gone. Returns true when there were any.
+    bool expire(base::steady_time now);
+
+    /// Null when unknown or gone.
+    [[nodiscard]] endpoint_slots* present(std::string const& name);
+    /// Also finds endpoints that are gone. Null when unknown.
+    [[nodiscard]] endpoint_slots* find(std::string const& name);
+
+    /// Every waiting attempt of every endpoint, also of those that are gone.
+    [[nodiscard]] std::vector<std::pair<std::string, attempt_key>> waiting() const;
+    [[nodiscard]] std::vector<std::string> names() const;
+    [[nodiscard]] std::vector<protocol::endpoint_state> states(lease_book const& leases) const;
+    /// Names of the present endpoints and whether each is full: a change is reported at once.
+    [[nodiscard]] std::vector<std::pair<std::string, bool>> fullness() const;
+
+private:
+    struct listed_endpoint {
+        endpoint_slots slots;
+        bool gone = false;
+    };
+
+    std::chrono::milliseconds announcement_interval;
+    std::uint32_t queue_limit;
+    std::map<std::string, listed_endpoint> endpoints;
+};
+
+} // namespace greengagehead::agent
--- a/src/agent/endpoint_runner.h
+++ b/src/agent/endpoint_runner.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <string>
 
+#include "base/clock.h"
 #include "protocol/message.h"
 
 namespace greengagehead::agent {
@@ -15,6 +16,9 @@
     std::string url; ///< Base URL from the endpoint's announcement.
     protocol::task_start task;
     std::chrono::milliseconds timeout {0}; ///< Smaller of task timeout and remaining deadline.
+    /// The lease or the deadline ends here. A runner that reads a later time right before it
+    /// writes the request answers `not_run` instead.
+    base::steady_time start_before;
 };
 
 struct run_result {
@@ -25,7 +29,8 @@
 
 class endpoint_runner {
 public:
-    using callback = std::function<void(run_result)>;
+    /// Gets the time at which the result arrived.
+    using callback = std::function<void(run_result, base::steady_time)>;
 
     endpoint_runner() = default;
     virtual ~endpoint_runner() = default;
--- /dev/null
+++ b/src/agent/outcome_store.cpp
@@ -0,0 +1,262 @@
+// Records of attempts, grouped by job.
+
+#include "agent/outcome_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehead::agent {
+
+namespace {
+
+using protocol::outcome_kind;
+
+/// Jobs looked at per sweep step. At 100 steps a second, 100,000 jobs are swept in 4 s.
+constexpr std::size_t sweep_jobs = 256;
+
+/// Epoch of an early refusal; real epochs start at 1.
+constexpr protocol::job_epoch any_epoch = 0;
+
+std::size_t size_of(attempt_details const& details)
+{
+    return sizeof(attempt_details) + details.endpoint.size() + details.url.size()
+        + details.owner.size() + details.result.size() + details.message.size();
+}
+
+attempt_key key_in(std::string const& job, attempt_record const& record)
+{
+    return {{job, record.index}, record.epoch, record.attempt};
+}
+
+} // namespace
+
+attempt_record* outcome_store::find(attempt_key const& key)
+{
+    auto const job = this->jobs.find(key.task.job);
+    if (job == this->jobs.end())
+        return nullptr;
+    for (auto& record : job->second.attempts) {
+        if (record.index != key.task.index || record.attempt != key.attempt)
+            continue;
+        if (record.epoch == any_epoch)
+            record.epoch = key.epoch;
+        if (record.epoch == key.epoch)
+            return &record;
+    }
+    return nullptr;
+}
+
+attempt_record* outcome_store::find_run(protocol::task_ref const& task, bool idempotent)
+{
+    auto const job = this->jobs.find(task.job);
+    if (job == this->jobs.end())
+        return nullptr;
+    for (auto& record : job->second.attempts) {
+        bool const blocks = !idempotent || !record.idempotent;
+        if (record.index == task.index && blocks && record.kind != outcome_kind::not_run
+            && record.phase != attempt_phase::following)
+            return &record;
+    }
+    return nullptr;
+}
+
+std::vector<attempt_key> outcome_store::of_job(std::string const& job) const
+{
+    std::vector<attempt_key> keys;
+    auto const found = this->jobs.find(job);
+    if (found == this->jobs.end())
+        return keys;
+    for (auto const& record : found->second.attempts) {
+        // An early refusal says nothing of an attempt until its start message has arrived.
+        if (record.epoch != any_epoch)
+            keys.push_back(key_in(job, record));
+    }
+    return keys;
+}
+
+attempt_record& outcome_store::add(attempt_key const& key, bool idempotent)
+{
+    auto& record = this->jobs[key.task.job].attempts.emplace_back();
+    record.index = key.task.index;
+    record.attempt = key.attempt;
+    record.epoch = key.epoch;
+    record.phase = attempt_phase::waiting;
+    record.idempotent = idempotent;
+    record.details = std::make_unique<attempt_details>();
+    ++this->unfinished_count;
+    return record;
+}
+
+void outcome_store::finish(attempt_key const& key, outcome_kind kind, std::string result,
+                           std::string message, base::steady_time now)
+{
+    auto* const record = this->find(key);
+    if (record == nullptr || record->phase == attempt_phase::finished)
+        return;
+    record->phase = attempt_phase::finished;
+    record->kind = kind;
+    record->finished_at = now;
+    record->sequence = this->next_sequence++;
+    record->details->result = std::move(result);
+    record->details->message = std::move(message);
+    record->details->request.reset();
+    --this->unfinished_count;
+    ++this->unacknowledged_count;
+    this->used_bytes += size_of(*record->details);
+    this->owed_details.emplace(record->sequence, key);
+    this->enforce_budget();
+}
+
+void outcome_store::acknowledge(attempt_key const& key)
+{
+    auto* const record = this->find(key);
+    if (record == nullptr || record->phase != attempt_phase::finished || record->acknowledged)
+        return;
+    record->acknowledged = true;
+    --this->unacknowledged_count;
+    this->owed_details.erase(record->sequence);
+    this->acknowledged_details.emplace(record->sequence, key);
+    if (record->kind == outcome_kind::not_run)
+        this->drop_details(*record);
+}
+
+void outcome_store::reopen(attempt_key const& key, std::string const& owner)
+{
+    auto* const record = this->find(key);
+    if (record == nullptr || record->phase != attempt_phase::finished)
+        return;
+    if (!record->details) {
+        record->details = std::make_unique<attempt_details>();
+        record->details->message = "recorded earlier";
+    } else {
+        this->used_bytes -= size_of(*record->details);
+    }
+    record->details->owner = owner;
+    this->used_bytes += size_of(*record->details);
+    if (record->acknowledged)
+        ++this->unacknowledged_count;
+    record->acknowledged = false;
+    this->acknowledged_details.erase(record->sequence);
+    this->owed_details.emplace(record->sequence, key);
+}
+
+void outcome_store::refuse_early(protocol::task_ref const& task, std::uint32_t attempt,
+                                 base::steady_time now)
+{
+    auto& record = this->jobs[task.job].attempts.emplace_back();
+    record.index = task.index;
+    record.attempt = attempt;
+    record.epoch = any_epoch;
+    record.kind = outcome_kind::not_run;
+    record.acknowledged = true;
+    record.sequence = this->next_sequence++;
+    record.finished_at = now;
+}
+
+protocol::job_epoch outcome_store::fence(std::string const& job) const
+{
+    auto const found = this->jobs.find(job);
+    return found == this->jobs.end() ? 0 : found->second.fence;
+}
+
+void outcome_store::raise_fence(std::string const& job, protocol::job_epoch epoch,
+                                base::steady_time now)
+{
+    auto& record = this->jobs[job];
+    record.fence = std::max(record.fence, epoch);
+    record.fenced_at = now;
+}
+
+void outcome_store::expire(base::steady_time now)
+{
+    auto job = this->jobs.lower_bound(this->sweep_position);
+    for (std::size_t looked_at = 0; looked_at < sweep_jobs && job != this->jobs.end();
+         ++looked_at) {
+        auto& record = job->second;
+        std::erase_if(record.attempts, [this, now](attempt_record const& attempt) {
+            if (!this->expired(attempt, now))
+                return false;
+            this->forget(attempt);
+            return true;
+        });
+        bool const fence_expired = record.fenced_at + this->limits.outcome < now;
+        job = record.attempts.empty() && fence_expired ? this->jobs.erase(job) : std::next(job);
+    }
+    this->sweep_position = job == this->jobs.end() ? std::string() : job->first;
+}
+
+protocol::task_outcome outcome_store::outcome(attempt_key const& key)
+{
+    protocol::task_outcome answer;
+    answer.task = key.task;
+    answer.attempt = key.attempt;
+    answer.epoch = key.epoch;
+    auto const* const record = this->find(key);
+    if (record == nullptr)
+        return answer;
+    answer.kind = record->kind;
+    if (record->details) {
+        answer.endpoint = record->details->endpoint;
+        answer.result = record->details->result;
+        answer.message = record->details->message;
+        answer.run_time = record->details->run_time;
+    } else if (record->kind == outcome_kind::succeeded) {
+        answer.kind = outcome_kind::unknown;
+        answer.message = "the task succeeded, its result is no longer kept";
+    }
+    return answer;
+}
+
+std::size_t outcome_store::result_bytes(attempt_key const& key)
+{
+    auto const* const record = this->find(key);
+    return record == nullptr || !record->details ? 0 : record->details->result.size();
+}
+
+void outcome_store::enforce_budget()
+{
+    while (this->used_bytes > this->limits.bytes && !this->acknowledged_details.empty()) {
+        auto* const oldest = this->find(this->acknowledged_details.begin()->second);
+        this->drop_details(*oldest);
+    }
+    // Results that nobody has acknowledged go last; their owner still gets an outcome.
+    for (auto item = this->owed_details.begin();
+         this->used_bytes > this->limits.bytes && item != this->owed_details.end(); ++item) {
+        auto* const record = this->find(item->second);
+        if (record->kind != outcome_kind::succeeded)
+            continue;
+        this->used_bytes -= size_of(*record->details);
+        record->kind = outcome_kind::unknown;
+        record->details->result = std::string();
+        record->details->message = "the task succeeded, its result was dropped to save memory";
+        this->used_bytes += size_of(*record->details);
+    }
+}
+
+void outcome_store::drop_details(attempt_record& record)
+{
+    this->used_bytes -= size_of(*record.details);
+    this->acknowledged_details.erase(record.sequence);
+    record.details.reset();
+}
+
+bool outcome_store::expired(attempt_record const& record, base::steady_time now) const
+{
+    if (record.phase != attempt_phase::finished)
+        return false;
+    bool const kept_long
+        = record.details || (!record.idempotent && record.kind != outcome_kind::not_run);
+    return record.finished_at + (kept_long ? this->limits.outcome : this->limits.refusal) < now;
+}
+
+void outcome_store::forget(attempt_record const& record)
+{
+    if (!record.acknowledged)
+        --this->unacknowledged_count;
+    this->owed_details.erase(record.sequence);
+    this->acknowledged_details.erase(record.sequence);
+    if (record.details)
+        this->used_bytes -= size_of(*record.details);
+}
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/start_admission.cpp
@@ -0,0 +1,150 @@
+// The table of checks.
+
+#include "agent/start_admission.h"
+
+#include <utility>
+
+#include "agent/endpoint_list.h"
+#include "agent/lease_book.h"
+#include "agent/outcome_store.h"
+
+namespace greengagehead::agent {
+
+namespace {
+
+constexpr unsigned stage_bit(admission_stage stage)
+{
+    return 1U << static_cast<unsigned>(stage);
+}
+
+constexpr unsigned at_receipt = stage_bit(admission_stage::receipt);
+constexpr unsigned at_start = at_receipt | stage_bit(admission_stage::start);
+constexpr unsigned always = at_start | stage_bit(admission_stage::waiting);
+
+} // namespace
+
+struct start_admission::check {
+    predicate passes;
+    unsigned stages;
+    refusal otherwise;
+};
+
+start_admission::check const start_admission::checks[] = {
+    {&start_admission::message_recent,
+     at_receipt,
+     {"the start message is too old to tell whether the task ran", true}},
+    {&start_admission::incarnation_matches,
+     at_receipt,
+     {"addressed to an earlier incarnation of this agent, which may have started it", true}},
+    {&start_admission::serving, always, {"the agent shuts down"}},
+    {&start_admission::sender_matches, at_receipt, {"the lease belongs to another entry"}},
+    {&start_admission::view_current, at_start, {"the lease is on a superseded view"}},
+    {&start_admission::view_known, at_start, {"the view of the lease is not known here yet"}},
+    {&start_admission::lease_valid, at_start, {"the lease has expired"}},
+    {&start_admission::entry_live, always, {"the entry is not part of the view"}},
+    {&start_admission::zone_in, always, {"the zone is out"}},
+    {&start_admission::epoch_current, always, {"another owner has taken the job over"}},
+    {&start_admission::deadline_ahead, always, {"the deadline has passed"}},
+    {&start_admission::endpoint_present, always, {"the endpoint is unknown or gone"}},
+    {&start_admission::endpoint_staying, always, {"the endpoint is draining"}},
+    {&start_admission::kind_offered, at_receipt, {"the endpoint does not offer the kind"}},
+    {&start_admission::room_left, at_receipt, {"no slot and no place in the queue is free"}},
+};
+
+start_admission::start_admission(settings wanted, lease_book const& lease_source,
+                                 outcome_store const& outcome_source,
+                                 endpoint_list& endpoint_source)
+    : own(std::move(wanted)), leases(lease_source), outcomes(outcome_source),
+      endpoints(endpoint_source)
+{
+}
+
+std::optional<refusal> start_admission::refuse(start_request const& request, admission_stage stage,
+                                               base::steady_time now) const
+{
+    for (auto const& item : start_admission::checks) {
+        if ((item.stages & stage_bit(stage)) != 0 && !(this->*item.passes)(request, now))
+            return item.otherwise;
+    }
+    return std::nullopt;
+}
+
+bool start_admission::message_recent(start_request const& request, base::steady_time now) const
+{
+    return base::from_reading(request.stamp.expires_at) + this->own.refusal_memory > now;
+}
+
+bool start_admission::incarnation_matches(start_request const& request,
+                                          base::steady_time /*now*/) const
+{
+    return request.agent_incarnation == this->own.self.incarnation;
+}
+
+bool start_admission::serving(start_request const& /*request*/, base::steady_time /*now*/) const
+{
+    return !this->shutting_down;
+}
+
+bool start_admission::sender_matches(start_request const& request, base::steady_time /*now*/) const
+{
+    return request.stamp.entry.name == request.peer;
+}
+
+bool start_admission::lease_valid(start_request const& request, base::steady_time now) const
+{
+    return this->leases.valid(request.stamp, now);
+}
+
+bool start_admission::view_current(start_request const& request, base::steady_time /*now*/) const
+{
+    return request.stamp.view >= this->leases.highest_view();
+}
+
+bool start_admission::view_known(start_request const& request, base::steady_time /*now*/) const
+{
+    return request.stamp.view == this->leases.known_view();
+}
+
+bool start_admission::entry_live(start_request const& request, base::steady_time /*now*/) const
+{
+    return this->leases.live(request.stamp.entry);
+}
+
+bool start_admission::zone_in(start_request const& /*request*/, base::steady_time /*now*/) const
+{
+    return !this->leases.zone_out(this->own.zone);
+}
+
+bool start_admission::epoch_current(start_request const& request, base::steady_time /*now*/) const
+{
+    return request.task.epoch >= this->outcomes.fence(request.task.task.job);
+}
+
+bool start_admission::deadline_ahead(start_request const& request, base::steady_time now) const
+{
+    return now < request.deadline;
+}
+
+bool start_admission::endpoint_present(start_request const& request,
+                                       base::steady_time /*now*/) const
+{
+    return this->endpoints.present(request.task.endpoint) != nullptr;
+}
+
+bool start_admission::endpoint_staying(start_request const& request,
+                                       base::steady_time /*now*/) const
+{
+    return !this->leases.draining(request.task.endpoint);
+}
+
+bool start_admission::kind_offered(start_request const& request, base::steady_time /*now*/) const
+{
+    return this->endpoints.present(request.task.endpoint)->offers(request.task.kind);
+}
+
+bool start_admission::room_left(start_request const& request, base::steady_time /*now*/) const
+{
+    return this->endpoints.present(request.task.endpoint)->has_room();
+}
+
+} // namespace greengagehead::agent
