Add the policy module: queue, placement, health, admission

Cause: the entry core links against these classes.

Conclusion: complete interface; only the shares of fair_queue are tested so far.

--- a/src/policy/endpoint_health.h
+++ b/src/policy/endpoint_health.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include "base/clock.h"
@@ -16,6 +17,11 @@
 
 class endpoint_health {
 public:
+    endpoint_health();
+    ~endpoint_health();
+    endpoint_health(endpoint_health const&) = delete;
+    endpoint_health& operator=(endpoint_health const&) = delete;
+
     /// Result of one attempt. `succeeded` is false for failures, unknown outcomes and refusals by
     /// the endpoint, but not for refusals by the agent's admission.
     void record(std::string const& endpoint, bool succeeded, std::chrono::microseconds run_time,
@@ -27,6 +33,14 @@
     [[nodiscard]] bool accepts(std::string const& endpoint, std::uint32_t in_progress,
                                std::size_t known_endpoints, base::steady_time now);
     [[nodiscard]] health_state state(std::string const& endpoint) const;
+    /// The endpoint was chosen for a task. Called by the placement policy; it makes sure that an
+    /// endpoint under probation gets one task at a time.
+    void note_chosen(std::string const& endpoint, base::steady_time now);
+    [[nodiscard]] std::size_t excluded() const; ///< Endpoints excluded or being probed.
+
+private:
+    struct parts;
+    std::unique_ptr<parts> own;
 };
 
 } // namespace greengagehead::policy
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -2,9 +2,13 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
+#include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -19,13 +23,45 @@
     std::string zone;
     /// Starts sent by this entry that the last report cannot include yet.
     std::uint32_t unreported_starts = 0;
+    /// Outcomes received by this entry whose slots the last report still counts as used.
+    std::uint32_t unreported_outcomes = 0;
+    /// Starts of this entry without an outcome yet.
+    std::uint32_t outstanding = 0;
+    /// Slots in use here; below `state.slots` for a short time after the endpoint or its zone came
+    /// back.
+    std::uint32_t usable_slots = 0;
+    bool drain_requested = false; ///< Drained by operators.
     bool zone_out = false;
     bool agent_registered = false; ///< join_agent of this incarnation is committed.
 };
 
-/// Owned by the entry; not thread-safe.
+/// What a task needs of an endpoint. Empty and zero fields stand for no requirement.
+struct requirement {
+    std::string_view kind;
+    std::string_view region;
+    std::string_view zone;
+    std::uint32_t cpu = 0;
+    std::uint32_t memory_mb = 0;
+};
+
+/// What the known endpoints offer to a requirement.
+struct capacity {
+    std::uint32_t known = 0; ///< Endpoints that fit, including those that get no work now.
+    std::uint64_t usable_slots = 0; ///< Slots, free or not, of those that may get work.
+};
+
+/// Endpoints of one zone and size that have a free slot.
+using candidate_group = std::span<endpoint_record const* const>;
+
+/// Owned by the entry; not thread-safe. An index by kind, zone and size holds exactly the endpoints
+/// with a free slot, so that a placement decision looks at a few endpoints only.
 class endpoint_table {
 public:
+    endpoint_table();
+    ~endpoint_table();
+    endpoint_table(endpoint_table const&) = delete;
+    endpoint_table& operator=(endpoint_table const&) = delete;
+
     /// Replaces what is known of the agent's endpoints. Endpoints missing from the report are gone.
     void update(protocol::agent_report const& report, base::steady_time now);
     void remove_agent(std::string const& agent);
@@ -33,14 +69,35 @@
     void set_zones_out(std::vector<std::string> const& zones);
     void set_draining(std::vector<std::string> const& endpoints);
 
+    /// A start or outcome at the time of the last update. Unknown endpoints are ignored.
     void note_start(std::string const& endpoint);
     void note_outcome(std::string const& endpoint);
+    void note_start(std::string const& endpoint, base::steady_time now);
+    void note_outcome(std::string const& endpoint, base::steady_time now);
+    /// Age of an agent's figures when its report arrives: starts and outcomes noted within this
+    /// time before the arrival are taken to be missing in the report.
+    void set_report_age(std::chrono::microseconds age);
 
     [[nodiscard]] endpoint_record const* find(std::string const& endpoint) const;
     [[nodiscard]] std::map<std::string, endpoint_record> const& all() const;
     /// Free places of an endpoint: slots less used, queued and unreported starts; 0 when it must
     /// not get work (draining, zone out, agent not registered).
     [[nodiscard]] std::uint32_t free_slots(endpoint_record const& endpoint) const;
+
+    /// Appends the groups of endpoints that fit and have a free slot. The groups are valid until
+    /// the table changes.
+    void candidates(requirement const& needs, std::vector<candidate_group>& groups) const;
+    [[nodiscard]] capacity capacity_for(requirement const& needs) const;
+    /// Endpoints that may get work, with free slots or without.
+    [[nodiscard]] std::size_t usable_endpoints() const;
+
+private:
+    struct parts;
+    std::unique_ptr<parts> own;
 };
 
+/// Whether the endpoint's size suffices. A size that the endpoint did not announce counts as
+/// sufficient.
+[[nodiscard]] bool fits_size(protocol::endpoint_state const& endpoint, requirement const& needs);
+
 } // namespace greengagehead::policy
--- a/src/policy/fair_queue.h
+++ b/src/policy/fair_queue.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -33,10 +34,17 @@
 /// out. A class without a free endpoint does not hold up the team's other classes, nor other teams.
 class fair_queue {
 public:
+    fair_queue();
+    ~fair_queue();
+    fair_queue(fair_queue const&) = delete;
+    fair_queue& operator=(fair_queue const&) = delete;
+
     void set_share(std::string const& team, team_share share);
 
+    /// A task that waits already is not added again.
     void push(queued_task task);
-    /// Puts a task back at the head of its class, for example after a refused start.
+    /// Puts a task back at the head of its class, for example after a refused start. A task that
+    /// was taken must be reported as finished with an actual time of 0 before.
     void push_front(queued_task task);
     /// Takes the next task whose class `placeable` accepts and whose team is under its quota, and
     /// counts it as in progress.
@@ -54,6 +62,15 @@
     /// Sum of the expected run times of all waiting tasks.
     [[nodiscard]] std::chrono::microseconds backlog() const;
     [[nodiscard]] std::chrono::microseconds backlog(std::string const& team) const;
+    /// Most of the other teams' waiting work that can be served while `team` gets `work` at its
+    /// weight: the sum over the other teams of min(backlog, work * their weight / team's weight).
+    [[nodiscard]] std::chrono::microseconds competing_backlog(std::string const& team,
+                                                              std::chrono::microseconds work) const;
+    [[nodiscard]] team_share share(std::string const& team) const;
+
+private:
+    struct parts;
+    std::unique_ptr<parts> own;
 };
 
 } // namespace greengagehead::policy
--- a/src/policy/placement_policy.h
+++ b/src/policy/placement_policy.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
--- a/src/policy/retry_budget.h
+++ b/src/policy/retry_budget.h
@@ -17,6 +17,14 @@
     /// Takes one extra attempt from the budget. False when it is used up.
     [[nodiscard]] bool try_take();
     void set_percent(std::uint32_t percent);
+
+private:
+    [[nodiscard]] std::int64_t most() const;
+
+    std::int64_t percent;
+    std::int64_t reserve;
+    /// Budget in hundredths of an attempt, between 0 and `most()`.
+    std::int64_t balance;
 };
 
 } // namespace greengagehead::policy
--- a/src/policy/run_time_estimator.h
+++ b/src/policy/run_time_estimator.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 namespace greengagehead::policy {
@@ -16,11 +18,21 @@
 
 class run_time_estimator {
 public:
+    run_time_estimator();
+    ~run_time_estimator();
+    run_time_estimator(run_time_estimator const&) = delete;
+    run_time_estimator& operator=(run_time_estimator const&) = delete;
+
     void record(std::string const& team, std::string const& kind,
                 std::chrono::microseconds run_time);
     /// `declared` is the caller's hint; 0 when not given.
     [[nodiscard]] run_time_estimate estimate(std::string const& team, std::string const& kind,
                                              std::chrono::microseconds declared) const;
+    [[nodiscard]] std::size_t keys() const; ///< Team and kind pairs held; bounded.
+
+private:
+    struct parts;
+    std::unique_ptr<parts> own;
 };
 
 } // namespace greengagehead::policy
