Join the control role with the replicated log

Cause: the control role needs durable storage and links around its core. Change: control_task passes raft messages to the log, everything else to the core, and flushes once per turn of the event loop so that proposals share a sync.

--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -26,11 +26,10 @@
 agent_task::agent_task(settings::process_settings const& settings,
                        std::vector<settings::peer_settings> const& entries)
     : role_task({settings::peer_name(settings::role::agent, settings.name), settings.fleet_key}),
-      client(this->loop), runner(this->client),
+      client(this->loop), runner(this->loop, this->client),
       core(core_settings(settings), this->hub, this->runner, steady_now()), routes(this->core),
-      server(
-          this->loop, {settings.limits.body_bytes, settings.limits.header_bytes},
-          [this](auto& request, auto const& exchange) { this->routes.handle(request, exchange); })
+      server(this->loop, {settings.limits.body_bytes, settings.limits.header_bytes},
+             [this](auto& request, auto const& exchange) { this->routes(request, exchange); })
 {
     wire_core(this->hub, this->core);
     connect_peers(this->hub, settings::role::entry, entries);
--- /dev/null
+++ b/src/app/control_task.cpp
@@ -0,0 +1,131 @@
+// Wiring of the control role.
+
+#include "app/control_task.h"
+
+#include <utility>
+#include <variant>
+
+#include "app/peer_wiring.h"
+#include "base/log_record.h"
+
+namespace greengagehead::app {
+
+namespace {
+
+using settings::role;
+
+protocol::wall_time wall_now()
+{
+    return std::chrono::duration_cast<protocol::wall_time>(
+        std::chrono::system_clock::now().time_since_epoch());
+}
+
+consensus::durable_log_settings log_settings(settings::process_settings const& settings,
+                                             transport::socket_address const& address)
+{
+    consensus::durable_log_settings log;
+    log.name = settings::peer_name(role::control, settings.name);
+    log.address = address.to_string();
+    log.folder = settings.data_folder;
+    for (auto const& member : settings.controls)
+        log.initial.push_back({settings::peer_name(role::control, member.name), member.address});
+    if (log.initial.empty())
+        log.initial.push_back({log.name, log.address});
+    return log;
+}
+
+control::control_settings core_settings(settings::process_settings const& settings)
+{
+    control::control_settings core;
+    core.name = settings::peer_name(role::control, settings.name);
+    core.claim_retention = settings.timing.claim_retention;
+    core.tombstone_retention = settings.timing.tombstone_retention;
+    return core;
+}
+
+} // namespace
+
+control_task::control_task(settings::process_settings const& settings)
+    : role_task({settings::peer_name(role::control, settings.name), settings.fleet_key})
+{
+}
+
+control_task::~control_task()
+{
+    this->stop();
+}
+
+base::result<transport::socket_address>
+control_task::open(settings::process_settings const& settings)
+{
+    BOOST_OUTCOME_TRY(wanted, transport::parse_address(settings.control_listen));
+    BOOST_OUTCOME_TRY(address, this->hub.listen(wanted));
+    BOOST_OUTCOME_TRYV(this->open_log(settings, address));
+    for (auto const& member : settings.controls) {
+        // One link per pair of members is enough: the one with the lower name dials.
+        auto const peer_address = transport::parse_address(member.address);
+        if (settings.name < member.name && peer_address)
+            this->hub.keep_connected(settings::peer_name(role::control, member.name),
+                                     peer_address.value());
+    }
+    this->hub.message_received.connect(
+        [this](std::string const& peer, protocol::message& body) { this->receive(peer, body); });
+    return address;
+}
+
+base::result<void> control_task::open_log(settings::process_settings const& settings,
+                                          transport::socket_address const& address)
+{
+    auto const now = steady_now();
+    BOOST_OUTCOME_TRY(
+        opened,
+        consensus::durable_log::open(log_settings(settings, address), this->files, this->hub, now));
+    this->log = std::move(opened);
+    this->core
+        = std::make_unique<control::control_core>(core_settings(settings), this->hub, *this->log);
+    this->log->start(now);
+    return boost::outcome_v2::success();
+}
+
+void control_task::receive(std::string const& peer, protocol::message const& body)
+{
+    auto const now = steady_now();
+    if (auto const* const message = std::get_if<protocol::raft_message>(&body))
+        this->log->receive(peer, *message, now);
+    else
+        this->core->receive(peer, body, now);
+    this->flush_later();
+}
+
+void control_task::flush_later()
+{
+    // Everything that is ready in this turn of the loop shares one sync.
+    if (this->flush_pending)
+        return;
+    this->flush_pending = true;
+    this->loop.post([this] {
+        this->flush_pending = false;
+        this->log->flush(steady_now());
+    });
+}
+
+void control_task::tick(base::steady_time now)
+{
+    this->log->tick(now);
+    this->core->tick(now, wall_now());
+    this->log->flush(now);
+    if (this->log->failure() && !this->failure_reported) {
+        this->failure_reported = true;
+        base::log_record(base::log_event::storage_failed)
+            .with("reason", base::describe(*this->log->failure()));
+    }
+}
+
+void control_task::begin_shutdown(base::steady_time /*now*/) { }
+
+bool control_task::idle() const
+{
+    return true;
+}
+
+} // namespace greengagehead::app
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -2,6 +2,8 @@
 
 #pragma once
 
+#include <memory>
+
 #include "app/role_task.h"
 #include "consensus/durable_log.h"
 #include "control/control_core.h"
@@ -15,7 +17,8 @@
     explicit control_task(settings::process_settings const& settings);
     ~control_task() override;
 
-    /// Address for links. Errors: `error_step::listen`, `error_step::recover`.
+    /// Opens the links, then reads the data folder. Returns the address for links.
+    /// Errors: `error_step::listen`, `error_step::recover`.
     base::result<transport::socket_address> open(settings::process_settings const& settings);
 
 protected:
@@ -24,7 +27,16 @@
     [[nodiscard]] bool idle() const override;
 
 private:
+    base::result<void> open_log(settings::process_settings const& settings,
+                                transport::socket_address const& address);
     void receive(std::string const& peer, protocol::message const& body);
+    void flush_later();
+
+    storage::posix_file_system files;
+    std::unique_ptr<consensus::durable_log> log;
+    std::unique_ptr<control::control_core> core;
+    bool flush_pending = false;
+    bool failure_reported = false;
 };
 
 } // namespace greengagehead::app
