Add the entry module: leases, claims, placement, outcomes, takeover

Cause: other modules need an entry_core that renews its lease, claims, places, collects outcomes and replies. Change: src/entry with its parts, and the log event 3004 job_taken_over. Conclusion: usable for integration; behaviour under faults is not tested yet.

--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -26,6 +26,7 @@
     event_description {log_event::job_accepted, severity::info, "job_accepted"},
     event_description {log_event::job_refused, severity::info, "job_refused"},
     event_description {log_event::job_finished, severity::info, "job_finished"},
+    event_description {log_event::job_taken_over, severity::warning, "job_taken_over"},
     event_description {log_event::task_placed, severity::info, "task_placed"},
     event_description {log_event::task_waiting, severity::debug, "task_waiting"},
     event_description {log_event::task_finished, severity::debug, "task_finished"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -29,6 +29,7 @@
     job_accepted = 3001,
     job_refused = 3002,
     job_finished = 3003,
+    job_taken_over = 3004,
     task_placed = 3010,
     task_waiting = 3011,
     task_finished = 3012,
--- /dev/null
+++ b/src/entry/copy_store.cpp
@@ -0,0 +1,73 @@
+// Storage of copies.
+
+#include "entry/copy_store.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+constexpr std::size_t bytes_per_item = 150;
+
+} // namespace
+
+copy_store::copy_store(std::size_t limit_bytes) : limit(limit_bytes) { }
+
+bool copy_store::hold(protocol::job_copy const& copy, base::steady_time now)
+{
+    auto const found = this->copies.find(copy.job);
+    if (found != this->copies.end() && found->second.epoch >= copy.epoch)
+        return found->second.epoch == copy.epoch;
+    auto size = bytes_per_item;
+    for (auto const& task : copy.content.tasks)
+        size += bytes_per_item + task.payload.size();
+    auto& held = this->store(copy.job, size, now);
+    held = {copy.epoch, now, std::make_shared<protocol::job_request const>(copy.content), nullptr};
+    return true;
+}
+
+bool copy_store::hold(protocol::job_finished_copy const& copy, base::steady_time now)
+{
+    auto const found = this->copies.find(copy.answer.job);
+    if (found != this->copies.end() && found->second.epoch > copy.epoch)
+        return false;
+    auto size = bytes_per_item;
+    for (auto const& task : copy.answer.tasks)
+        size += bytes_per_item + task.result.size();
+    auto& held = this->store(copy.answer.job, size, now);
+    held = {copy.epoch, now, nullptr, std::make_shared<protocol::job_answer const>(copy.answer)};
+    return true;
+}
+
+held_copy const* copy_store::find(std::string const& job) const
+{
+    auto const found = this->copies.find(job);
+    return found == this->copies.end() ? nullptr : &found->second;
+}
+
+held_copy& copy_store::store(std::string const& job, std::size_t size, base::steady_time now)
+{
+    this->order.push_back({job, size, now});
+    this->bytes += size;
+    while (this->bytes > this->limit && this->order.size() > 1)
+        this->drop_oldest();
+    return this->copies[job];
+}
+
+void copy_store::expire_before(base::steady_time time)
+{
+    while (!this->order.empty() && this->order.front().since < time)
+        this->drop_oldest();
+}
+
+void copy_store::drop_oldest()
+{
+    auto const& oldest = this->order.front();
+    this->bytes -= oldest.bytes;
+    // A copy that was replaced meanwhile is listed again further back.
+    auto const found = this->copies.find(oldest.job);
+    if (found != this->copies.end() && found->second.received == oldest.since)
+        this->copies.erase(found);
+    this->order.pop_front();
+}
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/dispatcher.cpp
@@ -0,0 +1,223 @@
+// Placement of waiting tasks.
+
+#include "entry/dispatcher.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/log_record.h"
+#include "entry/entry_parts.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+/// Attempts of one owner of a job. Owners of different epochs use different ranges, since agents
+/// cancel attempts by number alone.
+constexpr std::uint32_t attempts_per_epoch = 1000;
+
+std::string class_of(protocol::task_request const& task)
+{
+    auto key = task.kind;
+    key += '\n';
+    key += task.region;
+    key += '\n';
+    key += task.zone;
+    key += '\n';
+    key += std::to_string(task.cpu);
+    key += '\n';
+    key += std::to_string(task.memory_mb);
+    return key;
+}
+
+policy::placement_request request_of(std::string const& team, protocol::task_request const& task)
+{
+    return {team, task.kind, task.region, task.zone, task.cpu, task.memory_mb, {}};
+}
+
+} // namespace
+
+dispatcher::dispatcher(entry_parts& all) : parts(all) { }
+
+void dispatcher::enqueue(job& job, std::uint32_t index, bool front)
+{
+    auto& task = job.tasks[index];
+    if (task.queued || task.done())
+        return;
+    auto const& request = job.content->tasks[index];
+    policy::queued_task waiting;
+    waiting.task = {job.id, index};
+    waiting.team = job.team;
+    waiting.placement_class = class_of(request);
+    waiting.cost = task.expected;
+    waiting.deadline = job.deadline;
+    auto& group = this->classes[waiting.placement_class];
+    if (group.request.kind.empty())
+        group.request = request_of({}, request);
+    task.queued = true;
+    task.state = protocol::task_state::waiting;
+    if (front)
+        this->parts.queue.push_front(std::move(waiting));
+    else
+        this->parts.queue.push(std::move(waiting));
+}
+
+void dispatcher::withdraw(job& job, std::uint32_t index)
+{
+    auto& task = job.tasks[index];
+    if (std::exchange(task.queued, false))
+        this->parts.queue.remove({job.id, index});
+}
+
+bool dispatcher::placeable(std::string const& key, base::steady_time now)
+{
+    auto& group = this->classes[key];
+    if (group.blocked_at >= this->free_since)
+        return false;
+    // A choice stands until the next placement changes the load of the endpoints.
+    if (group.choice && group.chosen_at == this->generation)
+        return true;
+    group.choice = this->parts.placement->choose(group.request, this->parts.endpoints,
+                                                 this->parts.health, now);
+    group.chosen_at = this->generation;
+    if (!group.choice)
+        group.blocked_at = this->generation;
+    return group.choice.has_value();
+}
+
+void dispatcher::run(base::steady_time now)
+{
+    if (!this->parts.leases.valid(now))
+        return;
+    auto const accepts = [this, now](std::string const& key) { return this->placeable(key, now); };
+    while (auto const taken = this->parts.queue.take(accepts)) {
+        this->place(*taken, now);
+        ++this->generation;
+    }
+}
+
+void dispatcher::place(policy::queued_task const& taken, base::steady_time now)
+{
+    auto* job = this->parts.jobs.find(taken.task.job);
+    if (job == nullptr || job->phase != job_phase::running || !job->claim_committed) {
+        this->parts.queue.finished(taken.team, taken.cost, taken.cost);
+        return;
+    }
+    job->tasks[taken.task.index].queued = false;
+    auto& group = this->classes[taken.placement_class];
+    auto const choice = this->choose(*job, taken.task.index, group, now);
+    if (this->start(*job, taken.task.index, choice, false, now))
+        return;
+    // The endpoint left between choice and start. The next report or tick tries again.
+    this->parts.queue.finished(taken.team, taken.cost, std::chrono::microseconds(0));
+    this->enqueue(*job, taken.task.index, true);
+    group.blocked_at = this->generation + 1;
+}
+
+policy::placement_choice dispatcher::choose(job const& job, std::uint32_t index,
+                                            placement_class& group, base::steady_time now)
+{
+    auto choice = std::move(*group.choice);
+    group.choice.reset();
+    auto const& tried = job.tasks[index].tried;
+    if (std::find(tried.begin(), tried.end(), choice.endpoint) == tried.end())
+        return choice;
+    auto request = request_of(job.team, job.content->tasks[index]);
+    request.avoid = tried;
+    auto other
+        = this->parts.placement->choose(request, this->parts.endpoints, this->parts.health, now);
+    return other ? std::move(*other) : std::move(choice);
+}
+
+bool dispatcher::start(job& job, std::uint32_t index, policy::placement_choice const& choice,
+                       bool hedge, base::steady_time now)
+{
+    auto const* endpoint = this->parts.endpoints.find(choice.endpoint);
+    if (endpoint == nullptr)
+        return false;
+    auto const slot = this->parts.agents.slot_of(endpoint->agent);
+    if (!slot || this->parts.agents.at(*slot).replaced || this->parts.agents.at(*slot).silent)
+        return false;
+
+    auto& task = job.tasks[index];
+    if (task.last_attempt == 0)
+        ++this->parts.counters.first_attempts;
+    attempt added;
+    added.number
+        = static_cast<std::uint32_t>(job.epoch - 1) * attempts_per_epoch + ++task.last_attempt;
+    added.epoch = job.epoch;
+    added.agent = *slot;
+    added.endpoint = choice.endpoint;
+    added.sent = now;
+    added.hedge = hedge;
+    added.counted = !hedge;
+    task.attempts.push_back(added);
+    task.state = protocol::task_state::starting;
+    ++job.awaited;
+    this->parts.endpoints.note_start(choice.endpoint);
+    job.note({now, hedge ? decision_kind::hedged : decision_kind::placed,
+              static_cast<std::int32_t>(index), added.number, choice.endpoint, choice.reason,
+              choice.candidates});
+    base::log_record(base::log_event::task_placed)
+        .with("job", job.id)
+        .with("task", index)
+        .with("attempt", added.number)
+        .with("endpoint", choice.endpoint)
+        .with("policy", this->parts.placement->name())
+        .with("reason", choice.reason)
+        .with("candidates", choice.candidates);
+    this->send(job, index, task.attempts.back(), now);
+    this->parts.attempts.watch(job, index, added);
+    return true;
+}
+
+bool dispatcher::hedge(job& job, std::uint32_t index, base::steady_time now)
+{
+    if (!this->parts.leases.valid(now) || !job.claim_committed)
+        return false;
+    auto request = request_of(job.team, job.content->tasks[index]);
+    request.avoid = job.tasks[index].tried;
+    for (auto const& open : job.tasks[index].attempts)
+        request.avoid.push_back(open.endpoint);
+    auto const choice
+        = this->parts.placement->choose(request, this->parts.endpoints, this->parts.health, now);
+    if (!choice
+        || std::find(request.avoid.begin(), request.avoid.end(), choice->endpoint)
+            != request.avoid.end())
+        return false;
+    if (!this->parts.teams.hedges(job.team).try_take())
+        return false;
+    if (!this->start(job, index, *choice, true, now))
+        return false;
+    ++this->parts.counters.hedges;
+    return true;
+}
+
+void dispatcher::resend(job& job, std::uint32_t index, attempt const& open, base::steady_time now)
+{
+    if (!this->parts.leases.valid(now) || !job.claim_committed)
+        return;
+    job.note({now, decision_kind::resent, static_cast<std::int32_t>(index), open.number,
+              open.endpoint, "the agent has no record of the start", 0});
+    this->send(job, index, open, now);
+}
+
+void dispatcher::send(job& job, std::uint32_t index, attempt const& open, base::steady_time now)
+{
+    auto const& request = job.content->tasks[index];
+    protocol::task_start start;
+    start.task = {job.id, index};
+    start.attempt = open.number;
+    start.epoch = open.epoch;
+    start.endpoint = open.endpoint;
+    start.team = job.team;
+    start.kind = request.kind;
+    start.idempotent = request.idempotent;
+    start.payload = request.payload;
+    start.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - now);
+    start.timeout = this->parts.teams.kind(job.team, request.kind).timeout;
+    this->parts.outbox.add_start(open.agent, std::move(start));
+}
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/dispatcher.h
@@ -0,0 +1,60 @@
+// Places waiting tasks on endpoints: fair queue, placement policy and start batches.
+
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "base/clock.h"
+#include "policy/fair_queue.h"
+#include "policy/placement_policy.h"
+
+namespace greengagehead::entry {
+
+struct attempt;
+struct entry_parts;
+struct job;
+
+class dispatcher {
+public:
+    explicit dispatcher(entry_parts& parts);
+
+    /// Puts a waiting task into the fair queue, `front` for one that was refused.
+    void enqueue(job& job, std::uint32_t index, bool front);
+    /// Takes a task out of the fair queue, if it is there.
+    void withdraw(job& job, std::uint32_t index);
+    /// Places as many tasks as the lease and the free slots allow.
+    void run(base::steady_time now);
+    /// Starts a second attempt on another endpoint. False when there is none or no budget.
+    bool hedge(job& job, std::uint32_t index, base::steady_time now);
+    /// Sends the start of an open attempt again, to the same agent incarnation. The agent's record
+    /// of the task keeps it from running twice.
+    void resend(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
+    /// Slots may have become free: classes without an endpoint are tried again.
+    void capacity_changed() { this->free_since = ++this->generation; }
+
+private:
+    struct placement_class {
+        policy::placement_request request;
+        std::optional<policy::placement_choice> choice;
+        std::uint64_t chosen_at = 0; ///< Generation of `choice`.
+        std::uint64_t blocked_at = 0; ///< Generation in which no endpoint was free.
+    };
+
+    bool placeable(std::string const& key, base::steady_time now);
+    void place(policy::queued_task const& taken, base::steady_time now);
+    policy::placement_choice choose(job const& job, std::uint32_t index, placement_class& group,
+                                    base::steady_time now);
+    bool start(job& job, std::uint32_t index, policy::placement_choice const& choice, bool hedge,
+               base::steady_time now);
+    void send(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
+
+    entry_parts& parts;
+    std::unordered_map<std::string, placement_class> classes;
+    std::uint64_t generation = 1;
+    std::uint64_t free_since = 1;
+};
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/entry_core.cpp
@@ -0,0 +1,362 @@
+// Routes inputs to the parts of an entry.
+
+#include "entry/entry_core.h"
+
+#include <chrono>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+#include "entry/entry_parts.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Approximate memory for finished jobs, and for copies held for other entries.
+constexpr std::size_t finished_bytes = 128U << 20U;
+constexpr std::size_t copy_bytes = 256U << 20U;
+/// Three missed reports; a silent agent gets no new work.
+constexpr milliseconds agent_silence {1000};
+constexpr milliseconds cancel_wait {2000};
+
+std::string_view name_of(policy::health_state state)
+{
+    switch (state) {
+    case policy::health_state::healthy:
+        return "healthy";
+    case policy::health_state::excluded:
+        return "excluded";
+    case policy::health_state::probing:
+        return "probing";
+    case policy::health_state::returning:
+        return "returning";
+    }
+    return "unknown";
+}
+
+std::unique_ptr<policy::placement_policy> policy_of(entry_settings const& settings)
+{
+    auto made = policy::make_placement_policy(settings.placement, settings.seed);
+    return made ? std::move(made) : policy::make_placement_policy("least_loaded", settings.seed);
+}
+
+} // namespace
+
+entry_parts::entry_parts(entry_settings const& given, protocol::message_sender& out)
+    : settings(given), sender(out, this->counters.messages_sent),
+      control(given.id, given.controls, this->sender),
+      leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
+      placement(policy_of(given)), jobs(finished_bytes), copies(copy_bytes),
+      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
+      flow(*this), remote(*this), takeovers(*this)
+{
+}
+
+struct entry_core::parts : entry_parts {
+    using entry_parts::entry_parts;
+
+    void connect();
+    void handle(std::string const& peer, protocol::message const& body, base::steady_time now);
+    void on_view(base::steady_time now);
+    void on_report(protocol::agent_report const& report, base::steady_time now);
+    void check_agents(base::steady_time now);
+    void run_timers(base::steady_time now);
+    /// Ends the handling of each input: places what can be placed and sends what was collected.
+    void settle(base::steady_time now);
+
+    base::steady_time next_agent_check;
+    base::steady_time next_expiry;
+};
+
+void entry_core::parts::connect()
+{
+    this->leases.view_applied.connect([this](base::steady_time now) { this->on_view(now); });
+    this->leases.ownership_in_doubt.connect(
+        [this](base::steady_time now) { this->flow.check_ownership(now); });
+    this->claims.decided.connect(
+        [this](std::string const& job, protocol::claim_result const& result,
+               base::steady_time now) { this->flow.on_claim_decided(job, result, now); });
+    this->claims.claim_failed.connect(
+        [this](std::string const& job, base::error const& failure, base::steady_time now) {
+            this->flow.on_claim_failed(job, failure, now);
+        });
+    this->claims.finish_committed.connect([this](std::string const& job, base::steady_time now) {
+        this->flow.on_finish_committed(job, now);
+    });
+    this->claims.agent_joined.connect([this](protocol::process_id const& agent, base::steady_time) {
+        if (auto* record = this->agents.find(agent))
+            record->registered = true;
+        this->endpoints.set_agent_registered(agent);
+        this->dispatch.capacity_changed();
+    });
+}
+
+void entry_core::parts::on_view(base::steady_time /*now*/)
+{
+    auto const& view = this->leases.applied();
+    this->teams.apply(view.settings, this->queue);
+    this->endpoints.set_zones_out(view.zones_out);
+    this->endpoints.set_draining(view.draining_endpoints);
+    this->dispatch.capacity_changed();
+}
+
+void entry_core::parts::on_report(protocol::agent_report const& report, base::steady_time now)
+{
+    auto const former = this->agents.find(report.agent.name) != nullptr
+        ? this->agents.slot_of(this->agents.find(report.agent.name)->id)
+        : std::nullopt;
+    auto const kind = this->agents.on_report(report, now);
+    if (kind == report_kind::outdated)
+        return;
+    if (kind == report_kind::replacement)
+        this->endpoints.remove_agent(report.agent.name);
+    this->endpoints.update(report, now);
+    auto& record = *this->agents.find(report.agent.name);
+    if (record.registered)
+        this->endpoints.set_agent_registered(report.agent);
+    if (kind == report_kind::first || kind == report_kind::replacement)
+        this->claims.join_agent(report.agent, report.zone, now);
+    if (kind == report_kind::replacement && former)
+        this->attempts.on_agent_replaced(*former, now);
+    if (kind == report_kind::returned)
+        this->attempts.ask(*this->agents.slot_of(report.agent));
+    this->leases.on_report(record, now);
+    this->dispatch.capacity_changed();
+}
+
+void entry_core::parts::check_agents(base::steady_time now)
+{
+    if (now < this->next_agent_check)
+        return;
+    this->next_agent_check = now + milliseconds(100);
+    auto const changed = this->agents.check(agent_silence, now);
+    for (auto const slot : changed.silent)
+        this->endpoints.remove_agent(this->agents.at(slot).id.name);
+    for (auto const slot : changed.lost)
+        this->attempts.on_agent_lost(slot, now);
+}
+
+void entry_core::parts::run_timers(base::steady_time now)
+{
+    while (auto const due = this->timers.take_due(now)) {
+        switch (due->kind) {
+        case timer_kind::attempt_check:
+            this->attempts.on_check(*due, now);
+            break;
+        case timer_kind::requeue:
+            this->attempts.on_requeue(*due);
+            break;
+        case timer_kind::attachment:
+            this->remote.on_timer(due->job, now);
+            break;
+        default:
+            this->flow.on_timer(*due, now);
+        }
+    }
+}
+
+void entry_core::parts::settle(base::steady_time now)
+{
+    this->dispatch.run(now);
+    this->outbox.flush(now);
+    this->claims.flush(now);
+}
+
+void entry_core::parts::handle(std::string const& peer, protocol::message const& body,
+                               base::steady_time now)
+{
+    std::visit(
+        [&](auto const& message) {
+            using type = std::decay_t<decltype(message)>;
+            if constexpr (std::is_same_v<type, protocol::grant_lease>) {
+                this->leases.on_grant(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::view_update>) {
+                this->control.note_leader(peer, now);
+                this->leases.on_view(message, now);
+            } else if constexpr (std::is_same_v<type, protocol::not_leader>) {
+                if (message.request_id == 0)
+                    this->leases.on_not_leader(now);
+                this->control.on_not_leader(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::control_reply>) {
+                this->control.on_reply(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::takeover_notice>) {
+                this->takeovers.on_notice(message, now);
+            } else if constexpr (std::is_same_v<type, protocol::job_copy>) {
+                if (this->copies.hold(message, now))
+                    this->sender.send(peer, protocol::job_copy_ack {message.job, message.epoch});
+            } else if constexpr (std::is_same_v<type, protocol::job_copy_ack>) {
+                this->flow.on_copy_ack(message, now);
+            } else if constexpr (std::is_same_v<type, protocol::job_finished_copy>) {
+                if (this->copies.hold(message, now))
+                    this->sender.send(
+                        peer, protocol::job_finished_ack {message.answer.job, message.epoch});
+            } else if constexpr (std::is_same_v<type, protocol::job_finished_ack>) {
+                this->flow.on_finished_ack(message, now);
+            } else if constexpr (std::is_same_v<type, protocol::job_query>) {
+                this->remote.on_query(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::job_reply>) {
+                this->remote.on_reply(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::job_cancel>) {
+                if (auto* job = this->jobs.find(message.job))
+                    this->flow.cancel(*job, now);
+            } else if constexpr (std::is_same_v<type, protocol::outcome_batch>) {
+                auto batch = message;
+                this->attempts.on_batch(peer, batch, now);
+            } else if constexpr (std::is_same_v<type, protocol::outcome_report>) {
+                auto report = message;
+                if (!this->takeovers.on_report(report, now))
+                    this->attempts.on_report(report, now);
+            } else if constexpr (std::is_same_v<type, protocol::agent_report>) {
+                this->on_report(message, now);
+            }
+        },
+        body);
+}
+
+entry_core::entry_core(entry_settings settings, protocol::message_sender& sender,
+                       base::steady_time now)
+    : own(std::make_unique<parts>(settings, sender))
+{
+    this->own->connect();
+    this->own->leases.tick(now);
+}
+
+entry_core::~entry_core() = default;
+
+void entry_core::submit(protocol::job_request request, milliseconds wait,
+                        std::function<void(submit_reply const&)> reply, base::steady_time now)
+{
+    waiter caller;
+    caller.until = now + wait;
+    caller.on_submit = std::move(reply);
+    this->own->flow.submit(std::move(request), std::move(caller), now);
+    this->own->settle(now);
+}
+
+void entry_core::query(std::string const& job, bool explain, milliseconds wait,
+                       std::function<void(protocol::job_reply const&)> reply, base::steady_time now)
+{
+    waiter caller;
+    caller.until = now + wait;
+    caller.explain = explain;
+    caller.on_query = std::move(reply);
+    if (auto* known = this->own->jobs.find(job))
+        this->own->flow.attach(*known, std::move(caller), now);
+    else
+        this->own->remote.attach(job, std::nullopt, std::move(caller), false, now);
+    this->own->settle(now);
+}
+
+void entry_core::cancel(std::string const& job,
+                        std::function<void(protocol::job_reply const&)> reply,
+                        base::steady_time now)
+{
+    waiter caller;
+    caller.until = now + cancel_wait;
+    caller.on_query = std::move(reply);
+    if (auto* known = this->own->jobs.find(job)) {
+        this->own->flow.attach(*known, std::move(caller), now);
+        if (auto* still = this->own->jobs.find(job))
+            this->own->flow.cancel(*still, now);
+    } else {
+        this->own->remote.attach(job, std::nullopt, std::move(caller), true, now);
+    }
+    this->own->settle(now);
+}
+
+void entry_core::control(protocol::control_request_body body, milliseconds timeout,
+                         std::function<void(protocol::control_result const&)> reply,
+                         base::steady_time now)
+{
+    this->own->control.request(
+        std::move(body), timeout,
+        [reply = std::move(reply)](protocol::control_result const& result, base::steady_time) {
+            reply(result);
+        },
+        now);
+}
+
+void entry_core::receive(std::string const& peer, protocol::message const& body,
+                         base::steady_time now)
+{
+    this->own->handle(peer, body, now);
+    this->own->settle(now);
+}
+
+void entry_core::tick(base::steady_time now)
+{
+    this->own->leases.tick(now);
+    this->own->control.tick(now);
+    this->own->check_agents(now);
+    this->own->run_timers(now);
+    this->own->takeovers.tick(now);
+    // Health lets an excluded endpoint back after a time, without any message.
+    this->own->dispatch.capacity_changed();
+    if (now >= this->own->next_expiry) {
+        this->own->next_expiry = now + std::chrono::seconds(1);
+        auto const oldest = now - this->own->settings.answer_retention;
+        this->own->jobs.expire_before(oldest);
+        this->own->copies.expire_before(oldest);
+    }
+    this->own->settle(now);
+}
+
+void entry_core::peer_up(std::string const& peer, base::steady_time now)
+{
+    this->own->agents.on_up(peer, now);
+    if (auto const* agent = this->own->agents.find(peer))
+        this->own->attempts.ask(*this->own->agents.slot_of(agent->id));
+    this->own->settle(now);
+}
+
+void entry_core::peer_down(std::string const& peer, base::steady_time now)
+{
+    this->own->agents.on_down(peer);
+    this->own->control.on_peer_down(peer, now);
+}
+
+void entry_core::begin_shutdown(base::steady_time /*now*/)
+{
+    this->own->flow.begin_shutdown();
+}
+
+bool entry_core::idle() const
+{
+    return this->own->jobs.unfinished() == 0 && this->own->remote.idle() && this->own->claims.idle()
+        && this->own->control.idle();
+}
+
+entry_status entry_core::status(base::steady_time now) const
+{
+    auto const& from = *this->own;
+    entry_status status;
+    status.id = from.settings.id;
+    status.leader = from.control.leader();
+    status.lease_valid = from.leases.valid(now);
+    status.applied_view = from.leases.applied().number;
+    status.settled_view = from.leases.settled();
+    status.running_jobs = from.jobs.unfinished();
+    for (auto const& [name, settings] : from.teams.all())
+        status.teams.push_back({name, from.queue.size(name), from.queue.in_progress(name)});
+    for (auto const& [name, endpoint] : from.endpoints.all())
+        status.endpoints.push_back({name, endpoint.agent.name, endpoint.zone,
+                                    std::string(name_of(from.health.state(name))),
+                                    endpoint.state.slots, endpoint.state.used_slots,
+                                    endpoint.state.draining});
+    return status;
+}
+
+entry_counters const& entry_core::counters() const
+{
+    return this->own->counters;
+}
+
+protocol::view const& entry_core::applied_view() const
+{
+    return this->own->leases.applied();
+}
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/entry_parts.h
@@ -0,0 +1,80 @@
+// All parts of an entry, wired together. Shared by the parts that need many others.
+
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "entry/agent_outbox.h"
+#include "entry/agent_table.h"
+#include "entry/attempt_tracker.h"
+#include "entry/claim_client.h"
+#include "entry/control_client.h"
+#include "entry/copy_store.h"
+#include "entry/dispatcher.h"
+#include "entry/entry_core.h"
+#include "entry/job_flow.h"
+#include "entry/job_table.h"
+#include "entry/lease_keeper.h"
+#include "entry/remote_jobs.h"
+#include "entry/takeover.h"
+#include "entry/team_table.h"
+#include "entry/timer_queue.h"
+#include "policy/endpoint_health.h"
+#include "policy/endpoint_table.h"
+#include "policy/fair_queue.h"
+#include "policy/placement_policy.h"
+#include "policy/run_time_estimator.h"
+
+namespace greengagehead::entry {
+
+/// Counts messages on their way out.
+class counting_sender : public protocol::message_sender {
+public:
+    counting_sender(protocol::message_sender& target, std::uint64_t& counter)
+        : next(target), count(counter)
+    {
+    }
+    void send(std::string const& peer, protocol::message const& body) override
+    {
+        ++this->count;
+        this->next.send(peer, body);
+    }
+
+private:
+    protocol::message_sender& next;
+    std::uint64_t& count;
+};
+
+struct entry_parts {
+    entry_parts(entry_settings const& given, protocol::message_sender& out);
+
+    entry_settings settings;
+    entry_counters counters;
+    counting_sender sender;
+
+    agent_table agents;
+    control_client control;
+    lease_keeper leases;
+    claim_client claims;
+
+    policy::endpoint_table endpoints;
+    policy::endpoint_health health;
+    policy::fair_queue queue;
+    policy::run_time_estimator estimator;
+    std::unique_ptr<policy::placement_policy> placement;
+
+    team_table teams;
+    timer_queue timers;
+    job_table jobs;
+    copy_store copies;
+    agent_outbox outbox;
+
+    dispatcher dispatch;
+    attempt_tracker attempts;
+    job_flow flow;
+    remote_jobs remote;
+    takeover takeovers;
+};
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/job_flow.h
@@ -0,0 +1,82 @@
+// The life of a job at its owner: submission, claim, copy, start, end and replies.
+
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "entry/waiter.h"
+#include "policy/admission.h"
+#include "protocol/command.h"
+#include "protocol/job.h"
+#include "protocol/message.h"
+
+namespace greengagehead::entry {
+
+struct entry_parts;
+struct job;
+struct timer;
+enum class timer_kind : std::uint8_t;
+
+class job_flow {
+public:
+    explicit job_flow(entry_parts& parts);
+
+    void submit(protocol::job_request request, waiter caller, base::steady_time now);
+    void cancel(job& job, base::steady_time now);
+    /// Adds a waiter, or answers it at once when the job is final.
+    void attach(job& job, waiter caller, base::steady_time now);
+
+    void on_claim_decided(std::string const& id, protocol::claim_result const& result,
+                          base::steady_time now);
+    void on_claim_failed(std::string const& id, base::error const& failure, base::steady_time now);
+    void on_finish_committed(std::string const& id, base::steady_time now);
+    void on_copy_ack(protocol::job_copy_ack const& ack, base::steady_time now);
+    void on_finished_ack(protocol::job_finished_ack const& ack, base::steady_time now);
+    void on_timer(timer const& due, base::steady_time now);
+
+    /// All tasks succeeded.
+    void complete(job& job, base::steady_time now);
+    /// The job cannot succeed any more: what waits is dropped and what runs is stopped.
+    void fail(job& job, base::error failure, base::steady_time now);
+    /// Ends a stopping job once no outcome is awaited.
+    void end_if_stopped(job& job, base::steady_time now);
+    /// Makes task states and estimates from the content.
+    void prepare_tasks(job& job);
+    /// Makes a running job that was taken over final with the answer of its former owner.
+    void adopt(job& job, protocol::job_answer const& answer, base::steady_time now);
+    /// Starts every waiting task of a running job.
+    void enqueue_waiting(job& job);
+    /// Asks control again who owns the running jobs; nothing is started until it has answered.
+    void check_ownership(base::steady_time now);
+
+    void begin_shutdown() { this->shutting_down = true; }
+
+private:
+    void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
+                policy::refusal const& refusal, base::steady_time now);
+    void add_timer(job const& job, timer_kind kind, base::steady_time at);
+    void drop(job& job);
+    void send_claim(job& job, base::steady_time now);
+    void send_copy(job& job, base::steady_time now);
+    void on_owned(job& job, protocol::job_claim const& claim, base::steady_time now);
+    void on_owned_elsewhere(job& job, protocol::job_claim const& claim, base::steady_time now);
+    void end_without_claim(job& job, submit_reply::kind kind, base::error failure,
+                           protocol::ran_extent ran);
+    void start_if_ready(job& job, base::steady_time now);
+    void abandon(job& job, protocol::job_state state, base::error failure, base::steady_time now);
+    void stop(job& job, protocol::job_state state, base::error failure, base::steady_time now);
+    void finalize(job& job, base::steady_time now);
+    void publish(job& job, base::steady_time now);
+    void on_deadline(job& job, base::steady_time now);
+    void answer_waiters(job& job);
+    void answer_late_waiters(job& job, base::steady_time now);
+    [[nodiscard]] std::string choose_backup() const;
+
+    entry_parts& parts;
+    bool shutting_down = false;
+};
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/job_id.cpp
@@ -0,0 +1,47 @@
+// SHA-256 of submissions.
+
+#include "entry/job_id.h"
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+#include <openssl/evp.h>
+
+#include "protocol/codec.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+constexpr std::size_t job_id_bytes = 16;
+constexpr std::size_t digest_bytes = 32;
+
+std::string sha256_hex(std::string_view data, std::size_t bytes)
+{
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    EVP_Digest(data.data(), data.size(), digest.data(), nullptr, EVP_sha256(), nullptr);
+    constexpr std::string_view digits = "0123456789abcdef";
+    std::string hex;
+    hex.reserve(bytes * 2);
+    for (std::size_t i = 0; i < bytes; ++i) {
+        hex += digits[digest.at(i) >> 4U];
+        hex += digits[digest.at(i) & 15U];
+    }
+    return hex;
+}
+
+} // namespace
+
+std::string job_id_of(std::string const& team, std::string const& submission)
+{
+    // The length in front keeps ("ab", "c") and ("a", "bc") apart.
+    return sha256_hex(std::to_string(team.size()) + ':' + team + submission, job_id_bytes);
+}
+
+std::string content_digest(protocol::job_request const& request)
+{
+    return sha256_hex(protocol::encode(request), digest_bytes);
+}
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/lease_keeper.cpp
@@ -0,0 +1,185 @@
+// Renewals, views and stamps.
+
+#include "entry/lease_keeper.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "entry/agent_table.h"
+#include "entry/control_client.h"
+#include "entry/entry_core.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+/// Clocks of two processes may run apart by this much.
+constexpr std::int64_t clock_drift_percent = 1;
+/// Control removes an entry one second after its lease has ended. A shorter gap proves that the
+/// entry was not removed meanwhile.
+constexpr std::chrono::milliseconds doubtful_gap {800};
+constexpr std::chrono::milliseconds agent_update_interval {300};
+constexpr std::chrono::milliseconds retry_interval {50};
+/// A member that does not answer renewals for this long is taken to be cut off.
+constexpr std::chrono::milliseconds answer_timeout {250};
+
+} // namespace
+
+lease_keeper::lease_keeper(entry_settings const& entry, protocol::message_sender& out,
+                           control_client& client, agent_table& known)
+    : settings(entry), sender(out), control(client), agents(known)
+{
+}
+
+void lease_keeper::on_grant(std::string const& peer, protocol::grant_lease const& grant,
+                            base::steady_time now)
+{
+    if (grant.incarnation != this->settings.id.incarnation)
+        return;
+    this->answered = true;
+    this->control.note_leader(peer, now);
+    auto const granted_until = base::from_reading(grant.expires_at);
+    if (granted_until <= this->expires_at)
+        return;
+    auto const lapsed = this->expires_at != base::steady_time {} && now > this->expires_at
+        && now - this->expires_at >= doubtful_gap;
+    if (lapsed)
+        this->ownership_in_doubt.emit(now);
+    this->expires_at = granted_until;
+    this->lease_view = grant.view;
+    if (lapsed)
+        this->update_agents(now);
+}
+
+void lease_keeper::on_view(protocol::view_update const& update, base::steady_time now)
+{
+    if (update.current.number <= this->current.number)
+        return;
+    this->current = update.current;
+    auto const was_in_view = std::exchange(this->in_view, this->live(this->settings.id) != nullptr);
+    if (was_in_view && !this->in_view)
+        this->ownership_in_doubt.emit(now);
+    this->view_applied.emit(now);
+    this->update_agents(now);
+    this->update_settled();
+    this->renew(now);
+}
+
+void lease_keeper::on_not_leader(base::steady_time now)
+{
+    this->answered = true;
+    this->next_renewal = std::min(this->next_renewal, now + retry_interval);
+}
+
+void lease_keeper::on_report(agent_record& agent, base::steady_time now)
+{
+    auto const before = this->settled_view;
+    this->update_settled();
+    // The operator who made the change waits for this.
+    if (this->settled_view != before)
+        this->renew(now);
+    if (agent.stamps.empty() || agent.seen_view < this->current.number)
+        this->update_agent(agent, now);
+}
+
+void lease_keeper::tick(base::steady_time now)
+{
+    for (auto& agent : this->agents.all())
+        std::erase_if(agent.stamps, [now](auto const& stamp) { return stamp.until <= now; });
+    auto const before = this->settled_view;
+    this->update_settled();
+    if (now >= this->next_renewal || this->settled_view != before)
+        this->renew(now);
+    if (now >= this->next_agent_update)
+        this->update_agents(now);
+}
+
+void lease_keeper::renew_soon()
+{
+    this->next_renewal = base::steady_time {};
+}
+
+void lease_keeper::renew(base::steady_time now)
+{
+    if (!this->answered && now - this->unanswered_since >= answer_timeout)
+        this->control.give_up_on(this->control.target(), now);
+    if (std::exchange(this->answered, false))
+        this->unanswered_since = now;
+    this->next_renewal = now + this->settings.renew_interval;
+    if (this->control.target().empty())
+        return;
+    this->sender.send(this->control.target(),
+                      protocol::renew_lease {this->settings.id, this->settings.zone,
+                                             this->settings.http_address, base::to_reading(now),
+                                             this->current.number, this->settled_view});
+}
+
+bool lease_keeper::valid(base::steady_time now) const
+{
+    return this->in_view && now < this->expires_at && this->current.number >= this->lease_view;
+}
+
+std::optional<protocol::lease_stamp> lease_keeper::stamp(agent_record& agent, base::steady_time now)
+{
+    if (!this->valid(now) || agent.last_report == base::steady_time {} || agent.replaced
+        || agent.last_report >= this->expires_at)
+        return std::nullopt;
+    auto const ahead = base::to_reading(this->expires_at) - base::to_reading(agent.last_report);
+    auto const usable = ahead * (100 - clock_drift_percent) / 100;
+    // Within the drift bound the stamp has expired at the agent by the time the lease ends here.
+    auto const same_view
+        = std::find_if(agent.stamps.begin(), agent.stamps.end(),
+                       [this](auto const& s) { return s.view == this->current.number; });
+    if (same_view == agent.stamps.end())
+        agent.stamps.push_back({this->current.number, this->expires_at});
+    else
+        same_view->until = std::max(same_view->until, this->expires_at);
+    return protocol::lease_stamp {this->settings.id, this->current.number, agent.clock + usable};
+}
+
+protocol::live_entry const* lease_keeper::live(protocol::process_id const& id) const
+{
+    auto const& entries = this->current.entries;
+    auto const found = std::find_if(entries.begin(), entries.end(),
+                                    [&id](auto const& entry) { return entry.id == id; });
+    return found == entries.end() ? nullptr : &*found;
+}
+
+void lease_keeper::update_settled()
+{
+    auto lowest = this->current.number;
+    for (auto const& agent : this->agents.all()) {
+        for (auto const& stamp : agent.stamps)
+            lowest = std::min(lowest, std::max(stamp.view, agent.seen_view));
+    }
+    this->settled_view = std::max(this->settled_view, lowest);
+}
+
+void lease_keeper::update_agents(base::steady_time now)
+{
+    this->next_agent_update = now + agent_update_interval;
+    for (auto& agent : this->agents.all()) {
+        if (agent.connected && !agent.replaced && !agent.silent)
+            this->update_agent(agent, now);
+    }
+}
+
+void lease_keeper::update_agent(agent_record& agent, base::steady_time now)
+{
+    if (this->current.number == 0)
+        return;
+    protocol::lease_update update;
+    // Without a valid lease the agent still learns the view, under a stamp that permits nothing.
+    update.lease = this->stamp(agent, now)
+                       .value_or(protocol::lease_stamp {this->settings.id, this->current.number,
+                                                        base::clock_reading {0}});
+    update.zones_out = this->current.zones_out;
+    update.draining_endpoints = this->current.draining_endpoints;
+    for (auto const& entry : this->current.entries)
+        update.live_entries.push_back(entry.id);
+    update.entry_clock = base::to_reading(now);
+    this->sender.send(agent.id.name, update);
+}
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/entry/lease_keeper.h
@@ -0,0 +1,77 @@
+// The entry's lease: renewals at control, the view it acts on, and the stamps that pass the lease
+// on to agents. See docs/design.md, section 3.3.
+
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include <sigc++/signal.h>
+
+#include "base/clock.h"
+#include "protocol/message.h"
+#include "protocol/message_sender.h"
+
+namespace greengagehead::entry {
+
+class agent_table;
+class control_client;
+struct agent_record;
+struct entry_settings;
+
+class lease_keeper {
+public:
+    lease_keeper(entry_settings const& settings, protocol::message_sender& sender,
+                 control_client& control, agent_table& agents);
+
+    void on_grant(std::string const& peer, protocol::grant_lease const& grant,
+                  base::steady_time now);
+    void on_view(protocol::view_update const& update, base::steady_time now);
+    void on_not_leader(base::steady_time now);
+    /// After a report of an agent: its first stamp, and the settled view.
+    void on_report(agent_record& agent, base::steady_time now);
+    void tick(base::steady_time now);
+    /// Renews with the next tick instead of after the rest of the interval.
+    void renew_soon();
+
+    /// Whether starts are allowed now.
+    [[nodiscard]] bool valid(base::steady_time now) const;
+    /// Stamp for one agent; empty without a valid lease or without a report of the agent.
+    [[nodiscard]] std::optional<protocol::lease_stamp> stamp(agent_record& agent,
+                                                             base::steady_time now);
+
+    [[nodiscard]] protocol::view const& applied() const { return this->current; }
+    [[nodiscard]] protocol::view_number settled() const { return this->settled_view; }
+    [[nodiscard]] protocol::live_entry const* live(protocol::process_id const& id) const;
+
+    /// A new view is in use from now on.
+    sigc::signal<void(base::steady_time)> view_applied;
+    /// The entry may have been removed from the view meanwhile, and its jobs taken over.
+    sigc::signal<void(base::steady_time)> ownership_in_doubt;
+
+private:
+    void renew(base::steady_time now);
+    void update_settled();
+    void update_agents(base::steady_time now);
+    void update_agent(agent_record& agent, base::steady_time now);
+
+    entry_settings const& settings;
+    protocol::message_sender& sender;
+    control_client& control;
+    agent_table& agents;
+
+    protocol::view current;
+    protocol::view_number settled_view = 0;
+    bool in_view = false; ///< The current view lists this incarnation.
+    /// Lease of the entry. Only used when a view of at least `lease_view` is applied.
+    base::steady_time expires_at;
+    protocol::view_number lease_view = 0;
+
+    base::steady_time next_renewal;
+    base::steady_time next_agent_update;
+    bool answered = true; ///< All renewals up to now were answered.
+    base::steady_time unanswered_since;
+};
+
+} // namespace greengagehead::entry
