Add replicated state and the control core

Cause: entries need leases, views, claims and takeover from the control group, and nothing implements them yet. Appended to the protocol: request id in claim_jobs, idempotency keys in put_zone_state and put_endpoint_drain, two fields in expire_claims, seen_takeover in renew_lease, sequence in takeover_notice. identity.h silences a false clang-tidy finding on defaulted comparisons.

--- /dev/null
+++ b/src/control/request_table.cpp
@@ -0,0 +1,66 @@
+// Bookkeeping of requests between acceptance, commit and answer.
+
+#include "control/request_table.h"
+
+namespace greengagehead::control {
+
+bool request_table::begin(request_origin const& origin)
+{
+    return this->in_progress.insert(origin).second;
+}
+
+void request_table::end(request_origin const& origin)
+{
+    this->in_progress.erase(origin);
+}
+
+void request_table::await_commit(consensus::log_position const& position,
+                                 request_origin const& origin)
+{
+    this->proposals.insert_or_assign(position.index, std::pair(position.term, origin));
+}
+
+std::optional<request_origin> request_table::committed(consensus::log_position const& position)
+{
+    auto const found = this->proposals.find(position.index);
+    if (found == this->proposals.end() || found->second.first != position.term)
+        return std::nullopt;
+    auto origin = found->second.second;
+    this->proposals.erase(found);
+    return origin;
+}
+
+std::vector<request_origin> request_table::overwritten(consensus::log_position const& position)
+{
+    std::vector<request_origin> lost;
+    while (!this->proposals.empty() && this->proposals.begin()->first <= position.index) {
+        lost.push_back(this->proposals.begin()->second.second);
+        this->proposals.erase(this->proposals.begin());
+    }
+    return lost;
+}
+
+void request_table::await_view(protocol::view_number view, request_origin const& origin,
+                               protocol::control_result result)
+{
+    this->held.emplace(view, held_answer {origin, std::move(result)});
+}
+
+std::vector<request_table::held_answer> request_table::release(protocol::view_number in_force)
+{
+    std::vector<held_answer> released;
+    auto const end = this->held.upper_bound(in_force);
+    for (auto item = this->held.begin(); item != end; ++item)
+        released.push_back(std::move(item->second));
+    this->held.erase(this->held.begin(), end);
+    return released;
+}
+
+std::vector<request_origin> request_table::clear()
+{
+    std::vector<request_origin> open(this->in_progress.begin(), this->in_progress.end());
+    *this = {};
+    return open;
+}
+
+} // namespace greengagehead::control
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -24,18 +24,22 @@
     std::string path; ///< For example `/teams/hospital/weight`.
     std::string value; ///< JSON text of a number, string or boolean.
     std::optional<std::uint64_t> expected_version; ///< Refused when the path is at another version.
-    std::string idempotency_key; ///< A resent command with the same key gets the first result.
+    /// A resent command with the same key gets the first result. The leader fills in the id of the
+    /// request when it is empty.
+    std::string idempotency_key;
     std::string author;
 };
 
 struct put_zone_state {
     std::string zone;
     bool out = false;
+    std::string idempotency_key; ///< As in put_setting.
 };
 
 struct put_endpoint_drain {
     std::string endpoint;
     bool draining = true;
+    std::string idempotency_key; ///< As in put_setting.
 };
 
 struct join_entry {
@@ -76,6 +80,9 @@
 
 struct claim_jobs {
     std::vector<job_claim> claims;
+    /// Set by the leader to the id of the request. Tells a resent claim of a refused job, which
+    /// must not be granted again, from a new one.
+    std::uint64_t request_id = 0;
 };
 
 struct job_finish {
@@ -96,8 +103,12 @@
     std::string fallback;
 };
 
+/// Reduces claims to tombstones and forgets tombstones, each up to `limit` per command so that a
+/// long outage of control is not made up for in one step.
 struct expire_claims {
-    wall_time before {0};
+    wall_time before {0}; ///< Applies to claims that finished before this, and to past agents.
+    wall_time tombstones_before {0}; ///< Applies to tombstones made before this.
+    std::uint32_t limit = 0;
 };
 
 using command_body
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -88,10 +88,10 @@
     }
 };
 template <> struct field_list<put_zone_state> {
-    static auto of(auto& m) { return std::tie(m.zone, m.out); }
+    static auto of(auto& m) { return std::tie(m.zone, m.out, m.idempotency_key); }
 };
 template <> struct field_list<put_endpoint_drain> {
-    static auto of(auto& m) { return std::tie(m.endpoint, m.draining); }
+    static auto of(auto& m) { return std::tie(m.endpoint, m.draining, m.idempotency_key); }
 };
 template <> struct field_list<join_entry> {
     static auto of(auto& m) { return std::tie(m.entry, m.zone, m.http_address); }
@@ -113,7 +113,7 @@
     }
 };
 template <> struct field_list<claim_jobs> {
-    static auto of(auto& m) { return std::tie(m.claims); }
+    static auto of(auto& m) { return std::tie(m.claims, m.request_id); }
 };
 template <> struct field_list<job_finish> {
     static auto of(auto& m) { return std::tie(m.job, m.epoch, m.state, m.ran); }
@@ -125,7 +125,7 @@
     static auto of(auto& m) { return std::tie(m.lost, m.fallback); }
 };
 template <> struct field_list<expire_claims> {
-    static auto of(auto& m) { return std::tie(m.before); }
+    static auto of(auto& m) { return std::tie(m.before, m.tombstones_before, m.limit); }
 };
 template <> struct field_list<command> {
     static auto of(auto& m) { return std::tie(m.proposed_at, m.body); }
@@ -200,7 +200,7 @@
     static auto of(auto& m)
     {
         return std::tie(m.entry, m.zone, m.http_address, m.entry_clock, m.applied_view,
-                        m.settled_view);
+                        m.settled_view, m.seen_takeover);
     }
 };
 template <> struct field_list<grant_lease> {
@@ -228,7 +228,7 @@
     static auto of(auto& m) { return std::tie(m.request_id, m.result); }
 };
 template <> struct field_list<takeover_notice> {
-    static auto of(auto& m) { return std::tie(m.new_owner, m.claims); }
+    static auto of(auto& m) { return std::tie(m.new_owner, m.claims, m.sequence); }
 };
 template <> struct field_list<job_copy> {
     static auto of(auto& m) { return std::tie(m.job, m.owner, m.epoch, m.content); }
--- a/src/protocol/identity.h
+++ b/src/protocol/identity.h
@@ -21,6 +21,8 @@
     std::string name; ///< Peer name, for example `entry.recife-1`.
     incarnation_number incarnation = 0;
 
+    // clang-tidy 14 takes the comparison with zero inside a defaulted operator for a null pointer.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(process_id const&) const = default;
 };
 
@@ -29,6 +31,7 @@
     std::string job; ///< Job id, 32 hex digits.
     std::uint32_t index = 0;
 
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(task_ref const&) const = default;
 };
 
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -26,6 +26,7 @@
     base::clock_reading entry_clock {0};
     view_number applied_view = 0; ///< View that the entry acts on.
     view_number settled_view = 0; ///< View that all agents holding its lease have acknowledged too.
+    std::uint64_t seen_takeover = 0; ///< Highest `takeover_notice::sequence` received.
 };
 
 struct grant_lease {
@@ -68,10 +69,13 @@
     control_result result;
 };
 
-/// Tells an entry that it owns jobs of a lost entry now.
+/// Tells an entry which jobs of lost entries it owns now. Lists all of them that are unfinished,
+/// and is repeated until `renew_lease::seen_takeover` reaches `sequence`, so one notice replaces
+/// any earlier one that was lost.
 struct takeover_notice {
     process_id new_owner;
     std::vector<job_claim> claims;
+    std::uint64_t sequence = 0;
 };
 
 // --- entry and entry ---
--- /dev/null
+++ b/src/state/settings_tree.cpp
@@ -0,0 +1,126 @@
+// Version checks, idempotency keys and history of settings.
+
+#include "state/settings_tree.h"
+
+#include <utility>
+
+#include "state/setting_schema.h"
+
+namespace greengagehead::state {
+
+namespace {
+
+constexpr std::size_t longest_author = 256;
+
+using protocol::change_result;
+using protocol::change_status;
+
+change_result refusal(change_status status, protocol::setting current, std::string message)
+{
+    return {status, std::move(current), 0, std::move(message)};
+}
+
+std::string content_of(protocol::put_setting const& request)
+{
+    auto content = request.path + '\n' + request.value + '\n';
+    return request.expected_version ? content + std::to_string(*request.expected_version) : content;
+}
+
+bool at_or_below(std::string_view path, std::string_view prefix)
+{
+    while (!prefix.empty() && prefix.back() == '/')
+        prefix.remove_suffix(1);
+    return path.substr(0, prefix.size()) == prefix
+        && (path.size() == prefix.size() || path[prefix.size()] == '/');
+}
+
+} // namespace
+
+settings_tree::outcome settings_tree::put(protocol::put_setting const& request,
+                                          protocol::wall_time at, protocol::view_number next_view)
+{
+    auto const content = content_of(request);
+    if (auto known = this->memory.find(request.idempotency_key, content)) {
+        if (known->status == change_status::invalid)
+            known->current = this->current(request.path);
+        return {*std::move(known)};
+    }
+    auto outcome = this->put_new(request, at, next_view);
+    this->memory.remember(request.idempotency_key, content, outcome.result);
+    return outcome;
+}
+
+settings_tree::outcome settings_tree::put_new(protocol::put_setting const& request,
+                                              protocol::wall_time at,
+                                              protocol::view_number next_view)
+{
+    if (request.author.size() > longest_author)
+        return {refusal(change_status::invalid, this->current(request.path),
+                        "an author has at most 256 bytes")};
+    auto const checked = check_setting(request.path, request.value);
+    if (!checked) {
+        auto const status = checked.error().code == base::error_code::not_found
+            ? change_status::unknown_path
+            : change_status::invalid;
+        return {refusal(status, this->current(request.path), checked.error().message)};
+    }
+    auto const before = this->current(request.path);
+    if (request.expected_version && *request.expected_version != before.version)
+        return {refusal(change_status::version_mismatch, before,
+                        request.path + " is at version " + std::to_string(before.version))};
+    auto& target = this->nodes[request.path];
+    target.value = checked.value();
+    ++target.version;
+    protocol::setting const after {request.path, target.value, target.version};
+    target.history.push_back({after, request.author, at});
+    if (target.history.size() > history_limit)
+        target.history.pop_front();
+    return {{change_status::applied, after, next_view, {}}, true};
+}
+
+protocol::setting settings_tree::current(std::string const& path) const
+{
+    auto const found = this->nodes.find(path);
+    if (found == this->nodes.end())
+        return {path, {}, 0};
+    return {path, found->second.value, found->second.version};
+}
+
+std::vector<protocol::setting> settings_tree::list(std::string_view prefix) const
+{
+    std::vector<protocol::setting> settings;
+    for (auto const& [path, item] : this->nodes)
+        if (at_or_below(path, prefix))
+            settings.push_back({path, item.value, item.version});
+    return settings;
+}
+
+protocol::settings_history settings_tree::history(std::string const& path) const
+{
+    auto const found = this->nodes.find(path);
+    if (found == this->nodes.end())
+        return {};
+    return {{found->second.history.begin(), found->second.history.end()}};
+}
+
+settings_image settings_tree::image() const
+{
+    settings_image image;
+    for (auto const& [path, item] : this->nodes)
+        image.settings.push_back(
+            {{path, item.value, item.version}, {item.history.begin(), item.history.end()}});
+    image.remembered = this->memory.image();
+    return image;
+}
+
+void settings_tree::restore(settings_image image)
+{
+    *this = {};
+    for (auto& item : image.settings)
+        this->nodes[item.current.path] = {std::move(item.current.value),
+                                          item.current.version,
+                                          {item.history.begin(), item.history.end()}};
+    this->memory.restore(image.remembered);
+}
+
+} // namespace greengagehead::state
