--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -6,7 +6,6 @@
 #include <variant>
 
 #include "app/peer_wiring.h"
-#include "base/log_record.h"
 
 namespace greengagehead::app {
 
@@ -114,11 +113,6 @@
     this->log->tick(now);
     this->core->tick(now, wall_now());
     this->log->flush(now);
-    if (this->log->failure() && !this->failure_reported) {
-        this->failure_reported = true;
-        base::log_record(base::log_event::storage_failed)
-            .with("reason", base::describe(*this->log->failure()));
-    }
 }
 
 void control_task::begin_shutdown(base::steady_time /*now*/) { }
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -36,7 +36,6 @@
     std::unique_ptr<consensus::durable_log> log;
     std::unique_ptr<control::control_core> core;
     bool flush_pending = false;
-    bool failure_reported = false;
 };
 
 } // namespace greengagehead::app
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -221,7 +221,7 @@
     if (established == this->reported_leading)
         return;
     this->reported_leading = established;
-    log_record(established ? log_event::leadership_gained : log_event::leadership_lost)
+    log_record(established ? log_event::leader_elected : log_event::leader_deposed)
         .with("term", this->node.term());
     this->leadership_changed.emit(established, now);
 }
