--- /dev/null
+++ b/bench/policy/placement_report.cpp
@@ -0,0 +1,48 @@
+// Prints the comparison of placement policies that docs/measurements.md quotes.
+
+#include <cstdio>
+#include <cstdlib>
+
+#include "policy/placement_loop.h"
+
+using namespace greengagehead::policy;
+
+namespace {
+
+void print(char const* name, loop_settings const& settings)
+{
+    auto const result = run_placement_loop(settings);
+    std::printf("%-34s %4u endpoints %3.0f%% load: median %.3f p99 %.3f worst queue %u refused "
+                "%.4f per task\n",
+                name, settings.endpoints, settings.load * 100, result.median, result.p99,
+                result.worst_queue, result.refused);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    for (std::uint32_t const endpoints : {12U, 120U}) {
+        for (double const load : {0.3, 0.7, 0.9}) {
+            loop_settings settings;
+            settings.seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+            settings.load = load;
+            settings.endpoints = endpoints;
+            settings.tasks = endpoints * 5000;
+            settings.policy = "random";
+            print("random, reports", settings);
+            settings.policy = "least_loaded";
+            print("least_loaded, reports", settings);
+            settings.sharing = slot_sharing::fixed_credits;
+            print("least_loaded, fixed credits", settings);
+            settings.sharing = slot_sharing::leased;
+            print("least_loaded, leased", settings);
+            settings.entry_parts = {5, 3, 2};
+            print("least_loaded, leased, skewed", settings);
+            settings.sharing = slot_sharing::fixed_credits;
+            print("least_loaded, fixed credits, skewed", settings);
+            settings.sharing = slot_sharing::reports;
+            print("least_loaded, reports, skewed", settings);
+        }
+    }
+}
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -418,6 +418,15 @@
             groups.emplace_back(item.free);
 }
 
+bool endpoint_table::has_candidate(requirement const& needs) const
+{
+    auto const found = this->own->kinds.find(std::string(needs.kind));
+    return found != this->own->kinds.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&needs](group const& item) {
+               return !item.free.empty() && matches(item, needs);
+           });
+}
+
 capacity endpoint_table::capacity_for(requirement const& needs) const
 {
     capacity sum;
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -87,6 +87,8 @@
     /// Appends the groups of endpoints that fit and have a free slot. The groups are valid until
     /// the table changes.
     void candidates(requirement const& needs, std::vector<candidate_group>& groups) const;
+    /// Whether some endpoint that fits has a free slot. Meant for `fair_queue::take`.
+    [[nodiscard]] bool has_candidate(requirement const& needs) const;
     [[nodiscard]] capacity capacity_for(requirement const& needs) const;
     /// Endpoints that may get work, with free slots or without.
     [[nodiscard]] std::size_t usable_endpoints() const;
