Count an endpoint as full after it refused a start

Cause: a refused start was taken back like an outcome, so the same endpoint looked free again and was chosen until the next report.

Change: endpoint_table::note_refused.

--- a/bench/policy/placement_loop.cpp
+++ b/bench/policy/placement_loop.cpp
@@ -195,7 +195,7 @@
     ++this->refused;
     this->after(this->settings.latency, [this, number, task] {
         auto& source = this->entries[task.entry];
-        source.endpoints.note_outcome("endpoint." + std::to_string(number), this->now);
+        source.endpoints.note_refused("endpoint." + std::to_string(number), this->now);
         source.waiting.push_front(task);
         this->place(task.entry);
     });
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -386,6 +386,19 @@
     this->own->note(endpoint, false, now);
 }
 
+void endpoint_table::note_refused(std::string const& endpoint, base::steady_time now)
+{
+    this->own->note(endpoint, false, now);
+    auto* const found = this->own->find(endpoint);
+    if (found == nullptr)
+        return;
+    auto& record = *found->record;
+    auto const full = record.state.slots + 1 + record.unreported_outcomes;
+    record.state.used_slots
+        = std::max(record.state.used_slots, full - std::min(full, record.unreported_starts));
+    this->own->list(*found, free_places(record) > 0);
+}
+
 void endpoint_table::set_report_age(microseconds age)
 {
     this->own->report_age = age;
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -74,6 +74,9 @@
     void note_outcome(std::string const& endpoint);
     void note_start(std::string const& endpoint, base::steady_time now);
     void note_outcome(std::string const& endpoint, base::steady_time now);
+    /// The agent refused a start because its slots and its queue are full. Takes the start back,
+    /// like note_outcome, and counts the endpoint as full until the next report or outcome.
+    void note_refused(std::string const& endpoint, base::steady_time now);
     /// Age of an agent's figures when its report arrives: starts and outcomes noted within this
     /// time before the arrival are taken to be missing in the report.
     void set_report_age(std::chrono::microseconds age);
