Prefer endpoints where the entry is below its part of the slots

Cause: every entry sees the same free slots in reports up to 300 ms old and takes them at the same time.

Change: endpoint_table::set_entries divides each endpoint's slots among the live entries; least_loaded ranks endpoints below the own part first, then by load, among four drawn at random instead of two.

--- a/bench/policy/placement_loop.cpp
+++ b/bench/policy/placement_loop.cpp
@@ -89,9 +89,14 @@
     : settings(wanted), random(wanted.seed), entries(wanted.entry_parts.size()),
       agents(wanted.endpoints)
 {
-    for (std::size_t number = 0; number < this->entries.size(); ++number)
+    for (std::size_t number = 0; number < this->entries.size(); ++number) {
+        if (wanted.sharing == slot_sharing::reports)
+            this->entries[number].endpoints.set_entries(
+                static_cast<std::uint32_t>(this->entries.size()),
+                static_cast<std::uint32_t>(number));
         this->entries[number].policy
             = make_placement_policy(wanted.policy, wanted.seed * 1000 + number);
+    }
     for (std::size_t number = 0; number < this->agents.size(); ++number) {
         this->agents[number].used_by.resize(this->entries.size());
         for (auto& each : this->entries)
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -92,6 +92,8 @@
     std::set<std::string> zones_out;
     std::set<std::string> draining;
     std::size_t usable = 0;
+    std::uint32_t entry_count = 1;
+    std::uint32_t entry_rank = 0;
     microseconds report_age = default_report_age;
     base::steady_time latest; ///< Time of the last update.
 
@@ -107,6 +109,7 @@
     /// Brings usability, usable slots and the index in step with the record.
     void refresh(tracked& endpoint);
     void list(tracked& endpoint, bool wanted);
+    [[nodiscard]] std::uint32_t part_of(endpoint_record const& record) const;
     void note(std::string const& name, bool start, base::steady_time now);
 };
 
@@ -270,6 +273,7 @@
         record.outstanding = 0;
     }
     record.state = state;
+    record.own_part = this->part_of(record);
     record.agent = report.agent;
     record.region = report.region;
     record.zone = report.zone;
@@ -284,6 +288,15 @@
     this->refresh(endpoint);
 }
 
+std::uint32_t endpoint_table::parts::part_of(endpoint_record const& record) const
+{
+    // The first entries in an order that differs between endpoints get the remaining slots.
+    auto const place
+        = (std::hash<std::string> {}(record.state.name) + this->entry_rank) % this->entry_count;
+    auto const extra = place < record.state.slots % this->entry_count ? 1U : 0U;
+    return record.state.slots / this->entry_count + extra;
+}
+
 void endpoint_table::parts::note(std::string const& name, bool start, base::steady_time now)
 {
     auto* const endpoint = this->find(name);
@@ -399,6 +412,14 @@
     this->own->list(*found, free_places(record) > 0);
 }
 
+void endpoint_table::set_entries(std::uint32_t count, std::uint32_t rank)
+{
+    this->own->entry_count = std::max(count, 1U);
+    this->own->entry_rank = rank;
+    for (auto& [name, record] : this->own->records)
+        record.own_part = this->own->part_of(record);
+}
+
 void endpoint_table::set_report_age(microseconds age)
 {
     this->own->report_age = age;
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -27,6 +27,8 @@
     std::uint32_t unreported_outcomes = 0;
     /// Starts of this entry without an outcome yet.
     std::uint32_t outstanding = 0;
+    /// Part of the slots that this entry may count on while every entry keeps to its part.
+    std::uint32_t own_part = 0;
     /// Slots in use here; below `state.slots` for a short time after the endpoint or its zone came
     /// back.
     std::uint32_t usable_slots = 0;
@@ -77,6 +79,11 @@
     /// The agent refused a start because its slots and its queue are full. Takes the start back,
     /// like note_outcome, and counts the endpoint as full until the next report or outcome.
     void note_refused(std::string const& endpoint, base::steady_time now);
+    /// Number of live entries and the rank of this one among them, from 0. Each endpoint's slots
+    /// are divided among the entries; the parts differ by at most one and add up to the slots.
+    /// Placement prefers endpoints where the entry is below its part, because reports lag and other
+    /// entries use the same endpoints. Initially one entry.
+    void set_entries(std::uint32_t count, std::uint32_t rank);
     /// Age of an agent's figures when its report arrives: starts and outcomes noted within this
     /// time before the arrival are taken to be missing in the report.
     void set_report_age(std::chrono::microseconds age);
--- a/src/policy/placement_policy.cpp
+++ b/src/policy/placement_policy.cpp
@@ -15,6 +15,7 @@
 /// Random draws for one decision before every candidate is looked at in turn. With half of the
 /// endpoints refused by their health, one decision in 256 comes to that.
 constexpr std::uint32_t most_draws = 8;
+constexpr std::size_t sample_size = 4;
 
 bool avoided(placement_request const& request, std::string const& endpoint)
 {
@@ -125,19 +126,25 @@
                                            endpoint_table const& endpoints, endpoint_health& health,
                                            base::steady_time now) override
     {
-        this->sample.draw(request, endpoints, health, now, 2);
+        this->sample.draw(request, endpoints, health, now, sample_size);
         auto const& found = this->sample.found;
         if (found.empty())
             return std::nullopt;
         auto const* const best
             = *std::min_element(found.begin(), found.end(),
-                                [](auto const* a, auto const* b) { return load(*a) < load(*b); });
+                                [](auto const* a, auto const* b) { return rank(*a) < rank(*b); });
         health.note_chosen(best->state.name, now);
         return placement_choice {best->state.name, this->reason(), this->sample.candidates};
     }
     [[nodiscard]] std::string_view name() const override { return "least_loaded"; }
 
 private:
+    /// Endpoints where the entry is below its own part come first: other entries leave these slots
+    /// alone in general, whereas all entries see the same other slots as free.
+    static std::pair<bool, double> rank(endpoint_record const& record)
+    {
+        return {record.outstanding >= record.own_part, load(record)};
+    }
     /// Tasks per slot as far as known here.
     static double load(endpoint_record const& record)
     {
@@ -149,7 +156,8 @@
     {
         if (this->sample.last_resort)
             return "only an endpoint of an earlier attempt has a free slot";
-        return this->sample.found.size() > 1 ? "less loaded of two" : "only one accepts a task";
+        return this->sample.found.size() > 1 ? "least loaded of a sample"
+                                             : "only one accepts a task";
     }
 
     sampler sample;
