Let an entry use its part of the slots whatever the report says

Cause: at 90% load an endpoint that a report showed as full stayed unused for up to 300 ms after its tasks had ended.

Change: with several entries free_slots is at least the unused rest of the own part, unless the agent refused a start since its last report or outcome.

--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -123,13 +123,15 @@
 
 std::uint32_t free_places(endpoint_record const& record)
 {
-    if (!allowed(record))
+    if (!allowed(record) || record.refused)
         return 0;
     auto const taken
         = std::uint64_t {record.state.used_slots} + record.state.queued + record.unreported_starts;
     auto const in_use = taken - std::min<std::uint64_t>(taken, record.unreported_outcomes);
-    return in_use >= record.usable_slots ? 0
-                                         : record.usable_slots - static_cast<std::uint32_t>(in_use);
+    auto const seen = static_cast<std::uint32_t>(
+        record.usable_slots - std::min<std::uint64_t>(in_use, record.usable_slots));
+    auto const part = std::min(record.own_part, record.usable_slots);
+    return std::max(seen, part - std::min(part, record.outstanding));
 }
 
 } // namespace
@@ -273,6 +275,7 @@
         record.outstanding = 0;
     }
     record.state = state;
+    record.refused = false;
     record.own_part = this->part_of(record);
     record.agent = report.agent;
     record.region = report.region;
@@ -290,6 +293,8 @@
 
 std::uint32_t endpoint_table::parts::part_of(endpoint_record const& record) const
 {
+    if (this->entry_count == 1)
+        return 0;
     // The first entries in an order that differs between endpoints get the remaining slots.
     auto const place
         = (std::hash<std::string> {}(record.state.name) + this->entry_rank) % this->entry_count;
@@ -308,6 +313,7 @@
         ++record.unreported_starts;
         ++record.outstanding;
     } else {
+        record.refused = false;
         ++record.unreported_outcomes;
         record.outstanding -= record.outstanding > 0 ? 1 : 0;
     }
@@ -405,19 +411,18 @@
     auto* const found = this->own->find(endpoint);
     if (found == nullptr)
         return;
-    auto& record = *found->record;
-    auto const full = record.state.slots + 1 + record.unreported_outcomes;
-    record.state.used_slots
-        = std::max(record.state.used_slots, full - std::min(full, record.unreported_starts));
-    this->own->list(*found, free_places(record) > 0);
+    found->record->refused = true;
+    this->own->list(*found, false);
 }
 
 void endpoint_table::set_entries(std::uint32_t count, std::uint32_t rank)
 {
     this->own->entry_count = std::max(count, 1U);
     this->own->entry_rank = rank;
-    for (auto& [name, record] : this->own->records)
-        record.own_part = this->own->part_of(record);
+    for (auto& [name, endpoint] : this->own->details) {
+        endpoint.record->own_part = this->own->part_of(*endpoint.record);
+        this->own->refresh(endpoint);
+    }
 }
 
 void endpoint_table::set_report_age(microseconds age)
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -27,11 +27,12 @@
     std::uint32_t unreported_outcomes = 0;
     /// Starts of this entry without an outcome yet.
     std::uint32_t outstanding = 0;
-    /// Part of the slots that this entry may count on while every entry keeps to its part.
+    /// Part of the slots that this entry may use whatever the last report says; 0 with one entry.
     std::uint32_t own_part = 0;
     /// Slots in use here; below `state.slots` for a short time after the endpoint or its zone came
     /// back.
     std::uint32_t usable_slots = 0;
+    bool refused = false; ///< The agent refused a start after its last report or outcome.
     bool drain_requested = false; ///< Drained by operators.
     bool zone_out = false;
     bool agent_registered = false; ///< join_agent of this incarnation is committed.
@@ -91,7 +92,8 @@
     [[nodiscard]] endpoint_record const* find(std::string const& endpoint) const;
     [[nodiscard]] std::map<std::string, endpoint_record> const& all() const;
     /// Free places of an endpoint: slots less used, queued and unreported starts; 0 when it must
-    /// not get work (draining, zone out, agent not registered).
+    /// not get work (draining, zone out, agent not registered). With several entries it is at least
+    /// the unused rest of the own part, unless the agent refused a start since its last report.
     [[nodiscard]] std::uint32_t free_slots(endpoint_record const& endpoint) const;
 
     /// Appends the groups of endpoints that fit and have a free slot. The groups are valid until
