--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -92,6 +92,8 @@
     std::set<std::string> zones_out;
     std::set<std::string> draining;
     std::size_t usable = 0;
+    std::uint32_t entry_count = 1;
+    std::uint32_t entry_rank = 0;
     microseconds report_age = default_report_age;
     base::steady_time latest; ///< Time of the last update.
 
@@ -107,6 +109,7 @@
     /// Brings usability, usable slots and the index in step with the record.
     void refresh(tracked& endpoint);
     void list(tracked& endpoint, bool wanted);
+    [[nodiscard]] std::uint32_t part_of(endpoint_record const& record) const;
     void note(std::string const& name, bool start, base::steady_time now);
 };
 
@@ -120,13 +123,15 @@
 
 std::uint32_t free_places(endpoint_record const& record)
 {
-    if (!allowed(record))
+    if (!allowed(record) || record.refused)
         return 0;
     auto const taken
         = std::uint64_t {record.state.used_slots} + record.state.queued + record.unreported_starts;
     auto const in_use = taken - std::min<std::uint64_t>(taken, record.unreported_outcomes);
-    return in_use >= record.usable_slots ? 0
-                                         : record.usable_slots - static_cast<std::uint32_t>(in_use);
+    auto const seen = static_cast<std::uint32_t>(
+        record.usable_slots - std::min<std::uint64_t>(in_use, record.usable_slots));
+    auto const part = std::min(record.own_part, record.usable_slots);
+    return std::max(seen, part - std::min(part, record.outstanding));
 }
 
 } // namespace
@@ -270,6 +275,8 @@
         record.outstanding = 0;
     }
     record.state = state;
+    record.refused = false;
+    record.own_part = this->part_of(record);
     record.agent = report.agent;
     record.region = report.region;
     record.zone = report.zone;
@@ -284,6 +291,17 @@
     this->refresh(endpoint);
 }
 
+std::uint32_t endpoint_table::parts::part_of(endpoint_record const& record) const
+{
+    if (this->entry_count == 1)
+        return 0;
+    // The first entries in an order that differs between endpoints get the remaining slots.
+    auto const place
+        = (std::hash<std::string> {}(record.state.name) + this->entry_rank) % this->entry_count;
+    auto const extra = place < record.state.slots % this->entry_count ? 1U : 0U;
+    return record.state.slots / this->entry_count + extra;
+}
+
 void endpoint_table::parts::note(std::string const& name, bool start, base::steady_time now)
 {
     auto* const endpoint = this->find(name);
@@ -295,6 +313,7 @@
         ++record.unreported_starts;
         ++record.outstanding;
     } else {
+        record.refused = false;
         ++record.unreported_outcomes;
         record.outstanding -= record.outstanding > 0 ? 1 : 0;
     }
@@ -386,6 +405,26 @@
     this->own->note(endpoint, false, now);
 }
 
+void endpoint_table::note_refused(std::string const& endpoint, base::steady_time now)
+{
+    this->own->note(endpoint, false, now);
+    auto* const found = this->own->find(endpoint);
+    if (found == nullptr)
+        return;
+    found->record->refused = true;
+    this->own->list(*found, false);
+}
+
+void endpoint_table::set_entries(std::uint32_t count, std::uint32_t rank)
+{
+    this->own->entry_count = std::max(count, 1U);
+    this->own->entry_rank = rank;
+    for (auto& [name, endpoint] : this->own->details) {
+        endpoint.record->own_part = this->own->part_of(*endpoint.record);
+        this->own->refresh(endpoint);
+    }
+}
+
 void endpoint_table::set_report_age(microseconds age)
 {
     this->own->report_age = age;
@@ -418,6 +457,15 @@
             groups.emplace_back(item.free);
 }
 
+bool endpoint_table::has_candidate(requirement const& needs) const
+{
+    auto const found = this->own->kinds.find(std::string(needs.kind));
+    return found != this->own->kinds.end()
+        && std::any_of(found->second.begin(), found->second.end(), [&needs](group const& item) {
+               return !item.free.empty() && matches(item, needs);
+           });
+}
+
 capacity endpoint_table::capacity_for(requirement const& needs) const
 {
     capacity sum;
