Test the agent and close gaps in cancellation, takeover and budget

Cause: writing the tests and reading the first version again showed faults: a copy of a former owner's start message could take an outcome away from the present owner, a cancellation that overtook its start was lost, a change of owner falsified the byte count, a new link waited for the next report before an entry could state a lease, and a new view waited for the report gap. Change: these are fixed; early cancellations are kept per entry, a timed-out run is stopped at the endpoint, announcements take http://IP:PORT only, three log events are new.

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -54,6 +54,7 @@
     this->own->endpoints.expire(now);
     this->own->deliveries.tick(now);
     this->own->outcomes.expire(now);
+    this->own->cancellations.expire(now);
     this->own->settle(now);
 }
 
@@ -61,8 +62,7 @@
 {
     if (!is_entry(peer))
         return;
-    this->own->reports.peer_up(peer);
-    this->own->deliveries.peer_up(peer, now);
+    this->own->peer_up(peer, now);
     this->own->settle(now);
 }
 
--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -35,9 +35,10 @@
       leases(this->settings.longest_lease),
       outcomes({this->settings.outcome_retention, this->settings.refusal_memory,
                 this->settings.outcome_bytes}),
+      cancellations(this->settings.refusal_memory),
       endpoints(this->settings.announcement_interval, this->settings.queue_per_endpoint),
       admission({this->settings.id, this->settings.zone, this->settings.refusal_memory},
-                this->leases, this->outcomes, this->endpoints),
+                this->leases, this->outcomes, this->cancellations, this->endpoints),
       deliveries(this->settings.id, messages, this->outcomes),
       reports(this->settings.report_interval, messages)
 {
@@ -63,6 +64,14 @@
     this->report_if_due(now);
 }
 
+void agent_core::parts::peer_up(std::string const& peer, base::steady_time now)
+{
+    this->deliveries.peer_up(peer, now);
+    this->reports.peer_up(peer);
+    // An entry can state a lease in this agent's clock only after a report.
+    this->sender.send(peer, this->report(now));
+}
+
 void agent_core::parts::handle(std::string const& peer, protocol::start_batch const& batch,
                                base::steady_time now)
 {
@@ -88,29 +97,32 @@
 void agent_core::parts::handle(std::string const& peer, protocol::outcome_query const& query,
                                base::steady_time now)
 {
-    protocol::outcome_report report {this->settings.id, query.query_id, {}};
-    for (auto const& item : query.jobs) {
-        bool const current = item.epoch >= this->outcomes.fence(item.job);
-        if (current)
-            this->outcomes.raise_fence(item.job, item.epoch, now);
-    }
+    for (auto const& item : query.jobs)
+        this->outcomes.raise_fence(item.job, item.epoch, now);
     // Waiting attempts of lower epochs are refused before the report says what is known.
     this->review_queues(now);
+    protocol::outcome_report report {this->settings.id, query.query_id, {}};
     for (auto const& item : query.jobs) {
         bool const current = item.epoch >= this->outcomes.fence(item.job);
         for (auto const& key : this->outcomes.of_job(item.job)) {
-            auto* const record = this->outcomes.find(key);
-            if (current && record->details && record->details->owner != peer) {
-                record->details->owner = peer;
-                if (record->phase == attempt_phase::finished && !record->acknowledged)
-                    this->deliveries.enqueue(key);
-            }
+            if (current)
+                this->redirect(key, peer);
             report.outcomes.push_back(this->outcomes.outcome(key));
         }
     }
     this->sender.send(peer, report);
 }
 
+void agent_core::parts::redirect(attempt_key const& key, std::string const& peer)
+{
+    auto const* const record = this->outcomes.find(key);
+    if (!record->details || record->details->owner == peer)
+        return;
+    this->outcomes.assign(key, peer);
+    if (record->phase == attempt_phase::finished && !record->acknowledged)
+        this->deliveries.enqueue(key);
+}
+
 void agent_core::parts::handle(std::string const& peer, protocol::outcome_ack const& ack,
                                base::steady_time /*now*/)
 {
@@ -140,10 +152,12 @@
     this->start_waiting(endpoint, now);
 }
 
-void agent_core::parts::repeat(attempt_record& known, attempt_key const& key,
+void agent_core::parts::repeat(attempt_record const& known, attempt_key const& key,
                                std::string const& peer)
 {
-    if (known.phase != attempt_phase::finished)
+    // What is not acknowledged is resent anyway. A copy of a former owner's message must not take
+    // the outcome away from the present owner.
+    if (!known.acknowledged || key.epoch < this->outcomes.fence(key.task.job))
         return;
     this->outcomes.reopen(key, peer);
     this->deliveries.enqueue(key);
@@ -171,21 +185,51 @@
     for (auto const& key : this->outcomes.of_job(attempt.task.job)) {
         if (key.task != attempt.task || key.attempt != attempt.attempt)
             continue;
-        known = true;
-        auto* const record = this->outcomes.find(key);
-        if (!record->details || record->details->owner != peer)
-            continue;
-        if (record->phase == attempt_phase::waiting) {
-            this->endpoints.find(record->details->endpoint)->remove(key);
-            this->refuse(key, {"cancelled before it started"}, now);
-        } else if (record->phase == attempt_phase::running) {
-            record->details->stop_requested = true;
-            auto const url = record->details->url;
-            this->runner.stop(url, key.task);
-        }
+        auto const* const record = this->outcomes.find(key);
+        // Only the entry that gets the outcome may cancel: a former owner may not.
+        known = known || !record->details || record->details->owner == peer;
+        if (record->details && record->details->owner == peer)
+            this->cancel(key, now);
     }
     if (!known)
-        this->outcomes.refuse_early(attempt.task, attempt.attempt, now);
+        this->cancellations.add(peer, attempt, now);
+}
+
+void agent_core::parts::cancel(attempt_key const& key, base::steady_time now)
+{
+    auto const* record = this->outcomes.find(key);
+    auto target = key;
+    if (record->phase == attempt_phase::following) {
+        record = this->outcomes.find_run(key.task, false);
+        target = {key.task, record->epoch, record->attempt};
+    }
+    if (record->phase == attempt_phase::running)
+        return this->stop(target);
+    if (record->phase != attempt_phase::waiting)
+        return;
+    this->endpoints.find(record->details->endpoint)->remove(target);
+    this->refuse(target, {"cancelled before it started"}, now);
+}
+
+void agent_core::parts::stop(attempt_key const& key)
+{
+    auto& details = *this->outcomes.find(key)->details;
+    details.stop_requested = true;
+    // The endpoint knows tasks by job and index only, so that the request would also stop another
+    // attempt of the task.
+    for (auto const& other : this->outcomes.of_job(key.task.job)) {
+        auto const* const record = this->outcomes.find(other);
+        if (other.task == key.task && other != key && record->phase == attempt_phase::running
+            && record->details->url == details.url)
+            return;
+    }
+    base::log_record(base::log_event::stop_requested)
+        .with("job", key.task.job)
+        .with("task", key.task.index)
+        .with("attempt", key.attempt)
+        .with("endpoint", details.endpoint);
+    auto const url = details.url;
+    this->runner.stop(url, key.task);
 }
 
 void agent_core::parts::refuse(attempt_key const& key, refusal const& reason, base::steady_time now)
@@ -267,6 +311,8 @@
     if (details.stop_requested
         && (result.kind == outcome_kind::failed || result.kind == outcome_kind::unknown))
         result.kind = outcome_kind::cancelled;
+    else if (result.kind == outcome_kind::unknown)
+        this->stop(key); // It may still use the endpoint, and nobody waits for it any more.
     this->endpoints.find(details.endpoint)->release();
     this->finish(key, result, now);
     this->settle(now);
@@ -279,7 +325,8 @@
         .with("job", key.task.job)
         .with("task", key.task.index)
         .with("attempt", key.attempt)
-        .with("outcome", name_of(result.kind));
+        .with("outcome", name_of(result.kind))
+        .with("message", result.message);
     this->outcomes.finish(key, result.kind, result.result, result.message, now);
     this->deliveries.enqueue(key);
     for (auto const& other : this->outcomes.of_job(key.task.job)) {
@@ -294,12 +341,14 @@
 void agent_core::parts::report_if_due(base::steady_time now)
 {
     state_reporter::notable_state current {this->leases.known_view(), this->endpoints.fullness()};
-    if (!this->reports.due(current, now))
-        return;
-    this->reports.send({this->settings.id, this->settings.region, this->settings.zone,
-                        base::to_reading(now), this->leases.known_view(),
-                        this->endpoints.states(this->leases)},
-                       std::move(current), now);
+    if (this->reports.due(current, now))
+        this->reports.send(this->report(now), std::move(current), now);
+}
+
+protocol::agent_report agent_core::parts::report(base::steady_time now) const
+{
+    return {this->settings.id,     this->settings.region,     this->settings.zone,
+            base::to_reading(now), this->leases.known_view(), this->endpoints.states(this->leases)};
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/agent_parts.h
+++ b/src/agent/agent_parts.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "agent/agent_core.h"
+#include "agent/cancellation_book.h"
 #include "agent/endpoint_list.h"
 #include "agent/lease_book.h"
 #include "agent/outcome_sender.h"
@@ -25,12 +26,14 @@
     /// Answers waiting attempts that can no longer start, fills free slots, and sends what is due.
     /// Ends the handling of every input.
     void settle(base::steady_time now);
+    void peer_up(std::string const& peer, base::steady_time now);
 
     agent_settings settings;
     protocol::message_sender& sender;
     endpoint_runner& runner;
     lease_book leases;
     outcome_store outcomes;
+    cancellation_book cancellations;
     endpoint_list endpoints;
     start_admission admission;
     outcome_sender deliveries;
@@ -46,11 +49,16 @@
                 base::steady_time now);
     void handle(std::string const& peer, protocol::outcome_ack const& ack, base::steady_time now);
 
+    /// Sends the outcome of an attempt to another entry from now on.
+    void redirect(attempt_key const& key, std::string const& peer);
     void handle_start(start_request request, base::steady_time now);
-    void repeat(attempt_record& known, attempt_key const& key, std::string const& peer);
+    void repeat(attempt_record const& known, attempt_key const& key, std::string const& peer);
     void follow(attempt_key const& run, start_request const& request, base::steady_time now);
     void cancel(std::string const& peer, protocol::attempt_ref const& attempt,
                 base::steady_time now);
+    void cancel(attempt_key const& key, base::steady_time now);
+    /// Asks the endpoint to stop a run.
+    void stop(attempt_key const& key);
     void refuse(attempt_key const& key, refusal const& reason, base::steady_time now);
     void review_queues(base::steady_time now);
     void start_waiting(std::string const& endpoint, base::steady_time now);
@@ -58,6 +66,7 @@
     void finish_run(attempt_key const& key, run_result result, base::steady_time now);
     void finish(attempt_key const& key, run_result const& result, base::steady_time now);
     void report_if_due(base::steady_time now);
+    [[nodiscard]] protocol::agent_report report(base::steady_time now) const;
 };
 
 } // namespace greengagehead::agent
--- a/src/agent/announcement.h
+++ b/src/agent/announcement.h
@@ -10,7 +10,7 @@
 
 struct announcement {
     std::string name;
-    std::string url; ///< Base URL, "http://IP:PORT[/prefix]".
+    std::string url; ///< Base URL, "http://IP:PORT".
     std::vector<std::string> kinds;
     std::uint32_t slots = 0; ///< Tasks it runs at a time.
     std::uint32_t connections = 0; ///< Connections it accepts; 0 for no limit.
--- a/src/agent/announcement_json.cpp
+++ b/src/agent/announcement_json.cpp
@@ -85,7 +85,7 @@
 {
     BOOST_OUTCOME_TRY(url, read_name(body.value("url", json()), "url", true));
     auto const parsed = transport::parse_http_url(url);
-    if (!parsed)
+    if (!parsed || parsed.value().first.port == 0 || !parsed.value().second.empty())
         return invalid("url must have the form http://IP:PORT with an IPv4 address");
     return url;
 }
--- a/src/agent/http_endpoint_runner.cpp
+++ b/src/agent/http_endpoint_runner.cpp
@@ -3,6 +3,7 @@
 #include "agent/http_endpoint_runner.h"
 
 #include <cctype>
+#include <memory>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -20,12 +21,16 @@
 constexpr std::chrono::milliseconds stop_timeout {2000};
 constexpr int service_unavailable = 503;
 constexpr std::size_t longest_message = 500;
+/// Outcomes are kept in memory and travel in one message with others.
+constexpr std::size_t largest_result = 4UL * 1024 * 1024;
 
 run_result read_answer(transport::http_client_response const& response)
 {
     if (response.code >= 200 && response.code < 300) {
         if (!nlohmann::json::accept(response.body))
             return {outcome_kind::failed, {}, "endpoint answered 2xx without JSON"};
+        if (response.body.size() > largest_result)
+            return {outcome_kind::failed, {}, "endpoint answered with more than 4 MiB"};
         return {outcome_kind::succeeded, response.body, {}};
     }
     auto const message = "endpoint answered " + std::to_string(response.code) + ": "
@@ -77,10 +82,15 @@
         return this->answer_later(
             std::move(done),
             {outcome_kind::not_run, {}, "the lease or the deadline ended before the request"});
+    auto const sent = std::make_shared<bool>(false);
     this->client.send(to_http(request, url.value()),
-                      [done = std::move(done)](transport::http_client_response&& response) {
+                      [this, sent, done = std::move(done)](auto&& response) {
+                          // The client fails some requests before it returns.
+                          if (!*sent)
+                              return this->answer_later(done, read_run_response(response));
                           done(read_run_response(response), std::chrono::steady_clock::now());
                       });
+    *sent = true;
 }
 
 void http_endpoint_runner::stop(std::string const& url, protocol::task_ref const& task)
--- a/src/agent/lease_book.cpp
+++ b/src/agent/lease_book.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "base/log_record.h"
+
 namespace greengagehead::agent {
 
 void lease_book::note(protocol::lease_stamp const& stamp, base::steady_time now)
@@ -32,6 +34,9 @@
     this->zones_out = {update.zones_out.begin(), update.zones_out.end()};
     this->draining_endpoints = {update.draining_endpoints.begin(), update.draining_endpoints.end()};
     this->live_entries = update.live_entries;
+    base::log_record(base::log_event::view_adopted)
+        .with("view", this->known)
+        .with("entry", update.lease.entry.name);
     return true;
 }
 
--- a/src/agent/outcome_store.cpp
+++ b/src/agent/outcome_store.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/log_record.h"
+
 namespace greengagehead::agent {
 
 namespace {
@@ -14,9 +16,6 @@
 /// Jobs looked at per sweep step. At 100 steps a second, 100,000 jobs are swept in 4 s.
 constexpr std::size_t sweep_jobs = 256;
 
-/// Epoch of an early refusal; real epochs start at 1.
-constexpr protocol::job_epoch any_epoch = 0;
-
 std::size_t size_of(attempt_details const& details)
 {
     return sizeof(attempt_details) + details.endpoint.size() + details.url.size()
@@ -36,11 +35,8 @@
     if (job == this->jobs.end())
         return nullptr;
     for (auto& record : job->second.attempts) {
-        if (record.index != key.task.index || record.attempt != key.attempt)
-            continue;
-        if (record.epoch == any_epoch)
-            record.epoch = key.epoch;
-        if (record.epoch == key.epoch)
+        if (record.index == key.task.index && record.attempt == key.attempt
+            && record.epoch == key.epoch)
             return &record;
     }
     return nullptr;
@@ -66,11 +62,8 @@
     auto const found = this->jobs.find(job);
     if (found == this->jobs.end())
         return keys;
-    for (auto const& record : found->second.attempts) {
-        // An early refusal says nothing of an attempt until its start message has arrived.
-        if (record.epoch != any_epoch)
-            keys.push_back(key_in(job, record));
-    }
+    for (auto const& record : found->second.attempts)
+        keys.push_back(key_in(job, record));
     return keys;
 }
 
@@ -123,34 +116,29 @@
 void outcome_store::reopen(attempt_key const& key, std::string const& owner)
 {
     auto* const record = this->find(key);
-    if (record == nullptr || record->phase != attempt_phase::finished)
+    if (record == nullptr || !record->acknowledged)
         return;
     if (!record->details) {
         record->details = std::make_unique<attempt_details>();
         record->details->message = "recorded earlier";
-    } else {
-        this->used_bytes -= size_of(*record->details);
+        this->used_bytes += size_of(*record->details);
     }
-    record->details->owner = owner;
-    this->used_bytes += size_of(*record->details);
-    if (record->acknowledged)
-        ++this->unacknowledged_count;
     record->acknowledged = false;
+    ++this->unacknowledged_count;
     this->acknowledged_details.erase(record->sequence);
     this->owed_details.emplace(record->sequence, key);
+    this->assign(key, owner);
 }
 
-void outcome_store::refuse_early(protocol::task_ref const& task, std::uint32_t attempt,
-                                 base::steady_time now)
+void outcome_store::assign(attempt_key const& key, std::string const& owner)
 {
-    auto& record = this->jobs[task.job].attempts.emplace_back();
-    record.index = task.index;
-    record.attempt = attempt;
-    record.epoch = any_epoch;
-    record.kind = outcome_kind::not_run;
-    record.acknowledged = true;
-    record.sequence = this->next_sequence++;
-    record.finished_at = now;
+    auto* const record = this->find(key);
+    if (record == nullptr || !record->details)
+        return;
+    bool const counted = record->phase == attempt_phase::finished;
+    this->used_bytes -= counted ? size_of(*record->details) : 0;
+    record->details->owner = owner;
+    this->used_bytes += counted ? size_of(*record->details) : 0;
 }
 
 protocol::job_epoch outcome_store::fence(std::string const& job) const
@@ -162,6 +150,9 @@
 void outcome_store::raise_fence(std::string const& job, protocol::job_epoch epoch,
                                 base::steady_time now)
 {
+    // No owner comes before the first, so that its epoch needs no fence.
+    if (epoch <= 1)
+        return;
     auto& record = this->jobs[job];
     record.fence = std::max(record.fence, epoch);
     record.fenced_at = now;
@@ -230,6 +221,10 @@
         record->details->result = std::string();
         record->details->message = "the task succeeded, its result was dropped to save memory";
         this->used_bytes += size_of(*record->details);
+        base::log_record(base::log_event::result_dropped)
+            .with("job", item->second.task.job)
+            .with("task", record->index)
+            .with("attempt", record->attempt);
     }
 }
 
--- a/src/agent/outcome_store.h
+++ b/src/agent/outcome_store.h
@@ -38,13 +38,12 @@
     void finish(attempt_key const& key, protocol::outcome_kind kind, std::string result,
                 std::string message, base::steady_time now);
     void acknowledge(attempt_key const& key);
-    /// Makes a finished attempt due for delivery to `owner` again.
+    /// Makes an acknowledged outcome due for delivery to `owner` again.
     void reopen(attempt_key const& key, std::string const& owner);
+    /// Changes the entry that gets the outcome.
+    void assign(attempt_key const& key, std::string const& owner);
 
-    /// A cancellation that overtook its start: the attempt counts as refused in any epoch.
-    void refuse_early(protocol::task_ref const& task, std::uint32_t attempt, base::steady_time now);
-
-    /// Highest epoch seen of a job; 0 when none was.
+    /// Highest epoch that an owner of the job has shown; 0 when only the first has.
     [[nodiscard]] protocol::job_epoch fence(std::string const& job) const;
     void raise_fence(std::string const& job, protocol::job_epoch epoch, base::steady_time now);
 
--- a/src/agent/start_admission.cpp
+++ b/src/agent/start_admission.cpp
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "agent/cancellation_book.h"
 #include "agent/endpoint_list.h"
 #include "agent/lease_book.h"
 #include "agent/outcome_store.h"
@@ -36,6 +37,7 @@
     {&start_admission::incarnation_matches,
      at_receipt,
      {"addressed to an earlier incarnation of this agent, which may have started it", true}},
+    {&start_admission::not_cancelled, at_receipt, {"cancelled before it started"}},
     {&start_admission::serving, always, {"the agent shuts down"}},
     {&start_admission::sender_matches, at_receipt, {"the lease belongs to another entry"}},
     {&start_admission::view_current, at_start, {"the lease is on a superseded view"}},
@@ -53,9 +55,10 @@
 
 start_admission::start_admission(settings wanted, lease_book const& lease_source,
                                  outcome_store const& outcome_source,
+                                 cancellation_book const& cancellation_source,
                                  endpoint_list& endpoint_source)
     : own(std::move(wanted)), leases(lease_source), outcomes(outcome_source),
-      endpoints(endpoint_source)
+      cancellations(cancellation_source), endpoints(endpoint_source)
 {
 }
 
@@ -80,6 +83,11 @@
     return request.agent_incarnation == this->own.self.incarnation;
 }
 
+bool start_admission::not_cancelled(start_request const& request, base::steady_time /*now*/) const
+{
+    return !this->cancellations.contains(request.peer, request.task.task, request.task.attempt);
+}
+
 bool start_admission::serving(start_request const& /*request*/, base::steady_time /*now*/) const
 {
     return !this->shutting_down;
--- a/src/agent/start_admission.h
+++ b/src/agent/start_admission.h
@@ -12,6 +12,7 @@
 
 namespace greengagehead::agent {
 
+class cancellation_book;
 class endpoint_list;
 class lease_book;
 class outcome_store;
@@ -40,7 +41,7 @@
     };
 
     start_admission(settings own, lease_book const& leases, outcome_store const& outcomes,
-                    endpoint_list& endpoints);
+                    cancellation_book const& cancellations, endpoint_list& endpoints);
 
     /// The first check that fails; empty when the attempt may start.
     [[nodiscard]] std::optional<refusal> refuse(start_request const& request, admission_stage stage,
@@ -56,6 +57,7 @@
 
     [[nodiscard]] bool message_recent(start_request const& request, base::steady_time now) const;
     [[nodiscard]] bool incarnation_matches(start_request const& request, base::steady_time) const;
+    [[nodiscard]] bool not_cancelled(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool serving(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool sender_matches(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool lease_valid(start_request const& request, base::steady_time now) const;
@@ -73,6 +75,7 @@
     settings own;
     lease_book const& leases;
     outcome_store const& outcomes;
+    cancellation_book const& cancellations;
     endpoint_list& endpoints;
     bool shutting_down = false;
 };
--- a/src/agent/state_reporter.cpp
+++ b/src/agent/state_reporter.cpp
@@ -22,7 +22,9 @@
 bool state_reporter::due(notable_state const& current, base::steady_time now) const
 {
     auto const gap = now - this->last_report;
-    return gap >= this->interval || (gap >= shortest_gap && current != this->reported);
+    // Views change a few hundred times a day, and operators wait for their acknowledgement.
+    return gap >= this->interval || current.known_view != this->reported.known_view
+        || (gap >= shortest_gap && current != this->reported);
 }
 
 void state_reporter::send(protocol::agent_report const& report, notable_state current,
--- a/src/agent/state_reporter.h
+++ b/src/agent/state_reporter.h
@@ -19,7 +19,7 @@
     /// What is worth a report ahead of the interval when it changes.
     struct notable_state {
         protocol::view_number known_view = 0;
-        std::vector<std::pair<std::string, bool>> fullness;
+        std::vector<std::pair<std::string, bool>> fullness; ///< Of each endpoint.
 
         bool operator==(notable_state const&) const = default;
     };
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -34,6 +34,9 @@
     event_description {log_event::start_refused, severity::info, "start_refused"},
     event_description {log_event::start_admitted, severity::debug, "start_admitted"},
     event_description {log_event::outcome_recorded, severity::debug, "outcome_recorded"},
+    event_description {log_event::stop_requested, severity::debug, "stop_requested"},
+    event_description {log_event::view_adopted, severity::info, "view_adopted"},
+    event_description {log_event::result_dropped, severity::warning, "result_dropped"},
 };
 
 } // namespace
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -37,6 +37,9 @@
     start_refused = 4003,
     start_admitted = 4004,
     outcome_recorded = 4005,
+    stop_requested = 4006,
+    view_adopted = 4007,
+    result_dropped = 4008,
 };
 
 struct event_description {
--- a/tests/agent/start_test.cpp
+++ b/tests/agent/start_test.cpp
@@ -1,3 +1,5 @@
+// Which start messages start a task, and how often.
+
 #include <catch2/catch.hpp>
 
 #include "agent/agent_fixture.h"
@@ -13,19 +15,291 @@
 SCENARIO("A start message starts its task once")
 {
     agent_fixture agent;
+    auto const hold = make_start(0);
 
-    WHEN("a task is started and its run succeeds")
+    GIVEN("a running task")
     {
-        agent.start(make_start(0));
+        agent.start(hold);
         REQUIRE(agent.runner.runs.size() == 1);
-        agent.now += milliseconds(100);
+        // Guards against duplicate holds by doubled or resent start messages.
+        WHEN("the start message arrives again, before and after the end of the run")
+        {
+            agent.start(hold);
+            agent.now += milliseconds(100);
+            agent.succeed(0);
+            agent.acknowledge_all("entry.a");
+            agent.start(hold);
+            THEN("it runs once and the outcome is sent again")
+            {
+                CHECK(agent.runner.runs.size() == 1);
+                CHECK(agent.sender.outcomes("entry.a").size() == 2);
+                CHECK(agent.last_outcome().kind == outcome_kind::succeeded);
+                CHECK(agent.last_outcome().result == "{\"chairs\":4}");
+                CHECK(agent.last_outcome().run_time == milliseconds(100));
+            }
+        }
+        // Guards against an entry being told "not run" of a task that runs.
+        WHEN("a further attempt of the non-idempotent task arrives")
+        {
+            agent.start(make_start(0, false, 2));
+            CHECK(agent.sender.outcomes("entry.a").empty());
+            agent.succeed(0);
+            THEN("it gets the outcome of the first")
+            {
+                CHECK(agent.runner.runs.size() == 1);
+                CHECK(agent.last_outcome().attempt == 2);
+                CHECK(agent.last_outcome().kind == outcome_kind::succeeded);
+            }
+        }
+        WHEN("the endpoint proves that it did not run")
+        {
+            agent.runner.end(0, {outcome_kind::not_run, {}, "busy"}, agent.now);
+            agent.start(hold);
+            agent.start(make_start(0, false, 2));
+            THEN("a further attempt runs, a copy of the first does not")
+            {
+                REQUIRE(agent.runner.runs.size() == 2);
+                CHECK(agent.runner.runs[1].request.task.attempt == 2);
+            }
+        }
+    }
+    GIVEN("a running idempotent task")
+    {
+        agent.start(make_start(1, true));
+        WHEN("the message is doubled and a further attempt arrives")
+        {
+            agent.start(make_start(1, true));
+            agent.start(make_start(1, true, 2));
+            THEN("only the further attempt runs too")
+            {
+                CHECK(agent.runner.runs.size() == 2);
+            }
+        }
+    }
+    GIVEN("a start that reached the agent after its lease had expired")
+    {
+        auto const late = agent.batch(agent.entry_a, {hold});
+        agent.pass(milliseconds(1600));
+        agent.core.receive("entry.a", late, agent.now);
+        REQUIRE(agent.last_outcome().kind == outcome_kind::not_run);
+        // Guards against a "not run" that stops being true.
+        WHEN("the lease is renewed and the same attempt arrives again")
+        {
+            agent.update_lease(agent.entry_a, 1);
+            agent.start(hold);
+            THEN("it still does not start")
+            {
+                CHECK(agent.runner.runs.empty());
+            }
+        }
+        // Guards against a false "not run" about an attempt that is no longer on record.
+        WHEN("a copy arrives after the agent has forgotten the attempt")
+        {
+            agent.acknowledge_all("entry.a");
+            agent.pass(milliseconds(70'000));
+            agent.core.receive("entry.a", late, agent.now);
+            THEN("the answer is unknown")
+            {
+                CHECK(agent.last_outcome().kind == outcome_kind::unknown);
+            }
+        }
+    }
+}
+
+SCENARIO("Every condition of a start is checked")
+{
+    agent_fixture agent;
+    auto batch = agent.batch(agent.entry_a, {make_start(0)});
+    std::string reason;
+
+    WHEN("the zone is out")
+    {
+        agent.update_lease(agent.entry_a, batch.lease.view = 2, {"recife"});
+        reason = "zone is out";
+    }
+    WHEN("the entry is no longer live")
+    {
+        agent.live = {agent.entry_b};
+        agent.update_lease(agent.entry_b, batch.lease.view = 2);
+        reason = "not part of the view";
+    }
+    WHEN("another entry already has a higher view")
+    {
+        agent.update_lease(agent.entry_b, 2);
+        reason = "superseded view";
+    }
+    // Guards against starts under a view that takes this zone out, before that view is known.
+    WHEN("the lease is on a view that has not arrived yet")
+    {
+        batch.lease.view = 2;
+        reason = "not known here yet";
+    }
+    WHEN("the endpoint drains")
+    {
+        agent.update_lease(agent.entry_a, batch.lease.view = 2, {}, {"chairs-1"});
+        reason = "draining";
+    }
+    WHEN("the endpoint has left")
+    {
+        REQUIRE(agent.core.leave("chairs-1", agent.now));
+        CHECK_FALSE(agent.core.leave("chairs-1", agent.now));
+        reason = "unknown or gone";
+    }
+    WHEN("the endpoint does not offer the kind")
+    {
+        batch.starts[0].kind = "loan";
+        reason = "kind";
+    }
+    WHEN("no time is left")
+    {
+        batch.starts[0].remaining = milliseconds(0);
+        reason = "deadline";
+    }
+    WHEN("the stamp belongs to another entry than the sender")
+    {
+        batch.lease.entry = agent.entry_b;
+        reason = "another entry";
+    }
+    // Guards against stamps in the clock of a VM that has been restarted since.
+    WHEN("the lease expires later than any lease can")
+    {
+        batch.lease.expires_at += std::chrono::hours(5);
+        reason = "expired";
+    }
+    WHEN("the entry cancelled it before it arrived")
+    {
+        agent.core.receive("entry.a", protocol::cancel_batch {{{{job_id, 0}, 1}}}, agent.now);
+        reason = "cancelled";
+    }
+    // Guards against a second run by a copy that reaches the next incarnation.
+    WHEN("the message is addressed to an earlier incarnation")
+    {
+        batch.agent_incarnation = 76;
+        reason = "may have started";
+    }
+    if (!reason.empty()) {
+        agent.core.receive("entry.a", batch, agent.now);
+        auto const outcome = agent.last_outcome();
+        CHECK(agent.runner.runs.empty());
+        CHECK((outcome.kind == outcome_kind::not_run) == (batch.agent_incarnation == 77));
+        CHECK_THAT(outcome.message, Catch::Contains(reason));
+    }
+}
+
+SCENARIO("A task that waited for a slot is checked again before it starts")
+{
+    agent_fixture agent;
+    agent.start(make_start(0));
+    agent.start(make_start(1));
+    agent.start(make_start(2));
+    REQUIRE(agent.runner.runs.size() == 2);
+    auto const not_started = [&agent] {
+        CHECK(agent.runner.runs.size() == 2);
+        CHECK(agent.last_outcome().task.index == 2);
+        CHECK(agent.last_outcome().kind == outcome_kind::not_run);
+    };
+
+    WHEN("a slot becomes free")
+    {
+        agent.succeed(0);
+        THEN("it starts")
+        {
+            CHECK(agent.runner.runs.size() == 3);
+        }
+    }
+    WHEN("the queue is full")
+    {
+        agent.start(make_start(3));
+        agent.start(make_start(4));
+        THEN("further starts are refused")
+        {
+            CHECK(agent.last_outcome().task.index == 4);
+            CHECK(agent.last_outcome().kind == outcome_kind::not_run);
+        }
+    }
+    // Guards against starts by a frozen agent: no tick runs between the receipt and the free slot.
+    WHEN("the lease expires while the process is frozen, then a slot becomes free")
+    {
+        agent.now += milliseconds(5000);
+        agent.succeed(0);
+        THEN("it does not start")
+        {
+            CHECK(agent.runner.runs.size() == 2);
+            CHECK(agent.sender.outcomes("entry.a").back().kind == outcome_kind::not_run);
+        }
+    }
+    WHEN("the lease is renewed while it waits")
+    {
+        agent.pass(milliseconds(1400));
+        agent.update_lease(agent.entry_a, 1);
+        agent.pass(milliseconds(1400));
+        agent.succeed(0);
+        THEN("it starts, with the time that is left")
+        {
+            REQUIRE(agent.runner.runs.size() == 3);
+            CHECK(agent.runner.runs[2].request.timeout == milliseconds(27'200));
+            CHECK(agent.runner.runs[2].request.start_before == agent.now + milliseconds(100));
+        }
+    }
+    WHEN("the zone goes out")
+    {
+        agent.update_lease(agent.entry_b, 2, {"recife"});
+        THEN("it is answered at once")
+        {
+            not_started();
+        }
+    }
+    WHEN("a new owner takes the job over")
+    {
+        agent.core.receive("entry.b", protocol::outcome_query {1, {{job_id, 2}}}, agent.now);
+        THEN("it is answered, to the new owner in the report, and later starts are refused")
+        {
+            auto const report = agent.sender.to<protocol::outcome_report>("entry.b").at(0);
+            REQUIRE(report.outcomes.size() == 3);
+            CHECK(report.outcomes[0].kind == outcome_kind::running);
+            CHECK(report.outcomes[2].kind == outcome_kind::not_run);
+            agent.succeed(0);
+            agent.start(make_start(5));
+            CHECK(agent.runner.runs.size() == 2);
+        }
+    }
+    WHEN("the endpoint misses three announcements")
+    {
+        agent.announcing = false;
+        agent.pass(milliseconds(3100));
+        THEN("it is answered and the running tasks go on")
+        {
+            not_started();
+            agent.succeed(1);
+            CHECK(agent.last_outcome().kind == outcome_kind::succeeded);
+            CHECK(agent.sender.to<protocol::agent_report>("entry.a").back().endpoints.empty());
+        }
+    }
+    WHEN("it is cancelled")
+    {
+        agent.core.receive("entry.a", protocol::cancel_batch {{{{job_id, 2}, 1}}}, agent.now);
+        not_started();
+        THEN("it does not run")
+        {
+            agent.succeed(0);
+            CHECK(agent.runner.runs.size() == 2);
+        }
+    }
+    // Guards against a shutdown that interrupts requests in progress.
+    WHEN("the agent shuts down under load")
+    {
+        agent.core.begin_shutdown(agent.now);
+        not_started();
+        agent.start(make_start(3));
+        CHECK(agent.last_outcome().kind == outcome_kind::not_run);
         agent.succeed(0);
-        THEN("the entry gets the outcome at once")
+        agent.succeed(1);
+        CHECK(agent.runner.stopped.empty());
+        THEN("it is idle once the running tasks' outcomes are acknowledged")
         {
-            auto const outcome = agent.last_outcome();
-            CHECK(outcome.kind == outcome_kind::succeeded);
-            CHECK(outcome.result == "{\"chairs\":4}");
-            CHECK(outcome.run_time == milliseconds(100));
+            CHECK_FALSE(agent.core.idle());
+            agent.acknowledge_all("entry.a");
+            CHECK(agent.core.idle());
         }
     }
 }
