Answer "unknown" to copies of forgotten starts in every case

Cause: an attempt may end up to one lease before its stamp expires, so that its record could be forgotten while a copy of its start message still counted as recent and was answered "not run". Texts alone counted against the memory budget, not the records and keys around them. Conclusion: "not run" needs no luck with timing.

--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -29,9 +29,10 @@
     /// Refused attempts, and idempotent ones without a kept result, are remembered this long.
     /// Must be longer than any start message can be delayed.
     std::chrono::milliseconds refusal_memory {60'000};
-    /// No entry can hold a lease for longer; stamps beyond it come from another clock.
+    /// No entry can hold a lease for longer (the lease duration of control); stamps beyond it come
+    /// from another clock.
     std::chrono::milliseconds longest_lease {1500};
-    std::size_t outcome_bytes = 8UL * 1024 * 1024; ///< Memory for finished outcomes.
+    std::size_t outcome_bytes = 4UL * 1024 * 1024; ///< Memory for finished outcomes.
 };
 
 class agent_core {
--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -37,7 +37,9 @@
                 this->settings.outcome_bytes}),
       cancellations(this->settings.refusal_memory),
       endpoints(this->settings.announcement_interval, this->settings.queue_per_endpoint),
-      admission({this->settings.id, this->settings.zone, this->settings.refusal_memory},
+      admission({this->settings.id, this->settings.zone,
+                 // An attempt may end a whole lease before its stamp does.
+                 this->settings.refusal_memory - this->settings.longest_lease},
                 this->leases, this->outcomes, this->cancellations, this->endpoints),
       deliveries(this->settings.id, messages, this->outcomes),
       reports(this->settings.report_interval, messages)
--- a/src/agent/outcome_store.cpp
+++ b/src/agent/outcome_store.cpp
@@ -16,10 +16,13 @@
 /// Jobs looked at per sweep step. At 100 steps a second, 100,000 jobs are swept in 4 s.
 constexpr std::size_t sweep_jobs = 256;
 
+/// Memory of a finished attempt besides its texts: details, record, and the keys that order it.
+constexpr std::size_t fixed_bytes = sizeof(attempt_details) + 400;
+
 std::size_t size_of(attempt_details const& details)
 {
-    return sizeof(attempt_details) + details.endpoint.size() + details.url.size()
-        + details.owner.size() + details.result.size() + details.message.size();
+    return fixed_bytes + details.endpoint.size() + details.url.size() + details.owner.size()
+        + details.result.size() + details.message.size();
 }
 
 attempt_key key_in(std::string const& job, attempt_record const& record)
--- a/src/agent/start_admission.cpp
+++ b/src/agent/start_admission.cpp
@@ -74,7 +74,7 @@
 
 bool start_admission::message_recent(start_request const& request, base::steady_time now) const
 {
-    return base::from_reading(request.stamp.expires_at) + this->own.refusal_memory > now;
+    return base::from_reading(request.stamp.expires_at) + this->own.longest_delay > now;
 }
 
 bool start_admission::incarnation_matches(start_request const& request,
--- a/src/agent/start_admission.h
+++ b/src/agent/start_admission.h
@@ -36,8 +36,9 @@
     struct settings {
         protocol::process_id self;
         std::string zone;
-        /// Refused attempts are remembered this long; older start messages prove nothing.
-        std::chrono::milliseconds refusal_memory {0};
+        /// A start message whose lease ended longer ago than this may be a copy of one that the
+        /// agent has forgotten.
+        std::chrono::milliseconds longest_delay {0};
     };
 
     start_admission(settings own, lease_book const& leases, outcome_store const& outcomes,
