--- a/src/agent/start_admission.h
+++ b/src/agent/start_admission.h
@@ -12,6 +12,7 @@
 
 namespace greengagehead::agent {
 
+class cancellation_book;
 class endpoint_list;
 class lease_book;
 class outcome_store;
@@ -35,12 +36,13 @@
     struct settings {
         protocol::process_id self;
         std::string zone;
-        /// Refused attempts are remembered this long; older start messages prove nothing.
-        std::chrono::milliseconds refusal_memory {0};
+        /// A start message whose lease ended longer ago than this may be a copy of one that the
+        /// agent has forgotten.
+        std::chrono::milliseconds longest_delay {0};
     };
 
     start_admission(settings own, lease_book const& leases, outcome_store const& outcomes,
-                    endpoint_list& endpoints);
+                    cancellation_book const& cancellations, endpoint_list& endpoints);
 
     /// The first check that fails; empty when the attempt may start.
     [[nodiscard]] std::optional<refusal> refuse(start_request const& request, admission_stage stage,
@@ -56,6 +58,7 @@
 
     [[nodiscard]] bool message_recent(start_request const& request, base::steady_time now) const;
     [[nodiscard]] bool incarnation_matches(start_request const& request, base::steady_time) const;
+    [[nodiscard]] bool not_cancelled(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool serving(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool sender_matches(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool lease_valid(start_request const& request, base::steady_time now) const;
@@ -73,6 +76,7 @@
     settings own;
     lease_book const& leases;
     outcome_store const& outcomes;
+    cancellation_book const& cancellations;
     endpoint_list& endpoints;
     bool shutting_down = false;
 };
