--- /dev/null
+++ b/tests/state/settings_test.cpp
@@ -0,0 +1,135 @@
+// Schema, versions and keys of settings; agents and claims where the order of events matters.
+
+#include <catch2/catch.hpp>
+
+#include "state/control_state.h"
+#include "state/setting_schema.h"
+
+using namespace greengagehead;
+using protocol::change_status;
+
+namespace {
+
+protocol::change_result put(state::control_state& state, std::string const& path,
+                            std::string const& value, std::optional<std::uint64_t> version = {},
+                            std::string const& key = {})
+{
+    return std::get<protocol::change_result>(state.apply(
+        {std::chrono::seconds(1), protocol::put_setting {path, value, version, key, "ana"}}));
+}
+
+std::size_t agents_since(state::control_state const& state, std::chrono::seconds time)
+{
+    return state.agents().list(time).agents.size();
+}
+
+} // namespace
+
+SCENARIO("only settings of the schema are accepted")
+{
+    state::control_state state;
+    // Guards against a misspelt path or value that is stored and never read.
+    THEN("paths and values are checked")
+    {
+        CHECK(put(state, "/teams/kōwhai-1/weight", "3").status == change_status::applied);
+        CHECK(put(state, "/teams/t/kinds/quote/timeout_ms", "600000").status
+              == change_status::applied);
+        for (auto const* path :
+             {"", "/", "/teams/t", "/teams/t/weight/", "/teams//weight", "/teams/../weight",
+              "/teams/a b/weight", "/teams/\xff/weight", "/teams/t/wieght", "teams/t/weight"})
+            CHECK(put(state, path, "3").status == change_status::unknown_path);
+        for (auto const* value : {"0", "1001", "-1", "+1", "01", "1.0", "\"3\"", "true", "", "3 "})
+            CHECK(put(state, "/teams/t/weight", value).status == change_status::invalid);
+        CHECK(put(state, "/teams/t/weight", "0").message
+              == "/teams/t/weight must be a whole number from 1 to 1000");
+        CHECK(put(state, "/x", "0").message.find("/teams/TEAM/weight") != std::string::npos);
+        CHECK(state::valid_name(std::string(64, 'a')));
+        CHECK_FALSE(state::valid_name(std::string(65, 'a')));
+    }
+}
+
+SCENARIO("operators race and resend")
+{
+    state::control_state state;
+    put(state, "/teams/t/weight", "1");
+
+    // Guards against a lost update.
+    WHEN("two of them expect the same version")
+    {
+        auto const first = put(state, "/teams/t/weight", "2", 1, "a");
+        auto const second = put(state, "/teams/t/weight", "3", 1, "b");
+        THEN("the second learns the value of the first")
+        {
+            CHECK(first.status == change_status::applied);
+            CHECK(second.status == change_status::version_mismatch);
+            CHECK(second.current.value == "2");
+            CHECK(second.current.version == 2);
+        }
+        // Guards against a resent change that reverts a later one.
+        THEN("resending gives the first result and changes nothing")
+        {
+            put(state, "/teams/t/weight", "7");
+            CHECK(put(state, "/teams/t/weight", "2", 1, "a").current.version == 2);
+            CHECK(put(state, "/teams/t/weight", "3", 1, "b").status
+                  == change_status::version_mismatch);
+            CHECK(state.settings().list("/")[0].value == "7");
+        }
+        THEN("a key cannot be used for another change")
+        {
+            CHECK(put(state, "/teams/t/weight", "9", 1, "a").status == change_status::invalid);
+        }
+    }
+    // Guards against memory that grows with every change.
+    WHEN("thousands of changes follow")
+    {
+        for (int change = 0; change < 3000; ++change)
+            put(state, "/teams/t/weight", "5", {}, "key" + std::to_string(change));
+        THEN("history and keys are bounded")
+        {
+            CHECK(state.settings().history("/teams/t/weight").changes.size()
+                  == state::settings_tree::history_limit);
+            CHECK(state.settings().image().remembered.size() == state::change_memory::limit);
+        }
+    }
+}
+
+SCENARIO("a takeover can ask every agent that may have started a task")
+{
+    state::control_state state;
+    auto const at = [&](int second, protocol::command_body body) {
+        state.apply({std::chrono::seconds(second), std::move(body)});
+    };
+    at(10, protocol::join_agent {{"agent.a", 1}, "z"});
+    at(20, protocol::join_agent {{"agent.a", 2}, "z"});
+
+    THEN("replaced incarnations are listed for jobs claimed before")
+    {
+        CHECK(agents_since(state, std::chrono::seconds(20)) == 2);
+        CHECK(agents_since(state, std::chrono::seconds(21)) == 1);
+    }
+    // Guards against a delayed registration that displaces the agent's successor.
+    THEN("a replaced incarnation cannot register again")
+    {
+        at(30, protocol::join_agent {{"agent.a", 1}, "z"});
+        CHECK(agents_since(state, std::chrono::seconds(40)) == 1);
+        CHECK(state.agents().list(std::chrono::seconds(40)).agents[0].id.incarnation == 2);
+    }
+    // Guards against a false "not run" when a job outlives the retention of agents.
+    WHEN("a job from before is still running at expiry")
+    {
+        protocol::job_claim claim;
+        claim.job = std::string(32, '1');
+        claim.digest = std::string(64, '2');
+        claim.owner = {"entry.a", 1};
+        at(15, protocol::join_entry {claim.owner, "z", "a"});
+        at(15, protocol::claim_jobs {{claim}, 1});
+        at(600, protocol::expire_claims {std::chrono::seconds(600), {}, 10});
+        CHECK(agents_since(state, std::chrono::seconds(15)) == 2);
+        at(601, protocol::finish_jobs {{{claim.job, 1}}});
+        at(602, protocol::expire_claims {std::chrono::seconds(600), {}, 10});
+        THEN("the agent is forgotten only after the job has finished")
+        {
+            CHECK(agents_since(state, std::chrono::seconds(15)) == 1);
+        }
+    }
+}
