--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -29,6 +29,7 @@
     event_description {log_event::members_changed, severity::info, "members_changed"},
     event_description {log_event::snapshot_taken, severity::info, "snapshot_taken"},
     event_description {log_event::storage_failed, severity::error, "storage_failed"},
+    event_description {log_event::data_set_aside, severity::error, "data_set_aside"},
     event_description {log_event::job_accepted, severity::info, "job_accepted"},
     event_description {log_event::job_refused, severity::info, "job_refused"},
     event_description {log_event::job_finished, severity::info, "job_finished"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -32,6 +32,7 @@
     members_changed = 2013,
     snapshot_taken = 2014,
     storage_failed = 2015,
+    data_set_aside = 2016,
     job_accepted = 3001,
     job_refused = 3002,
     job_finished = 3003,
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/durable_log.h"
 
+#include <algorithm>
 #include <random>
 #include <utility>
 
@@ -22,6 +23,33 @@
 /// Bounds the table of identities that are not members.
 constexpr std::size_t max_strangers = 64;
 
+/// True when another member holds the data, so that a damaged member can be repaired from it.
+bool has_others(durable_log_settings const& settings)
+{
+    return std::any_of(settings.initial.begin(), settings.initial.end(),
+                       [&](auto const& member) { return member.name != settings.name; });
+}
+
+base::result<member_store::recovered>
+open_store(member_store& store, durable_log_settings const& settings, std::mt19937_64& random)
+{
+    // 0 stands for no identity.
+    auto recovered = store.open(random() | 1);
+    if (recovered || recovered.error().code == base::error_code::io || !has_others(settings))
+        return recovered;
+    log_record(log_event::data_set_aside).with("error", base::describe(recovered.error()));
+    BOOST_OUTCOME_TRY(store.set_aside());
+    return store.open(random() | 1);
+}
+
+base::error stopped(base::error const& reason)
+{
+    return {base::error_code::unavailable,
+            base::error_step::replicate,
+            {},
+            "this member has stopped: " + base::describe(reason)};
+}
+
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -38,8 +66,7 @@
     auto const seed = settings.seed != 0 ? settings.seed : random_seed();
     std::mt19937_64 random(seed);
     member_store store(files, settings.folder);
-    // 0 stands for no identity.
-    BOOST_OUTCOME_TRY(recovered, store.open(random() | 1));
+    BOOST_OUTCOME_TRY(recovered, open_store(store, settings, random));
     log_record(log_event::log_recovered)
         .with("folder", settings.folder)
         .with("last_index", recovered.start.log.last().index)
@@ -54,7 +81,7 @@
     : settings(std::move(given)), store(std::move(opened)),
       node(this->settings.timing, std::move(recovered.start), seed, now), sender(sender),
       bootstrap(this->settings.name, this->settings.initial, this->node.id()),
-      keeper(this->settings.replace_after), last_tick(now)
+      keeper(this->settings.replace_after), damaged(this->store.was_damaged()), last_tick(now)
 {
     if (recovered.has_snapshot)
         this->initial_state = std::move(recovered.state);
@@ -103,7 +130,7 @@
     this->start(now);
     this->last_tick = now;
     this->say_hello(now);
-    if (auto const first = this->bootstrap.proposal(); first && this->node.log().empty())
+    if (auto const first = this->bootstrap.proposal(); first && this->fresh())
         this->node.bootstrap(*first, now);
     this->node.tick(now);
     this->change_membership(now);
@@ -123,7 +150,8 @@
         return;
     this->settling = true;
     this->node.replicate(now);
-    if (this->persist(sync, now)) {
+    // Reading a snapshot to send it may have failed.
+    if (!this->stopped_by && this->persist(sync, now)) {
         this->send_messages();
         this->apply(now);
         if (sync)
@@ -196,8 +224,9 @@
     auto const& log = this->node.log();
     auto const applied = this->node.applied_index();
     auto const retained = applied - log.base().index;
-    bool const due = retained >= this->settings.snapshot_entries + this->settings.trailing_entries
-        || log.bytes() >= this->settings.snapshot_bytes;
+    bool const large = log.bytes() >= this->retained_bytes + this->settings.snapshot_bytes;
+    bool const due
+        = large || retained >= this->settings.snapshot_entries + this->settings.trailing_entries;
     if (!due || retained == 0 || !this->take_snapshot)
         return;
     snapshot_content const content {{applied, log.term_at(applied).value_or(0)},
@@ -208,8 +237,8 @@
     if (!this->check(this->store.save_snapshot(encode(content), log.after(applied)), now))
         return;
     this->node.entries_synced(now);
-    bool const large = log.bytes() >= this->settings.snapshot_bytes;
     this->node.compact(large ? applied : applied - this->settings.trailing_entries);
+    this->retained_bytes = log.bytes();
     log_record(log_event::snapshot_taken)
         .with("index", applied)
         .with("bytes", content.state.size());
@@ -253,7 +282,7 @@
     for (auto const& member : members.members)
         peers[member.name] = true;
     peers.erase(this->settings.name);
-    protocol::member_hello const hello {false, this->node.log().empty(), this->settings.address};
+    protocol::member_hello const hello {false, this->fresh(), this->settings.address};
     for (auto const& [peer, _] : peers)
         this->send(peer, {this->node.id(), 0, this->node.term(), hello});
 }
@@ -268,10 +297,15 @@
         return;
     }
     this->keeper.announced(peer, message.from, hello.address, now);
-    protocol::member_hello const answer {true, this->node.log().empty(), this->settings.address};
+    protocol::member_hello const answer {true, this->fresh(), this->settings.address};
     this->send(peer, {this->node.id(), message.from, this->node.term(), answer});
 }
 
+bool durable_log::fresh() const
+{
+    return this->node.log().empty() && !this->damaged;
+}
+
 void durable_log::change_membership(base::steady_time now)
 {
     if (auto const step = this->keeper.next(this->node, now))
@@ -281,7 +315,7 @@
 base::result<void> durable_log::change_members(protocol::change_members const& change)
 {
     if (this->stopped_by)
-        return *this->stopped_by;
+        return stopped(*this->stopped_by);
     BOOST_OUTCOME_TRY(step, this->keeper.first_step(this->node, change, this->last_tick));
     BOOST_OUTCOME_TRY(this->node.propose(step));
     return boost::outcome_v2::success();
@@ -300,7 +334,7 @@
 base::result<log_position> durable_log::propose(std::string data)
 {
     if (this->stopped_by)
-        return *this->stopped_by;
+        return stopped(*this->stopped_by);
     return this->node.propose(std::move(data));
 }
 
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -47,8 +47,9 @@
 
 class durable_log : public replicated_log {
 public:
-    /// Reads the data folder. Errors: `corrupt` when acknowledged data is damaged; `io`. `files`
-    /// and `sender` must outlive the log.
+    /// Reads the data folder. A member of a larger group whose data is damaged sets it aside and
+    /// rejoins under a new identity. Errors: `corrupt` when the only member is damaged; `io`.
+    /// `files` and `sender` must outlive the log.
     static base::result<std::unique_ptr<durable_log>> open(durable_log_settings settings,
                                                            storage::file_system& files,
                                                            protocol::message_sender& sender,
@@ -96,6 +97,7 @@
     void snapshot_if_due(base::steady_time now);
     void report_leadership(base::steady_time now);
     void change_membership(base::steady_time now);
+    [[nodiscard]] bool fresh() const;
     bool check(base::result<void> const& result, base::steady_time now);
     void send(std::string const& peer, protocol::raft_message message);
     [[nodiscard]] std::string peer_name(protocol::member_id id) const;
@@ -106,10 +108,14 @@
     protocol::message_sender& sender;
     group_bootstrap bootstrap;
     membership_keeper keeper;
+    /// Damaged data was set aside in this folder.
+    bool damaged;
 
     /// Snapshot found at the start, until `start` reports it.
     std::optional<std::string> initial_state;
     bool started = false;
+    /// Bytes of commands that the last snapshot left in memory.
+    std::uint64_t retained_bytes = 0;
     /// Guards against re-entry from a signal handler.
     bool settling = false;
     bool reported_leading = false;
--- a/src/consensus/member_store.cpp
+++ b/src/consensus/member_store.cpp
@@ -16,6 +16,7 @@
 constexpr char const* log_name = "log";
 constexpr char const* snapshot_name = "snapshot";
 constexpr char const* record_name = "member";
+constexpr char const* damaged_suffix = ".damaged";
 
 std::vector<std::string> encode_all(std::vector<protocol::log_entry> const& entries)
 {
@@ -101,6 +102,30 @@
     return boost::outcome_v2::success();
 }
 
+base::result<void> member_store::set_aside()
+{
+    // The record goes first: with it the identity is gone, so that a crash on the way cannot leave
+    // a member that votes without its log.
+    for (auto const* name : {record_name, log_name, snapshot_name}) {
+        auto const path = this->folder + "/" + name;
+        auto const renamed = this->files.rename(path, path + damaged_suffix);
+        if (!renamed && renamed.error().code != base::error_code::not_found)
+            return renamed.error();
+        BOOST_OUTCOME_TRY(this->files.sync_folder(this->folder));
+    }
+    return boost::outcome_v2::success();
+}
+
+bool member_store::was_damaged() const
+{
+    for (auto const* name : {record_name, log_name, snapshot_name}) {
+        auto const found = this->files.read(this->folder + "/" + name + damaged_suffix);
+        if (found || found.error().code != base::error_code::not_found)
+            return true;
+    }
+    return false;
+}
+
 base::result<void> member_store::save_vote(std::uint64_t term, protocol::member_id vote)
 {
     this->record.term = term;
--- a/src/consensus/member_store.h
+++ b/src/consensus/member_store.h
@@ -32,6 +32,13 @@
     /// Opens the folder; a new one gets `new_identity`. Errors: `corrupt`, `io`.
     base::result<recovered> open(std::uint64_t new_identity);
 
+    /// Renames the files of a damaged folder, so that the member can start anew under another
+    /// identity. The damaged data stays for inspection.
+    base::result<void> set_aside();
+    /// True when damaged data was set aside here. Such a member must never found a group: its group
+    /// may have lost acknowledged data.
+    [[nodiscard]] bool was_damaged() const;
+
     // All of these are durable once they have succeeded. After an error the store must not be used.
     base::result<void> save_vote(std::uint64_t term, protocol::member_id vote);
     base::result<void> append(std::vector<protocol::log_entry> const& entries);
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -43,18 +43,29 @@
 {
     if (message.to != this->self)
         return;
+    // After a pause, queued messages of the past must not be handled as leader.
+    this->check_quorum(now);
     std::visit([&](auto const& body) { this->handle(message, body, now); }, message.body);
 }
 
+void raft_node::check_quorum(base::steady_time now)
+{
+    if (!this->leading())
+        return;
+    auto const contact = std::max(this->lead->quorum_contact(now), this->lead->elected_at());
+    if (now - contact > this->timing.election_max)
+        this->become_follower(this->current_term, 0, now);
+}
+
 void raft_node::tick(base::steady_time now)
 {
-    if (this->leading()) {
-        auto const contact = std::max(this->lead->quorum_contact(now), this->lead->elected_at());
-        if (now - contact > this->timing.election_max)
-            this->become_follower(this->current_term, 0, now);
+    this->check_quorum(now);
+    if (this->leading() || now < this->election_deadline)
         return;
-    }
-    if (now >= this->election_deadline && this->may_campaign())
+    // A learner whose leader is gone may have been dropped with an uncommitted change; without a
+    // leader it introduces itself again.
+    this->leader_id = 0;
+    if (this->may_campaign())
         this->start_pre_vote(now);
 }
 
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -118,6 +118,8 @@
 
     void become_follower(std::uint64_t term, protocol::member_id leader, base::steady_time now);
     void become_leader(base::steady_time now);
+    /// Steps down when no quorum has answered within the longest election timeout.
+    void check_quorum(base::steady_time now);
     void start_pre_vote(base::steady_time now);
     void start_election(base::steady_time now);
     void request_votes(bool pre_vote, std::uint64_t term);
--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -26,7 +26,6 @@
     /// Returns the number of bytes written, which may be less than given.
     virtual base::result<std::size_t> append(std::string_view bytes) = 0;
     virtual base::result<void> sync() = 0;
-    virtual base::result<void> truncate(std::uint64_t size) = 0;
 };
 
 /// All errors have the code `io`, or `not_found` for a missing file.
--- a/src/storage/log_file.cpp
+++ b/src/storage/log_file.cpp
@@ -2,6 +2,7 @@
 
 #include "storage/log_file.h"
 
+#include <algorithm>
 #include <optional>
 
 #include "storage/checksum.h"
@@ -94,12 +95,13 @@
     auto read = files.read(path);
     if (!read && read.error().code != base::error_code::not_found)
         return read.error();
-    bool const created = !read;
-    std::string const content = created ? std::string() : std::move(read.value());
+    std::string const content = read ? std::move(read.value()) : std::string();
 
     opened result;
     std::size_t offset = 0;
+    std::uint64_t proven = 0;
     while (auto const payload = read_payload(content, offset)) {
+        proven = std::max(proven, read_header(content, offset)->synced);
         if (!payload->empty())
             result.payloads.emplace_back(*payload);
         offset += header_bytes + payload->size();
@@ -108,17 +110,14 @@
     if (result.cut_bytes > 0 && was_acknowledged(content, offset))
         return corrupt(path, offset);
 
-    BOOST_OUTCOME_TRY(log_target, files.open_append(path));
-    if (created) {
-        BOOST_OUTCOME_TRY(files.sync_folder(folder));
-    }
-    if (result.cut_bytes > 0) {
-        BOOST_OUTCOME_TRY(log_target->truncate(offset));
+    // The last mark itself need not be durable.
+    if (!content.empty() && proven + header_bytes == content.size()) {
+        BOOST_OUTCOME_TRY(log_target, files.open_append(path));
+        result.log = std::make_unique<log_file>(std::move(log_target), path, offset, proven);
+        return result;
     }
-    // Records that a crashed process wrote without a sync are used from here on, so they are made
-    // durable first.
-    BOOST_OUTCOME_TRY(log_target->sync());
-    result.log = std::make_unique<log_file>(std::move(log_target), path, offset);
+    BOOST_OUTCOME_TRY(rewritten, rewrite(files, folder, name, result.payloads));
+    result.log = std::move(rewritten);
     return result;
 }
 
@@ -135,11 +134,12 @@
     BOOST_OUTCOME_TRY(replace_file(files, folder, name, content));
     auto const path = folder + "/" + name;
     BOOST_OUTCOME_TRY(log_target, files.open_append(path));
-    return std::make_unique<log_file>(std::move(log_target), path, content.size());
+    return std::make_unique<log_file>(std::move(log_target), path, content.size(), content.size());
 }
 
-log_file::log_file(std::unique_ptr<file> target, std::string path, std::uint64_t size)
-    : target(std::move(target)), path(std::move(path)), written(size), synced(size)
+log_file::log_file(std::unique_ptr<file> target, std::string path, std::uint64_t size,
+                   std::uint64_t synced)
+    : target(std::move(target)), path(std::move(path)), written(size), synced(synced)
 {
 }
 
--- a/src/storage/log_file.h
+++ b/src/storage/log_file.h
@@ -5,6 +5,10 @@
 // durable when the record was written, so a valid record proves that everything before that size
 // had been acknowledged. A record without payload (a mark) is written after each sync. Recovery
 // therefore tells a torn tail that nobody was told about from damage to acknowledged data.
+//
+// Valid records that are not proven to be durable are kept, because the mark itself may be lost.
+// They may also stem from a failed sync, after which the kernel serves them from memory although
+// they are not on the disk. Recovery therefore copies such a log to a new file.
 
 #pragma once
 
@@ -23,8 +27,8 @@
 public:
     struct opened;
 
-    /// Opens or creates `folder/name`, cuts an unacknowledged torn tail and returns all payloads in
-    /// order. Errors: `corrupt` when acknowledged data is damaged, `io` otherwise.
+    /// Opens or creates `folder/name`, cuts an unacknowledged torn tail and returns all payloads,
+    /// made durable, in order. Errors: `corrupt` when acknowledged data is damaged, `io` otherwise.
     static base::result<opened> open(file_system& files, std::string const& folder,
                                      std::string const& name);
 
@@ -33,7 +37,9 @@
     rewrite(file_system& files, std::string const& folder, std::string const& name,
             std::vector<std::string> const& payloads);
 
-    log_file(std::unique_ptr<file> target, std::string path, std::uint64_t size);
+    /// `synced` is the length known to be durable of a file of `size` bytes.
+    log_file(std::unique_ptr<file> target, std::string path, std::uint64_t size,
+             std::uint64_t synced);
 
     /// Appends all payloads and syncs once. After an error nothing more may be written to the file,
     /// because the kernel may have dropped the pages that it failed to write: every later call
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -66,13 +66,6 @@
         return boost::outcome_v2::success();
     }
 
-    base::result<void> truncate(std::uint64_t size) override
-    {
-        if (::ftruncate(this->handle.get(), static_cast<off_t>(size)) != 0)
-            return system_error(base::error_step::recover, "ftruncate", this->path, errno);
-        return boost::outcome_v2::success();
-    }
-
 private:
     descriptor handle;
     std::string path;
