--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -37,6 +37,7 @@
     event_description {log_event::join_refused, severity::warning, "join_refused"},
     event_description {log_event::state_restored, severity::info, "state_restored"},
     event_description {log_event::state_damaged, severity::error, "state_damaged"},
+    event_description {log_event::data_set_aside, severity::error, "data_set_aside"},
     event_description {log_event::job_accepted, severity::info, "job_accepted"},
     event_description {log_event::job_refused, severity::info, "job_refused"},
     event_description {log_event::job_finished, severity::info, "job_finished"},
