Keep the at-most-once record of past runs in a compact archive

Change: finished and acknowledged runs without details move to run_archive, 16 bytes of job id instead of strings and vectors; a job that is looked up gets them back first.

--- a/src/agent/outcome_store.cpp
+++ b/src/agent/outcome_store.cpp
@@ -34,10 +34,10 @@
 
 attempt_record* outcome_store::find(attempt_key const& key)
 {
-    auto const job = this->jobs.find(key.task.job);
-    if (job == this->jobs.end())
+    auto* const job = this->open(key.task.job);
+    if (job == nullptr)
         return nullptr;
-    for (auto& record : job->second.attempts) {
+    for (auto& record : job->attempts) {
         if (record.index == key.task.index && record.attempt == key.attempt
             && record.epoch == key.epoch)
             return &record;
@@ -47,10 +47,10 @@
 
 attempt_record* outcome_store::find_run(protocol::task_ref const& task, bool idempotent)
 {
-    auto const job = this->jobs.find(task.job);
-    if (job == this->jobs.end())
+    auto* const job = this->open(task.job);
+    if (job == nullptr)
         return nullptr;
-    for (auto& record : job->second.attempts) {
+    for (auto& record : job->attempts) {
         bool const blocks = !idempotent || !record.idempotent;
         if (record.index == task.index && blocks && record.kind != outcome_kind::not_run
             && record.phase != attempt_phase::following)
@@ -59,17 +59,40 @@
     return nullptr;
 }
 
-std::vector<attempt_key> outcome_store::of_job(std::string const& job) const
+std::vector<attempt_key> outcome_store::of_job(std::string const& job)
 {
     std::vector<attempt_key> keys;
-    auto const found = this->jobs.find(job);
-    if (found == this->jobs.end())
+    auto const* const found = this->open(job);
+    if (found == nullptr)
         return keys;
-    for (auto const& record : found->second.attempts)
+    for (auto const& record : found->attempts)
         keys.push_back(key_in(job, record));
     return keys;
 }
 
+outcome_store::job_record* outcome_store::open(std::string const& job)
+{
+    auto restored = this->archived.take(job);
+    for (auto& record : restored) {
+        record.sequence = this->next_sequence++;
+        this->jobs[job].attempts.push_back(std::move(record));
+    }
+    auto const found = this->jobs.find(job);
+    return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+void outcome_store::archive(std::string const& job, job_record& record)
+{
+    if (record.fence != 0)
+        return;
+    std::erase_if(record.attempts, [this, &job](attempt_record const& attempt) {
+        if (!run_archive::accepts(job, attempt))
+            return false;
+        this->archived.put(job, attempt);
+        return true;
+    });
+}
+
 attempt_record& outcome_store::add(attempt_key const& key, bool idempotent)
 {
     auto& record = this->jobs[key.task.job].attempts.emplace_back();
@@ -173,9 +196,12 @@
             this->forget(attempt);
             return true;
         });
-        bool const fence_expired = record.fenced_at + this->limits.outcome < now;
+        this->archive(job->first, record);
+        bool const fence_expired
+            = record.fence == 0 || record.fenced_at + this->limits.outcome < now;
         job = record.attempts.empty() && fence_expired ? this->jobs.erase(job) : std::next(job);
     }
+    this->archived.expire(now - this->limits.outcome);
     this->sweep_position = job == this->jobs.end() ? std::string() : job->first;
 }
 
--- a/src/agent/outcome_store.h
+++ b/src/agent/outcome_store.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "agent/attempt.h"
+#include "agent/run_archive.h"
 
 namespace greengagehead::agent {
 
@@ -31,7 +32,7 @@
     /// or is about to, where the task or the further attempt is not idempotent.
     [[nodiscard]] attempt_record* find_run(protocol::task_ref const& task, bool idempotent);
     /// All attempts of a job.
-    [[nodiscard]] std::vector<attempt_key> of_job(std::string const& job) const;
+    [[nodiscard]] std::vector<attempt_key> of_job(std::string const& job);
 
     attempt_record& add(attempt_key const& key, bool idempotent);
     /// Records the outcome of an attempt on record. Drops older results when over the budget.
@@ -55,7 +56,6 @@
     [[nodiscard]] std::size_t unfinished() const { return this->unfinished_count; }
     [[nodiscard]] std::size_t unacknowledged() const { return this->unacknowledged_count; }
     [[nodiscard]] std::size_t bytes() const { return this->used_bytes; }
-    [[nodiscard]] std::size_t jobs_on_record() const { return this->jobs.size(); }
 
 private:
     struct job_record {
@@ -64,6 +64,9 @@
         std::vector<attempt_record> attempts;
     };
 
+    /// The job with its archived runs. Null when nothing is on record.
+    job_record* open(std::string const& job);
+    void archive(std::string const& job, job_record& record);
     void enforce_budget();
     void drop_details(attempt_record& record);
     [[nodiscard]] bool expired(attempt_record const& record, base::steady_time now) const;
@@ -71,6 +74,8 @@
 
     retention_limits limits;
     std::map<std::string, job_record> jobs;
+    // Runs of jobs that are looked up are moved back to `jobs` first.
+    run_archive archived;
     // Finished attempts with details, oldest first. Every one of them is in exactly one of the two.
     std::map<std::uint64_t, attempt_key> acknowledged_details;
     std::map<std::uint64_t, attempt_key> owed_details;
