Limit the whole exchange of a task with its endpoint

Cause: the HTTP client's timeout is one of inactivity. An endpoint that sends its answer byte by byte keeps a slot beyond the deadline of its task. Change: each run has a timer of its own; 100 ms after the timeout the outcome is unknown and a later response is ignored. Conclusion: a slot is in use for at most the timeout plus 100 ms.

--- a/src/agent/http_endpoint_runner.cpp
+++ b/src/agent/http_endpoint_runner.cpp
@@ -24,6 +24,24 @@
 /// Outcomes are kept in memory and travel in one message with others.
 constexpr std::size_t largest_result = 4UL * 1024 * 1024;
 
+/// The client's timeout starts again with every byte, so that an endpoint that sends its answer
+/// byte by byte could keep a slot for any time.
+constexpr std::chrono::milliseconds timeout_margin {100};
+
+/// A request whose result is reported once, by the response or by the limit.
+struct pending_run {
+    void finish(run_result result)
+    {
+        this->limit.reset();
+        if (auto const report = std::exchange(this->done, nullptr))
+            report(std::move(result), std::chrono::steady_clock::now());
+    }
+
+    endpoint_runner::callback done;
+    std::unique_ptr<transport::loop_timer> limit;
+    bool sending = true; // Inside http_client::send.
+};
+
 run_result read_answer(transport::http_client_response const& response)
 {
     if (response.code >= 200 && response.code < 300) {
@@ -82,15 +100,22 @@
         return this->answer_later(
             std::move(done),
             {outcome_kind::not_run, {}, "the lease or the deadline ended before the request"});
-    auto const sent = std::make_shared<bool>(false);
+    auto const run = std::make_shared<pending_run>();
+    run->done = std::move(done);
+    run->limit = this->loop.after(request.timeout + timeout_margin, [weak = std::weak_ptr(run)] {
+        if (auto const late = weak.lock())
+            late->finish({outcome_kind::unknown, {}, "the endpoint did not answer in time"});
+    });
     this->client.send(to_http(request, url.value()),
-                      [this, sent, done = std::move(done)](auto&& response) {
+                      [this, run](transport::http_client_response&& response) {
                           // The client fails some requests before it returns.
-                          if (!*sent)
-                              return this->answer_later(done, read_run_response(response));
-                          done(read_run_response(response), std::chrono::steady_clock::now());
+                          if (run->sending)
+                              return this->loop.post([run, result = read_run_response(response)] {
+                                  run->finish(result);
+                              });
+                          run->finish(read_run_response(response));
                       });
-    *sent = true;
+    run->sending = false;
 }
 
 void http_endpoint_runner::stop(std::string const& url, protocol::task_ref const& task)
