Count own tasks at an endpoint exactly

Change: a report says how many of the tasks belong to the entry that receives it; the entry replaces that part by its own exact count.

--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -71,7 +71,7 @@
     this->deliveries.peer_up(peer, now);
     this->reports.peer_up(peer);
     // An entry can state a lease in this agent's clock only after a report.
-    this->sender.send(peer, this->report(now));
+    this->sender.send(peer, this->report(peer, now));
 }
 
 void agent_core::parts::handle(std::string const& peer, protocol::start_batch const& batch,
@@ -286,7 +286,7 @@
     record.phase = attempt_phase::running;
     details.url = slots.description().url;
     details.started = now;
-    slots.acquire();
+    slots.acquire(key);
     base::log_record(base::log_event::start_admitted)
         .with("job", key.task.job)
         .with("task", key.task.index)
@@ -315,7 +315,7 @@
         result.kind = outcome_kind::cancelled;
     else if (result.kind == outcome_kind::unknown)
         this->stop(key); // It may still use the endpoint, and nobody waits for it any more.
-    this->endpoints.find(details.endpoint)->release();
+    this->endpoints.find(details.endpoint)->release(key);
     this->finish(key, result, now);
     this->settle(now);
 }
@@ -344,13 +344,20 @@
 {
     state_reporter::notable_state current {this->leases.known_view(), this->endpoints.fullness()};
     if (this->reports.due(current, now))
-        this->reports.send(this->report(now), std::move(current), now);
+        this->reports.send(
+            [this, now](std::string const& entry) { return this->report(entry, now); },
+            std::move(current), now);
 }
 
-protocol::agent_report agent_core::parts::report(base::steady_time now) const
+protocol::agent_report agent_core::parts::report(std::string const& entry, base::steady_time now)
 {
+    auto const held = [this, &entry](attempt_key const& key) {
+        auto const* const record = this->outcomes.find(key);
+        return record != nullptr && record->details && record->details->owner == entry;
+    };
     return {this->settings.id,     this->settings.region,     this->settings.zone,
-            base::to_reading(now), this->leases.known_view(), this->endpoints.states(this->leases)};
+            base::to_reading(now), this->leases.known_view(),
+            this->endpoints.states(this->leases, held)};
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -2,6 +2,8 @@
 
 #include "agent/endpoint_list.h"
 
+#include <algorithm>
+
 #include "agent/lease_book.h"
 #include "base/log_record.h"
 
@@ -114,7 +116,9 @@
     return all;
 }
 
-std::vector<protocol::endpoint_state> endpoint_list::states(lease_book const& leases) const
+std::vector<protocol::endpoint_state>
+endpoint_list::states(lease_book const& leases,
+                      std::function<bool(attempt_key const&)> const& held) const
 {
     std::vector<protocol::endpoint_state> all;
     for (auto const& [name, known] : this->endpoints) {
@@ -123,7 +127,12 @@
         auto const& description = known.slots.description();
         all.push_back({name, description.kinds, known.slots.capacity(), known.slots.used(),
                        static_cast<std::uint32_t>(known.slots.queued()), description.cpu,
-                       description.memory_mb, description.rack, leases.draining(name)});
+                       description.memory_mb, description.rack, leases.draining(name),
+                       static_cast<std::uint32_t>(
+                           std::count_if(known.slots.running_attempts().begin(),
+                                         known.slots.running_attempts().end(), held)
+                           + std::count_if(known.slots.queue().begin(), known.slots.queue().end(),
+                                           held))});
     }
     return all;
 }
--- a/src/agent/endpoint_list.h
+++ b/src/agent/endpoint_list.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -37,7 +38,9 @@
     /// Every waiting attempt of every endpoint, also of those that are gone.
     [[nodiscard]] std::vector<std::pair<std::string, attempt_key>> waiting() const;
     [[nodiscard]] std::vector<std::string> names() const;
-    [[nodiscard]] std::vector<protocol::endpoint_state> states(lease_book const& leases) const;
+    /// @param held tells the attempts of the entry that gets the report.
+    [[nodiscard]] std::vector<protocol::endpoint_state>
+    states(lease_book const& leases, std::function<bool(attempt_key const&)> const& held) const;
     /// Names of the present endpoints and whether each is full: a change is reported at once.
     [[nodiscard]] std::vector<std::pair<std::string, bool>> fullness() const;
 
--- a/src/agent/endpoint_slots.h
+++ b/src/agent/endpoint_slots.h
@@ -28,8 +28,11 @@
 
     /// Tasks that may run at a time: its slots, or its connections where those are fewer.
     [[nodiscard]] std::uint32_t capacity() const;
-    [[nodiscard]] std::uint32_t used() const { return this->running; }
-    [[nodiscard]] bool full() const { return this->running >= this->capacity(); }
+    [[nodiscard]] std::uint32_t used() const
+    {
+        return static_cast<std::uint32_t>(this->running.size());
+    }
+    [[nodiscard]] bool full() const { return this->used() >= this->capacity(); }
     [[nodiscard]] std::size_t queued() const { return this->waiting.size(); }
     /// A slot or a place in the queue is free.
     [[nodiscard]] bool has_room() const;
@@ -41,14 +44,18 @@
     bool remove(attempt_key const& key);
     [[nodiscard]] std::deque<attempt_key> const& queue() const { return this->waiting; }
 
-    void acquire() { ++this->running; }
-    void release() { --this->running; }
+    void acquire(attempt_key const& key) { this->running.push_back(key); }
+    void release(attempt_key const& key) { std::erase(this->running, key); }
+    [[nodiscard]] std::vector<attempt_key> const& running_attempts() const
+    {
+        return this->running;
+    }
 
 private:
     announcement described;
     std::uint32_t queue_limit;
     base::steady_time last_announced;
-    std::uint32_t running = 0;
+    std::vector<attempt_key> running;
     std::deque<attempt_key> waiting;
 };
 
--- a/src/agent/state_reporter.cpp
+++ b/src/agent/state_reporter.cpp
@@ -27,11 +27,11 @@
         || (gap >= shortest_gap && current != this->reported);
 }
 
-void state_reporter::send(protocol::agent_report const& report, notable_state current,
-                          base::steady_time now)
+void state_reporter::send(std::function<protocol::agent_report(std::string const&)> const& make,
+                          notable_state current, base::steady_time now)
 {
     for (auto const& peer : this->connected)
-        this->sender.send(peer, report);
+        this->sender.send(peer, make(peer));
     this->reported = std::move(current);
     this->last_report = now;
 }
--- a/src/agent/state_reporter.h
+++ b/src/agent/state_reporter.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,8 +32,9 @@
 
     /// True when a report is due, by interval or by a change of `current`.
     [[nodiscard]] bool due(notable_state const& current, base::steady_time now) const;
-    /// Sends the report to every connected entry.
-    void send(protocol::agent_report const& report, notable_state current, base::steady_time now);
+    /// Sends to every connected entry the report that `make` returns for it.
+    void send(std::function<protocol::agent_report(std::string const& entry)> const& make,
+              notable_state current, base::steady_time now);
 
 private:
     std::chrono::milliseconds interval;
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -21,11 +21,8 @@
     protocol::process_id agent;
     std::string region;
     std::string zone;
-    /// Starts sent by this entry that the last report cannot include yet.
-    std::uint32_t unreported_starts = 0;
-    /// Outcomes received by this entry whose slots the last report still counts as used.
-    std::uint32_t unreported_outcomes = 0;
-    /// Starts of this entry without an outcome yet.
+    /// Starts of this entry without an outcome yet. Counted here, so it never lags; the report only
+    /// contributes what other entries hold.
     std::uint32_t outstanding = 0;
     /// Part of the slots that this entry may use whatever the last report says; 0 with one entry.
     std::uint32_t own_part = 0;
@@ -72,27 +69,22 @@
     void set_zones_out(std::vector<std::string> const& zones);
     void set_draining(std::vector<std::string> const& endpoints);
 
-    /// A start or outcome at the time of the last update. Unknown endpoints are ignored.
+    /// Unknown endpoints are ignored.
     void note_start(std::string const& endpoint);
     void note_outcome(std::string const& endpoint);
-    void note_start(std::string const& endpoint, base::steady_time now);
-    void note_outcome(std::string const& endpoint, base::steady_time now);
     /// The agent refused a start because its slots and its queue are full. Takes the start back,
     /// like note_outcome, and counts the endpoint as full until the next report or outcome.
-    void note_refused(std::string const& endpoint, base::steady_time now);
+    void note_refused(std::string const& endpoint);
     /// Number of live entries and the rank of this one among them, from 0. Each endpoint's slots
     /// are divided among the entries; the parts differ by at most one and add up to the slots.
     /// Placement prefers endpoints where the entry is below its part, because reports lag and other
     /// entries use the same endpoints. Initially one entry.
     void set_entries(std::uint32_t count, std::uint32_t rank);
-    /// Age of an agent's figures when its report arrives: starts and outcomes noted within this
-    /// time before the arrival are taken to be missing in the report.
-    void set_report_age(std::chrono::microseconds age);
 
     [[nodiscard]] endpoint_record const* find(std::string const& endpoint) const;
     [[nodiscard]] std::map<std::string, endpoint_record> const& all() const;
-    /// Free places of an endpoint: slots less used, queued and unreported starts; 0 when it must
-    /// not get work (draining, zone out, agent not registered). With several entries it is at least
+    /// Free places of an endpoint: slots less what other entries hold and own outstanding starts; 0
+    /// when it must not get work (draining, zone out, agent not registered). With several entries it is at least
     /// the unused rest of the own part, unless the agent refused a start since its last report.
     [[nodiscard]] std::uint32_t free_slots(endpoint_record const& endpoint) const;
 
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -311,7 +311,7 @@
     static auto of(auto& m)
     {
         return std::tie(m.name, m.kinds, m.slots, m.used_slots, m.queued, m.cpu, m.memory_mb,
-                        m.rack, m.draining);
+                        m.rack, m.draining, m.held_by_receiver);
     }
 };
 template <> struct field_list<agent_report> {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -222,6 +222,8 @@
     std::uint32_t memory_mb = 0;
     std::string rack;
     bool draining = false;
+    /// Running and queued tasks that the entry which receives the report has started.
+    std::uint32_t held_by_receiver = 0;
 };
 
 struct agent_report {
