Keep finished tasks from being hedged, and refusals true

Change: a task with a result is not hedged when its stopped loser is late; a job whose end is being copied reads as running; a cancelled or given up claim says "not run" only once no other entry knows the submission; tasks of a lost content count as possibly run.

--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -66,6 +66,9 @@
     if (job == nullptr || job->phase != job_phase::running || due.index >= job->tasks.size())
         return;
     auto& task = job->tasks[due.index];
+    // What is left of a task with a result is the stopped loser of a hedge.
+    if (task.done())
+        return;
     auto const open = std::find_if(task.attempts.begin(), task.attempts.end(),
                                    [&](auto const& a) { return a.number == due.attempt; });
     if (open == task.attempts.end())
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -45,11 +45,11 @@
 
 } // namespace
 
-entry_parts::entry_parts(entry_settings const& given, protocol::message_sender& out)
-    : settings(given), sender(out, this->counters.messages_sent),
-      control(given.id, given.controls, this->sender),
+entry_parts::entry_parts(entry_settings given, protocol::message_sender& out)
+    : settings(std::move(given)), sender(out, this->counters.messages_sent),
+      control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      placement(policy_of(given)), jobs(finished_bytes), copies(copy_bytes),
+      placement(policy_of(this->settings)), jobs(finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
       flow(*this), remote(*this), takeovers(*this)
 {
@@ -218,7 +218,7 @@
 
 entry_core::entry_core(entry_settings settings, protocol::message_sender& sender,
                        base::steady_time now)
-    : own(std::make_unique<parts>(settings, sender))
+    : own(std::make_unique<parts>(std::move(settings), sender))
 {
     this->own->connect();
     this->own->leases.tick(now);
--- a/src/entry/entry_parts.h
+++ b/src/entry/entry_parts.h
@@ -47,7 +47,7 @@
 };
 
 struct entry_parts {
-    entry_parts(entry_settings const& given, protocol::message_sender& out);
+    entry_parts(entry_settings given, protocol::message_sender& out);
 
     entry_settings settings;
     entry_counters counters;
--- a/src/entry/job.cpp
+++ b/src/entry/job.cpp
@@ -44,35 +44,43 @@
     return ran == job.tasks.size() ? protocol::ran_extent::all : protocol::ran_extent::some;
 }
 
-protocol::task_state visible_state(job const& job, task const& task)
+namespace {
+
+protocol::task_state visible_state(task const& task, bool over)
 {
     if (task.done())
         return task.state;
-    auto const over = job.final_state != protocol::job_state::running;
     if (task.may_have_run())
         return over ? protocol::task_state::may_have_run : protocol::task_state::starting;
     return over ? protocol::task_state::not_run : protocol::task_state::waiting;
 }
 
-protocol::job_answer present_answer(job const& job)
+protocol::job_answer answer_of(job const& job, bool over)
 {
     protocol::job_answer answer;
     answer.job = job.id;
     answer.submission = job.submission;
     answer.team = job.team;
-    answer.state = job.final_state;
     answer.ran = ran_extent_of(job);
-    answer.failure = job.failure;
     answer.tasks.reserve(job.tasks.size());
     for (std::size_t i = 0; i < job.tasks.size(); ++i)
         answer.tasks.push_back(
-            {static_cast<std::uint32_t>(i), visible_state(job, job.tasks[i]), {}});
+            {static_cast<std::uint32_t>(i), visible_state(job.tasks[i], over), {}});
     return answer;
 }
 
+} // namespace
+
+protocol::job_answer present_answer(job const& job)
+{
+    return answer_of(job, false);
+}
+
 protocol::job_answer make_answer(job& job)
 {
-    auto answer = present_answer(job);
+    auto answer = answer_of(job, true);
+    answer.state = job.final_state;
+    answer.failure = job.failure;
     if (job.final_state != protocol::job_state::complete)
         return answer;
     for (std::size_t i = 0; i < job.tasks.size(); ++i)
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -80,6 +80,7 @@
     job_phase phase = job_phase::claiming;
     bool claim_committed = false;
     bool copy_settled = false; ///< The backup has the content, or was not waited for any longer.
+    bool cancel_requested = false; ///< Before the claim was decided.
     bool finish_sent = false;
     bool finish_committed = false;
     /// The agents may have started tasks that are not listed, because the content is lost.
@@ -107,13 +108,10 @@
 /// How much has run, read conservatively: `unknown` as soon as one task may have run.
 [[nodiscard]] protocol::ran_extent ran_extent_of(job const& job);
 
-/// State of one task as a caller may see it now.
-[[nodiscard]] protocol::task_state visible_state(job const& job, task const& task);
-
-/// Answer with the present states; results only when the final state is complete.
+/// Final answer; results only when the final state is complete.
 [[nodiscard]] protocol::job_answer make_answer(job& job);
 
-/// Answer of an unfinished job, without results.
+/// Answer of a job that is not final yet: state running, without results.
 [[nodiscard]] protocol::job_answer present_answer(job const& job);
 
 } // namespace greengagehead::entry
--- a/src/entry/job_end.cpp
+++ b/src/entry/job_end.cpp
@@ -25,6 +25,9 @@
 
 void job_flow::attach(job& job, waiter caller, base::steady_time now)
 {
+    // Whether another entry owns the submission is not known yet.
+    if (job.phase == job_phase::abandoned && !job.claim_committed)
+        return deliver_unknown(caller, job.answer, *job.failure);
     if (job.is_final())
         return deliver(caller, job.answer, job.decisions.to_json(job.submitted));
     if (caller.until <= now)
@@ -37,8 +40,11 @@
 {
     base::error failure {base::error_code::refused, base::error_step::run, {}, "cancelled"};
     if (job.phase == job_phase::claiming) {
-        job.note({now, decision_kind::cancelled, -1, 0, {}, {}, 0});
-        return this->abandon(job, job_state::cancelled, std::move(failure), now);
+        // Another entry may own the submission and run it; only the claim can tell.
+        job.cancel_requested = true;
+        if (job.claim_committed)
+            this->abandon(job, job_state::cancelled, std::move(failure), now);
+        return;
     }
     if (job.phase != job_phase::running)
         return;
@@ -104,9 +110,26 @@
         .with("team", job.team)
         .with("reason", job.failure->message);
     // Granted while it waited for the backup: the claim exists and is finished at once.
-    if (job.claim_committed && !std::exchange(job.finish_sent, true))
-        this->parts.claims.finish({job.id, job.epoch, state, ran_extent::none});
-    this->answer_waiters(job);
+    if (job.claim_committed) {
+        if (!std::exchange(job.finish_sent, true))
+            this->parts.claims.finish({job.id, job.epoch, state, ran_extent::none});
+        return this->answer_waiters(job);
+    }
+    // The caller may have sent the same submission to another entry before. "Not run" is only
+    // true when no other entry knows it, and without control those must be asked themselves.
+    auto const held = this->parts.copies.find(job.id) != nullptr;
+    this->parts.remote.ask_everyone(
+        job.id,
+        [this, answer = job.answer, held, waiters = std::move(job.waiters)](bool nobody_knows) {
+            for (auto const& caller : waiters) {
+                if (nobody_knows && !held)
+                    deliver(caller, answer, "[]");
+                else
+                    deliver_unknown(caller, answer, *answer.failure);
+            }
+        },
+        now);
+    job.waiters.clear();
 }
 
 void job_flow::on_deadline(job& job, base::steady_time now)
@@ -164,6 +187,7 @@
         auto& task = job.tasks[i];
         this->parts.dispatch.withdraw(job, i);
         this->parts.attempts.cancel_attempts(job, i);
+        task.uncertain = task.uncertain || !task.attempts.empty();
         while (!task.attempts.empty())
             this->parts.attempts.close(job, task, task.attempts.front(), task.expected);
     }
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -246,6 +246,8 @@
         job.finish_sent = true;
         return this->parts.claims.finish({job.id, job.epoch, job.final_state, ran_extent::none});
     }
+    if (job.phase == job_phase::claiming && job.cancel_requested)
+        return this->cancel(job, now);
     if (job.phase == job_phase::claiming)
         return this->start_if_ready(job, now);
     // Ownership was in doubt and is confirmed.
@@ -260,9 +262,10 @@
 {
     auto waiters = std::move(job.waiters);
     auto const id = job.id;
+    auto const cancel = job.cancel_requested;
     this->drop(job);
     for (auto& caller : waiters)
-        this->parts.remote.attach(id, claim, std::move(caller), false, now);
+        this->parts.remote.attach(id, claim, std::move(caller), cancel, now);
 }
 
 void job_flow::end_without_claim(job& job, submit_reply::kind kind, base::error failure,
--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -142,6 +142,8 @@
 
 void remote_jobs::on_timer(std::uint64_t id, base::steady_time now)
 {
+    if (this->polls.contains(id))
+        return this->end_poll(id, false);
     auto const found = this->open.find(id);
     if (found == this->open.end() || now < found->second.next_step
         || found->second.at == stage::reading)
@@ -156,9 +158,43 @@
     this->read_claim(item, now);
 }
 
+void remote_jobs::ask_everyone(std::string const& job, std::function<void(bool)> done,
+                               base::steady_time now)
+{
+    auto const id = ++this->last_id;
+    auto& item = this->polls[id];
+    item.done = std::move(done);
+    for (auto const& entry : this->parts.leases.applied().entries) {
+        if (entry.id == this->parts.settings.id)
+            continue;
+        item.awaited.insert(entry.id.name);
+        this->parts.sender.send(entry.id.name,
+                                protocol::job_query {id, job, false, milliseconds(0)});
+    }
+    if (item.awaited.empty())
+        return this->end_poll(id, true);
+    this->parts.timers.add({now + answer_timeout, timer_kind::attachment, id, 0, 0});
+}
+
+void remote_jobs::end_poll(std::uint64_t id, bool nobody_knows)
+{
+    auto const done = std::move(this->polls.at(id).done);
+    this->polls.erase(id);
+    done(nobody_knows);
+}
+
 void remote_jobs::on_reply(std::string const& peer, protocol::job_reply const& reply,
                            base::steady_time now)
 {
+    if (auto const asked = this->polls.find(reply.query_id); asked != this->polls.end()) {
+        if (asked->second.awaited.erase(peer) == 0)
+            return;
+        if (reply.answer)
+            this->end_poll(reply.query_id, false);
+        else if (asked->second.awaited.empty())
+            this->end_poll(reply.query_id, true);
+        return;
+    }
     auto const found = this->open.find(reply.query_id);
     if (found == this->open.end())
         return;
@@ -172,7 +208,7 @@
     item.explanation = reply.explanation;
     if (reply.answer && reply.answer->state != protocol::job_state::running)
         return this->finish(item, *reply.answer);
-    if (reply.answer) {
+    if (reply.answer && item.at == stage::asking_owner) {
         item.seen = reply.answer;
         if (now >= item.caller.until)
             return this->finish(item, *reply.answer);
@@ -200,7 +236,7 @@
     answer.failure
         = base::error {base::error_code::not_found, base::error_step::assemble, claim.owner.name,
                        "answer_lost: the job has ended and its answer is lost"};
-    this->finish(item, answer);
+    this->finish(item, std::move(answer));
 }
 
 void remote_jobs::give_up(attachment& item)
@@ -222,12 +258,11 @@
                      "the state of the job cannot be told now"});
 }
 
-void remote_jobs::finish(attachment& item, protocol::job_answer const& answer)
+void remote_jobs::finish(attachment& item, protocol::job_answer answer)
 {
-    auto const known = answer;
     auto const done = std::move(item);
     this->open.erase(done.id);
-    deliver(done.caller, known, done.explanation);
+    deliver(done.caller, answer, done.explanation);
 }
 
 void remote_jobs::on_query(std::string const& peer, protocol::job_query const& query,
@@ -247,8 +282,14 @@
     }
     protocol::job_reply answer;
     auto const* copy = this->parts.copies.find(query.job);
-    if (copy != nullptr && copy->answer != nullptr)
+    if (copy != nullptr && copy->answer != nullptr) {
         answer.answer = *copy->answer;
+    } else if (copy != nullptr) {
+        // The job exists, and its owner can say more.
+        answer.answer.emplace();
+        answer.answer->job = query.job;
+        answer.answer->ran = protocol::ran_extent::unknown;
+    }
     reply(answer);
 }
 
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -44,20 +44,33 @@
     item.query_id = this->parts.outbox.next_query_id();
     item.began = now;
     item.next_ask = now;
+    item.claimed_at = claimed_at;
     auto const id = ++this->last_recovery;
     this->open.emplace(id, std::move(item));
+    this->list_agents(id, now);
+}
+
+void takeover::list_agents(std::uint64_t id, base::steady_time now)
+{
+    auto& item = this->open.at(id);
+    item.listing = true;
     this->parts.control.request(
-        protocol::read_agents {claimed_at}, milliseconds(0),
+        protocol::read_agents {item.claimed_at}, milliseconds(0),
         [this, id](protocol::control_result const& result, base::steady_time later) {
             auto const found = this->open.find(id);
+            if (found == this->open.end())
+                return;
+            auto& waiting = found->second;
+            waiting.listing = false;
             auto const* list = std::get_if<protocol::agent_list>(&result);
-            if (found == this->open.end() || list == nullptr)
+            if (list == nullptr) {
+                waiting.next_ask = later + ask_interval;
                 return;
-            found->second.listed = true;
+            }
+            waiting.listed = true;
             for (auto const& agent : list->agents)
-                found->second.agents.push_back(
-                    {agent.id, agent.removed_at.count() != 0, false, false});
-            this->ask(found->second, later);
+                waiting.agents.push_back({agent.id, agent.removed_at.count() != 0, false, false});
+            this->ask(waiting, later);
         },
         now);
 }
@@ -159,8 +172,11 @@
         return false;
     auto const index = outcome.task.index;
     if (job.tasks_unknown && index >= job.tasks.size()) {
+        // Of the tasks in between, nothing is known.
+        task unheard;
+        unheard.uncertain = true;
         job.unfinished += index + 1 - job.tasks.size();
-        job.tasks.resize(index + 1);
+        job.tasks.resize(index + 1, unheard);
     }
     if (index >= job.tasks.size() || job.tasks[index].done())
         return false;
@@ -194,6 +210,8 @@
         auto& item = it->second;
         if (item.listed && now >= item.next_ask)
             this->ask(item, now);
+        if (!item.listed && !item.listing && now >= item.next_ask)
+            this->list_agents(it->first, now);
         it = this->step(item, now) ? this->open.erase(it) : std::next(it);
     }
 }
--- a/src/entry/takeover.h
+++ b/src/entry/takeover.h
@@ -42,12 +42,15 @@
         std::uint64_t query_id = 0;
         std::vector<std::string> jobs;
         std::vector<asked_agent> agents;
+        protocol::wall_time claimed_at {0}; ///< Of the oldest claim.
+        bool listing = false; ///< Control was asked for `agents`.
         bool listed = false; ///< `agents` is known.
         bool idempotent_started = false;
         base::steady_time began;
         base::steady_time next_ask;
     };
 
+    void list_agents(std::uint64_t id, base::steady_time now);
     bool take(protocol::job_claim const& claim, base::steady_time now);
     void create(protocol::job_claim const& claim, base::steady_time now);
     void ask(recovery& item, base::steady_time now);
--- a/src/entry/waiter.cpp
+++ b/src/entry/waiter.cpp
@@ -30,7 +30,9 @@
 
 void deliver_unknown(waiter const& target, protocol::job_answer answer, base::error failure)
 {
+    answer.state = protocol::job_state::running;
     answer.ran = protocol::ran_extent::unknown;
+    answer.tasks.clear();
     answer.failure = std::move(failure);
     if (target.on_submit)
         target.on_submit({submit_reply::kind::unknown, std::move(answer)});
--- /dev/null
+++ b/tests/entry/fake_world.cpp
@@ -0,0 +1,458 @@
+// Behaviour of the stand-ins.
+
+#include "entry/fake_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace greengagehead::test {
+
+using protocol::outcome_kind;
+
+namespace {
+
+constexpr milliseconds lease_duration {1500};
+constexpr milliseconds entry_loss {1000};
+constexpr milliseconds report_interval {100};
+
+milliseconds since_start(steady_time now)
+{
+    return std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+}
+
+} // namespace
+
+void port::send(std::string const& peer, protocol::message const& body)
+{
+    this->world.post(this->name, peer, body);
+}
+
+// --- control ---
+
+void fake_control::receive(fake_world& world, std::string const& peer,
+                           protocol::message const& body)
+{
+    if (auto const* renewal = std::get_if<protocol::renew_lease>(&body)) {
+        auto& held = this->leases[peer];
+        auto const known = std::any_of(this->view.entries.begin(), this->view.entries.end(),
+                                       [&](auto const& e) { return e.id == renewal->entry; });
+        held.entry = {renewal->entry, renewal->zone, renewal->http_address};
+        this->settled[peer] = renewal->settled_view;
+        if (!known) {
+            this->view.entries.push_back(held.entry);
+            held.until = world.now + lease_duration;
+            this->new_view(world);
+        }
+        if (renewal->applied_view < this->view.number)
+            return world.post("control.a", peer, protocol::view_update {this->view});
+        held.until = world.now + lease_duration;
+        world.post("control.a", peer,
+                   protocol::grant_lease {renewal->entry.incarnation,
+                                          renewal->entry_clock + lease_duration,
+                                          this->view.number});
+    }
+    if (auto const* request = std::get_if<protocol::control_request>(&body)) {
+        auto const* command = std::get_if<protocol::command_body>(&request->body);
+        auto const claims
+            = command != nullptr && std::holds_alternative<protocol::claim_jobs>(*command);
+        if (claims && !this->answers_claims)
+            return;
+        world.post("control.a", peer,
+                   protocol::control_reply {request->request_id, this->apply(world, *request)});
+    }
+}
+
+protocol::claim_result fake_control::claim(protocol::job_claim const& asked)
+{
+    using protocol::claim_status;
+    auto const live = std::any_of(this->view.entries.begin(), this->view.entries.end(),
+                                  [&](auto const& entry) { return entry.id == asked.owner; });
+    if (!live)
+        return {claim_status::not_live, asked};
+    auto const found = this->claims.find(asked.job);
+    if (found == this->claims.end())
+        return {claim_status::granted, this->claims[asked.job] = asked};
+    auto& held = found->second;
+    if (held.digest != asked.digest)
+        return {claim_status::digest_conflict, held};
+    if (!held.finished || held.state != protocol::job_state::refused)
+        return {claim_status::existing, held};
+    auto const epoch = held.epoch + 1;
+    held = asked;
+    held.epoch = epoch;
+    return {claim_status::granted, held};
+}
+
+protocol::control_result fake_control::apply(fake_world& world,
+                                             protocol::control_request const& request)
+{
+    if (auto const* read = std::get_if<protocol::read_claim>(&request.body)) {
+        auto const found = this->claims.find(read->job);
+        return found == this->claims.end() ? protocol::claim_lookup {}
+                                           : protocol::claim_lookup {found->second};
+    }
+    if (std::holds_alternative<protocol::read_agents>(request.body))
+        return protocol::agent_list {this->agents};
+    auto const& command = std::get<protocol::command_body>(request.body);
+    if (auto const* asked = std::get_if<protocol::claim_jobs>(&command)) {
+        protocol::claim_results results;
+        for (auto const& item : asked->claims)
+            results.claims.push_back(this->claim(item));
+        return results;
+    }
+    if (auto const* ends = std::get_if<protocol::finish_jobs>(&command)) {
+        for (auto const& end : ends->jobs) {
+            auto& held = this->claims[end.job];
+            if (held.epoch != end.epoch || held.finished)
+                continue;
+            held.finished = true;
+            held.state = end.state;
+            held.ran = end.ran;
+        }
+    }
+    if (auto const* join = std::get_if<protocol::join_agent>(&command)) {
+        auto const known = std::any_of(this->agents.begin(), this->agents.end(),
+                                       [&](auto const& agent) { return agent.id == join->agent; });
+        if (!known)
+            this->agents.push_back({join->agent, join->zone, since_start(world.now), {}});
+    }
+    return protocol::view_result {this->view.number};
+}
+
+void fake_control::new_view(fake_world& world)
+{
+    ++this->view.number;
+    for (auto const& entry : this->view.entries)
+        world.post("control.a", entry.id.name, protocol::view_update {this->view});
+}
+
+void fake_control::tick(fake_world& world)
+{
+    auto& live = this->view.entries;
+    for (auto const& [name, held] : this->leases) {
+        auto const lost = std::find_if(live.begin(), live.end(),
+                                       [&, id = held.entry.id](auto& e) { return e.id == id; });
+        if (lost == live.end() || world.now < held.until + entry_loss || live.size() == 1)
+            continue;
+        auto const id = lost->id;
+        live.erase(lost);
+        this->new_view(world);
+        for (auto& [job, claim] : this->claims) {
+            if (claim.finished || claim.owner != id)
+                continue;
+            auto owner
+                = std::find_if(live.begin(), live.end(), [&, &backup = claim.backup](auto& e) {
+                      return e.id.name == backup;
+                  });
+            claim.owner = (owner == live.end() ? live.front() : *owner).id;
+            ++claim.epoch;
+        }
+    }
+    if (since_start(world.now).count() % 200 != 0)
+        return;
+    // Repeated on purpose: notices may come more than once.
+    for (auto const& entry : live) {
+        protocol::takeover_notice notice {entry.id, {}};
+        for (auto const& [job, claim] : this->claims) {
+            if (!claim.finished && claim.epoch > 1 && claim.owner == entry.id)
+                notice.claims.push_back(claim);
+        }
+        if (!notice.claims.empty())
+            world.post("control.a", entry.id.name, notice);
+    }
+}
+
+// --- agent ---
+
+std::uint32_t fake_agent::running() const
+{
+    return static_cast<std::uint32_t>(
+        std::count_if(this->records.begin(), this->records.end(), [](auto const& item) {
+            return item.second.outcome.kind == outcome_kind::running;
+        }));
+}
+
+void fake_agent::start(fake_world& world, std::string const& peer,
+                       protocol::start_batch const& batch, protocol::task_start const& task)
+{
+    key const id {task.task.job, task.task.index, task.attempt, task.epoch};
+    if (batch.agent_incarnation != this->id.incarnation || this->records.count(id) != 0)
+        return;
+    auto& added = this->records[id];
+    added.owner = peer;
+    added.outcome.task = task.task;
+    added.outcome.attempt = task.attempt;
+    added.outcome.epoch = task.epoch;
+    added.outcome.endpoint = task.endpoint;
+    added.outcome.kind = outcome_kind::not_run;
+    added.outcome.message = "not admitted";
+    auto const clock = base::to_reading(world.now + this->clock_offset);
+    if (batch.lease.view < this->seen_view || batch.lease.expires_at <= clock
+        || task.epoch < this->fences[task.task.job] || this->running() >= this->slots)
+        return;
+    for (auto const& [other, record] : this->records) {
+        if (!task.idempotent && other != id && record.outcome.task == task.task
+            && record.outcome.kind != outcome_kind::not_run) {
+            added.outcome.message = "has a record";
+            return;
+        }
+    }
+    this->seen_view = batch.lease.view;
+    added.outcome.kind = outcome_kind::running;
+    added.outcome.message.clear();
+    added.ends = world.now + this->run_time;
+    auto& runs = ++world.runs[task.task];
+    auto const where = this->id.name + " " + task.task.job + "/" + std::to_string(task.task.index);
+    if (world.control.claims.count(task.task.job) == 0)
+        world.violations.push_back("start without a claim: " + where);
+    if (!task.idempotent && runs > 1)
+        world.violations.push_back("second run of a task that must run once: " + where);
+    if (world.must_not_run.count(task.task) != 0)
+        world.violations.push_back("start of a task that was called not run: " + where);
+    if (batch.lease.view == world.control.view.number) {
+        auto const& out = world.control.view.zones_out;
+        if (std::find(out.begin(), out.end(), this->zone) != out.end())
+            world.violations.push_back("start in a zone that is out: " + where);
+    }
+}
+
+void fake_agent::receive(fake_world& world, std::string const& peer, protocol::message const& body)
+{
+    if (auto const* batch = std::get_if<protocol::start_batch>(&body)) {
+        for (auto const& task : batch->starts)
+            this->start(world, peer, *batch, task);
+    }
+    if (auto const* update = std::get_if<protocol::lease_update>(&body))
+        this->seen_view = std::max(this->seen_view, update->lease.view);
+    if (auto const* ack = std::get_if<protocol::outcome_ack>(&body)) {
+        if (ack->agent_incarnation == this->id.incarnation) {
+            for (auto const& id : this->batches[ack->batch_id])
+                this->records[id].acknowledged = true;
+        }
+    }
+    if (auto const* cancel = std::get_if<protocol::cancel_batch>(&body)) {
+        for (auto const& attempt : cancel->attempts) {
+            for (auto& [id, record] : this->records) {
+                if (record.outcome.task == attempt.task && record.owner == peer
+                    && record.outcome.attempt == attempt.attempt
+                    && record.outcome.kind == outcome_kind::running)
+                    record.outcome.kind = outcome_kind::cancelled;
+            }
+        }
+    }
+    if (auto const* query = std::get_if<protocol::outcome_query>(&body)) {
+        protocol::outcome_report report {this->id, query->query_id, {}};
+        for (auto const& item : query->jobs) {
+            auto& fence = this->fences[item.job];
+            fence = std::max(fence, item.epoch);
+            for (auto& [id, record] : this->records) {
+                if (std::get<0>(id) != item.job)
+                    continue;
+                if (item.epoch >= fence)
+                    record.owner = peer;
+                report.outcomes.push_back(record.outcome);
+            }
+        }
+        world.post(this->id.name, peer, report);
+    }
+}
+
+void fake_agent::tick(fake_world& world)
+{
+    for (auto& [id, record] : this->records) {
+        if (record.outcome.kind != outcome_kind::running || record.ends > world.now)
+            continue;
+        record.outcome.kind = this->result;
+        record.outcome.run_time = this->run_time;
+        if (this->result == outcome_kind::succeeded)
+            record.outcome.result = std::to_string(record.outcome.task.index);
+    }
+    std::map<std::string, std::vector<key>> due;
+    for (auto const& [id, record] : this->records) {
+        if (!record.acknowledged && record.outcome.kind != outcome_kind::running)
+            due[record.owner].push_back(id);
+    }
+    for (auto const& [owner, keys] : due) {
+        protocol::outcome_batch batch {this->id, this->next_batch++, {}};
+        for (auto const& id : keys)
+            batch.outcomes.push_back(this->records[id].outcome);
+        this->batches[batch.batch_id] = keys;
+        world.post(this->id.name, owner, batch);
+    }
+    if (world.now < this->next_report)
+        return;
+    this->next_report = world.now + report_interval;
+    protocol::endpoint_state endpoint;
+    endpoint.name = "endpoint." + this->id.name;
+    endpoint.kinds = {"quote"};
+    endpoint.slots = this->slots;
+    endpoint.used_slots = this->running();
+    protocol::agent_report report {this->id, {}, this->zone, {}, this->seen_view, {endpoint}};
+    report.agent_clock = base::to_reading(world.now + this->clock_offset);
+    for (auto const& [name, core] : world.entries)
+        world.post(this->id.name, name, report);
+}
+
+void fake_agent::restart(fake_world& /*world*/)
+{
+    ++this->id.incarnation;
+    this->records.clear();
+    this->fences.clear();
+    this->batches.clear();
+    this->seen_view = 0;
+}
+
+// --- world ---
+
+fake_world::fake_world(std::uint64_t seed)
+    : now(std::chrono::seconds(1000)), generator(seed), next_tick(now)
+{
+}
+
+std::uint32_t fake_world::random(std::uint32_t bound)
+{
+    return static_cast<std::uint32_t>(this->generator() % bound);
+}
+
+entry::entry_core& fake_world::add_entry(std::string const& name, std::string const& zone)
+{
+    auto& out = this->ports[name];
+    out = std::make_unique<port>(*this, name);
+    entry::entry_settings settings;
+    settings.id = {name, this->entries.size() + 1 + this->random(1000) * 10};
+    settings.zone = zone;
+    settings.controls = {"control.a"};
+    settings.claim_timeout = this->claim_timeout;
+    settings.seed = this->generator();
+    auto& core = this->entries[name];
+    core = std::make_unique<entry::entry_core>(settings, *out, this->now);
+    return *core;
+}
+
+fake_agent& fake_world::add_agent(std::string const& name, std::string const& zone)
+{
+    auto& agent = this->agents[name];
+    agent.id = {name, 1};
+    agent.zone = zone;
+    agent.clock_offset = milliseconds(this->random(100'000));
+    return agent;
+}
+
+void fake_world::post(std::string const& from, std::string const& to, protocol::message const& body)
+{
+    if (this->on_send)
+        this->on_send(from, to, body);
+    auto const chance
+        = [this](double share) { return share > 0 && this->random(10'000) < share * 10'000; };
+    auto const copies = chance(this->loss) ? 0 : (chance(this->doubled) ? 2 : 1);
+    for (int i = 0; i < copies; ++i) {
+        auto const delay = milliseconds(1 + this->random(this->most_delay_ms));
+        this->under_way.emplace(this->now + delay, envelope {from, to, body});
+    }
+}
+
+void fake_world::deliver(envelope const& item)
+{
+    if (this->cut_off.count(item.from) != 0 || this->cut_off.count(item.to) != 0)
+        return;
+    if (item.to == "control.a")
+        return this->control.receive(*this, item.from, item.body);
+    if (auto const agent = this->agents.find(item.to); agent != this->agents.end())
+        return agent->second.receive(*this, item.from, item.body);
+    if (auto const core = this->entries.find(item.to); core != this->entries.end())
+        core->second->receive(item.from, item.body, this->now);
+}
+
+void fake_world::run(milliseconds time)
+{
+    auto const end = this->now + time;
+    while (this->now < end) {
+        while (!this->under_way.empty() && this->under_way.begin()->first <= this->now) {
+            auto const item = std::move(this->under_way.begin()->second);
+            this->under_way.erase(this->under_way.begin());
+            this->deliver(item);
+        }
+        if (this->now >= this->next_tick) {
+            this->next_tick = this->now + milliseconds(10);
+            this->control.tick(*this);
+            for (auto& [name, agent] : this->agents)
+                agent.tick(*this);
+            for (auto& [name, core] : this->entries)
+                core->tick(this->now);
+        }
+        auto next = std::min(this->next_tick, end);
+        if (!this->under_way.empty())
+            next = std::min(next, this->under_way.begin()->first);
+        this->now = std::max(next, this->now);
+    }
+}
+
+bool fake_world::run_until(std::function<bool()> const& done, milliseconds limit)
+{
+    auto const end = this->now + limit;
+    while (!done() && this->now < end)
+        this->run(milliseconds(1));
+    return done();
+}
+
+std::shared_ptr<fake_world::submission>
+fake_world::submit(std::string const& at, protocol::job_request const& request, milliseconds wait)
+{
+    auto kept = std::make_shared<submission>();
+    this->entries.at(at)->submit(
+        request, wait,
+        [this, kept, request](entry::submit_reply const& reply) {
+            kept->job = reply.answer.job;
+            kept->replies.push_back(reply);
+            this->check_reply(request, reply);
+        },
+        this->now);
+    return kept;
+}
+
+void fake_world::check_reply(protocol::job_request const& request, entry::submit_reply const& reply)
+{
+    using protocol::job_state;
+    auto const& answer = reply.answer;
+    auto const complete = answer.state == job_state::complete;
+    if (complete && answer.failure) // The claim alone is known: answer_lost.
+        return;
+    if (complete && answer.tasks.size() != request.tasks.size())
+        this->violations.push_back("partial answer of " + answer.job);
+    bool any_run = false;
+    for (std::uint32_t i = 0; i < request.tasks.size(); ++i) {
+        protocol::task_ref const task {answer.job, i};
+        any_run = any_run || this->runs.count(task) != 0;
+        if (i >= answer.tasks.size())
+            continue;
+        auto const& part = answer.tasks[i];
+        auto const expected = complete ? std::to_string(i) : std::string();
+        if (part.result != expected)
+            this->violations.push_back("wrong or partial result in " + answer.job);
+        if (part.state != protocol::task_state::not_run || answer.state == job_state::refused)
+            continue;
+        this->must_not_run.insert(task);
+        if (this->runs.count(task) != 0)
+            this->violations.push_back("false not_run in " + answer.job);
+    }
+    auto const final = answer.state != job_state::running;
+    if (final && answer.ran == protocol::ran_extent::none && any_run)
+        this->violations.push_back("false ran none in " + answer.job);
+}
+
+protocol::job_request make_job(std::string const& submission, std::size_t tasks, bool idempotent)
+{
+    protocol::job_request request;
+    request.team = "recife";
+    request.submission = submission;
+    request.deadline = milliseconds(5000);
+    request.tasks.resize(tasks);
+    for (auto& task : request.tasks) {
+        task.kind = "quote";
+        task.idempotent = idempotent;
+        task.payload = "{}";
+    }
+    return request;
+}
+
+} // namespace greengagehead::test
