--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -27,9 +27,12 @@
     std::uint32_t unreported_outcomes = 0;
     /// Starts of this entry without an outcome yet.
     std::uint32_t outstanding = 0;
+    /// Part of the slots that this entry may use whatever the last report says; 0 with one entry.
+    std::uint32_t own_part = 0;
     /// Slots in use here; below `state.slots` for a short time after the endpoint or its zone came
     /// back.
     std::uint32_t usable_slots = 0;
+    bool refused = false; ///< The agent refused a start after its last report or outcome.
     bool drain_requested = false; ///< Drained by operators.
     bool zone_out = false;
     bool agent_registered = false; ///< join_agent of this incarnation is committed.
@@ -74,6 +77,14 @@
     void note_outcome(std::string const& endpoint);
     void note_start(std::string const& endpoint, base::steady_time now);
     void note_outcome(std::string const& endpoint, base::steady_time now);
+    /// The agent refused a start because its slots and its queue are full. Takes the start back,
+    /// like note_outcome, and counts the endpoint as full until the next report or outcome.
+    void note_refused(std::string const& endpoint, base::steady_time now);
+    /// Number of live entries and the rank of this one among them, from 0. Each endpoint's slots
+    /// are divided among the entries; the parts differ by at most one and add up to the slots.
+    /// Placement prefers endpoints where the entry is below its part, because reports lag and other
+    /// entries use the same endpoints. Initially one entry.
+    void set_entries(std::uint32_t count, std::uint32_t rank);
     /// Age of an agent's figures when its report arrives: starts and outcomes noted within this
     /// time before the arrival are taken to be missing in the report.
     void set_report_age(std::chrono::microseconds age);
@@ -81,12 +92,15 @@
     [[nodiscard]] endpoint_record const* find(std::string const& endpoint) const;
     [[nodiscard]] std::map<std::string, endpoint_record> const& all() const;
     /// Free places of an endpoint: slots less used, queued and unreported starts; 0 when it must
-    /// not get work (draining, zone out, agent not registered).
+    /// not get work (draining, zone out, agent not registered). With several entries it is at least
+    /// the unused rest of the own part, unless the agent refused a start since its last report.
     [[nodiscard]] std::uint32_t free_slots(endpoint_record const& endpoint) const;
 
     /// Appends the groups of endpoints that fit and have a free slot. The groups are valid until
     /// the table changes.
     void candidates(requirement const& needs, std::vector<candidate_group>& groups) const;
+    /// Whether some endpoint that fits has a free slot. Meant for `fair_queue::take`.
+    [[nodiscard]] bool has_candidate(requirement const& needs) const;
     [[nodiscard]] capacity capacity_for(requirement const& needs) const;
     /// Endpoints that may get work, with free slots or without.
     [[nodiscard]] std::size_t usable_endpoints() const;
