Never complete a job whose content is lost

Cause: a takeover without the content completed a job from the tasks that agents had named. Change: completion needs the content; without it nothing is queued or hedged either.

--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -63,7 +63,8 @@
 void attempt_tracker::on_check(timer const& due, base::steady_time now)
 {
     auto* job = this->parts.jobs.find(due.job);
-    if (job == nullptr || job->phase != job_phase::running || due.index >= job->tasks.size())
+    if (job == nullptr || job->phase != job_phase::running || due.index >= job->tasks.size()
+        || job->content == nullptr)
         return;
     auto& task = job->tasks[due.index];
     // What is left of a task with a result is the stopped loser of a hedge.
@@ -233,7 +234,8 @@
     --job.unfinished;
     this->parts.dispatch.withdraw(job, index);
     this->cancel_attempts(job, index);
-    if (job.phase == job_phase::running && job.unfinished == 0)
+    // Without the content there may be more tasks than the agents have named.
+    if (job.phase == job_phase::running && job.unfinished == 0 && job.content != nullptr)
         this->parts.flow.complete(job, now);
 }
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -43,7 +43,7 @@
 void dispatcher::enqueue(job& job, std::uint32_t index, bool front)
 {
     auto& task = job.tasks[index];
-    if (task.queued || task.done())
+    if (task.queued || task.done() || job.content == nullptr)
         return;
     auto const& request = job.content->tasks[index];
     policy::queued_task waiting;
--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -236,7 +236,7 @@
     answer.failure
         = base::error {base::error_code::not_found, base::error_step::assemble, claim.owner.name,
                        "answer_lost: the job has ended and its answer is lost"};
-    this->finish(item, std::move(answer));
+    this->finish(item, answer);
 }
 
 void remote_jobs::give_up(attachment& item)
@@ -258,7 +258,7 @@
                      "the state of the job cannot be told now"});
 }
 
-void remote_jobs::finish(attachment& item, protocol::job_answer answer)
+void remote_jobs::finish(attachment& item, protocol::job_answer const& answer)
 {
     auto const done = std::move(item);
     this->open.erase(done.id);
--- a/src/entry/remote_jobs.h
+++ b/src/entry/remote_jobs.h
@@ -69,7 +69,7 @@
     void wait(attachment& item, std::chrono::milliseconds time, base::steady_time now);
     void answer_from_claim(attachment& item);
     void give_up(attachment& item);
-    void finish(attachment& item, protocol::job_answer answer);
+    void finish(attachment& item, protocol::job_answer const& answer);
 
     entry_parts& parts;
     std::uint64_t last_id = 0;
