--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -3,8 +3,12 @@
 #include "entry/attempt_tracker.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <set>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "base/log_record.h"
 #include "entry/entry_parts.h"
@@ -123,9 +127,9 @@
     if (query == nullptr || !slot || query->agent != *slot)
         return;
     auto const asked = *query;
-    std::set<std::pair<protocol::task_ref, std::uint32_t>> listed;
+    std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> listed;
     for (auto& outcome : report.outcomes) {
-        listed.emplace(outcome.task, outcome.attempt);
+        listed.emplace(outcome.task.job, outcome.task.index, outcome.attempt);
         auto* job = this->parts.jobs.find(outcome.task.job);
         if (job != nullptr && outcome.kind != outcome_kind::running)
             this->apply(*job, outcome, now);
@@ -137,7 +141,7 @@
         for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
             for (auto const& open : job->tasks[i].attempts) {
                 if (open.agent == *slot && open.epoch == job->epoch && open.sent < asked.sent
-                    && !open.given_up && !listed.contains({{id, i}, open.number}))
+                    && !open.given_up && !listed.contains({id, i, open.number}))
                     this->parts.dispatch.resend(*job, i, open, now);
             }
         }
--- a/src/entry/copy_store.cpp
+++ b/src/entry/copy_store.cpp
@@ -21,7 +21,8 @@
     for (auto const& task : copy.content.tasks)
         size += bytes_per_item + task.payload.size();
     auto& held = this->store(copy.job, size, now);
-    held = {copy.epoch, now, std::make_shared<protocol::job_request const>(copy.content), nullptr};
+    held = {copy.epoch, copy.owner.name, now,
+            std::make_shared<protocol::job_request const>(copy.content), nullptr};
     return true;
 }
 
@@ -34,7 +35,8 @@
     for (auto const& task : copy.answer.tasks)
         size += bytes_per_item + task.result.size();
     auto& held = this->store(copy.answer.job, size, now);
-    held = {copy.epoch, now, nullptr, std::make_shared<protocol::job_answer const>(copy.answer)};
+    held
+        = {copy.epoch, {}, now, nullptr, std::make_shared<protocol::job_answer const>(copy.answer)};
     return true;
 }
 
--- a/src/entry/copy_store.h
+++ b/src/entry/copy_store.h
@@ -15,6 +15,7 @@
 
 struct held_copy {
     protocol::job_epoch epoch = 1;
+    std::string owner; ///< Peer name of the entry that sent the content.
     base::steady_time received;
     std::shared_ptr<protocol::job_request const> content; ///< Null once the job is finished.
     std::shared_ptr<protocol::job_answer const> answer; ///< Null until then.
--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -284,7 +284,7 @@
     auto const* copy = this->parts.copies.find(query.job);
     if (copy != nullptr && copy->answer != nullptr) {
         answer.answer = *copy->answer;
-    } else if (copy != nullptr) {
+    } else if (copy != nullptr && copy->owner != peer) {
         // The job exists, and its owner can say more.
         answer.answer.emplace();
         answer.answer->job = query.job;
