--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -3,8 +3,12 @@
 #include "entry/attempt_tracker.h"
 
 #include <algorithm>
+#include <array>
 #include <chrono>
+#include <set>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 #include "base/log_record.h"
 #include "entry/entry_parts.h"
@@ -63,9 +67,13 @@
 void attempt_tracker::on_check(timer const& due, base::steady_time now)
 {
     auto* job = this->parts.jobs.find(due.job);
-    if (job == nullptr || job->phase != job_phase::running || due.index >= job->tasks.size())
+    if (job == nullptr || job->phase != job_phase::running || due.index >= job->tasks.size()
+        || job->content == nullptr)
         return;
     auto& task = job->tasks[due.index];
+    // What is left of a task with a result is the stopped loser of a hedge.
+    if (task.done())
+        return;
     auto const open = std::find_if(task.attempts.begin(), task.attempts.end(),
                                    [&](auto const& a) { return a.number == due.attempt; });
     if (open == task.attempts.end())
@@ -119,9 +127,9 @@
     if (query == nullptr || !slot || query->agent != *slot)
         return;
     auto const asked = *query;
-    std::set<std::pair<protocol::task_ref, std::uint32_t>> listed;
+    std::set<std::tuple<std::string, std::uint32_t, std::uint32_t>> listed;
     for (auto& outcome : report.outcomes) {
-        listed.emplace(outcome.task, outcome.attempt);
+        listed.emplace(outcome.task.job, outcome.task.index, outcome.attempt);
         auto* job = this->parts.jobs.find(outcome.task.job);
         if (job != nullptr && outcome.kind != outcome_kind::running)
             this->apply(*job, outcome, now);
@@ -133,7 +141,7 @@
         for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
             for (auto const& open : job->tasks[i].attempts) {
                 if (open.agent == *slot && open.epoch == job->epoch && open.sent < asked.sent
-                    && !open.given_up && !listed.contains({{id, i}, open.number}))
+                    && !open.given_up && !listed.contains({id, i, open.number}))
                     this->parts.dispatch.resend(*job, i, open, now);
             }
         }
@@ -230,7 +238,8 @@
     --job.unfinished;
     this->parts.dispatch.withdraw(job, index);
     this->cancel_attempts(job, index);
-    if (job.phase == job_phase::running && job.unfinished == 0)
+    // Without the content there may be more tasks than the agents have named.
+    if (job.phase == job_phase::running && job.unfinished == 0 && job.content != nullptr)
         this->parts.flow.complete(job, now);
 }
 
