Lock the data folder of a control member

Cause: two processes on one folder would vote under the same identity. Change: file_system::lock_folder, taken by member_store; an error other than damage no longer leads to a rejoin. Conclusion: a second process is refused with the code conflict.

--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -35,7 +35,10 @@
 {
     // 0 stands for no identity.
     auto recovered = store.open(random() | 1);
-    if (recovered || recovered.error().code == base::error_code::io || !has_others(settings))
+    if (recovered || !has_others(settings))
+        return recovered;
+    auto const code = recovered.error().code;
+    if (code != base::error_code::corrupt && code != base::error_code::malformed)
         return recovered;
     log_record(log_event::data_set_aside).with("error", base::describe(recovered.error()));
     BOOST_OUTCOME_TRY(store.set_aside());
--- a/src/consensus/member_store.cpp
+++ b/src/consensus/member_store.cpp
@@ -44,6 +44,10 @@
 {
     recovered result;
     BOOST_OUTCOME_TRY(this->files.create_folder(this->folder));
+    if (!this->lock) {
+        BOOST_OUTCOME_TRY(taken, this->files.lock_folder(this->folder));
+        this->lock = std::move(taken);
+    }
     BOOST_OUTCOME_TRY(this->open_record(new_identity));
     result.start.self = this->record.identity;
     result.start.term = this->record.term;
--- a/src/consensus/member_store.h
+++ b/src/consensus/member_store.h
@@ -29,7 +29,8 @@
 
     member_store(storage::file_system& files, std::string folder);
 
-    /// Opens the folder; a new one gets `new_identity`. Errors: `corrupt`, `io`.
+    /// Opens and locks the folder, so that no two processes vote under one identity; a new folder
+    /// gets `new_identity`. Errors: `corrupt`, `io`, `conflict` when another process uses it.
     base::result<recovered> open(std::uint64_t new_identity);
 
     /// Renames the files of a damaged folder, so that the member can start anew under another
@@ -56,6 +57,7 @@
 
     storage::file_system& files;
     std::string folder;
+    std::unique_ptr<storage::folder_lock> lock;
     storage::snapshot_file record_file;
     storage::snapshot_file snapshot;
     storage::member_record record;
--- a/src/storage/file_system.h
+++ b/src/storage/file_system.h
@@ -28,6 +28,17 @@
     virtual base::result<void> sync() = 0;
 };
 
+/// Exclusive use of a folder, until destroyed.
+class folder_lock {
+public:
+    folder_lock() = default;
+    virtual ~folder_lock() = default;
+    folder_lock(folder_lock const&) = delete;
+    folder_lock& operator=(folder_lock const&) = delete;
+    folder_lock(folder_lock&&) = delete;
+    folder_lock& operator=(folder_lock&&) = delete;
+};
+
 /// All errors have the code `io`, or `not_found` for a missing file.
 class file_system {
 public:
@@ -47,6 +58,8 @@
     virtual base::result<void> remove(std::string const& path) = 0;
     /// Creates the folder and its parents when they are missing.
     virtual base::result<void> create_folder(std::string const& path) = 0;
+    /// Errors: `conflict` when another process holds the lock.
+    virtual base::result<std::unique_ptr<folder_lock>> lock_folder(std::string const& path) = 0;
     virtual base::result<void> sync_folder(std::string const& path) = 0;
 };
 
--- a/src/storage/posix_file_system.cpp
+++ b/src/storage/posix_file_system.cpp
@@ -9,6 +9,7 @@
 #include <system_error>
 
 #include <fcntl.h>
+#include <sys/file.h>
 #include <unistd.h>
 
 namespace greengagehead::storage {
@@ -71,6 +72,16 @@
     std::string path;
 };
 
+/// The lock ends with the descriptor, also when the process is killed.
+class posix_folder_lock : public folder_lock {
+public:
+    explicit posix_folder_lock(int number) : handle(number) { }
+    [[nodiscard]] int get() const { return this->handle.get(); }
+
+private:
+    descriptor handle;
+};
+
 } // namespace
 
 base::result<std::unique_ptr<file>> posix_file_system::open_append(std::string const& path)
@@ -125,6 +136,23 @@
     return boost::outcome_v2::success();
 }
 
+base::result<std::unique_ptr<folder_lock>> posix_file_system::lock_folder(std::string const& path)
+{
+    // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
+    int const number = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (number < 0)
+        return system_error(base::error_step::recover, "open", path, errno);
+    auto lock = std::make_unique<posix_folder_lock>(number);
+    if (::flock(lock->get(), LOCK_EX | LOCK_NB) == 0)
+        return lock;
+    if (errno == EWOULDBLOCK)
+        return base::error {base::error_code::conflict,
+                            base::error_step::recover,
+                            {},
+                            path + " is in use by another process"};
+    return system_error(base::error_step::recover, "flock", path, errno);
+}
+
 base::result<void> posix_file_system::sync_folder(std::string const& path)
 {
     // NOLINTNEXTLINE(cppcoreguidelines-pro-type-vararg)
--- a/src/storage/posix_file_system.h
+++ b/src/storage/posix_file_system.h
@@ -13,6 +13,7 @@
     base::result<void> rename(std::string const& from, std::string const& to) override;
     base::result<void> remove(std::string const& path) override;
     base::result<void> create_folder(std::string const& path) override;
+    base::result<std::unique_ptr<folder_lock>> lock_folder(std::string const& path) override;
     base::result<void> sync_folder(std::string const& path) override;
 };
 
--- a/tests/storage/faulty_file_system.h
+++ b/tests/storage/faulty_file_system.h
@@ -62,6 +62,11 @@
         return boost::outcome_v2::success();
     }
 
+    base::result<std::unique_ptr<folder_lock>> lock_folder(std::string const& /*path*/) override
+    {
+        return std::make_unique<folder_lock>();
+    }
+
     base::result<void> sync_folder(std::string const& /*path*/) override
     {
         if (this->fail_syncs)
--- a/tests/storage/log_file_test.cpp
+++ b/tests/storage/log_file_test.cpp
@@ -119,6 +119,16 @@
             REQUIRE(write_record(record, {1, 2, 3}));
             CHECK(read_record(record).value() == member_record {1, 2, 3});
         }
+
+        // Guards against two processes that vote under the identity of one folder.
+        THEN("only one process can use it at a time")
+        {
+            auto first = files.lock_folder(folder.string());
+            REQUIRE(first);
+            CHECK(files.lock_folder(folder.string()).error().code == base::error_code::conflict);
+            first.value().reset();
+            CHECK(files.lock_folder(folder.string()));
+        }
         std::filesystem::remove_all(folder);
     }
 }
