Keep the entry's share of slots and refusals in step with the view

Cause: the entry never told its endpoint table how many entries share the endpoints, nor that an agent refused a start. Change: set_entries with each view; a refusal by admission marks the endpoint full until the next report or outcome.

--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -355,9 +355,9 @@
         auto const* const record = this->outcomes.find(key);
         return record != nullptr && record->details && record->details->owner == entry;
     };
-    return {this->settings.id,     this->settings.region,     this->settings.zone,
-            base::to_reading(now), this->leases.known_view(),
-            this->endpoints.states(this->leases, held)};
+    return {this->settings.id,         this->settings.region,
+            this->settings.zone,       base::to_reading(now),
+            this->leases.known_view(), this->endpoints.states(this->leases, held)};
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/agent_parts.h
+++ b/src/agent/agent_parts.h
@@ -66,8 +66,7 @@
     void finish_run(attempt_key const& key, run_result result, base::steady_time now);
     void finish(attempt_key const& key, run_result const& result, base::steady_time now);
     void report_if_due(base::steady_time now);
-    [[nodiscard]] protocol::agent_report report(std::string const& entry,
-                                                base::steady_time now);
+    [[nodiscard]] protocol::agent_report report(std::string const& entry, base::steady_time now);
 };
 
 } // namespace greengagehead::agent
--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -125,14 +125,14 @@
         if (known.gone)
             continue;
         auto const& description = known.slots.description();
-        all.push_back({name, description.kinds, known.slots.capacity(), known.slots.used(),
-                       static_cast<std::uint32_t>(known.slots.queued()), description.cpu,
-                       description.memory_mb, description.rack, leases.draining(name),
-                       static_cast<std::uint32_t>(
-                           std::count_if(known.slots.running_attempts().begin(),
-                                         known.slots.running_attempts().end(), held)
-                           + std::count_if(known.slots.queue().begin(), known.slots.queue().end(),
-                                           held))});
+        all.push_back(
+            {name, description.kinds, known.slots.capacity(), known.slots.used(),
+             static_cast<std::uint32_t>(known.slots.queued()), description.cpu,
+             description.memory_mb, description.rack, leases.draining(name),
+             static_cast<std::uint32_t>(
+                 std::count_if(known.slots.running_attempts().begin(),
+                               known.slots.running_attempts().end(), held)
+                 + std::count_if(known.slots.queue().begin(), known.slots.queue().end(), held))});
     }
     return all;
 }
--- a/src/agent/endpoint_slots.cpp
+++ b/src/agent/endpoint_slots.cpp
@@ -33,7 +33,7 @@
 
 bool endpoint_slots::has_room() const
 {
-    return this->running + this->waiting.size()
+    return this->running.size() + this->waiting.size()
         < std::size_t {this->capacity()} + this->queue_limit;
 }
 
--- a/src/agent/endpoint_slots.h
+++ b/src/agent/endpoint_slots.h
@@ -46,10 +46,7 @@
 
     void acquire(attempt_key const& key) { this->running.push_back(key); }
     void release(attempt_key const& key) { std::erase(this->running, key); }
-    [[nodiscard]] std::vector<attempt_key> const& running_attempts() const
-    {
-        return this->running;
-    }
+    [[nodiscard]] std::vector<attempt_key> const& running_attempts() const { return this->running; }
 
 private:
     announcement described;
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -46,6 +46,12 @@
     return names.at(static_cast<std::size_t>(kind));
 }
 
+/// A refusal by the agent's admission has no run time and says nothing about the endpoint.
+bool refused_by_agent(protocol::task_outcome const& outcome)
+{
+    return outcome.kind == outcome_kind::not_run && outcome.run_time == microseconds(0);
+}
+
 } // namespace
 
 attempt_tracker::attempt_tracker(entry_parts& all) : parts(all) { }
@@ -161,6 +167,8 @@
     auto const endpoint = open->endpoint;
     this->record_run(job, index, outcome, now);
     this->close(job, task, *open, outcome.run_time);
+    if (refused_by_agent(outcome))
+        this->parts.endpoints.mark_full(endpoint);
     job.note({now, decision_kind::outcome, static_cast<std::int32_t>(index), outcome.attempt,
               endpoint,
               outcome.message.empty() ? std::string(name_of(outcome.kind))
@@ -213,10 +221,8 @@
 void attempt_tracker::record_run(job const& job, std::uint32_t index,
                                  protocol::task_outcome const& outcome, base::steady_time now)
 {
-    // A refusal by the agent's admission has no run time and says nothing about the endpoint.
-    auto const by_agent
-        = outcome.kind == outcome_kind::not_run && outcome.run_time == microseconds(0);
-    if (by_agent || outcome.kind == outcome_kind::cancelled || job.content == nullptr)
+    if (refused_by_agent(outcome) || outcome.kind == outcome_kind::cancelled
+        || job.content == nullptr)
         return;
     auto const& kind = job.content->tasks[index].kind;
     auto const succeeded = outcome.kind == outcome_kind::succeeded;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/entry_core.h"
 
+#include <algorithm>
 #include <chrono>
 #include <type_traits>
 #include <utility>
@@ -100,6 +101,11 @@
     this->teams.apply(view.settings, this->queue);
     this->endpoints.set_zones_out(view.zones_out);
     this->endpoints.set_draining(view.draining_endpoints);
+    auto const own
+        = std::find_if(view.entries.begin(), view.entries.end(),
+                       [this](auto const& item) { return item.id == this->settings.id; });
+    this->endpoints.set_entries(static_cast<std::uint32_t>(view.entries.size()),
+                                static_cast<std::uint32_t>(own - view.entries.begin()));
     this->dispatch.capacity_changed();
 }
 
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -17,9 +17,6 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Travel time of a report on the same continent, with some room for queueing. Agents count slots
-/// without delay.
-constexpr microseconds default_report_age {5000};
 /// A returning endpoint gets a quarter of its slots at once and all of them after this time. Full
 /// throughput is due 3 s after a zone's return, and reports arrive every 300 ms.
 constexpr milliseconds ramp_time {1000};
@@ -42,16 +39,10 @@
     std::size_t position = 0; ///< In `group::free`, while `tracked::listed`.
 };
 
-struct noted {
-    base::steady_time at;
-    bool start = false;
-};
-
 /// What the table keeps beside a record.
 struct tracked {
     endpoint_record* record = nullptr;
     std::list<membership> groups; ///< A list, because groups point to the positions.
-    std::vector<noted> recent; ///< Starts and outcomes that the next report may lack.
     std::uint32_t counted_slots = 0; ///< Slots added to `group::usable_slots`.
     bool listed = false; ///< In `group::free` of all its groups.
     bool usable = false;
@@ -77,6 +68,13 @@
 
 } // namespace
 
+std::uint64_t tasks_in_progress(endpoint_record const& endpoint)
+{
+    auto const reported = std::uint64_t {endpoint.state.used_slots} + endpoint.state.queued;
+    auto const own = std::min<std::uint64_t>(reported, endpoint.state.held_by_receiver);
+    return reported - own + endpoint.outstanding;
+}
+
 bool fits_size(protocol::endpoint_state const& endpoint, requirement const& needs)
 {
     return (endpoint.cpu == 0 || needs.cpu <= endpoint.cpu)
@@ -94,7 +92,6 @@
     std::size_t usable = 0;
     std::uint32_t entry_count = 1;
     std::uint32_t entry_rank = 0;
-    microseconds report_age = default_report_age;
     base::steady_time latest; ///< Time of the last update.
 
     tracked* find(std::string const& name);
@@ -105,12 +102,11 @@
     group& group_for(std::string const& kind, endpoint_record const& record);
     void apply(tracked& endpoint, protocol::agent_report const& report,
                protocol::endpoint_state const& state);
-    void recount(tracked& endpoint) const;
     /// Brings usability, usable slots and the index in step with the record.
     void refresh(tracked& endpoint);
     void list(tracked& endpoint, bool wanted);
     [[nodiscard]] std::uint32_t part_of(endpoint_record const& record) const;
-    void note(std::string const& name, bool start, base::steady_time now);
+    void note(std::string const& name, bool start);
 };
 
 namespace {
@@ -125,9 +121,7 @@
 {
     if (!allowed(record) || record.refused)
         return 0;
-    auto const taken
-        = std::uint64_t {record.state.used_slots} + record.state.queued + record.unreported_starts;
-    auto const in_use = taken - std::min<std::uint64_t>(taken, record.unreported_outcomes);
+    auto const in_use = tasks_in_progress(record);
     auto const seen = static_cast<std::uint32_t>(
         record.usable_slots - std::min<std::uint64_t>(in_use, record.usable_slots));
     auto const part = std::min(record.own_part, record.usable_slots);
@@ -252,17 +246,6 @@
     this->list(endpoint, free_places(record) > 0);
 }
 
-void endpoint_table::parts::recount(tracked& endpoint) const
-{
-    std::erase_if(endpoint.recent,
-                  [this](noted const& item) { return item.at + this->report_age < this->latest; });
-    auto const starts = std::count_if(endpoint.recent.begin(), endpoint.recent.end(),
-                                      [](noted const& item) { return item.start; });
-    endpoint.record->unreported_starts = static_cast<std::uint32_t>(starts);
-    endpoint.record->unreported_outcomes
-        = static_cast<std::uint32_t>(endpoint.recent.size()) - endpoint.record->unreported_starts;
-}
-
 void endpoint_table::parts::apply(tracked& endpoint, protocol::agent_report const& report,
                                   protocol::endpoint_state const& state)
 {
@@ -270,10 +253,8 @@
     bool const moved = endpoint.groups.empty() || !same_place(record, report, state);
     if (moved)
         this->leave_groups(endpoint);
-    if (record.agent != report.agent) {
-        endpoint.recent.clear();
+    if (record.agent != report.agent)
         record.outstanding = 0;
-    }
     record.state = state;
     record.refused = false;
     record.own_part = this->part_of(record);
@@ -287,7 +268,6 @@
         = found != this->registered.end() && found->second == report.agent.incarnation;
     if (moved)
         this->join_groups(endpoint);
-    this->recount(endpoint);
     this->refresh(endpoint);
 }
 
@@ -302,19 +282,16 @@
     return record.state.slots / this->entry_count + extra;
 }
 
-void endpoint_table::parts::note(std::string const& name, bool start, base::steady_time now)
+void endpoint_table::parts::note(std::string const& name, bool start)
 {
     auto* const endpoint = this->find(name);
     if (endpoint == nullptr)
         return;
     auto& record = *endpoint->record;
-    endpoint->recent.push_back({now, start});
     if (start) {
-        ++record.unreported_starts;
         ++record.outstanding;
     } else {
         record.refused = false;
-        ++record.unreported_outcomes;
         record.outstanding -= record.outstanding > 0 ? 1 : 0;
     }
     this->list(*endpoint, free_places(record) > 0);
@@ -387,27 +364,22 @@
 
 void endpoint_table::note_start(std::string const& endpoint)
 {
-    this->own->note(endpoint, true, this->own->latest);
+    this->own->note(endpoint, true);
 }
 
 void endpoint_table::note_outcome(std::string const& endpoint)
 {
-    this->own->note(endpoint, false, this->own->latest);
-}
-
-void endpoint_table::note_start(std::string const& endpoint, base::steady_time now)
-{
-    this->own->note(endpoint, true, now);
+    this->own->note(endpoint, false);
 }
 
-void endpoint_table::note_outcome(std::string const& endpoint, base::steady_time now)
+void endpoint_table::note_refused(std::string const& endpoint)
 {
-    this->own->note(endpoint, false, now);
+    this->own->note(endpoint, false);
+    this->mark_full(endpoint);
 }
 
-void endpoint_table::note_refused(std::string const& endpoint, base::steady_time now)
+void endpoint_table::mark_full(std::string const& endpoint)
 {
-    this->own->note(endpoint, false, now);
     auto* const found = this->own->find(endpoint);
     if (found == nullptr)
         return;
@@ -425,11 +397,6 @@
     }
 }
 
-void endpoint_table::set_report_age(microseconds age)
-{
-    this->own->report_age = age;
-}
-
 endpoint_record const* endpoint_table::find(std::string const& endpoint) const
 {
     auto const* const found = this->own->find(endpoint);
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -35,6 +35,9 @@
     bool agent_registered = false; ///< join_agent of this incarnation is committed.
 };
 
+/// Tasks in progress at the endpoint: those of other entries as last reported, and own ones.
+[[nodiscard]] std::uint64_t tasks_in_progress(endpoint_record const& endpoint);
+
 /// What a task needs of an endpoint. Empty and zero fields stand for no requirement.
 struct requirement {
     std::string_view kind;
@@ -75,6 +78,8 @@
     /// The agent refused a start because its slots and its queue are full. Takes the start back,
     /// like note_outcome, and counts the endpoint as full until the next report or outcome.
     void note_refused(std::string const& endpoint);
+    /// Counts the endpoint as full until the next report or outcome.
+    void mark_full(std::string const& endpoint);
     /// Number of live entries and the rank of this one among them, from 0. Each endpoint's slots
     /// are divided among the entries; the parts differ by at most one and add up to the slots.
     /// Placement prefers endpoints where the entry is below its part, because reports lag and other
@@ -84,8 +89,9 @@
     [[nodiscard]] endpoint_record const* find(std::string const& endpoint) const;
     [[nodiscard]] std::map<std::string, endpoint_record> const& all() const;
     /// Free places of an endpoint: slots less what other entries hold and own outstanding starts; 0
-    /// when it must not get work (draining, zone out, agent not registered). With several entries it is at least
-    /// the unused rest of the own part, unless the agent refused a start since its last report.
+    /// when it must not get work (draining, zone out, agent not registered). With several entries
+    /// it is at least the unused rest of the own part, unless the agent refused a start since its
+    /// last report.
     [[nodiscard]] std::uint32_t free_slots(endpoint_record const& endpoint) const;
 
     /// Appends the groups of endpoints that fit and have a free slot. The groups are valid until
--- a/src/policy/placement_policy.cpp
+++ b/src/policy/placement_policy.cpp
@@ -148,9 +148,7 @@
     /// Tasks per slot as far as known here.
     static double load(endpoint_record const& record)
     {
-        auto const tasks = static_cast<double>(record.state.used_slots) + record.state.queued
-            + record.unreported_starts - record.unreported_outcomes;
-        return tasks / std::max(record.state.slots, 1U);
+        return static_cast<double>(tasks_in_progress(record)) / std::max(record.state.slots, 1U);
     }
     [[nodiscard]] char const* reason() const
     {
