Dial new control members, keep keys and submission ids at hand, test real processes

Cause: a control member that joined after the settings were written was never dialled; config set and submit hid the key or id that a resend needs; explain of a copied answer was not JSON.

--- a/src/api/json_replies.cpp
+++ b/src/api/json_replies.cpp
@@ -78,8 +78,12 @@
         body["view"] = result.view;
         switch (result.status) {
         case protocol::change_status::applied: {
-            if (result.current.path.empty())
-                return json_response(200, {{"view", result.view}});
+            if (result.current.path.empty()) {
+                json change {{"view", result.view}};
+                if (!result.message.empty())
+                    change["warning"] = result.message;
+                return json_response(200, change);
+            }
             auto response = json_response(200, body);
             response.headers.emplace_back("ETag", std::to_string(result.current.version));
             return response;
@@ -226,9 +230,13 @@
     if (!explain)
         return answer_response(reply.answer->state == protocol::job_state::running ? 202 : 200,
                                *reply.answer);
+    // An entry that only has a copy of the answer knows no decisions.
+    auto decisions = json::parse(reply.explanation, nullptr, false);
+    if (decisions.is_discarded())
+        decisions = json::array();
     json body {{"job", job},
                {"state", protocol::to_string(reply.answer->state)},
-               {"decisions", json::parse(reply.explanation, nullptr, false)}};
+               {"decisions", std::move(decisions)}};
     return json_response(200, body);
 }
 
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -13,6 +13,8 @@
 
 using settings::role;
 
+constexpr std::chrono::milliseconds dial_interval {1'000};
+
 protocol::wall_time wall_now()
 {
     return std::chrono::duration_cast<protocol::wall_time>(
@@ -60,7 +62,9 @@
     BOOST_OUTCOME_TRY(wanted, transport::parse_address(settings.control_listen));
     BOOST_OUTCOME_TRY(address, this->hub.listen(wanted));
     BOOST_OUTCOME_TRYV(this->open_log(settings, address));
+    this->configured.insert(settings::peer_name(role::control, settings.name));
     for (auto const& member : settings.controls) {
+        this->configured.insert(settings::peer_name(role::control, member.name));
         // One link per pair of members is enough: the one with the lower name dials.
         auto const peer_address = transport::parse_address(member.address);
         if (settings.name < member.name && peer_address)
@@ -108,11 +112,24 @@
     });
 }
 
+void control_task::dial_new_members()
+{
+    for (auto const& member : this->log->members()) {
+        auto const address = transport::parse_address(member.address);
+        if (!this->configured.contains(member.name) && address)
+            this->hub.keep_connected(member.name, address.value());
+    }
+}
+
 void control_task::tick(base::steady_time now)
 {
     this->log->tick(now);
     this->core->tick(now, wall_now());
     this->log->flush(now);
+    if (now - this->last_dial >= dial_interval) {
+        this->last_dial = now;
+        this->dial_new_members();
+    }
 }
 
 void control_task::begin_shutdown(base::steady_time /*now*/) { }
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <memory>
+#include <set>
+#include <string>
 
 #include "app/role_task.h"
 #include "consensus/durable_log.h"
@@ -31,11 +33,15 @@
                                 transport::socket_address const& address);
     void receive(std::string const& peer, protocol::message const& body);
     void flush_later();
+    /// Links to members that joined after this member's settings were written.
+    void dial_new_members();
 
     storage::posix_file_system files;
     std::unique_ptr<consensus::durable_log> log;
     std::unique_ptr<control::control_core> core;
     bool flush_pending = false;
+    std::set<std::string> configured; // Peer names in the settings, this member included.
+    base::steady_time last_dial;
 };
 
 } // namespace greengagehead::app
--- a/src/cli/control_verbs.cpp
+++ b/src/cli/control_verbs.cpp
@@ -82,6 +82,17 @@
     return absent ? exit_code::failed : exit_code::done;
 }
 
+/// Key of a change. It is printed before the change is sent, so that an unanswered one can be
+/// resent.
+std::string key_of(cxxopts::ParseResult const& parsed)
+{
+    if (parsed.count("key") > 0)
+        return parsed["key"].as<std::string>();
+    auto key = std::to_string(base::random_number());
+    std::cerr << "idempotency key " << key << "\n";
+    return key;
+}
+
 exit_code set_config(entry_session& session, cxxopts::ParseResult const& parsed)
 {
     auto const text = parsed["VALUE"].as<std::string>();
@@ -92,7 +103,7 @@
     api_client::request request {http_method::put,
                                  "/v1/config" + normalized(parsed["PATH"].as<std::string>()),
                                  value.dump(),
-                                 {{"Idempotency-Key", std::to_string(base::random_number())}}};
+                                 {{"Idempotency-Key", key_of(parsed)}}};
     if (parsed.count("expect") > 0)
         request.headers.emplace_back("If-Match",
                                      std::to_string(parsed["expect"].as<std::uint64_t>()));
@@ -152,7 +163,9 @@
 exit_code config_verb(arguments const& words)
 {
     verb_options options("config", "Read or change settings of the fleet.");
-    options.add()("expect", "Change only from this version.", cxxopts::value<std::uint64_t>());
+    options.add()("expect", "Change only from this version.", cxxopts::value<std::uint64_t>())(
+        "key", "Idempotency key, to resend a change; random when left out.",
+        cxxopts::value<std::string>());
     options.positional({"ACTION", "PATH", "VALUE"}, 2);
     auto const parsed = options.parse(words);
     if (!parsed)
@@ -188,6 +201,8 @@
     if (!reply || session.json())
         return print_json(reply);
     std::cout << "zone " << zone << " is " << action << " everywhere\n";
+    if (reply->contains("warning"))
+        std::cerr << "warning: " << text_of((*reply)["warning"]) << "\n";
     return exit_code::done;
 }
 
--- a/src/cli/job_verbs.cpp
+++ b/src/cli/job_verbs.cpp
@@ -144,8 +144,11 @@
         body["team"] = (*parsed)["team"].as<std::string>();
     if (parsed->count("id") > 0)
         body["submission"] = (*parsed)["id"].as<std::string>();
-    if (!body.contains("submission"))
+    if (!body.contains("submission")) {
         body["submission"] = "cli-" + std::to_string(base::random_number());
+        // Needed to send the same submission again after a lost answer.
+        std::cerr << "submission " << body["submission"].get<std::string>() << "\n";
+    }
 
     entry_session session(*parsed);
     auto const first = std::min(*wait, poll_wait);
--- /dev/null
+++ b/tests/fleet/fleet.py
@@ -0,0 +1,145 @@
+"""Starts the example deployment as real processes on loopback, for tests of failures."""
+
+import concurrent.futures
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+PROGRAM = ROOT / "build/src/app/greengagehead"
+STAND_IN = ROOT / "build/tests/stand_in/stand_in_endpoint"
+DEPLOYMENT = ROOT / "examples/assentos-caatinga"
+ZONES = {"recife": 8510, "fortaleza": 8520, "salvador": 8530}
+STAND_IN_PORT = 8700
+OPERATOR = "example-token-operator"
+TEAM = "example-token-hospital"
+
+
+class Fleet:
+    """One control member, one entry and two agents with stand-in endpoints in each of three zones."""
+
+    def __init__(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.processes = {}
+        self.endpoint_ports = {}
+        for zone in ZONES:
+            for part in ("control", "entry", "agent-1", "agent-2"):
+                self.start(f"{zone}-{part}")
+        for number, (zone, base) in enumerate(ZONES.items()):
+            for agent in (1, 2):
+                self.start_endpoint(zone, agent, base, STAND_IN_PORT + 2 * number + agent)
+        self.wait_until(self.complete, 15)
+
+    def start(self, name):
+        log = open(pathlib.Path(self.folder.name) / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [PROGRAM, "run", "--config", DEPLOYMENT / f"{name}.toml"],
+            cwd=self.folder.name, stderr=log, stdout=log)
+        log.close()
+
+    def start_endpoint(self, zone, agent, base, port):
+        name = f"endpoint-{zone}-{agent}"
+        self.endpoint_ports[name] = port
+        self.processes[name] = subprocess.Popen(
+            [STAND_IN, "--name", name, "--announce", f"http://127.0.0.1:{base + 2 + agent}",
+             "--port", str(port), "--kinds", "quote,hold,confirm"], stdout=subprocess.DEVNULL)
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def stop(self):
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+        self.folder.cleanup()
+
+    def data_folder(self, zone):
+        return pathlib.Path(self.folder.name) / "greengagehead-data/assentos-caatinga" / zone
+
+    def complete(self):
+        """Every entry sees all endpoints, a leader and a valid lease."""
+        for zone in ZONES:
+            status, body = self.call(zone, "GET", "/v1/status")
+            if status != 200 or not body["entry"]["lease_valid"] or body["degraded"]:
+                return False
+            if len(body["entry"]["endpoints"]) < 6:
+                return False
+        return True
+
+    def leader_zone(self):
+        for zone in ZONES:
+            status, body = self.call(zone, "GET", "/v1/control")
+            if status != 200:
+                continue
+            for member in body["members"]:
+                if member["leader"]:
+                    return member["name"].split(".")[1]
+        return None
+
+    def wait_until(self, condition, seconds):
+        """Returns the seconds that passed until the condition held."""
+        begin = time.monotonic()
+        while time.monotonic() - begin < seconds:
+            if condition():
+                return time.monotonic() - begin
+            time.sleep(0.05)
+        raise AssertionError(f"not reached within {seconds} s: {condition}")
+
+    def call(self, zone, method, path, body=None, token=OPERATOR, headers=None, timeout=60):
+        request = urllib.request.Request(
+            f"http://127.0.0.1:{ZONES[zone] + 2}{path}", method=method,
+            data=None if body is None else json.dumps(body).encode(),
+            headers={"Authorization": f"Bearer {token}", **(headers or {})})
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as reply:
+                return reply.status, json.load(reply)
+        except urllib.error.HTTPError as failure:
+            return failure.code, json.load(failure)
+        except OSError:
+            return 0, {}
+
+    def submit(self, zone, submission, tasks, wait_ms=20000, deadline_ms=20000):
+        body = {"submission": submission, "team": "hospital", "deadline_ms": deadline_ms,
+                "tasks": tasks}
+        return self.call(zone, "POST", f"/v1/jobs?wait={wait_ms}", body, TEAM)
+
+    def submit_many(self, zone, prefix, count, tasks):
+        """Submits from several threads; returns a future of the list of replies."""
+        pool = concurrent.futures.ThreadPoolExecutor(count)
+        futures = [pool.submit(self.submit, zone, f"{prefix}-{i}", tasks) for i in range(count)]
+        pool.shutdown(wait=False)
+        return futures
+
+    def starts(self, zone=None):
+        """Starts and doubled starts counted by the stand-ins, of one zone or all."""
+        total = doubled = 0
+        for name, port in self.endpoint_ports.items():
+            if zone and f"-{zone}-" not in name:
+                continue
+            with urllib.request.urlopen(f"http://127.0.0.1:{port}/counts", timeout=5) as reply:
+                counts = json.load(reply)
+            total += counts["starts"]
+            doubled += counts["doubled"]
+        return total, doubled
+
+
+def holds(count, run_ms):
+    return [{"kind": "hold", "payload": {"run_ms": run_ms, "item": i}} for i in range(count)]
+
+
+def quotes(count, run_ms):
+    return [{"kind": "quote", "idempotent": True, "payload": {"run_ms": run_ms, "item": i}}
+            for i in range(count)]
