Test the founding of a group and promotion against broken variants

Cause: variants that let a wiped member found a group, or promote a learner without data, passed. Change: a scenario with a member cut off before the first election, and a check that a learner has the state before it votes. Conclusion: both rules are covered.

--- a/tests/consensus/durable_log_test.cpp
+++ b/tests/consensus/durable_log_test.cpp
@@ -53,4 +53,37 @@
             CHECK(group.run_until([&] { return group.settled(); }, 1s));
         }
     }
+
+    // Guards against a wiped member that founds a second group with a member that has heard nothing
+    // of the first one yet.
+    GIVEN("a group whose third member was cut off before the first election")
+    {
+        fake_group group(4, {"control.a", "control.b", "control.c"});
+        group.start_all();
+        auto const& first = group.members["control.a"];
+        REQUIRE(group.run_until([&] { return !first.log->raft().log().members().members.empty(); },
+                                1s));
+        group.isolate("control.b");
+        REQUIRE(group.wait_for_leader(2s));
+        REQUIRE(group.put("one"));
+        REQUIRE(group.members["control.b"].log->raft().log().empty());
+
+        WHEN("the founder loses its disk and meets the third member first")
+        {
+            group.kill("control.a");
+            group.members["control.a"].files.wipe();
+            group.heal();
+            group.cut("control.c", "control.b");
+            group.start("control.a");
+
+            THEN("nobody leads until the member with the data can, and no command is lost")
+            {
+                CHECK_FALSE(group.wait_for_leader(5s));
+                group.heal();
+                REQUIRE(group.wait_for_leader(2s));
+                CHECK(group.put("two"));
+                CHECK(group.run_until([&] { return group.settled(); }, 5s));
+            }
+        }
+    }
 }
--- a/tests/consensus/fault_test.cpp
+++ b/tests/consensus/fault_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "consensus/fake_group.h"
+#include "consensus/quorum.h"
 
 using namespace greengagehead;
 using namespace greengagehead::consensus;
@@ -195,10 +196,17 @@
             group.members[name].files.wipe();
             group.start(name);
 
-            THEN("it has the whole state and votes again")
+            THEN("it has the whole state before it votes again")
             {
-                CHECK(group.run_until([&] { return group.complete(*leader) && group.settled(); },
-                                      15s));
+                bool voted_early = false;
+                auto const repaired = [&] {
+                    auto const& raft = group.members[name].log->raft();
+                    voted_early |= raft.log().empty()
+                        && is_voter(leader->log->raft().log().members(), raft.id());
+                    return group.complete(*leader) && group.settled();
+                };
+                CHECK(group.run_until(repaired, 15s));
+                CHECK_FALSE(voted_early);
             }
         }
     }
@@ -284,6 +292,7 @@
 
             THEN("the standby votes in its place")
             {
+                REQUIRE_FALSE(again);
                 CHECK(again.error().code == base::error_code::conflict);
                 group.run(2s);
                 auto const& members = leader->log->raft().log().members();
@@ -321,6 +330,7 @@
             THEN("the change is refused")
             {
                 auto const refused = leader->log->change_members({action::remove, running, {}, {}});
+                REQUIRE_FALSE(refused);
                 CHECK(refused.error().code == base::error_code::conflict);
             }
         }
