--- a/tests/control/claim_request_test.cpp
+++ b/tests/control/claim_request_test.cpp
@@ -40,6 +40,20 @@
         CHECK(claim(fleet, two, claim_of(1, two.id, {}, 'b')) == claim_status::digest_conflict);
         CHECK(claim(fleet, one, claim_of(1, one.id)) == claim_status::granted);
     }
+    // Guards against a resent claim that starts a job again after its entry has refused it.
+    WHEN("a job is refused and its claim arrives again")
+    {
+        protocol::claim_jobs const wanted {{claim_of(1, one.id)}, 0};
+        auto const id = fleet.request(one, wanted);
+        fleet.request(one, protocol::finish_jobs {{{job_id(1), 1, protocol::job_state::refused}}});
+        THEN("only a new request claims it, in the next epoch")
+        {
+            fleet.request(one, wanted, id);
+            CHECK(lookup(fleet, 1)->finished);
+            CHECK(claim(fleet, two, claim_of(1, two.id)) == claim_status::granted);
+            CHECK(lookup(fleet, 1)->epoch == 2);
+        }
+    }
     // Guards against a second proposal for a request that is still in progress.
     WHEN("a request is resent before its commit")
     {
