--- a/tests/entry/fake_world.cpp
+++ b/tests/entry/fake_world.cpp
@@ -201,13 +201,14 @@
     added.outcome.kind = outcome_kind::running;
     added.outcome.message.clear();
     added.ends = world.now + this->run_time;
-    auto& runs = ++world.runs[task.task];
+    task_key const place {task.task.job, task.task.index};
+    auto& runs = ++world.runs[place];
     auto const where = this->id.name + " " + task.task.job + "/" + std::to_string(task.task.index);
     if (world.control.claims.count(task.task.job) == 0)
         world.violations.push_back("start without a claim: " + where);
     if (!task.idempotent && runs > 1)
         world.violations.push_back("second run of a task that must run once: " + where);
-    if (world.must_not_run.count(task.task) != 0)
+    if (world.must_not_run.count(place) != 0)
         world.violations.push_back("start of a task that was called not run: " + where);
     if (batch.lease.view == world.control.view.number) {
         auto const& out = world.control.view.zones_out;
@@ -421,7 +422,7 @@
         this->violations.push_back("partial answer of " + answer.job);
     bool any_run = false;
     for (std::uint32_t i = 0; i < request.tasks.size(); ++i) {
-        protocol::task_ref const task {answer.job, i};
+        task_key const task {answer.job, i};
         any_run = any_run || this->runs.count(task) != 0;
         if (i >= answer.tasks.size())
             continue;
--- a/tests/entry/fake_world.h
+++ b/tests/entry/fake_world.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "entry/entry_core.h"
@@ -23,6 +24,9 @@
 
 class fake_world;
 
+/// Job and index of a task.
+using task_key = std::pair<std::string, std::uint32_t>;
+
 /// Sends in the name of one process.
 class port : public protocol::message_sender {
 public:
@@ -116,8 +120,8 @@
     std::uint32_t most_delay_ms = 1;
 
     /// Runs per task, in order. Filled by the agents.
-    std::map<protocol::task_ref, std::uint32_t> runs;
-    std::set<protocol::task_ref> must_not_run; ///< Tasks that an answer called not run.
+    std::map<task_key, std::uint32_t> runs;
+    std::set<task_key> must_not_run; ///< Tasks that an answer called not run.
     std::vector<std::string> violations;
     std::function<void(std::string const& from, std::string const& to, protocol::message const&)>
         on_send;
