Recover jobs whose takeover notice is still under way, and expired submissions

Cause: an entry that got a submission again while its own takeover notice was under way treated the claim as its own new one and would have started non-idempotent tasks a second time; a refusal by admission looked up the claim but not the tombstone, so an expired submission was answered "not run". Change: such a claim goes the way of a takeover notice; claim_lookup says when a job has expired, and an answer with ran unknown never says none.

--- a/src/api/json_replies.cpp
+++ b/src/api/json_replies.cpp
@@ -51,6 +51,12 @@
 http_response refusal_response(protocol::job_answer const& answer)
 {
     auto const failure = failure_of(answer, base::error_code::refused, "refused");
+    if (answer.ran != protocol::ran_extent::none) {
+        auto body = error_body(failure);
+        body["error"]["ran"] = protocol::to_string(answer.ran);
+        body["job"] = answer.job;
+        return json_response(http_status(failure.code), body);
+    }
     http_response response;
     response.status = answer.retry_after.count() > 0 ? 503 : http_status(failure.code);
     response.body = protocol::refusal_json(failure, answer.retry_after);
--- a/src/control/requests.cpp
+++ b/src/control/requests.cpp
@@ -100,7 +100,8 @@
                                             steady_time now)
 {
     if (auto const* claim = std::get_if<protocol::read_claim>(&body))
-        return protocol::claim_lookup {this->state.claims().find(claim->job)};
+        return protocol::claim_lookup {this->state.claims().find(claim->job),
+                                       this->state.claims().expired(claim->job)};
     if (auto const* settings = std::get_if<protocol::read_settings>(&body))
         return protocol::settings_list {this->state.settings().list(settings->prefix)};
     if (auto const* history = std::get_if<protocol::read_history>(&body))
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -42,6 +42,14 @@
             "the submission exists with other content"};
 }
 
+base::error expired_error()
+{
+    return {base::error_code::expired,
+            base::error_step::claim,
+            {},
+            "submission_expired: the submission is too old"};
+}
+
 } // namespace
 
 job_flow::job_flow(entry_parts& all) : parts(all) { }
@@ -147,11 +155,18 @@
                 return this->parts.remote.attach(answer.job, claim, std::move(*shared), false,
                                                  later);
             ++this->parts.counters.jobs_refused;
+            auto refused = answer;
+            if (lookup->expired) {
+                // Its tasks may have run, so "not run" would be false.
+                refused.failure = expired_error();
+                refused.ran = ran_extent::unknown;
+                refused.retry_after = milliseconds(0);
+            }
             base::log_record(base::log_event::job_refused)
-                .with("job", answer.job)
-                .with("team", answer.team)
-                .with("reason", answer.failure->message);
-            deliver(*shared, answer, "[]");
+                .with("job", refused.job)
+                .with("team", refused.team)
+                .with("reason", refused.failure->message);
+            deliver(*shared, refused, "[]");
         },
         now);
 }
@@ -208,18 +223,20 @@
     case protocol::claim_status::granted:
         return this->on_owned(*job, claim, now);
     case protocol::claim_status::existing:
-        if (claim.owner == this->parts.settings.id && !claim.finished)
+        if (claim.owner == this->parts.settings.id && !claim.finished) {
+            // The job came here by a takeover whose notice has not arrived yet.
+            this->parts.takeovers.on_notice({this->parts.settings.id, {claim}, 0}, now);
+            job = this->parts.jobs.find(id);
+            if (job == nullptr || job->recovery_pending)
+                return;
             return this->on_owned(*job, claim, now);
+        }
         return this->on_owned_elsewhere(*job, claim, now);
     case protocol::claim_status::digest_conflict:
         return this->end_without_claim(*job, submit_reply::kind::conflict, conflict_error(),
                                        ran_extent::unknown);
     case protocol::claim_status::expired:
-        return this->end_without_claim(*job, submit_reply::kind::refused,
-                                       {base::error_code::expired,
-                                        base::error_step::claim,
-                                        {},
-                                        "submission_expired: the submission is too old"},
+        return this->end_without_claim(*job, submit_reply::kind::refused, expired_error(),
                                        ran_extent::unknown);
     case protocol::claim_status::not_live:
         this->parts.leases.renew_soon();
--- a/src/entry/job_flow.h
+++ b/src/entry/job_flow.h
@@ -54,11 +54,13 @@
 
     void begin_shutdown() { this->shutting_down = true; }
 
+    /// Forgets a job, with its waiting tasks and its attempts.
+    void drop(job& job);
+
 private:
     void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
                 policy::refusal const& refusal, base::steady_time now);
     void add_timer(job const& job, timer_kind kind, base::steady_time at);
-    void drop(job& job);
     void send_claim(job& job, base::steady_time now);
     void send_copy(job& job, base::steady_time now);
     void on_owned(job& job, protocol::job_claim const& claim, base::steady_time now);
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -78,17 +78,41 @@
 bool takeover::take(protocol::job_claim const& claim, base::steady_time now)
 {
     auto* job = this->parts.jobs.find(claim.job);
+    if (job != nullptr && job->phase == job_phase::abandoned && job->epoch < claim.epoch) {
+        this->parts.flow.drop(*job);
+        job = nullptr;
+    }
     if (job == nullptr) {
         this->create(claim, now);
         return !this->parts.jobs.find(claim.job)->is_final();
     }
-    // This entry's own submission of the same job found it claimed, or it was the owner before.
-    if (job->epoch < claim.epoch) {
-        job->epoch = claim.epoch;
-        if (job->finish_sent)
-            this->parts.claims.finish({job->id, job->epoch, job->answer.state, job->answer.ran});
+    if (job->epoch >= claim.epoch)
+        return false;
+    // A job that this entry has only submitted, or that another entry owned in between, may have
+    // attempts that this entry does not know.
+    bool const unknown_attempts = job->phase == job_phase::claiming || claim.epoch > job->epoch + 1;
+    job->epoch = claim.epoch;
+    if (job->finish_sent) {
+        this->parts.claims.finish({job->id, job->epoch, job->answer.state, job->answer.ran});
+        return false;
+    }
+    if (!unknown_attempts)
+        return false;
+    this->recover(*job, now);
+    return true;
+}
+
+void takeover::recover(job& job, base::steady_time now)
+{
+    job.phase = job_phase::running;
+    job.claim_committed = true;
+    job.copy_settled = true;
+    job.recovery_pending = true;
+    job.note({now, decision_kind::taken_over, -1, 0, {}, "the owner was lost", 0});
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+        this->parts.dispatch.withdraw(job, i);
+        job.tasks[i].uncertain = !job.tasks[i].done();
     }
-    return false;
 }
 
 void takeover::create(protocol::job_claim const& claim, base::steady_time now)
--- a/src/entry/takeover.h
+++ b/src/entry/takeover.h
@@ -32,6 +32,9 @@
     void tick(base::steady_time now);
 
 private:
+    /// Treats every unfinished task of a known job as possibly started by another owner.
+    void recover(job& job, base::steady_time now);
+
     struct asked_agent {
         protocol::process_id id;
         bool removed = false; ///< Control says that it was removed or replaced.
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -191,6 +191,7 @@
 
 struct claim_lookup {
     std::optional<job_claim> claim;
+    bool expired = false; ///< The job was known and is past its retention; `claim` is empty.
 };
 
 struct settings_list {
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -170,7 +170,7 @@
     static auto of(auto& m) { return std::tie(m.claims); }
 };
 template <> struct field_list<claim_lookup> {
-    static auto of(auto& m) { return std::tie(m.claim); }
+    static auto of(auto& m) { return std::tie(m.claim, m.expired); }
 };
 template <> struct field_list<settings_list> {
     static auto of(auto& m) { return std::tie(m.settings); }
--- a/src/state/claim_table.cpp
+++ b/src/state/claim_table.cpp
@@ -242,6 +242,12 @@
     return this->to_claim(found->first, found->second);
 }
 
+bool claim_table::expired(std::string const& job) const
+{
+    auto const key = parse_id<16>(job);
+    return key && this->tombstones.contains(*key);
+}
+
 std::size_t claim_table::running_count(protocol::process_id const& owner) const
 {
     auto const count
--- a/src/state/claim_table.h
+++ b/src/state/claim_table.h
@@ -55,6 +55,8 @@
                                  protocol::wall_time tombstones_before) const;
 
     [[nodiscard]] std::optional<protocol::job_claim> find(std::string const& job) const;
+    /// The job is past its retention and only its tombstone is left.
+    [[nodiscard]] bool expired(std::string const& job) const;
     [[nodiscard]] std::size_t running_count(protocol::process_id const& owner) const;
     /// Owners of running jobs, each once.
     [[nodiscard]] std::vector<protocol::process_id> running_owners() const;
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -55,6 +55,37 @@
 
 } // namespace
 
+SCENARIO("a submission meets a takeover whose notice is still under way", "[entry]")
+{
+    GIVEN("a hold that runs for an entry which is lost")
+    {
+        small_fleet world;
+        for (auto& [name, agent] : world.agents)
+            agent.run_time = milliseconds(1000);
+        auto const request = make_job("s1", 2, false);
+        auto const first = world.submit("entry.a", request);
+        REQUIRE(world.run_until([&] { return world.runs.size() == 2; }));
+        world.cut_off.insert("entry.a");
+
+        WHEN("control has moved the job and its new owner gets the submission again")
+        {
+            auto& claim = world.control.claims.at(first->job);
+            claim.owner = world.control.leases.at("entry.b").entry.id;
+            claim.epoch = 2;
+            auto const second = world.submit("entry.b", request);
+            auto const reply = world.wait_for(second);
+            // Guards against the new owner starting the job as if it were its own new claim.
+            THEN("the runs of the former owner count and none is added")
+            {
+                for (auto const& [task, count] : world.runs)
+                    CHECK(count == 1);
+                CHECK(reply.answer.state == job_state::complete);
+                CHECK(world.violations.empty());
+            }
+        }
+    }
+}
+
 SCENARIO("a job is claimed, placed and answered", "[entry]")
 {
     GIVEN("a small fleet")
