Skip the scan for the settled view when nothing is to be settled

Cause: a profile showed update_settled, called for each report, scanning all agents. Change: return early while the settled view is the applied one.

--- a/src/entry/lease_keeper.cpp
+++ b/src/entry/lease_keeper.cpp
@@ -148,6 +148,9 @@
 
 void lease_keeper::update_settled()
 {
+    // Called for each report, while there is mostly nothing to settle.
+    if (this->settled_view == this->current.number)
+        return;
     auto lowest = this->current.number;
     for (auto const& agent : this->agents.all()) {
         for (auto const& stamp : agent.stamps)
