Test the policies; correct the fleet's failure rate and the seeds

Cause: the new tests found two faults. The first attempt ever set the fleet's failure rate to 0 or 1, so that a failing start delayed every exclusion; and random generators with neighbouring seeds began with the same draws, so that entries chose alike.

Change: the failure rate moves by the same weight in every period of a second; the seed is mixed.

--- a/src/policy/endpoint_health.cpp
+++ b/src/policy/endpoint_health.cpp
@@ -33,9 +33,11 @@
 /// Tasks at a time of a returning endpoint. As many successes as the limit double it.
 constexpr std::uint32_t first_limit = 1;
 constexpr std::uint32_t full_limit = 16;
-/// Time constant of the fleet's failure rate. It is long, so that a sudden failure of many
-/// endpoints is noticed before it counts as usual.
-constexpr double fleet_memory_seconds = 30;
+/// The failure rate of the fleet is smoothed over about 30 periods. That is slow, so that a sudden
+/// failure of many endpoints is noticed before it counts as usual; a period has the same weight
+/// whatever its length, so that one failure after a quiet time does not count as usual either.
+constexpr std::chrono::seconds fleet_period {1};
+constexpr double fleet_weight = 1.0 / 30;
 constexpr double pace_weight = 0.01;
 
 struct endpoint_history {
@@ -71,14 +73,14 @@
 
 void endpoint_health::parts::count(bool failed, base::steady_time now)
 {
+    if (this->counted_from == base::steady_time())
+        this->counted_from = now;
     ++this->attempts;
     this->failures += failed ? 1 : 0;
-    std::chrono::duration<double> const elapsed = now - this->counted_from;
-    if (elapsed < std::chrono::seconds(1))
+    if (now - this->counted_from < fleet_period)
         return;
-    auto const share = std::min(1.0, elapsed.count() / fleet_memory_seconds);
     auto const rate = static_cast<double>(this->failures) / static_cast<double>(this->attempts);
-    this->failure_rate += share * (rate - this->failure_rate);
+    this->failure_rate += fleet_weight * (rate - this->failure_rate);
     this->counted_from = now;
     this->attempts = 0;
     this->failures = 0;
--- a/src/policy/placement_policy.cpp
+++ b/src/policy/placement_policy.cpp
@@ -25,7 +25,12 @@
 /// Draws candidates at random. Used by every policy.
 class sampler {
 public:
-    explicit sampler(std::uint64_t seed) : random(seed) { }
+    explicit sampler(std::uint64_t seed)
+    {
+        // Entries have neighbouring seeds, with which the generator's first numbers are alike.
+        std::seed_seq mixed {seed & 0xffffffffU, seed >> 32U};
+        this->random.seed(mixed);
+    }
 
     /// Finds up to `wanted` different endpoints that fit, have a free slot and are accepted by
     /// their health. Endpoints to avoid are found only when there is no other.
--- a/tests/policy/fair_queue_test.cpp
+++ b/tests/policy/fair_queue_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <map>
+#include <vector>
 
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
@@ -69,3 +71,130 @@
         }
     });
 }
+
+SCENARIO("the queue takes a task exactly when one may run")
+{
+    // Guards against idle slots beside waiting tasks, against exceeded quotas, against overtaking
+    // within a class, and against lost or doubled tasks. The oracle is a plain list.
+    rc::prop("take agrees with a scan of all waiting tasks", [] {
+        fair_queue queue;
+        std::vector<queued_task> waiting;
+        std::map<std::string, std::uint32_t> running;
+        std::map<std::string, std::uint32_t> quota;
+        for (auto const* team : {"a", "b", "c"}) {
+            quota[team] = static_cast<std::uint32_t>(*rc::gen::inRange(0, 4));
+            queue.set_share(team, {1, quota[team]});
+        }
+        auto const steps = *rc::gen::inRange(20, 120);
+        for (std::uint32_t step = 0; step < static_cast<std::uint32_t>(steps); ++step) {
+            auto const action = *rc::gen::inRange(0, 6);
+            auto const team = std::string(1, *rc::gen::element('a', 'b', 'c'));
+            auto const open = *rc::gen::element<std::string>("x", "y", "z");
+            auto const may_run = [&](queued_task const& task) {
+                return task.placement_class <= open
+                    && (quota[task.team] == 0 || running[task.team] < quota[task.team]);
+            };
+            if (action <= 1) {
+                waiting.push_back(make_task(step, team, open, milliseconds(1 + step)));
+                queue.push(waiting.back());
+            } else if (action == 2 && running[team] > 0) {
+                --running[team];
+                queue.finished(team, milliseconds(5), milliseconds(1));
+            } else if (action == 3 && !waiting.empty()) {
+                auto const place
+                    = waiting.begin() + *rc::gen::inRange<std::ptrdiff_t>(0, std::ssize(waiting));
+                RC_ASSERT(queue.remove(place->task));
+                RC_ASSERT(!queue.remove(place->task));
+                waiting.erase(place);
+            } else {
+                auto const task = queue.take([&](std::string const& name) { return name <= open; });
+                auto const possible = std::any_of(waiting.begin(), waiting.end(), may_run);
+                RC_ASSERT(task.has_value() == possible);
+                if (!task)
+                    continue;
+                RC_ASSERT(may_run(*task));
+                auto const oldest
+                    = std::find_if(waiting.begin(), waiting.end(), [&](queued_task const& other) {
+                          return other.team == task->team
+                              && other.placement_class == task->placement_class;
+                      });
+                RC_ASSERT(oldest->task == task->task);
+                waiting.erase(oldest);
+                ++running[task->team];
+            }
+            RC_ASSERT(queue.size() == waiting.size());
+            RC_ASSERT(queue.in_progress(team) == running[team]);
+        }
+    });
+}
+
+SCENARIO("a team cannot harm the others")
+{
+    fair_queue queue;
+    std::map<std::string, microseconds> const true_cost {
+        {"quiet", milliseconds(100)}, {"loud", milliseconds(100)}, {"liar", milliseconds(100)}};
+
+    // Guards against a quiet team waiting behind a flood.
+    GIVEN("a flood of 50,000 tasks that has been served for a while")
+    {
+        for (std::uint32_t index = 0; index < 50'000; ++index)
+            queue.push(make_task(index, "loud", "c", milliseconds(100)));
+        serve(queue, 1000, true_cost);
+        WHEN("another team submits one task")
+        {
+            queue.push(make_task(0, "quiet", "c", milliseconds(100)));
+            THEN("it is among the next two")
+            {
+                std::vector<std::string> const next {queue.take(any_class)->team,
+                                                     queue.take(any_class)->team};
+                CHECK(std::count(next.begin(), next.end(), "quiet") == 1);
+            }
+        }
+    }
+    // Guards against saved-up credit: a team back from a pause must not take all slots.
+    GIVEN("two teams, one of which was idle for a long time")
+    {
+        for (std::uint32_t index = 0; index < 2000; ++index)
+            queue.push(make_task(index, "loud", "c", milliseconds(100)));
+        serve(queue, 1000, true_cost);
+        for (std::uint32_t index = 0; index < 1000; ++index)
+            queue.push(make_task(index, "quiet", "c", milliseconds(100)));
+        THEN("they share evenly from then on")
+        {
+            auto served = serve(queue, 100, true_cost);
+            CHECK(served["loud"] >= milliseconds(4900));
+        }
+    }
+    // Guards against gaining slots by declaring a tenth, or losing them by declaring ten times.
+    GIVEN("a team whose declared times are off by ten in either direction")
+    {
+        auto const declared = GENERATE(milliseconds(10), milliseconds(1000));
+        for (std::uint32_t index = 0; index < 4000; ++index) {
+            queue.push(make_task(index, "liar", "c", declared));
+            queue.push(make_task(index, "loud", "c", milliseconds(100)));
+        }
+        THEN("true run times are shared evenly")
+        {
+            auto served = serve(queue, 4000, true_cost);
+            CHECK(served["liar"].count() == Approx(served["loud"].count()).epsilon(0.02));
+        }
+    }
+    // Guards against removal by search: 200,000 removals would take minutes.
+    GIVEN("200,000 waiting tasks of 51 teams")
+    {
+        for (std::uint32_t index = 0; index < 200'000; ++index)
+            queue.push(
+                make_task(index, "team-" + std::to_string(index % 51), "c", milliseconds(100)));
+        THEN("all can be removed in any order within a few seconds")
+        {
+            auto const begin = std::chrono::steady_clock::now();
+            for (std::uint32_t step = 0; step < 200'000; ++step) {
+                auto const index = static_cast<std::uint32_t>(step * 7919ULL % 200'000);
+                REQUIRE(queue.remove({"job-team-" + std::to_string(index % 51), index}));
+            }
+            CHECK(queue.size() == 0);
+            CHECK(queue.backlog() == microseconds(0));
+            CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(5));
+        }
+    }
+}
