--- a/bench/policy/decision_bench.cpp
+++ b/bench/policy/decision_bench.cpp
@@ -73,7 +73,7 @@
         request.team = task->team;
         request.kind = task->placement_class;
         auto const choice = this->policy->choose(request, this->endpoints, this->health, this->now);
-        this->endpoints.note_start(choice->endpoint, this->now);
+        this->endpoints.note_start(choice->endpoint);
         this->running.emplace_back(std::move(*task), choice->endpoint);
     }
 
@@ -92,7 +92,7 @@
         auto const [task, endpoint] = std::move(this->running.front());
         this->running.pop_front();
         this->queue.finished(task.team, task.cost, milliseconds(90));
-        this->endpoints.note_outcome(endpoint, this->now);
+        this->endpoints.note_outcome(endpoint);
         this->health.record(endpoint, true, milliseconds(90), task.cost, this->now);
         this->times.record(task.team, task.placement_class, milliseconds(90));
     }
