--- a/src/app/agent_task.h
+++ b/src/app/agent_task.h
@@ -20,6 +20,8 @@
     agent_task(settings::process_settings const& settings,
                std::vector<settings::peer_settings> const& entries);
     ~agent_task() override;
+    agent_task(agent_task const&) = delete;
+    agent_task& operator=(agent_task const&) = delete;
 
     /// Opens the announcement listener. Errors: `error_step::listen`.
     base::result<transport::socket_address> open(settings::process_settings const& settings);
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -18,6 +18,8 @@
 public:
     explicit control_task(settings::process_settings const& settings);
     ~control_task() override;
+    control_task(control_task const&) = delete;
+    control_task& operator=(control_task const&) = delete;
 
     /// Opens the links, then reads the data folder. Returns the address for links.
     /// Errors: `error_step::listen`, `error_step::recover`.
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -19,6 +19,8 @@
     entry_task(settings::process_settings const& settings,
                std::vector<settings::peer_settings> const& controls);
     ~entry_task() override;
+    entry_task(entry_task const&) = delete;
+    entry_task& operator=(entry_task const&) = delete;
 
     /// Address for links. Errors: `error_step::listen`.
     base::result<transport::socket_address> open_links();
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -149,6 +149,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     transport::event_loop main_loop;
     auto const shutdown_limit = settings.timing.shutdown_limit;
+    auto const name = settings.name;
     base::log_record(base::log_event::process_started)
         .with("process", settings.name)
         .with("zone", settings.zone)
@@ -162,12 +163,12 @@
         if (stopping)
             return main_loop.stop();
         stopping = true;
-        base::log_record(base::log_event::process_stopping);
+        base::log_record(base::log_event::process_stopping).with("process", name);
         limit = main_loop.after(shutdown_limit, [&main_loop] { main_loop.stop(); });
         roles.shut_down(main_loop, [&main_loop] { main_loop.stop(); });
     });
     main_loop.run();
-    base::log_record(base::log_event::process_stopped);
+    base::log_record(base::log_event::process_stopped).with("process", name);
     return boost::outcome_v2::success();
 }
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -27,6 +27,8 @@
           &status_verb},
     verb {"control", "control list|add|remove|replace MEMBER [REPLACEMENT] [--address ADDR]",
           "Show or change the members of the control group.", &control_verb},
+    verb {"bench", "bench [--entries URL,...] [--rate N] [--seconds N] WORKLOAD",
+          "Load a running fleet and measure its answers.", &bench_verb},
 };
 
 void print_usage(std::ostream& output)
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -35,6 +35,9 @@
 [[nodiscard]] exit_code cancel_verb(arguments const& words);
 [[nodiscard]] exit_code explain_verb(arguments const& words);
 
+// --- bench_verb.cpp ---
+[[nodiscard]] exit_code bench_verb(arguments const& words);
+
 // --- control_verbs.cpp ---
 [[nodiscard]] exit_code config_verb(arguments const& words);
 [[nodiscard]] exit_code zone_verb(arguments const& words);
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -189,6 +189,8 @@
             } else if constexpr (std::is_same_v<type, protocol::control_reply>) {
                 this->control.on_reply(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::takeover_notice>) {
+                if (message.new_owner == this->settings.id)
+                    this->leases.note_takeover(message.sequence);
                 this->takeovers.on_notice(message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_copy>) {
                 if (this->copies.hold(message, now))
--- a/src/entry/lease_keeper.cpp
+++ b/src/entry/lease_keeper.cpp
@@ -112,7 +112,13 @@
     this->sender.send(this->control.target(),
                       protocol::renew_lease {this->settings.id, this->settings.zone,
                                              this->settings.http_address, base::to_reading(now),
-                                             this->current.number, this->settled_view});
+                                             this->current.number, this->settled_view,
+                                             this->seen_takeover});
+}
+
+void lease_keeper::note_takeover(std::uint64_t sequence)
+{
+    this->seen_takeover = std::max(this->seen_takeover, sequence);
 }
 
 bool lease_keeper::valid(base::steady_time now) const
--- a/src/entry/lease_keeper.h
+++ b/src/entry/lease_keeper.h
@@ -35,6 +35,9 @@
     /// Renews with the next tick instead of after the rest of the interval.
     void renew_soon();
 
+    /// Renewals name the latest takeover notice, so that control stops repeating it.
+    void note_takeover(std::uint64_t sequence);
+
     /// Whether starts are allowed now.
     [[nodiscard]] bool valid(base::steady_time now) const;
     /// Stamp for one agent; empty without a valid lease or without a report of the agent.
@@ -63,6 +66,7 @@
 
     protocol::view current;
     protocol::view_number settled_view = 0;
+    std::uint64_t seen_takeover = 0; // Sequence of the latest takeover notice.
     bool in_view = false; ///< The current view lists this incarnation.
     /// Lease of the entry. Only used when a view of at least `lease_view` is applied.
     base::steady_time expires_at;
--- a/tests/stand_in/stand_in_endpoint.cpp
+++ b/tests/stand_in/stand_in_endpoint.cpp
@@ -4,6 +4,7 @@
 // The payload may hold {"run_ms": N} for the run time and {"fail": true} for a final failure.
 
 #include <csignal>
+#include <exception>
 #include <iostream>
 #include <map>
 #include <memory>
@@ -164,9 +165,7 @@
     static_cast<event_loop*>(loop)->stop();
 }
 
-} // namespace
-
-int main(int count, char** words)
+int run(int count, char** words)
 {
     auto const options = parse_options(count, words);
     if (!options)
@@ -183,3 +182,15 @@
     std::cout << endpoint.counts().dump() << std::endl;
     return 0;
 }
+
+} // namespace
+
+int main(int count, char** words)
+{
+    try {
+        return run(count, words);
+    } catch (std::exception const& failure) {
+        std::cerr << failure.what() << "\n";
+        return 1;
+    }
+}
