--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -21,7 +21,7 @@
 /// a new group should be ready.
 constexpr std::chrono::milliseconds hello_interval {100};
 /// Bounds the table of identities that are not members.
-constexpr std::size_t max_strangers = 64;
+constexpr std::size_t max_unknown_members = 64;
 
 /// True when another member holds the data, so that a damaged member can be repaired from it.
 bool has_others(durable_log_settings const& settings)
@@ -117,9 +117,9 @@
         return this->handle_hello(peer, message, now);
     if (message.to != this->node.id())
         return;
-    if (this->strangers.size() >= max_strangers)
-        this->strangers.clear();
-    this->strangers[message.from] = peer;
+    if (this->unknown_members.size() >= max_unknown_members)
+        this->unknown_members.clear();
+    this->unknown_members[message.from] = peer;
     bool const led = this->node.leading();
     this->node.receive(message, now);
     // A leader that goes on leading gathers proposals for the next flush.
@@ -328,8 +328,8 @@
 {
     if (auto const* member = find_member(this->node.log().members(), id))
         return member->name;
-    auto const known = this->strangers.find(id);
-    return known == this->strangers.end() ? std::string() : known->second;
+    auto const known = this->unknown_members.find(id);
+    return known == this->unknown_members.end() ? std::string() : known->second;
 }
 
 // --- state ---
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -124,7 +124,7 @@
     std::optional<base::steady_time> last_hello;
     std::optional<base::error> stopped_by;
     /// Peer names of identities outside the membership, learned from their messages.
-    std::map<protocol::member_id, std::string> strangers;
+    std::map<protocol::member_id, std::string> unknown_members;
 };
 
 } // namespace greengagehead::consensus
--- a/src/state/agent_table.cpp
+++ b/src/state/agent_table.cpp
@@ -56,7 +56,7 @@
                   [before](past_agent const& item) { return item.agent.removed_at < before; });
 }
 
-bool agent_table::forgettable(protocol::wall_time before) const
+bool agent_table::has_expired(protocol::wall_time before) const
 {
     return std::any_of(this->past.begin(), this->past.end(),
                        [before](past_agent const& item) { return item.agent.removed_at < before; });
--- a/src/state/agent_table.h
+++ b/src/state/agent_table.h
@@ -30,7 +30,7 @@
     void remove(protocol::process_id const& id, protocol::wall_time at);
     /// Drops incarnations that were replaced or removed before `before`.
     void forget(protocol::wall_time before);
-    [[nodiscard]] bool forgettable(protocol::wall_time before) const;
+    [[nodiscard]] bool has_expired(protocol::wall_time before) const;
 
     /// Agents registered now, and those replaced or removed at or after `since`.
     [[nodiscard]] protocol::agent_list list(protocol::wall_time since) const;
--- a/src/state/claim_table.cpp
+++ b/src/state/claim_table.cpp
@@ -129,7 +129,7 @@
     record.ran = request.ran;
     this->set_finished(*job, record, at);
     if (this->claims.size() - this->running.size() > this->limits.finished)
-        this->bury_oldest(at);
+        this->expire_oldest(at);
 }
 
 void claim_table::set_finished(job_key const& job, record& target, protocol::wall_time at)
@@ -153,15 +153,15 @@
         auto& record = this->claims.at(job);
         if (this->owners.value(record.owner) != request.lost)
             continue;
-        auto const* heir = entries.find(this->names.value(record.backup));
-        if (heir == nullptr)
-            heir = entries.find(request.fallback);
-        if (heir == nullptr)
+        auto const* successor = entries.find(this->names.value(record.backup));
+        if (successor == nullptr)
+            successor = entries.find(request.fallback);
+        if (successor == nullptr)
             continue;
         if (!moved)
             ++this->takeovers;
         moved = true;
-        this->set_owner(record, heir->id);
+        this->set_owner(record, successor->id);
         this->names.release(record.backup);
         record.backup = this->names.acquire({});
         ++record.epoch;
@@ -176,9 +176,9 @@
     for (std::uint32_t count = 0; count < request.limit; ++count) {
         if (this->finished.empty() || this->finished.front().at >= request.before)
             break;
-        this->bury_oldest(at);
+        this->expire_oldest(at);
     }
-    this->bury_abandoned(request, at);
+    this->expire_abandoned(request, at);
     this->tombstones.forget(request.tombstones_before);
 }
 
@@ -195,16 +195,16 @@
         this->finished.pop_front();
 }
 
-void claim_table::bury_oldest(protocol::wall_time at)
+void claim_table::expire_oldest(protocol::wall_time at)
 {
     this->drop_obsolete();
     auto const job = this->finished.front().job;
     this->finished.pop_front();
-    this->bury(this->claims.find(job), at);
+    this->replace_by_tombstone(this->claims.find(job), at);
     this->drop_obsolete();
 }
 
-void claim_table::bury(claim_map::iterator found, protocol::wall_time at)
+void claim_table::replace_by_tombstone(claim_map::iterator found, protocol::wall_time at)
 {
     auto const& [job, record] = *found;
     this->names.release(record.team);
@@ -215,14 +215,14 @@
     this->claims.erase(found);
 }
 
-void claim_table::bury_abandoned(protocol::expire_claims const& request, protocol::wall_time at)
+void claim_table::expire_abandoned(protocol::expire_claims const& request, protocol::wall_time at)
 {
     std::vector<job_key> abandoned;
     for (auto const& job : this->running)
         if (this->claims.at(job).claimed_at + longest_deadline < request.before)
             abandoned.push_back(job);
     for (auto const& job : abandoned)
-        this->bury(this->claims.find(job), at);
+        this->replace_by_tombstone(this->claims.find(job), at);
 }
 
 bool claim_table::expirable(protocol::wall_time before, protocol::wall_time tombstones_before) const
@@ -230,7 +230,7 @@
     auto const oldest = this->oldest_running();
     return (!this->finished.empty() && this->finished.front().at < before)
         || (oldest && *oldest + longest_deadline < before)
-        || this->tombstones.forgettable(tombstones_before);
+        || this->tombstones.has_expired(tombstones_before);
 }
 
 std::optional<protocol::job_claim> claim_table::find(std::string const& job) const
--- a/src/state/claim_table.h
+++ b/src/state/claim_table.h
@@ -47,7 +47,8 @@
                                                std::uint64_t request_id, protocol::wall_time at);
     /// Ignored unless the job is running in exactly this epoch.
     void finish(protocol::job_finish const& request, protocol::wall_time at);
-    /// Moves the running jobs of a lost entry; those with no live heir stay. True when any moved.
+    /// Moves the running jobs of a lost entry; those with no live successor stay. True when any
+    /// moved.
     bool take_over(protocol::take_over const& request, entry_table const& entries);
     /// Also ends claims whose owner has not finished them long after their deadline.
     void expire(protocol::expire_claims const& request, protocol::wall_time at);
@@ -111,10 +112,10 @@
     void set_owner(record& target, protocol::process_id const& owner);
     void set_finished(job_key const& job, record& target, protocol::wall_time at);
     [[nodiscard]] bool current(finished_claim const& item) const;
-    void bury(claim_map::iterator found, protocol::wall_time at);
+    void replace_by_tombstone(claim_map::iterator found, protocol::wall_time at);
     void drop_obsolete();
-    void bury_oldest(protocol::wall_time at);
-    void bury_abandoned(protocol::expire_claims const& request, protocol::wall_time at);
+    void expire_oldest(protocol::wall_time at);
+    void expire_abandoned(protocol::expire_claims const& request, protocol::wall_time at);
 
     claim_limits limits;
     claim_map claims;
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -171,7 +171,7 @@
                               protocol::wall_time tombstones_before) const
 {
     return this->jobs.expirable(before, tombstones_before)
-        || this->known_agents.forgettable(this->forget_agents_before(before));
+        || this->known_agents.has_expired(this->forget_agents_before(before));
 }
 
 } // namespace greengagehead::state
--- a/src/state/tombstone_set.cpp
+++ b/src/state/tombstone_set.cpp
@@ -53,14 +53,14 @@
     });
 }
 
-bool tombstone_set::forgettable(protocol::wall_time before) const
+bool tombstone_set::has_expired(protocol::wall_time before) const
 {
     return !this->hours.empty() && this->hours.begin()->first < hour_of(before);
 }
 
 void tombstone_set::forget(protocol::wall_time before)
 {
-    while (this->forgettable(before))
+    while (this->has_expired(before))
         this->hours.erase(this->hours.begin());
 }
 
--- a/src/state/tombstone_set.h
+++ b/src/state/tombstone_set.h
@@ -25,7 +25,7 @@
     [[nodiscard]] bool contains(job_key const& key) const;
     /// Drops whole hours that ended before `before`.
     void forget(protocol::wall_time before);
-    [[nodiscard]] bool forgettable(protocol::wall_time before) const;
+    [[nodiscard]] bool has_expired(protocol::wall_time before) const;
     [[nodiscard]] std::size_t size() const;
 
     [[nodiscard]] std::vector<tombstone_image> image() const;
