--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -109,9 +109,10 @@
 }
 
 http_server::http_server(event_loop& loop, http_limits limits, handler on_request)
-    : handle(std::move(on_request)), server(evhttp_new(loop.base()))
+    : handle(std::move(on_request)), body_limit(limits.body_bytes), server(evhttp_new(loop.base()))
 {
-    evhttp_set_max_body_size(this->server, static_cast<ev_ssize_t>(limits.body_bytes));
+    // Bodies somewhat over the limit are read and answered in JSON; evhttp itself answers in HTML.
+    evhttp_set_max_body_size(this->server, static_cast<ev_ssize_t>(2 * limits.body_bytes));
     evhttp_set_max_headers_size(this->server, static_cast<ev_ssize_t>(limits.header_bytes));
     evhttp_set_allowed_methods(
         this->server, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE);
@@ -167,6 +168,13 @@
     this->exchanges[connection] = exchange;
     evhttp_connection_set_closecb(connection, &http_server::on_close, this);
     auto received = read_request(request);
+    if (received.body.size() > this->body_limit)
+        return exchange->respond(
+            {413,
+             R"({"error":{"code":"invalid_argument","message":"the body has more than )"
+                 + std::to_string(this->body_limit) + R"( bytes"}})",
+             "application/json",
+             {}});
     this->handle(received, exchange);
 }
 
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -95,6 +95,7 @@
     static void on_close(evhttp_connection* connection, void* self);
 
     handler handle;
+    std::size_t body_limit;
     evhttp* server;
     evhttp_bound_socket* bound = nullptr;
     // Open exchanges by connection: evhttp handles one request per connection at a time.
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -112,4 +112,17 @@
             CHECK(last.code == 413);
         }
     }
+    // Guards against a refusal in HTML to callers that parse JSON.
+    WHEN("the body is a little over the limit")
+    {
+        client.send(
+            {http_method::post, address, "/now", {}, std::string(1025, 'x'), milliseconds(500)},
+            remember);
+        run_for(loop, milliseconds(50));
+        THEN("the refusal names the limit in JSON")
+        {
+            CHECK(last.code == 413);
+            CHECK(last.body.find("1024 bytes") != std::string::npos);
+        }
+    }
 }
