Share the reading of HTTP messages and of the clock

Cause: server and client of HTTP each had their own loop over headers and their own copy of a body; three route files each read the clock by a function of their own. Change: transport/http_parts and one steady_now for the routes. No behaviour changes. Conclusion: similar set-up of the three role tasks and the term check of two raft replies stay.

--- a/src/api/control_routes.cpp
+++ b/src/api/control_routes.cpp
@@ -26,11 +26,6 @@
 constexpr std::chrono::milliseconds change_timeout {18'000};
 constexpr std::chrono::milliseconds read_timeout {5'000};
 
-base::steady_time steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 base::error invalid(std::string message)
 {
     return {base::error_code::invalid_argument, base::error_step::settings, {}, std::move(message)};
--- a/src/api/job_routes.cpp
+++ b/src/api/job_routes.cpp
@@ -19,11 +19,6 @@
 
 using std::chrono::milliseconds;
 
-base::steady_time steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 /// Reads `?wait=MS`; 0 when absent.
 base::result<milliseconds> read_wait(route_context const& context, route_call const& call)
 {
--- a/src/api/route_context.h
+++ b/src/api/route_context.h
@@ -2,11 +2,13 @@
 
 #pragma once
 
+#include <chrono>
 #include <memory>
 #include <string>
 
 #include "api/access.h"
 #include "api/response_metrics.h"
+#include "base/clock.h"
 #include "settings/process_settings.h"
 #include "transport/http_server.h"
 
@@ -16,6 +18,12 @@
 
 namespace greengagehead::api {
 
+/// Cores read no clock; the routes pass the time in.
+[[nodiscard]] inline base::steady_time steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
 struct route_context {
     entry::entry_core& core;
     settings::process_settings const& settings;
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -20,11 +20,6 @@
 
 constexpr std::chrono::milliseconds status_timeout {1'000};
 
-base::steady_time steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 void respond_json(route_call const& call, int status, json const& body)
 {
     transport::http_response response;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -3,15 +3,14 @@
 #include "transport/http_client.h"
 
 #include <algorithm>
-#include <cctype>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 
 #include "transport/event_loop.h"
+#include "transport/http_parts.h"
 
 namespace greengagehead::transport {
 
@@ -38,16 +37,8 @@
     http_client_response response;
     response.status = http_client_status::answered;
     response.code = evhttp_request_get_response_code(source);
-    evkeyvalq const* const headers = evhttp_request_get_input_headers(source);
-    for (evkeyval const* item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
-        std::string name(item->key);
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char letter) { return std::tolower(letter); });
-        response.headers[name] = item->value;
-    }
-    evbuffer* const body = evhttp_request_get_input_buffer(source);
-    response.body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, response.body.data(), response.body.size());
+    response.headers = read_headers(evhttp_request_get_input_headers(source));
+    response.body = take_body(evhttp_request_get_input_buffer(source));
     return response;
 }
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,7 +3,6 @@
 #include "transport/http_server.h"
 
 #include <algorithm>
-#include <cctype>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -14,6 +13,7 @@
 #include <sys/socket.h>
 
 #include "transport/event_loop.h"
+#include "transport/http_parts.h"
 
 namespace greengagehead::transport {
 
@@ -59,17 +59,6 @@
     evhttp_clear_headers(&parameters);
 }
 
-void read_headers(evhttp_request* source, http_request& request)
-{
-    evkeyvalq const* const headers = evhttp_request_get_input_headers(source);
-    for (evkeyval const* item = headers->tqh_first; item != nullptr; item = item->next.tqe_next) {
-        std::string name(item->key);
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char letter) { return std::tolower(letter); });
-        request.headers[name] = item->value;
-    }
-}
-
 http_request read_request(evhttp_request* source)
 {
     http_request request;
@@ -78,10 +67,8 @@
     if (char const* const path = evhttp_uri_get_path(uri); path != nullptr)
         request.path = decoded(path);
     read_query(uri, request);
-    read_headers(source, request);
-    evbuffer* const body = evhttp_request_get_input_buffer(source);
-    request.body.resize(evbuffer_get_length(body));
-    evbuffer_remove(body, request.body.data(), request.body.size());
+    request.headers = read_headers(evhttp_request_get_input_headers(source));
+    request.body = take_body(evhttp_request_get_input_buffer(source));
     return request;
 }
 
