--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -55,6 +55,7 @@
     this->own->deliveries.tick(now);
     this->own->outcomes.expire(now);
     this->own->cancellations.expire(now);
+    this->own->stop_orphans(now);
     this->own->settle(now);
 }
 
@@ -66,8 +67,9 @@
     this->own->settle(now);
 }
 
-void agent_core::peer_down(std::string const& peer, base::steady_time /*now*/)
+void agent_core::peer_down(std::string const& peer, base::steady_time now)
 {
+    this->own->owners.link_down(peer, now);
     this->own->reports.peer_down(peer);
     this->own->deliveries.peer_down(peer);
 }
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -32,6 +32,11 @@
     /// No entry can hold a lease for longer (the lease duration of control); stamps beyond it come
     /// from another clock.
     std::chrono::milliseconds longest_lease {1500};
+    /// An entry not heard for this long is lost, and its ephemeral tasks are stopped. Callers send
+    /// the job of a lost entry to another one no earlier than 1.3 s later.
+    std::chrono::milliseconds entry_silence {900};
+    /// The same for an entry whose link is down: a broken link returns sooner.
+    std::chrono::milliseconds entry_link_grace {300};
     std::size_t outcome_bytes = 4UL * 1024 * 1024; ///< Memory for finished outcomes.
 };
 
--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -37,10 +37,11 @@
                 this->settings.outcome_bytes}),
       cancellations(this->settings.refusal_memory),
       endpoints(this->settings.announcement_interval, this->settings.queue_per_endpoint),
+      owners(this->settings.entry_silence, this->settings.entry_link_grace),
       admission({this->settings.id, this->settings.zone,
                  // An attempt may end a whole lease before its stamp does.
                  this->settings.refusal_memory - this->settings.longest_lease},
-                this->leases, this->outcomes, this->cancellations, this->endpoints),
+                this->leases, this->outcomes, this->cancellations, this->endpoints, this->owners),
       deliveries(this->settings.id, messages, this->outcomes),
       reports(this->settings.report_interval, messages)
 {
@@ -77,6 +78,7 @@
 void agent_core::parts::handle(std::string const& peer, protocol::start_batch const& batch,
                                base::steady_time now)
 {
+    this->owners.heard(batch.lease.entry, now);
     this->leases.note(batch.lease, now);
     for (auto const& task : batch.starts)
         this->handle_start({peer, batch.lease, batch.agent_incarnation, task, now + task.remaining},
@@ -86,6 +88,7 @@
 void agent_core::parts::handle(std::string const& /*peer*/, protocol::lease_update const& update,
                                base::steady_time now)
 {
+    this->owners.heard(update.lease.entry, now);
     this->leases.note(update, now);
 }
 
@@ -137,20 +140,24 @@
     auto const key = key_of(request.task);
     if (auto* const known = this->outcomes.find(key); known != nullptr)
         return this->repeat(*known, key, request.peer);
-    if (auto const* const run = this->outcomes.find_run(request.task.task, request.task.idempotent);
+    auto const repeatable = request.task.idempotent || request.task.ephemeral;
+    if (auto const* const run = this->outcomes.find_run(request.task.task, repeatable);
         run != nullptr)
         return this->follow({request.task.task, run->epoch, run->attempt}, request, now);
 
     auto const refused = this->admission.refuse(request, admission_stage::receipt, now);
-    auto& record = this->outcomes.add(key, request.task.idempotent);
+    auto& record = this->outcomes.add(key, repeatable);
     record.details->owner = request.peer;
     record.details->endpoint = request.task.endpoint;
+    if (request.task.ephemeral)
+        record.details->ends_with = request.stamp.entry;
     if (refused)
         return this->refuse(key, *refused, now);
     this->outcomes.raise_fence(key.task.job, key.epoch, now);
     auto const endpoint = request.task.endpoint;
+    auto const slots = request.task.slots;
     record.details->request = std::make_unique<start_request>(std::move(request));
-    this->endpoints.present(endpoint)->enqueue(key);
+    this->endpoints.present(endpoint)->enqueue(key, slots);
     this->start_waiting(endpoint, now);
 }
 
@@ -286,7 +293,7 @@
     record.phase = attempt_phase::running;
     details.url = slots.description().url;
     details.started = now;
-    slots.acquire(key);
+    slots.acquire(key, request->task.slots);
     base::log_record(base::log_event::start_admitted)
         .with("job", key.task.job)
         .with("task", key.task.index)
@@ -357,7 +364,32 @@
     };
     return {this->settings.id,         this->settings.region,
             this->settings.zone,       base::to_reading(now),
-            this->leases.known_view(), this->endpoints.states(this->leases, held)};
+            this->leases.known_view(), this->endpoints.states(this->leases, held),
+            this->ephemeral_runs(entry)};
+}
+
+std::vector<protocol::attempt_ref> agent_core::parts::ephemeral_runs(std::string const& entry)
+{
+    std::vector<protocol::attempt_ref> runs;
+    for (auto const& key : this->endpoints.unfinished()) {
+        auto const* const record = this->outcomes.find(key);
+        if (record != nullptr && record->details && record->details->ends_with
+            && record->details->owner == entry)
+            runs.push_back({key.task, key.attempt});
+    }
+    return runs;
+}
+
+void agent_core::parts::stop_orphans(base::steady_time now)
+{
+    for (auto const& key : this->endpoints.unfinished()) {
+        auto const* const record = this->outcomes.find(key);
+        if (record == nullptr || !record->details || !record->details->ends_with
+            || record->details->stop_requested
+            || !this->owners.lost(*record->details->ends_with, now))
+            continue;
+        this->cancel(key, now);
+    }
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/agent_parts.h
+++ b/src/agent/agent_parts.h
@@ -11,6 +11,7 @@
 #include "agent/lease_book.h"
 #include "agent/outcome_sender.h"
 #include "agent/outcome_store.h"
+#include "agent/owner_watch.h"
 #include "agent/start_admission.h"
 #include "agent/state_reporter.h"
 
@@ -27,6 +28,8 @@
     /// Ends the handling of every input.
     void settle(base::steady_time now);
     void peer_up(std::string const& peer, base::steady_time now);
+    /// Stops the ephemeral attempts of entries that are lost.
+    void stop_orphans(base::steady_time now);
 
     agent_settings settings;
     protocol::message_sender& sender;
@@ -35,6 +38,7 @@
     outcome_store outcomes;
     cancellation_book cancellations;
     endpoint_list endpoints;
+    owner_watch owners;
     start_admission admission;
     outcome_sender deliveries;
     state_reporter reports;
@@ -66,6 +70,7 @@
     void finish_run(attempt_key const& key, run_result result, base::steady_time now);
     void finish(attempt_key const& key, run_result const& result, base::steady_time now);
     void report_if_due(base::steady_time now);
+    [[nodiscard]] std::vector<protocol::attempt_ref> ephemeral_runs(std::string const& entry);
     [[nodiscard]] protocol::agent_report report(std::string const& entry, base::steady_time now);
 };
 
--- a/src/agent/announcement.h
+++ b/src/agent/announcement.h
@@ -17,6 +17,7 @@
     std::uint32_t cpu = 0;
     std::uint32_t memory_mb = 0;
     std::string rack;
+    bool draining = false; ///< It takes no new work; what runs may finish.
 
     bool operator==(announcement const&) const = default;
 };
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -51,6 +52,8 @@
     std::string message;
     std::chrono::microseconds run_time {0};
     base::steady_time started;
+    /// Entry that the attempt ends with. Empty unless the attempt is ephemeral.
+    std::optional<protocol::process_id> ends_with;
     std::unique_ptr<start_request> request; ///< Only while waiting.
     bool stop_requested = false;
 };
--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -31,6 +31,17 @@
     return boost::outcome_v2::success();
 }
 
+/// Slots of the attempts that `counts` accepts.
+template <typename Attempts>
+std::uint32_t slots_of(Attempts const& attempts,
+                       std::function<bool(attempt_key const&)> const& counts)
+{
+    std::uint32_t sum = 0;
+    for (auto const& item : attempts)
+        sum += counts(item.key) ? item.slots : 0;
+    return sum;
+}
+
 } // namespace
 
 endpoint_list::endpoint_list(std::chrono::milliseconds interval, std::uint32_t queue_places)
@@ -81,7 +92,7 @@
     }
     std::erase_if(this->endpoints, [](auto const& item) {
         auto const& [name, known] = item;
-        return known.gone && known.slots.used() == 0 && known.slots.queued() == 0;
+        return known.gone && known.slots.idle();
     });
     return any;
 }
@@ -102,8 +113,20 @@
 {
     std::vector<std::pair<std::string, attempt_key>> keys;
     for (auto const& [name, known] : this->endpoints) {
-        for (auto const& key : known.slots.queue())
-            keys.emplace_back(name, key);
+        for (auto const& item : known.slots.queue())
+            keys.emplace_back(name, item.key);
+    }
+    return keys;
+}
+
+std::vector<attempt_key> endpoint_list::unfinished() const
+{
+    std::vector<attempt_key> keys;
+    for (auto const& [name, known] : this->endpoints) {
+        for (auto const& item : known.slots.running_attempts())
+            keys.push_back(item.key);
+        for (auto const& item : known.slots.queue())
+            keys.push_back(item.key);
     }
     return keys;
 }
@@ -127,12 +150,10 @@
         auto const& description = known.slots.description();
         all.push_back(
             {name, description.kinds, known.slots.capacity(), known.slots.used(),
-             static_cast<std::uint32_t>(known.slots.queued()), description.cpu,
-             description.memory_mb, description.rack, leases.draining(name),
-             static_cast<std::uint32_t>(
-                 std::count_if(known.slots.running_attempts().begin(),
-                               known.slots.running_attempts().end(), held)
-                 + std::count_if(known.slots.queue().begin(), known.slots.queue().end(), held))});
+             known.slots.queued(), description.cpu, description.memory_mb, description.rack,
+             description.draining || leases.draining(name),
+             slots_of(known.slots.running_attempts(), held)
+                 + slots_of(known.slots.queue(), held)});
     }
     return all;
 }
--- a/src/agent/endpoint_list.h
+++ b/src/agent/endpoint_list.h
@@ -37,6 +37,8 @@
 
     /// Every waiting attempt of every endpoint, also of those that are gone.
     [[nodiscard]] std::vector<std::pair<std::string, attempt_key>> waiting() const;
+    /// Every running or waiting attempt of every endpoint.
+    [[nodiscard]] std::vector<attempt_key> unfinished() const;
     [[nodiscard]] std::vector<std::string> names() const;
     /// @param held tells the attempts of the entry that gets the report.
     [[nodiscard]] std::vector<protocol::endpoint_state>
--- a/src/agent/endpoint_slots.cpp
+++ b/src/agent/endpoint_slots.cpp
@@ -3,10 +3,22 @@
 #include "agent/endpoint_slots.h"
 
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace greengagehead::agent {
 
+namespace {
+
+template <typename Attempts> std::uint32_t sum_slots(Attempts const& attempts)
+{
+    return std::accumulate(
+        attempts.begin(), attempts.end(), std::uint32_t {0},
+        [](std::uint32_t sum, held_attempt const& item) { return sum + item.slots; });
+}
+
+} // namespace
+
 endpoint_slots::endpoint_slots(announcement description, std::uint32_t queue_places,
                                base::steady_time now)
     : described(std::move(description)), queue_limit(queue_places), last_announced(now)
@@ -31,24 +43,43 @@
     return connections == 0 ? this->described.slots : std::min(this->described.slots, connections);
 }
 
-bool endpoint_slots::has_room() const
+std::uint32_t endpoint_slots::used() const
+{
+    return sum_slots(this->running);
+}
+
+std::uint32_t endpoint_slots::queued() const
+{
+    return sum_slots(this->waiting);
+}
+
+bool endpoint_slots::has_room(std::uint32_t slots) const
 {
-    return this->running.size() + this->waiting.size()
-        < std::size_t {this->capacity()} + this->queue_limit;
+    if (slots > this->capacity())
+        return false;
+    bool const starts_now
+        = this->waiting.empty() && this->used() + std::uint64_t {slots} <= this->capacity();
+    return starts_now || this->waiting.size() < this->queue_limit;
 }
 
 std::optional<attempt_key> endpoint_slots::take_next()
 {
-    if (this->full() || this->waiting.empty())
+    if (this->waiting.empty()
+        || this->used() + std::uint64_t {this->waiting.front().slots} > this->capacity())
         return std::nullopt;
-    auto key = std::move(this->waiting.front());
+    auto key = std::move(this->waiting.front().key);
     this->waiting.pop_front();
     return key;
 }
 
 bool endpoint_slots::remove(attempt_key const& key)
 {
-    return std::erase(this->waiting, key) != 0;
+    return std::erase_if(this->waiting, [&key](auto const& item) { return item.key == key; }) != 0;
+}
+
+void endpoint_slots::release(attempt_key const& key)
+{
+    std::erase_if(this->running, [&key](auto const& item) { return item.key == key; });
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/endpoint_slots.h
+++ b/src/agent/endpoint_slots.h
@@ -14,6 +14,12 @@
 
 namespace greengagehead::agent {
 
+/// An attempt and the slots that it takes.
+struct held_attempt {
+    attempt_key key;
+    std::uint32_t slots = 1;
+};
+
 /// Holds the keys of waiting attempts only; their records are in the outcome store.
 class endpoint_slots {
 public:
@@ -26,34 +32,43 @@
     [[nodiscard]] base::steady_time announced_at() const { return this->last_announced; }
     [[nodiscard]] bool offers(std::string const& kind) const;
 
-    /// Tasks that may run at a time: its slots, or its connections where those are fewer.
+    /// Slots that may be in use at a time: its own, or its connections where those are fewer.
     [[nodiscard]] std::uint32_t capacity() const;
-    [[nodiscard]] std::uint32_t used() const
-    {
-        return static_cast<std::uint32_t>(this->running.size());
-    }
+    /// Slots of the running attempts.
+    [[nodiscard]] std::uint32_t used() const;
     [[nodiscard]] bool full() const { return this->used() >= this->capacity(); }
-    [[nodiscard]] std::size_t queued() const { return this->waiting.size(); }
-    /// A slot or a place in the queue is free.
-    [[nodiscard]] bool has_room() const;
+    [[nodiscard]] bool idle() const { return this->running.empty() && this->waiting.empty(); }
+    /// Slots that the waiting attempts need.
+    [[nodiscard]] std::uint32_t queued() const;
+    /// The slots, or a place in the queue, are free.
+    [[nodiscard]] bool has_room(std::uint32_t slots) const;
 
-    void enqueue(attempt_key const& key) { this->waiting.push_back(key); }
-    /// Next attempt to start; empty while all slots are in use.
+    void enqueue(attempt_key const& key, std::uint32_t slots)
+    {
+        this->waiting.push_back({key, slots});
+    }
+    /// Next attempt to start; empty while too few slots are free for it.
     [[nodiscard]] std::optional<attempt_key> take_next();
     /// Removes an attempt from the queue. Returns false when it is not in there.
     bool remove(attempt_key const& key);
-    [[nodiscard]] std::deque<attempt_key> const& queue() const { return this->waiting; }
+    [[nodiscard]] std::deque<held_attempt> const& queue() const { return this->waiting; }
 
-    void acquire(attempt_key const& key) { this->running.push_back(key); }
-    void release(attempt_key const& key) { std::erase(this->running, key); }
-    [[nodiscard]] std::vector<attempt_key> const& running_attempts() const { return this->running; }
+    void acquire(attempt_key const& key, std::uint32_t slots)
+    {
+        this->running.push_back({key, slots});
+    }
+    void release(attempt_key const& key);
+    [[nodiscard]] std::vector<held_attempt> const& running_attempts() const
+    {
+        return this->running;
+    }
 
 private:
     announcement described;
     std::uint32_t queue_limit;
     base::steady_time last_announced;
-    std::vector<attempt_key> running;
-    std::deque<attempt_key> waiting;
+    std::vector<held_attempt> running;
+    std::deque<held_attempt> waiting;
 };
 
 } // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/entry_directory.cpp
@@ -0,0 +1,83 @@
+// Questions to control members, and the entries that their answers name.
+
+#include "agent/entry_directory.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace greengagehead::agent {
+
+namespace {
+
+/// An entry that starts is found within this time.
+constexpr std::chrono::milliseconds question_interval {500};
+
+} // namespace
+
+entry_directory::entry_directory(protocol::process_id agent, std::vector<std::string> members,
+                                 protocol::message_sender& out)
+    : self(std::move(agent)), controls(std::move(members)), sender(out)
+{
+    // Agents spread over the members.
+    if (!this->controls.empty())
+        this->target = std::hash<std::string> {}(this->self.name) % this->controls.size();
+}
+
+void entry_directory::receive(std::string const& peer, protocol::directory const& answer,
+                              base::steady_time /*now*/)
+{
+    if (!this->controls.empty() && peer == this->controls[this->target])
+        this->answered = true;
+    std::vector<std::string> names;
+    for (auto const& member : answer.controls)
+        names.push_back(member.name);
+    if (!names.empty() && names != this->controls) {
+        this->set_controls(std::move(names));
+        this->controls_known.emit(answer.controls);
+    }
+    if (answer.view <= this->known_view)
+        return;
+    this->known_view = answer.view;
+    for (auto const& entry : answer.entries) {
+        bool const known
+            = std::any_of(this->entries.begin(), this->entries.end(), [&entry](auto const& item) {
+                  return item.id.name == entry.id.name && item.link_address == entry.link_address;
+              });
+        if (!known)
+            this->entry_found.emit(entry.id.name, entry.link_address);
+    }
+    // An entry that has left the view may only be cut off from control: its link is kept.
+    for (auto const& entry : answer.entries) {
+        std::erase_if(this->entries,
+                      [&entry](auto const& item) { return item.id.name == entry.id.name; });
+        this->entries.push_back(entry);
+    }
+}
+
+void entry_directory::set_controls(std::vector<std::string> names)
+{
+    auto const current = this->controls.empty() ? std::string() : this->controls[this->target];
+    this->controls = std::move(names);
+    auto const found = std::find(this->controls.begin(), this->controls.end(), current);
+    this->target = found == this->controls.end()
+        ? 0
+        : static_cast<std::size_t>(found - this->controls.begin());
+}
+
+void entry_directory::tick(base::steady_time now)
+{
+    if (now >= this->next_question && !this->controls.empty())
+        this->ask(now);
+}
+
+void entry_directory::ask(base::steady_time now)
+{
+    if (!std::exchange(this->answered, false))
+        this->target = (this->target + 1) % this->controls.size();
+    this->next_question = now + question_interval;
+    this->sender.send(this->controls[this->target],
+                      protocol::directory_request {this->self, this->known_view});
+}
+
+} // namespace greengagehead::agent
--- a/src/agent/lease_book.cpp
+++ b/src/agent/lease_book.cpp
@@ -10,6 +10,9 @@
 
 void lease_book::note(protocol::lease_stamp const& stamp, base::steady_time now)
 {
+    // Without a lease the entry may hold an old view for any time, and permits nothing later.
+    if (!stamp.leased)
+        return;
     this->highest = std::max(this->highest, stamp.view);
     std::erase_if(this->stamps,
                   [now](auto const& item) { return base::from_reading(item.expires_at) <= now; });
--- /dev/null
+++ b/src/agent/leased_runner.cpp
@@ -0,0 +1,409 @@
+// Runs and their ends.
+
+#include "agent/leased_runner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/log_record.h"
+
+namespace greengagehead::agent {
+
+namespace {
+
+using protocol::outcome_kind;
+using std::chrono::milliseconds;
+
+constexpr milliseconds stop_interval {100};
+/// Without a run there is no lease to renew; the worker is asked now and then whether it is there.
+constexpr milliseconds idle_report_interval {300};
+/// Several ends within this time share one report.
+constexpr milliseconds report_gap {3};
+constexpr milliseconds unreachable_after {700};
+/// Run numbers and fencing tokens of an earlier life of this agent are not known here. They are
+/// passed by steps that grow no more than a few times.
+constexpr std::uint32_t most_start_tries = 6;
+constexpr std::uint64_t run_number_step = 16;
+constexpr std::uint64_t fence_step = 60'000;
+/// A run may be missing from one report that crossed its start.
+constexpr std::uint32_t missing_reports_until_over = 3;
+constexpr std::size_t most_numbers = 20'000;
+
+} // namespace
+
+leased_runner::leased_runner(leased_worker& port, lease_limits wanted, std::uint64_t first_fence,
+                             clock_source source)
+    : worker(port), limits(wanted), fence(first_fence), now(std::move(source)),
+      created(this->now()), last_contact(this->created),
+      leases_over(this->created
+                  + wanted.longest * (100 + wanted.clock_drift_percent) / 100),
+      alive(std::make_shared<bool>(true))
+{
+}
+
+leased_runner::~leased_runner() = default;
+
+std::string leased_runner::name_of(protocol::task_start const& task)
+{
+    return task.name.empty() ? task.task.job + "." + std::to_string(task.task.index) : task.name;
+}
+
+void leased_runner::start(run_request const& request, callback done)
+{
+    auto const name = name_of(request.task);
+    if (this->life.id.empty() || !this->is_settled || this->runs.contains(name)
+        || this->now() >= request.start_before) {
+        auto const* const reason = this->runs.contains(name)
+            ? "another run of the task has not ended yet"
+            : "the worker is not ready, or the lease or the deadline has ended";
+        return done({outcome_kind::not_run, {}, reason}, this->now());
+    }
+    auto& item = this->runs[name];
+    item.task = request.task;
+    item.done = std::move(done);
+    auto& number = this->numbers[name];
+    number = std::max<std::uint64_t>(number + 1, request.task.attempt);
+    item.run = {name, number};
+    this->send_start(item);
+}
+
+void leased_runner::send_start(open_run& item)
+{
+    ++item.tries;
+    auto const until = this->lease_end();
+    this->worker.start(this->terms(), item.run, item.task, until,
+                       [this, weak = std::weak_ptr(this->alive), name = item.run.task,
+                        number = item.run.number](worker_reply const& reply) {
+                           if (!weak.expired())
+                               this->on_started(name, number, reply);
+                       });
+}
+
+void leased_runner::on_started(std::string const& name, std::uint64_t number,
+                               worker_reply const& reply)
+{
+    this->note_clock(reply.clock);
+    auto const found = this->runs.find(name);
+    if (found == this->runs.end() || found->second.run.number != number)
+        return;
+    auto& item = found->second;
+    switch (reply.answer) {
+    case worker_answer::accepted:
+        this->note_contact();
+        item.state = phase::running;
+        item.known_since = this->reports_sent;
+        if (item.stop_wanted)
+            this->send_stop(item);
+        if (!this->report_open)
+            this->next_report = std::min(this->next_report, this->now() + report_gap);
+        return;
+    case worker_answer::old_run:
+        if (item.tries >= most_start_tries)
+            break;
+        item.run.number += run_number_step * item.tries;
+        this->numbers[name] = item.run.number;
+        return this->send_start(item);
+    case worker_answer::stale_fence:
+        this->raise_fence();
+        if (item.tries >= most_start_tries)
+            break;
+        return this->send_start(item);
+    case worker_answer::other_life:
+        return this->lose_life("the worker has restarted");
+    case worker_answer::no_answer:
+        base::log_record(base::log_event::start_unanswered)
+            .with("task", name)
+            .with("run", item.run.number)
+            .with("worker", this->life.id);
+        item.state = phase::doubtful;
+        item.known_since = this->reports_sent;
+        return item.stop_wanted ? this->send_stop(item) : this->send_report(report_kind::probe);
+    case worker_answer::too_late:
+    case worker_answer::no_room:
+    case worker_answer::unhealthy:
+    case worker_answer::rejected:
+    case worker_answer::not_sent:
+        break;
+    }
+    static constexpr std::string_view reasons[]
+        = {"accepted",     "fencing token too low", "run number too low",
+           "arrived late", "no room",               "the worker is unhealthy",
+           "restarted",    "rejected",              "the worker was not reached", "no answer"};
+    this->end(name,
+              {outcome_kind::not_run, {},
+               "the worker refused the start: "
+                   + std::string(reasons[static_cast<std::size_t>(reply.answer)])});
+}
+
+void leased_runner::stop(std::string const& /*url*/, protocol::task_ref const& task)
+{
+    for (auto& [name, item] : this->runs) {
+        if (item.task.task != task)
+            continue;
+        item.stop_wanted = true;
+        if (item.state == phase::running)
+            this->send_stop(item);
+        return;
+    }
+}
+
+void leased_runner::send_stop(open_run& item)
+{
+    item.stop_sent = true;
+    item.next_stop = this->now() + stop_interval;
+    this->worker.stop(this->terms(), item.run,
+                      [this, weak = std::weak_ptr(this->alive), name = item.run.task,
+                       number = item.run.number](worker_reply const& reply) {
+                          if (weak.expired())
+                              return;
+                          this->note_clock(reply.clock);
+                          if (reply.answer == worker_answer::other_life)
+                              return this->lose_life("the worker has restarted");
+                          if (reply.answer == worker_answer::stale_fence)
+                              return this->raise_fence();
+                          auto const found = this->runs.find(name);
+                          if (reply.answer != worker_answer::accepted || found == this->runs.end()
+                              || found->second.run.number != number)
+                              return;
+                          this->note_contact();
+                          auto& stopped = found->second;
+                          stopped.stop_answered = true;
+                          // From here on the worker refuses the start, so that a report without the
+                          // run shows that it is over.
+                          if (stopped.state == phase::doubtful) {
+                              stopped.known_since = this->reports_sent;
+                              stopped.missing = missing_reports_until_over - 1;
+                          }
+                          if (!this->report_open)
+                              this->next_report = this->now();
+                      });
+}
+
+void leased_runner::stop_foreign(worker_run const& run)
+{
+    base::log_record(base::log_event::foreign_run_stopped)
+        .with("task", run.task)
+        .with("run", run.number)
+        .with("worker", this->life.id);
+    auto& number = this->numbers[run.task];
+    number = std::max(number, run.number);
+    this->worker.stop(this->terms(), run, [](worker_reply const&) {});
+}
+
+void leased_runner::announced(worker_life const& wanted, std::optional<worker_clock> reading)
+{
+    // A delayed announcement of an earlier life says nothing about the present one.
+    if (!this->life.id.empty() && wanted.born < this->life.born)
+        return;
+    if (wanted != this->life) {
+        if (!this->life.id.empty())
+            this->lose_life("the worker has restarted");
+        this->life = wanted;
+        this->clock.reset();
+        this->seen_end = 0;
+        this->next_report = this->now();
+    }
+    this->note_clock(reading);
+}
+
+void leased_runner::note_clock(std::optional<worker_clock> reading)
+{
+    if (!reading)
+        return;
+    auto const time = this->now();
+    // Answers may overtake each other; the clock of one life never goes back.
+    if (this->clock && *reading < *this->clock)
+        return;
+    this->clock = reading;
+    this->clock_read_at = time;
+}
+
+worker_clock leased_runner::lease_end() const
+{
+    if (!this->clock)
+        return this->limits.longest;
+    auto const passed
+        = std::chrono::duration_cast<worker_clock>(this->now() - this->clock_read_at);
+    return *this->clock + passed + this->limits.longest;
+}
+
+void leased_runner::note_contact()
+{
+    this->last_contact = this->now();
+    if (!std::exchange(this->is_reachable, true))
+        this->reachable_changed.emit(true);
+}
+
+void leased_runner::tick()
+{
+    auto const time = this->now();
+    if (!this->is_settled && time >= this->leases_over) {
+        this->is_settled = true;
+        base::log_record(base::log_event::worker_settled).with("reason", "leases have lapsed");
+    }
+    if (!this->report_open && time >= this->next_report)
+        this->send_report(report_kind::renewal);
+    for (auto& [name, item] : this->runs) {
+        bool const stopping = item.stop_sent && !item.stop_answered;
+        if (stopping && time >= item.next_stop)
+            this->send_stop(item);
+    }
+    if (this->is_reachable && time - this->last_contact > unreachable_after) {
+        this->is_reachable = false;
+        base::log_record(base::log_event::worker_unreachable).with("worker", this->life.id);
+        this->reachable_changed.emit(false);
+    }
+    // A silent worker ends everything when its leases lapse, and refuses late starts.
+    if (!this->is_reachable && !this->runs.empty() && time >= this->leases_over) {
+        auto const names = [this] {
+            std::vector<std::string> all;
+            for (auto const& [name, item] : this->runs)
+                all.push_back(name);
+            return all;
+        }();
+        for (auto const& name : names)
+            this->end(name, {outcome_kind::unknown, {}, "the worker is silent"});
+    }
+}
+
+void leased_runner::send_report(report_kind kind)
+{
+    auto const time = this->now();
+    this->report_open |= kind == report_kind::renewal;
+    auto const number = ++this->reports_sent;
+    bool const waits = kind == report_kind::renewal && !this->runs.empty() && this->is_settled;
+    auto const wait = waits ? this->limits.report_wait : milliseconds(0);
+    auto const until = this->lease_end();
+    auto const longest = this->limits.longest * (100 + this->limits.clock_drift_percent) / 100;
+    // An order that is carried out late extends no lease beyond this: the end is absolute.
+    if (!this->runs.empty())
+        this->leases_over = std::max(this->leases_over, time + longest);
+    this->worker.report(this->terms(), until, this->seen_end, wait,
+                        [this, weak = std::weak_ptr(this->alive), number,
+                         kind](worker_report const& report) {
+                            if (!weak.expired())
+                                this->on_report(number, kind, report);
+                        });
+}
+
+void leased_runner::on_report(std::uint64_t number, report_kind kind, worker_report const& report)
+{
+    if (kind == report_kind::renewal)
+        this->report_open = false;
+    this->take_report(number, report);
+}
+
+void leased_runner::take_report(std::uint64_t number, worker_report const& report)
+{
+    this->next_report = this->now() + (this->runs.empty() ? idle_report_interval : report_gap);
+    if (report.reply.answer == worker_answer::other_life)
+        return this->lose_life("the worker has restarted");
+    if (report.reply.answer == worker_answer::stale_fence) {
+        this->next_report = this->now();
+        return this->raise_fence();
+    }
+    if (report.reply.answer != worker_answer::accepted) {
+        this->next_report = this->now() + stop_interval;
+        return;
+    }
+    this->note_clock(report.reply.clock);
+    this->note_contact();
+    for (auto const& ended : report.ended)
+        this->on_ended(ended);
+    this->check_listed(number, report);
+}
+
+void leased_runner::on_ended(ended_run const& ended)
+{
+    this->seen_end = std::max(this->seen_end, ended.number);
+    auto const found = this->runs.find(ended.run.task);
+    if (found == this->runs.end() || found->second.run != ended.run)
+        return;
+    switch (ended.how) {
+    case run_end::done:
+        return this->end(ended.run.task, {outcome_kind::succeeded, "null", {}});
+    case run_end::failed:
+        return this->end(ended.run.task, {outcome_kind::failed, {}, "the worker reports a failure"});
+    case run_end::stopped:
+        return this->end(ended.run.task, {outcome_kind::cancelled, {}, "stopped"});
+    case run_end::lapsed:
+        return this->end(ended.run.task, {outcome_kind::cancelled, {}, "its lease has lapsed"});
+    case run_end::broken:
+        return this->end(ended.run.task, {outcome_kind::cancelled, {}, "broken off"});
+    }
+}
+
+void leased_runner::check_listed(std::uint64_t number, worker_report const& report)
+{
+    bool foreign = false;
+    for (auto const& run : report.running) {
+        auto const known = this->runs.find(run.task);
+        if (known != this->runs.end() && known->second.run == run)
+            continue;
+        foreign = true;
+        this->stop_foreign(run);
+    }
+    if (foreign)
+        this->next_report = this->now() + report_gap;
+    if (!foreign && !std::exchange(this->is_settled, true))
+        base::log_record(base::log_event::worker_settled).with("reason", "nothing runs");
+    std::vector<std::string> over;
+    for (auto& [name, item] : this->runs) {
+        bool const listed = std::find(report.running.begin(), report.running.end(), item.run)
+            != report.running.end();
+        if (listed) {
+            item.missing = 0;
+            // The start has arrived although its answer was lost.
+            if (item.state == phase::doubtful && !item.stop_sent)
+                item.state = phase::running;
+            continue;
+        }
+        if (item.state == phase::doubtful && !item.stop_sent && number > item.known_since)
+            this->send_stop(item);
+        bool const expected = item.state == phase::running || item.stop_answered;
+        if (expected && number > item.known_since
+            && ++item.missing >= missing_reports_until_over)
+            over.push_back(name);
+    }
+    for (auto const& name : over)
+        this->end(name, {outcome_kind::cancelled, {}, "the worker does not list the run"});
+}
+
+void leased_runner::raise_fence()
+{
+    this->fence += fence_step;
+    base::log_record(base::log_event::fence_raised)
+        .with("worker", this->life.id)
+        .with("fence", this->fence);
+}
+
+void leased_runner::lose_life(std::string const& reason)
+{
+    base::log_record(base::log_event::worker_lost)
+        .with("worker", this->life.id)
+        .with("runs", this->runs.size())
+        .with("reason", reason);
+    this->life = {};
+    this->clock.reset();
+    this->seen_end = 0;
+    this->numbers.clear();
+    // `done` may start other tasks.
+    auto lost = std::exchange(this->runs, {});
+    for (auto& [name, item] : lost)
+        std::exchange(item.done, nullptr)({outcome_kind::unknown, {}, reason}, this->now());
+}
+
+void leased_runner::end(std::string const& name, run_result result)
+{
+    auto const found = this->runs.find(name);
+    if (found == this->runs.end())
+        return;
+    auto const done = std::move(found->second.done);
+    this->runs.erase(found);
+    if (this->numbers.size() > most_numbers)
+        this->numbers.clear();
+    done(std::move(result), this->now());
+}
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/leased_worker.h
@@ -0,0 +1,103 @@
+// Calls to an endpoint that runs tasks under leases on its own clock, in the product's terms. The
+// calls are carried by an adapter; what they mean for a run is decided in leased_runner.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/message.h"
+
+namespace greengagehead::agent {
+
+/// Reading of the worker's own steady clock. It starts anew with each life of the worker.
+using worker_clock = std::chrono::milliseconds;
+
+/// One life of a worker. A restarted worker may keep its id, but was born later.
+struct worker_life {
+    std::string id;
+    std::uint64_t born = 0;
+
+    bool operator==(worker_life const&) const = default;
+};
+
+/// One run of a task. A worker accepts a run only when its number is above those that it has
+/// stopped or ended before.
+struct worker_run {
+    std::string task;
+    std::uint64_t number = 0;
+
+    bool operator==(worker_run const&) const = default;
+};
+
+enum class worker_answer : std::uint8_t {
+    accepted,
+    stale_fence, ///< The worker has seen a higher fencing token. Nothing was done.
+    old_run, ///< A run of the same or a higher number was there before.
+    too_late, ///< The lease in the order had ended when the order arrived.
+    no_room, ///< The task does not fit beside what runs.
+    unhealthy, ///< The worker takes no orders now. Nothing was done.
+    other_life, ///< The worker has restarted since.
+    rejected, ///< The order itself is invalid.
+    not_sent, ///< The order never reached the worker.
+    no_answer, ///< The order may be carried out now or later.
+};
+
+struct worker_reply {
+    worker_answer answer = worker_answer::no_answer;
+    std::optional<worker_clock> clock; ///< When the worker answered.
+};
+
+enum class run_end : std::uint8_t {
+    done,
+    failed, ///< By its own fault or the worker's.
+    stopped, ///< On request.
+    lapsed, ///< Its lease ran out.
+    broken, ///< Another task that it depended on ended.
+};
+
+struct ended_run {
+    std::uint64_t number = 0; ///< Counts the ends in one life of the worker, from 1.
+    worker_run run;
+    run_end how = run_end::lapsed;
+};
+
+struct worker_report {
+    worker_reply reply;
+    std::vector<worker_run> running;
+    std::vector<ended_run> ended;
+};
+
+class leased_worker {
+public:
+    leased_worker() = default;
+    virtual ~leased_worker() = default;
+    leased_worker(leased_worker const&) = delete;
+    leased_worker& operator=(leased_worker const&) = delete;
+
+    /// What every order carries.
+    struct order {
+        std::uint64_t fence = 0;
+        worker_life life; ///< Only this life may carry it out; an empty id stands for any.
+    };
+
+    /// Starts a run. The lease of everything on the worker is extended to `lease_until`.
+    virtual void start(order const& terms, worker_run const& run, protocol::task_start const& task,
+                       worker_clock lease_until, std::function<void(worker_reply const&)> done)
+        = 0;
+    virtual void stop(order const& terms, worker_run const& run,
+                      std::function<void(worker_reply const&)> done)
+        = 0;
+    /// Extends the lease, acknowledges ends up to `seen_end`, and asks for what runs and what has
+    /// ended since. The worker answers at the next end, or after `wait`.
+    virtual void report(order const& terms, worker_clock lease_until, std::uint64_t seen_end,
+                        std::chrono::milliseconds wait,
+                        std::function<void(worker_report const&)> done)
+        = 0;
+};
+
+} // namespace greengagehead::agent
--- /dev/null
+++ b/src/agent/owner_watch.cpp
@@ -0,0 +1,28 @@
+// Silence and replacement of entries.
+
+#include "agent/owner_watch.h"
+
+#include <algorithm>
+
+namespace greengagehead::agent {
+
+void owner_watch::heard(protocol::process_id const& entry, base::steady_time now)
+{
+    this->entries[entry.name] = {entry.incarnation, now + this->silence};
+}
+
+void owner_watch::link_down(std::string const& peer, base::steady_time now)
+{
+    auto const found = this->entries.find(peer);
+    if (found != this->entries.end())
+        found->second.lost_at = std::min(found->second.lost_at, now + this->link_grace);
+}
+
+bool owner_watch::lost(protocol::process_id const& entry, base::steady_time now) const
+{
+    auto const found = this->entries.find(entry.name);
+    return found == this->entries.end() || found->second.incarnation != entry.incarnation
+        || found->second.lost_at <= now;
+}
+
+} // namespace greengagehead::agent
--- a/src/agent/start_admission.cpp
+++ b/src/agent/start_admission.cpp
@@ -8,6 +8,7 @@
 #include "agent/endpoint_list.h"
 #include "agent/lease_book.h"
 #include "agent/outcome_store.h"
+#include "agent/owner_watch.h"
 
 namespace greengagehead::agent {
 
@@ -40,8 +41,11 @@
     {&start_admission::not_cancelled, at_receipt, {"cancelled before it started"}},
     {&start_admission::serving, always, {"the agent shuts down"}},
     {&start_admission::sender_matches, at_receipt, {"the lease belongs to another entry"}},
+    {&start_admission::arrived_in_time, at_receipt, {"the start message is too old"}},
+    {&start_admission::owner_heard, at_start, {"the entry has not been heard for too long"}},
     {&start_admission::view_current, at_start, {"the lease is on a superseded view"}},
     {&start_admission::view_known, at_start, {"the view of the lease is not known here yet"}},
+    {&start_admission::zones_known, at_start, {"no view is known here yet"}},
     {&start_admission::lease_valid, at_start, {"the lease has expired"}},
     {&start_admission::entry_live, always, {"the entry is not part of the view"}},
     {&start_admission::zone_in, always, {"the zone is out"}},
@@ -56,9 +60,9 @@
 start_admission::start_admission(settings wanted, lease_book const& lease_source,
                                  outcome_store const& outcome_source,
                                  cancellation_book const& cancellation_source,
-                                 endpoint_list& endpoint_source)
+                                 endpoint_list& endpoint_source, owner_watch const& owner_source)
     : own(std::move(wanted)), leases(lease_source), outcomes(outcome_source),
-      cancellations(cancellation_source), endpoints(endpoint_source)
+      cancellations(cancellation_source), endpoints(endpoint_source), owners(owner_source)
 {
 }
 
@@ -100,22 +104,38 @@
 
 bool start_admission::lease_valid(start_request const& request, base::steady_time now) const
 {
-    return this->leases.valid(request.stamp, now);
+    return request.task.ephemeral
+        || (request.stamp.leased && this->leases.valid(request.stamp, now));
+}
+
+bool start_admission::arrived_in_time(start_request const& request, base::steady_time now) const
+{
+    return !request.task.ephemeral || this->leases.valid(request.stamp, now);
+}
+
+bool start_admission::owner_heard(start_request const& request, base::steady_time now) const
+{
+    return !request.task.ephemeral || !this->owners.lost(request.stamp.entry, now);
+}
+
+bool start_admission::zones_known(start_request const& /*request*/, base::steady_time /*now*/) const
+{
+    return this->leases.known_view() > 0;
 }
 
 bool start_admission::view_current(start_request const& request, base::steady_time /*now*/) const
 {
-    return request.stamp.view >= this->leases.highest_view();
+    return request.task.ephemeral || request.stamp.view >= this->leases.highest_view();
 }
 
 bool start_admission::view_known(start_request const& request, base::steady_time /*now*/) const
 {
-    return request.stamp.view == this->leases.known_view();
+    return request.task.ephemeral || request.stamp.view == this->leases.known_view();
 }
 
 bool start_admission::entry_live(start_request const& request, base::steady_time /*now*/) const
 {
-    return this->leases.live(request.stamp.entry);
+    return request.task.ephemeral || this->leases.live(request.stamp.entry);
 }
 
 bool start_admission::zone_in(start_request const& /*request*/, base::steady_time /*now*/) const
@@ -142,7 +162,8 @@
 bool start_admission::endpoint_staying(start_request const& request,
                                        base::steady_time /*now*/) const
 {
-    return !this->leases.draining(request.task.endpoint);
+    return !this->leases.draining(request.task.endpoint)
+        && !this->endpoints.present(request.task.endpoint)->description().draining;
 }
 
 bool start_admission::kind_offered(start_request const& request, base::steady_time /*now*/) const
@@ -152,7 +173,7 @@
 
 bool start_admission::room_left(start_request const& request, base::steady_time /*now*/) const
 {
-    return this->endpoints.present(request.task.endpoint)->has_room();
+    return this->endpoints.present(request.task.endpoint)->has_room(request.task.slots);
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/start_admission.h
+++ b/src/agent/start_admission.h
@@ -16,6 +16,7 @@
 class endpoint_list;
 class lease_book;
 class outcome_store;
+class owner_watch;
 
 /// Point at which an attempt is checked.
 enum class admission_stage : std::uint8_t {
@@ -42,7 +43,8 @@
     };
 
     start_admission(settings own, lease_book const& leases, outcome_store const& outcomes,
-                    cancellation_book const& cancellations, endpoint_list& endpoints);
+                    cancellation_book const& cancellations, endpoint_list& endpoints,
+                    owner_watch const& owners);
 
     /// The first check that fails; empty when the attempt may start.
     [[nodiscard]] std::optional<refusal> refuse(start_request const& request, admission_stage stage,
@@ -62,6 +64,9 @@
     [[nodiscard]] bool serving(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool sender_matches(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool lease_valid(start_request const& request, base::steady_time now) const;
+    [[nodiscard]] bool arrived_in_time(start_request const& request, base::steady_time now) const;
+    [[nodiscard]] bool owner_heard(start_request const& request, base::steady_time now) const;
+    [[nodiscard]] bool zones_known(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool view_current(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool view_known(start_request const& request, base::steady_time) const;
     [[nodiscard]] bool entry_live(start_request const& request, base::steady_time) const;
@@ -78,6 +83,7 @@
     outcome_store const& outcomes;
     cancellation_book const& cancellations;
     endpoint_list& endpoints;
+    owner_watch const& owners;
     bool shutting_down = false;
 };
 
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -4,6 +4,7 @@
 
 #include "app/peer_wiring.h"
 #include "base/random.h"
+#include <variant>
 
 namespace greengagehead::app {
 
@@ -15,6 +16,7 @@
     core.id = {settings::peer_name(settings::role::agent, settings.name), base::random_number()};
     core.region = settings.region;
     core.zone = settings.zone;
+    core.announcement_interval = settings.announcement_interval;
     // A task may run until the longest deadline, and its job may be asked about until its claim
     // expires.
     core.outcome_retention = settings.limits.longest_deadline + settings.timing.claim_retention;
@@ -23,16 +25,52 @@
 
 } // namespace
 
-agent_task::agent_task(settings::process_settings const& settings,
-                       std::vector<settings::peer_settings> const& entries)
-    : role_task({settings::peer_name(settings::role::agent, settings.name), settings.fleet_key}),
-      client(this->loop), runner(this->loop, this->client),
-      core(core_settings(settings), this->hub, this->runner, steady_now()), routes(this->core),
-      server(this->loop, {settings.limits.body_bytes, settings.limits.header_bytes},
+agent_task::agent_task(settings::process_settings const& own,
+                       std::vector<settings::peer_settings> const& entries,
+                       adapter_set const& adapters)
+    : role_task({settings::peer_name(settings::role::agent, own.name), own.fleet_key}),
+      settings(own), client(this->loop), runner(this->loop, this->client),
+      adapter(adapters.agent ? adapters.agent(this->loop) : nullptr),
+      core(core_settings(own), this->hub,
+           this->adapter ? this->adapter->runner() : static_cast<agent::endpoint_runner&>(this->runner),
+           steady_now()),
+      routes(this->core),
+      server(this->loop, {own.limits.body_bytes, own.limits.header_bytes},
              [this](auto& request, auto const& exchange) { this->routes(request, exchange); })
 {
     wire_core(this->hub, this->core);
+    if (this->adapter)
+        this->adapter->connect(this->core);
+    this->connect(entries);
+}
+
+void agent_task::connect(std::vector<settings::peer_settings> const& entries)
+{
     connect_peers(this->hub, settings::role::entry, entries);
+    if (!entries.empty())
+        return;
+    auto const links = settings::control_links(this->settings);
+    connect_peers(this->hub, settings::role::control, links);
+    std::vector<std::string> names;
+    for (auto const& member : links)
+        names.push_back(settings::peer_name(settings::role::control, member.name));
+    this->directory = std::make_unique<agent::entry_directory>(
+        protocol::process_id {settings::peer_name(settings::role::agent, this->settings.name), 0},
+        std::move(names), this->hub);
+    this->directory->entry_found.connect([this](std::string const& name, std::string const& place) {
+        if (auto const address = transport::parse_address(place))
+            this->hub.keep_connected(name, address.value());
+    });
+    this->directory->controls_known.connect(
+        [this](auto const& members) { dial_members(this->hub, members); });
+    this->hub.message_received.connect(
+        [this](std::string const& peer, protocol::message& body) { this->receive(peer, body); });
+}
+
+void agent_task::receive(std::string const& peer, protocol::message& body)
+{
+    if (auto const* const answer = std::get_if<protocol::directory>(&body))
+        this->directory->receive(peer, *answer, steady_now());
 }
 
 agent_task::~agent_task()
@@ -42,17 +80,27 @@
 
 base::result<transport::socket_address> agent_task::open(settings::process_settings const& settings)
 {
+    if (this->adapter) {
+        BOOST_OUTCOME_TRYV(this->adapter->open());
+    }
     BOOST_OUTCOME_TRY(address, transport::parse_address(settings.agent_announce));
     return this->server.listen(address);
 }
 
 void agent_task::tick(base::steady_time now)
 {
+    if (this->adapter)
+        this->adapter->tick(now);
     this->core.tick(now);
+    // Entries hear of this agent only once it may take on work.
+    if (this->directory && (!this->adapter || this->adapter->ready()))
+        this->directory->tick(now);
 }
 
 void agent_task::begin_shutdown(base::steady_time now)
 {
+    if (this->adapter)
+        this->adapter->begin_shutdown(now);
     this->core.begin_shutdown(now);
 }
 
--- a/src/app/agent_task.h
+++ b/src/app/agent_task.h
@@ -2,11 +2,15 @@
 
 #pragma once
 
+#include <memory>
+#include <string>
 #include <vector>
 
 #include "agent/agent_core.h"
 #include "agent/announce_routes.h"
+#include "agent/entry_directory.h"
 #include "agent/http_endpoint_runner.h"
+#include "app/adapter.h"
 #include "app/role_task.h"
 #include "settings/process_settings.h"
 #include "transport/http_client.h"
@@ -16,9 +20,9 @@
 
 class agent_task : public role_task {
 public:
-    /// @param entries the entries to report to.
+    /// @param entries the entries to report to. With none, control members are asked for them.
     agent_task(settings::process_settings const& settings,
-               std::vector<settings::peer_settings> const& entries);
+               std::vector<settings::peer_settings> const& entries, adapter_set const& adapters);
     ~agent_task() override;
     agent_task(agent_task const&) = delete;
     agent_task& operator=(agent_task const&) = delete;
@@ -32,11 +36,17 @@
     [[nodiscard]] bool idle() const override;
 
 private:
+    void connect(std::vector<settings::peer_settings> const& entries);
+    void receive(std::string const& peer, protocol::message& body);
+
+    settings::process_settings settings;
     transport::http_client client;
     agent::http_endpoint_runner runner;
+    std::unique_ptr<agent_adapter> adapter; // Null without a deployment adapter.
     agent::agent_core core;
     agent::announce_routes routes;
     transport::http_server server;
+    std::unique_ptr<agent::entry_directory> directory; // Null when the settings name the entries.
 };
 
 } // namespace greengagehead::app
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -2,6 +2,7 @@
 
 #include "app/control_task.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -14,6 +15,9 @@
 using settings::role;
 
 constexpr std::chrono::milliseconds dial_interval {1'000};
+/// A member that restarts, or is cut off for a few seconds, is not replaced; one that is lost is,
+/// before a second loss becomes likely.
+constexpr std::chrono::milliseconds replace_lost_member_after {12'000};
 
 protocol::wall_time wall_now()
 {
@@ -28,7 +32,10 @@
     log.name = settings::peer_name(role::control, settings.name);
     log.address = address.to_string();
     log.folder = settings.data_folder;
-    for (auto const& member : settings.controls)
+    log.may_found = settings.bootstrap;
+    if (settings.control_link_port != 0)
+        log.replace_after = replace_lost_member_after;
+    for (auto const& member : settings::control_links(settings))
         log.initial.push_back({settings::peer_name(role::control, member.name), member.address});
     if (log.initial.empty())
         log.initial.push_back({log.name, log.address});
@@ -46,9 +53,17 @@
 
 } // namespace
 
-control_task::control_task(settings::process_settings const& settings)
-    : role_task({settings::peer_name(role::control, settings.name), settings.fleet_key})
+control_task::control_task(settings::process_settings const& settings, adapter_set const& adapters)
+    : role_task({settings::peer_name(role::control, settings.name), settings.fleet_key}),
+      requests(this->hub)
 {
+    this->requests.connect([this](std::string const& peer, protocol::control_request const& request,
+                                  base::steady_time now) {
+        this->core->receive(peer, request, now);
+        this->flush_later();
+    });
+    if (adapters.control)
+        this->adapter = adapters.control(this->loop, this->requests);
 }
 
 control_task::~control_task()
@@ -63,16 +78,24 @@
     BOOST_OUTCOME_TRY(address, this->hub.listen(wanted));
     BOOST_OUTCOME_TRYV(this->open_log(settings, address));
     this->configured.insert(settings::peer_name(role::control, settings.name));
-    for (auto const& member : settings.controls) {
+    for (auto const& member : settings::control_links(settings)) {
         this->configured.insert(settings::peer_name(role::control, member.name));
-        // One link per pair of members is enough: the one with the lower name dials.
+        // One link per pair of members is enough: the one with the lower name dials. A member that
+        // the others do not know of dials them all.
         auto const peer_address = transport::parse_address(member.address);
-        if (settings.name < member.name && peer_address)
+        bool const listed = std::any_of(
+            settings.controls.begin(), settings.controls.end(),
+            [&settings](auto const& other) { return other.name == settings.name; });
+        if (member.name != settings.name && (settings.name < member.name || !listed)
+            && peer_address)
             this->hub.keep_connected(settings::peer_name(role::control, member.name),
                                      peer_address.value());
     }
     this->hub.message_received.connect(
         [this](std::string const& peer, protocol::message& body) { this->receive(peer, body); });
+    if (this->adapter) {
+        BOOST_OUTCOME_TRYV(this->adapter->open());
+    }
     return address;
 }
 
@@ -85,7 +108,8 @@
         consensus::durable_log::open(log_settings(settings, address), this->files, this->hub, now));
     this->log = std::move(opened);
     this->core
-        = std::make_unique<control::control_core>(core_settings(settings), this->hub, *this->log);
+        = std::make_unique<control::control_core>(core_settings(settings), this->requests,
+                                                           *this->log);
     this->log->start(now);
     return boost::outcome_v2::success();
 }
@@ -126,17 +150,24 @@
     this->log->tick(now);
     this->core->tick(now, wall_now());
     this->log->flush(now);
+    this->requests.tick(now);
+    if (this->adapter)
+        this->adapter->tick(now);
     if (now - this->last_dial >= dial_interval) {
         this->last_dial = now;
         this->dial_new_members();
     }
 }
 
-void control_task::begin_shutdown(base::steady_time /*now*/) { }
+void control_task::begin_shutdown(base::steady_time now)
+{
+    if (this->adapter)
+        this->adapter->begin_shutdown(now);
+}
 
 bool control_task::idle() const
 {
-    return true;
+    return this->adapter == nullptr || this->adapter->idle();
 }
 
 } // namespace greengagehead::app
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -6,9 +6,11 @@
 #include <set>
 #include <string>
 
+#include "app/adapter.h"
 #include "app/role_task.h"
 #include "consensus/durable_log.h"
 #include "control/control_core.h"
+#include "control/local_requests.h"
 #include "settings/process_settings.h"
 #include "storage/posix_file_system.h"
 
@@ -16,7 +18,7 @@
 
 class control_task : public role_task {
 public:
-    explicit control_task(settings::process_settings const& settings);
+    control_task(settings::process_settings const& settings, adapter_set const& adapters);
     ~control_task() override;
     control_task(control_task const&) = delete;
     control_task& operator=(control_task const&) = delete;
@@ -40,7 +42,9 @@
 
     storage::posix_file_system files;
     std::unique_ptr<consensus::durable_log> log;
+    control::local_requests requests;
     std::unique_ptr<control::control_core> core;
+    std::unique_ptr<role_adapter> adapter; // Null without a deployment adapter.
     bool flush_pending = false;
     std::set<std::string> configured; // Peer names in the settings, this member included.
     base::steady_time last_dial;
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -17,6 +17,7 @@
     core.region = settings.region;
     core.zone = settings.zone;
     core.http_address = settings.entry_http;
+    core.link_address = settings.entry_listen;
     for (auto const& control : controls)
         core.controls.push_back(settings::peer_name(settings::role::control, control.name));
     core.placement = settings.placement;
@@ -28,7 +29,8 @@
 } // namespace
 
 entry_task::entry_task(settings::process_settings const& own,
-                       std::vector<settings::peer_settings> const& controls)
+                       std::vector<settings::peer_settings> const& controls,
+                       adapter_set const& adapters)
     : role_task({settings::peer_name(settings::role::entry, own.name), own.fleet_key}),
       settings(own), core(core_settings(own, controls), this->hub, steady_now()),
       routes(this->core, this->settings),
@@ -45,6 +47,10 @@
             others.push_back(peer);
     }
     connect_peers(this->hub, settings::role::entry, others);
+    this->core.controls_known.connect(
+        [this](auto const& members) { dial_members(this->hub, members); });
+    if (adapters.entry)
+        this->adapter = adapters.entry(this->loop, this->core);
 }
 
 entry_task::~entry_task()
@@ -61,16 +67,23 @@
 base::result<transport::socket_address> entry_task::open_http()
 {
     BOOST_OUTCOME_TRY(address, transport::parse_address(this->settings.entry_http));
+    if (this->adapter) {
+        BOOST_OUTCOME_TRYV(this->adapter->open());
+    }
     return this->server.listen(address);
 }
 
 void entry_task::tick(base::steady_time now)
 {
     this->core.tick(now);
+    if (this->adapter)
+        this->adapter->tick(now);
 }
 
-void entry_task::begin_shutdown(base::steady_time /*now*/)
+void entry_task::begin_shutdown(base::steady_time now)
 {
+    if (this->adapter)
+        this->adapter->begin_shutdown(now);
     this->leaving = true;
     this->routes.begin_shutdown();
     this->leave_timer = this->loop.after(this->settings.timing.leave_delay, [this] {
@@ -81,7 +94,8 @@
 
 bool entry_task::idle() const
 {
-    return !this->leaving && this->core.idle() && this->server.open_exchanges() == 0;
+    return !this->leaving && this->core.idle() && this->server.open_exchanges() == 0
+        && (this->adapter == nullptr || this->adapter->idle());
 }
 
 } // namespace greengagehead::app
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "api/entry_routes.h"
+#include "app/adapter.h"
 #include "app/role_task.h"
 #include "entry/entry_core.h"
 #include "settings/process_settings.h"
@@ -17,7 +18,7 @@
 public:
     /// @param controls the control members.
     entry_task(settings::process_settings const& settings,
-               std::vector<settings::peer_settings> const& controls);
+               std::vector<settings::peer_settings> const& controls, adapter_set const& adapters);
     ~entry_task() override;
     entry_task(entry_task const&) = delete;
     entry_task& operator=(entry_task const&) = delete;
@@ -37,6 +38,7 @@
     entry::entry_core core;
     api::entry_routes routes;
     transport::http_server server;
+    std::unique_ptr<role_adapter> adapter; // Null without a deployment adapter.
     std::unique_ptr<transport::loop_timer> leave_timer; // Runs while /readyz fails already.
     bool leaving = false;
 };
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -31,7 +31,10 @@
 /// The roles of one process. Members are destroyed in reverse order: agent, entry, control.
 class role_set {
 public:
-    explicit role_set(settings::process_settings wanted) : settings(std::move(wanted)) { }
+    role_set(settings::process_settings wanted, adapter_set attached)
+        : settings(std::move(wanted)), adapters(std::move(attached))
+    {
+    }
 
     base::result<void> open()
     {
@@ -47,6 +50,20 @@
         return boost::outcome_v2::success();
     }
 
+    /// Takes over from new settings what can change without a restart: the control members to ask.
+    void apply(settings::process_settings const& wanted)
+    {
+        base::log_record(base::log_event::settings_reloaded)
+            .with("process", wanted.name)
+            .with("controls", wanted.controls.size());
+        auto const links = settings::control_links(wanted);
+        for (role_task* const task : std::initializer_list<role_task*> {
+                 this->control.get(), this->entry.get(), this->agent.get()}) {
+            if (task != nullptr)
+                task->dial_controls(links, settings::peer_name(role::control, wanted.name));
+        }
+    }
+
     /// Ends the roles one after the other: the entry needs its agents and control until the last
     /// answer, so it goes first.
     void shut_down(transport::event_loop& main_loop, std::function<void()> done)
@@ -73,7 +90,7 @@
 private:
     base::result<void> open_control()
     {
-        this->control = std::make_unique<control_task>(this->settings);
+        this->control = std::make_unique<control_task>(this->settings, this->adapters);
         BOOST_OUTCOME_TRY(address, this->control->open(this->settings));
         log_listening("control links", address);
         if (this->settings.controls.empty())
@@ -84,7 +101,8 @@
 
     base::result<void> open_entry()
     {
-        this->entry = std::make_unique<entry_task>(this->settings, this->settings.controls);
+        this->entry = std::make_unique<entry_task>(
+            this->settings, settings::control_links(this->settings), this->adapters);
         BOOST_OUTCOME_TRY(links, this->entry->open_links());
         BOOST_OUTCOME_TRY(http, this->entry->open_http());
         log_listening("entry links", links);
@@ -97,7 +115,8 @@
 
     base::result<void> open_agent()
     {
-        this->agent = std::make_unique<agent_task>(this->settings, this->settings.entries);
+        this->agent = std::make_unique<agent_task>(this->settings, this->settings.entries,
+                                                   this->adapters);
         BOOST_OUTCOME_TRY(address, this->agent->open(this->settings));
         log_listening("announcements", address);
         this->agent->start();
@@ -105,18 +124,20 @@
     }
 
     settings::process_settings settings;
+    adapter_set adapters;
     std::unique_ptr<control_task> control;
     std::unique_ptr<entry_task> entry;
     std::unique_ptr<agent_task> agent;
 };
 
-/// Turns SIGTERM and SIGINT into one graceful shutdown.
+/// Calls an action for each of some signals.
 class signal_watch {
 public:
-    signal_watch(transport::event_loop& loop, std::function<void()> action)
+    signal_watch(transport::event_loop& loop, std::vector<int> const& numbers,
+                 std::function<void()> action)
         : on_signal(std::move(action))
     {
-        for (int const number : {SIGTERM, SIGINT}) {
+        for (int const number : numbers) {
             event* const watched = evsignal_new(loop.base(), number, &signal_watch::fire, this);
             event_add(watched, nullptr);
             this->events.push_back(watched);
@@ -144,7 +165,8 @@
 
 } // namespace
 
-base::result<void> run_process(settings::process_settings settings)
+base::result<void> run_process(settings::process_settings settings, adapter_set adapters,
+                               settings_source reload)
 {
     std::signal(SIGPIPE, SIG_IGN);
     transport::event_loop main_loop;
@@ -154,12 +176,17 @@
         .with("process", settings.name)
         .with("zone", settings.zone)
         .with("data", settings.data_folder);
-    role_set roles(std::move(settings));
+    role_set roles(std::move(settings), std::move(adapters));
     BOOST_OUTCOME_TRYV(roles.open());
 
     bool stopping = false;
     std::unique_ptr<transport::loop_timer> limit;
-    signal_watch const watch(main_loop, [&] {
+    signal_watch const hang_up(main_loop, {SIGHUP}, [&] {
+        auto const wanted = reload ? reload() : std::nullopt;
+        if (wanted)
+            roles.apply(*wanted);
+    });
+    signal_watch const watch(main_loop, {SIGTERM, SIGINT}, [&] {
         if (stopping)
             return main_loop.stop();
         stopping = true;
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "app/peer_wiring.h"
+
 namespace greengagehead::app {
 
 namespace {
@@ -39,6 +41,19 @@
     });
 }
 
+void role_task::dial_controls(std::vector<settings::peer_settings> const& members,
+                              std::string const& self)
+{
+    this->loop.post([this, members, self] {
+        std::vector<settings::peer_settings> others;
+        for (auto const& member : members) {
+            if (settings::peer_name(settings::role::control, member.name) != self)
+                others.push_back(member);
+        }
+        connect_peers(this->hub, settings::role::control, others);
+    });
+}
+
 void role_task::check_shutdown()
 {
     if (!this->on_shut_down || !this->idle())
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -7,9 +7,11 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "settings/process_settings.h"
 #include "transport/event_loop.h"
 #include "transport/link_hub.h"
 
@@ -28,6 +30,9 @@
     void start();
     /// Lets work in progress finish, then calls `done` on the task's thread. Thread-safe.
     void shut_down(std::function<void()> done);
+    /// Keeps links to further control members, except to `self`. Thread-safe.
+    void dial_controls(std::vector<settings::peer_settings> const& members,
+                       std::string const& self);
     /// Ends the thread at once. Thread-safe.
     void stop();
 
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -31,10 +31,12 @@
           "Load a running fleet and measure its answers.", &bench_verb},
 };
 
-void print_usage(std::ostream& output)
+void print_usage(std::ostream& output, std::span<verb const> further)
 {
     output << "usage: greengagehead VERB [OPTIONS]\n\n";
-    for (auto const& item : verbs)
+    std::vector<verb> all(verbs.begin(), verbs.end());
+    all.insert(all.end(), further.begin(), further.end());
+    for (auto const& item : all)
         output << "  " << item.usage << "\n      " << item.summary << "\n";
     output << "\nEach verb has --help. Exit codes: 0 done, 1 failed or refused, 2 wrong usage or "
               "settings.\n";
@@ -42,18 +44,23 @@
 
 } // namespace
 
-exit_code run_command_line(std::span<char const* const> words)
+exit_code run_command_line(std::span<char const* const> words, std::span<verb const> further)
 {
     std::string const name = words.size() > 1 ? words[1] : "";
     if (name == "--help" || name == "-h" || name == "help") {
-        print_usage(std::cout);
+        print_usage(std::cout, further);
         return exit_code::done;
     }
-    auto const* const found = std::find_if(verbs.begin(), verbs.end(),
-                                           [&name](verb const& item) { return item.name == name; });
-    if (found == verbs.end()) {
+    auto const named = [&name](verb const& item) { return item.name == name; };
+    verb const* found = nullptr;
+    for (auto const& list : {std::span<verb const>(verbs), further}) {
+        auto const match = std::find_if(list.begin(), list.end(), named);
+        if (found == nullptr && match != list.end())
+            found = &*match;
+    }
+    if (found == nullptr) {
         std::cerr << (name.empty() ? "a verb is required" : "unknown verb " + name) << "\n\n";
-        print_usage(std::cerr);
+        print_usage(std::cerr, further);
         return exit_code::usage;
     }
     return found->run({words.begin() + 2, words.end()});
--- a/src/cli/command_line.h
+++ b/src/cli/command_line.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "app/adapter.h"
 #include "cli/exit_code.h"
 
 namespace greengagehead::cli {
@@ -23,7 +24,13 @@
 };
 
 /// Runs the verb that the command line names.
-[[nodiscard]] exit_code run_command_line(std::span<char const* const> words);
+/// @param further verbs of a deployment adapter.
+[[nodiscard]] exit_code run_command_line(std::span<char const* const> words,
+                                         std::span<verb const> further = {});
+
+/// Runs the roles of a settings file until the process is told to stop, with the adapters of a
+/// deployment attached. The file is read again on SIGHUP.
+[[nodiscard]] exit_code run_settings_file(std::string const& file, app::adapter_set adapters);
 
 // --- run_verbs.cpp ---
 [[nodiscard]] exit_code run_verb(arguments const& words);
--- a/src/cli/run_verbs.cpp
+++ b/src/cli/run_verbs.cpp
@@ -2,11 +2,14 @@
 
 #include <array>
 #include <iostream>
+#include <optional>
 #include <string_view>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
 #include "app/process.h"
+#include "base/log_record.h"
 #include "base/log_sink.h"
 #include "cli/command_line.h"
 #include "cli/verb_options.h"
@@ -37,11 +40,12 @@
     return exit_code::usage;
 }
 
-exit_code run_with(settings::process_settings const& wanted)
+exit_code run_with(settings::process_settings const& wanted, app::adapter_set adapters,
+                   app::settings_source reload)
 {
     auto const style = wanted.log_format == "json" ? base::log_style::json : base::log_style::text;
     base::open_log(style, severity_of(wanted.log_level));
-    auto const ended = app::run_process(wanted);
+    auto const ended = app::run_process(wanted, std::move(adapters), std::move(reload));
     base::flush_log();
     if (ended)
         return exit_code::done;
@@ -49,8 +53,27 @@
     return exit_code::failed;
 }
 
+/// Reads the file again. Problems are logged, and the process keeps its settings.
+std::optional<settings::process_settings> read_again(std::string const& file)
+{
+    auto check = settings::read_settings_file(file);
+    for (auto const& problem : check.problems)
+        base::log_record(base::log_event::settings_rejected).with("problem", problem.to_string());
+    if (!check.problems.empty())
+        return std::nullopt;
+    return std::move(check.settings);
+}
+
 } // namespace
 
+exit_code run_settings_file(std::string const& file, app::adapter_set adapters)
+{
+    auto const check = settings::read_settings_file(file);
+    if (!check.problems.empty())
+        return report(check);
+    return run_with(check.settings, std::move(adapters), [file] { return read_again(file); });
+}
+
 exit_code run_verb(arguments const& words)
 {
     verb_options options("run", "Run the roles of a settings file, or all roles on loopback.");
@@ -84,7 +107,10 @@
             return options.ended;
         }
     }
-    return run_with(wanted);
+    app::settings_source reload;
+    if (parsed->count("config") > 0)
+        reload = [file = (*parsed)["config"].as<std::string>()] { return read_again(file); };
+    return run_with(wanted, {}, std::move(reload));
 }
 
 exit_code check_verb(arguments const& words)
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -33,6 +33,8 @@
     /// Members of the first start. A member that is not listed is a standby: it announces itself to
     /// the listed ones and waits to be added.
     std::vector<group_address> initial;
+    /// Whether this member may found the group. With false it waits to be let in.
+    bool may_found = true;
     std::uint64_t seed = 0; ///< Source of identity and timeouts; 0 takes it from the system.
     raft_timing timing;
     /// A voter unreachable for this long is replaced by an announced standby; 0 for never.
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -37,6 +37,27 @@
         this->renew(peer, *renewal, now);
     else if (auto const* request = std::get_if<protocol::control_request>(&body))
         this->request(peer, *request, now);
+    else if (auto const* lookup = std::get_if<protocol::directory_request>(&body))
+        this->answer_directory(peer, *lookup);
+}
+
+/// Every member answers: an agent that reads an older list only learns of an entry later.
+void control_core::answer_directory(std::string const& peer,
+                                    protocol::directory_request const& request)
+{
+    auto const view = this->state.view();
+    protocol::directory answer {view, {}, this->member_addresses()};
+    if (request.known_view < view)
+        answer.entries = this->state.entries().list();
+    this->sender.send(peer, answer);
+}
+
+std::vector<protocol::member_address> control_core::member_addresses() const
+{
+    std::vector<protocol::member_address> list;
+    for (auto const& member : this->log.members())
+        list.push_back({member.name, member.address});
+    return list;
 }
 
 void control_core::tick(base::steady_time now, protocol::wall_time wall)
@@ -70,7 +91,8 @@
     auto& seen = this->seen_takeovers[renewal.entry];
     seen = std::max(seen, renewal.seen_takeover);
     auto const* known = this->state.entries().find(renewal.entry.name);
-    if (known->zone != renewal.zone || known->http_address != renewal.http_address)
+    if (known->zone != renewal.zone || known->http_address != renewal.http_address
+        || known->link_address != renewal.link_address)
         this->join(renewal, now);
     this->advance_in_force(now);
     this->grant(peer, renewal, now);
@@ -95,7 +117,8 @@
 {
     if (!this->joining.insert(renewal.entry).second)
         return;
-    protocol::join_entry join {renewal.entry, renewal.zone, renewal.http_address};
+    protocol::join_entry join {renewal.entry, renewal.zone, renewal.http_address,
+                               renewal.link_address};
     if (!this->propose(std::move(join), now))
         this->joining.erase(renewal.entry);
 }
@@ -111,7 +134,8 @@
         return;
     auto const end = this->leases.grant(renewal.entry, renewal.entry_clock, view, now);
     log_record(log_event::lease_granted).with("entry", renewal.entry.name).with("view", view);
-    this->sender.send(peer, protocol::grant_lease {renewal.entry.incarnation, end, view});
+    this->sender.send(peer, protocol::grant_lease {renewal.entry.incarnation, end, view,
+                                                   this->member_addresses()});
 }
 
 bool control_core::authoritative(steady_time now) const
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -41,7 +41,7 @@
     control_core(control_core const&) = delete;
     control_core& operator=(control_core const&) = delete;
 
-    /// Handles renew_lease and control_request; ignores all other messages.
+    /// Handles renew_lease, control_request and directory_request; ignores all other messages.
     void receive(std::string const& peer, protocol::message const& body, base::steady_time now);
     /// Expected every 10 ms. `wall` is the time since the Unix epoch.
     void tick(base::steady_time now, protocol::wall_time wall);
@@ -62,6 +62,9 @@
     void join(protocol::renew_lease const& renewal, steady_time now);
     void grant(std::string const& peer, protocol::renew_lease const& renewal, steady_time now);
 
+    void answer_directory(std::string const& peer, protocol::directory_request const& request);
+    [[nodiscard]] std::vector<protocol::member_address> member_addresses() const;
+
     void request(std::string const& peer, protocol::control_request const& request,
                  steady_time now);
     void serve(request_origin const& origin, protocol::control_request_body const& body,
--- a/src/entry/agent_outbox.cpp
+++ b/src/entry/agent_outbox.cpp
@@ -40,8 +40,12 @@
     for (auto& [slot, batch] : this->starts) {
         auto& agent = this->agents.at(slot);
         // Without a stamp the starts count as lost on the way; the attempt check sends them again.
-        auto const stamp = this->leases.stamp(agent, now);
-        if (stamp)
+        auto stamp = this->leases.stamp(agent, now);
+        if (!stamp) {
+            std::erase_if(batch, [](auto const& start) { return !start.ephemeral; });
+            stamp = this->leases.unleased_stamp(agent, now);
+        }
+        if (stamp && !batch.empty())
             this->sender.send(
                 agent.id.name,
                 protocol::start_batch {*stamp, agent.id.incarnation, std::move(batch)});
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -31,6 +31,11 @@
 constexpr milliseconds first_pause {10};
 constexpr milliseconds longest_pause {500};
 constexpr std::uint16_t most_retries = 5;
+/// From an agent's silence until every ephemeral run that it had from this entry has ended: it
+/// stops them itself when it has not heard from the entry for 900 ms, and where it is frozen or
+/// gone, the endpoint ends them when their lease of one second, by a clock that may be 2% slow,
+/// lapses.
+constexpr milliseconds ephemeral_run_limit {2000};
 
 milliseconds pause_after(std::uint16_t refusals)
 {
@@ -209,9 +214,9 @@
 
 void attempt_tracker::close(job& job, task& task, attempt const& open, microseconds run_time)
 {
-    this->parts.endpoints.note_outcome(open.endpoint);
+    this->parts.endpoints.note_outcome(open.endpoint, open.slots);
     if (open.counted)
-        this->parts.queue.finished(job.team, task.expected, run_time);
+        this->parts.queue.finished(job.team, task.expected * open.slots, run_time * open.slots);
     if (!open.given_up)
         --job.awaited;
     task.attempts.erase(task.attempts.begin() + (&open - task.attempts.data()));
@@ -256,6 +261,10 @@
     task.ran = true;
     if (task.done())
         return;
+    if (job.ephemeral && job.phase == job_phase::running
+        && ++task.failures < job.content->tasks[index].max_attempts
+        && this->retry(job, index, outcome.endpoint, outcome.message, now))
+        return;
     task.state = task_state::failed;
     --job.unfinished;
     this->parts.dispatch.withdraw(job, index);
@@ -325,8 +334,13 @@
                             std::string const& cause, base::steady_time now)
 {
     auto& task = job.tasks[index];
-    if (job.content == nullptr || !job.content->tasks[index].idempotent
-        || task.retries >= most_retries || !this->parts.teams.retries(job.team).try_take())
+    if (job.content == nullptr || task.retries >= most_retries)
+        return false;
+    // Runs of an ephemeral task are bounded one by one, and each follows the end of the last.
+    auto const allowed = job.ephemeral
+        || (job.content->tasks[index].idempotent
+            && this->parts.teams.retries(job.team).try_take());
+    if (!allowed)
         return false;
     ++task.retries;
     ++this->parts.counters.retries;
@@ -388,13 +402,17 @@
     this->for_each_attempt(agent, [&](job& job, std::uint32_t index, attempt& open) {
         if (open.given_up || job.content == nullptr)
             return;
+        if (job.ephemeral)
+            return this->parts.timers.add({now + ephemeral_run_limit, timer_kind::attempt_over,
+                                           job.number, index, open.number});
         // Only the agent itself can say what became of a task that must not run twice.
         if (!job.content->tasks[index].idempotent)
             return;
         auto const endpoint = open.endpoint;
         auto& task = job.tasks[index];
         if (std::exchange(open.counted, false))
-            this->parts.queue.finished(job.team, task.expected, task.expected);
+            this->parts.queue.finished(job.team, task.expected * open.slots,
+                                       task.expected * open.slots);
         open.given_up = true;
         --job.awaited;
         job.note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(index),
@@ -410,6 +428,37 @@
     });
 }
 
+void attempt_tracker::on_attempt_over(timer const& due, base::steady_time now)
+{
+    auto* job = this->parts.jobs.find(due.job);
+    if (job == nullptr || due.index >= job->tasks.size())
+        return;
+    auto& task = job->tasks[due.index];
+    auto* open = task.find(due.attempt, job->epoch);
+    // An agent that has returned is asked for the outcome.
+    if (open == nullptr || !this->parts.agents.at(open->agent).lost)
+        return;
+    auto const endpoint = open->endpoint;
+    this->close(*job, task, *open, task.expected);
+    job->note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(due.index), due.attempt,
+               endpoint, "the agent was lost", 0});
+    this->on_unknown(*job, due.index, endpoint, "the agent was lost", now);
+    this->parts.flow.end_if_stopped(*job, now);
+}
+
+void attempt_tracker::stop_unknown(protocol::agent_report const& report, agent_slot slot)
+{
+    for (auto const& held : report.ephemeral_runs) {
+        auto const* job = this->parts.jobs.find(held.task.job);
+        auto const known = job != nullptr && held.task.index < job->tasks.size()
+            && std::any_of(job->tasks[held.task.index].attempts.begin(),
+                           job->tasks[held.task.index].attempts.end(),
+                           [&held](auto const& open) { return open.number == held.attempt; });
+        if (!known)
+            this->parts.outbox.add_cancel(slot, held);
+    }
+}
+
 void attempt_tracker::on_agent_replaced(agent_slot agent, base::steady_time now)
 {
     this->for_each_attempt(agent, [&](job& job, std::uint32_t index, attempt& open) {
--- a/src/entry/attempt_tracker.h
+++ b/src/entry/attempt_tracker.h
@@ -39,6 +39,11 @@
     /// The agent is silent, and every stamp it held has expired.
     void on_agent_lost(agent_slot agent, base::steady_time now);
     /// A newer incarnation of the agent has reported: what it ran cannot be known any more.
+    /// The run of an ephemeral attempt at a lost agent has ended by now.
+    void on_attempt_over(timer const& due, base::steady_time now);
+    /// Cancels ephemeral runs that the agent holds and nobody here waits for, for example after a
+    /// cancellation was lost with its link.
+    void stop_unknown(protocol::agent_report const& report, agent_slot slot);
     void on_agent_replaced(agent_slot agent, base::steady_time now);
 
     /// Stops awaited attempts of a task, for example the loser of a hedge.
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -119,6 +119,17 @@
     this->resend_all(now);
 }
 
+bool control_client::set_members(std::vector<protocol::member_address> const& members)
+{
+    std::vector<std::string> names;
+    for (auto const& member : members)
+        names.push_back(member.name);
+    if (names.empty() || names == this->controls)
+        return false;
+    this->controls = std::move(names);
+    return true;
+}
+
 void control_client::tick(base::steady_time now)
 {
     std::vector<callback> expired;
--- a/src/entry/control_client.h
+++ b/src/entry/control_client.h
@@ -42,6 +42,8 @@
     void note_leader(std::string const& peer, base::steady_time now);
     /// Turns to the next member when `peer` is the present target.
     void give_up_on(std::string const& peer, base::steady_time now);
+    /// Takes over the members of the present group. Returns whether they differ from those before.
+    bool set_members(std::vector<protocol::member_address> const& members);
     [[nodiscard]] bool idle() const { return this->open.empty(); }
 
 private:
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "entry/dispatcher.h"
 
 #include <algorithm>
+#include <bit>
 #include <chrono>
 #include <utility>
 
@@ -17,23 +18,41 @@
 /// cancel attempts by number alone.
 constexpr std::uint32_t attempts_per_epoch = 1000;
 
-std::string class_of(protocol::task_request const& task)
+/// Largest size of the form 4..7 * 2^n that does not exceed `size`: four steps to each doubling.
+/// Sizes that differ from task to task thereby share a few classes.
+std::uint32_t size_step(std::uint32_t size)
 {
-    auto key = task.kind;
-    key += '\n';
-    key += task.region;
-    key += '\n';
-    key += task.zone;
-    key += '\n';
-    key += std::to_string(task.cpu);
-    key += '\n';
-    key += std::to_string(task.memory_mb);
-    return key;
+    constexpr int kept_bits = 3;
+    auto const dropped = std::max(static_cast<int>(std::bit_width(size)) - kept_bits, 0);
+    return size >> dropped << dropped;
 }
 
 policy::placement_request request_of(std::string const& team, protocol::task_request const& task)
 {
-    return {team, task.kind, task.region, task.zone, task.cpu, task.memory_mb, {}};
+    return {team, task.kind, task.region, task.zone, task.cpu, task.memory_mb, task.slots, {}};
+}
+
+policy::placement_request class_request(protocol::task_request const& task)
+{
+    auto request = request_of({}, task);
+    request.cpu = size_step(task.cpu);
+    request.memory_mb = size_step(task.memory_mb);
+    request.slots = size_step(task.slots);
+    return request;
+}
+
+std::string class_of(protocol::task_request const& task, bool ephemeral)
+{
+    std::string key(1, ephemeral ? 'e' : 's');
+    for (auto const* part : {&task.kind, &task.region, &task.zone}) {
+        key += '\n';
+        key += *part;
+    }
+    for (auto const size : {task.cpu, task.memory_mb, task.slots}) {
+        key += '\n';
+        key += std::to_string(size_step(size));
+    }
+    return key;
 }
 
 } // namespace
@@ -49,12 +68,14 @@
     policy::queued_task waiting;
     waiting.task = {job.id, index};
     waiting.team = job.team;
-    waiting.placement_class = class_of(request);
-    waiting.cost = task.expected;
+    waiting.placement_class = class_of(request, job.ephemeral);
+    waiting.cost = task.expected * request.slots;
     waiting.deadline = job.deadline;
     auto& group = this->classes[waiting.placement_class];
-    if (group.request.kind.empty())
-        group.request = request_of({}, request);
+    if (group.request.kind.empty()) {
+        group.request = class_request(request);
+        group.ephemeral = job.ephemeral;
+    }
     task.queued = true;
     task.state = protocol::task_state::waiting;
     if (front)
@@ -73,6 +94,8 @@
 bool dispatcher::placeable(std::string const& key, base::steady_time now)
 {
     auto& group = this->classes[key];
+    if (!group.ephemeral && !this->parts.leases.valid(now))
+        return false;
     if (group.blocked_at >= this->free_since)
         return false;
     // A choice stands until the next placement changes the load of the endpoints.
@@ -88,8 +111,6 @@
 
 void dispatcher::run(base::steady_time now)
 {
-    if (!this->parts.leases.valid(now))
-        return;
     auto const accepts = [this, now](std::string const& key) { return this->placeable(key, now); };
     while (auto const taken = this->parts.queue.take(accepts)) {
         this->place(*taken, now);
@@ -107,27 +128,37 @@
     job->tasks[taken.task.index].queued = false;
     auto& group = this->classes[taken.placement_class];
     auto const choice = this->choose(*job, taken.task.index, group, now);
-    if (this->start(*job, taken.task.index, choice, false, now))
+    if (choice && this->start(*job, taken.task.index, *choice, false, now))
         return;
-    // The endpoint left between choice and start. The next report or tick tries again.
+    // The endpoint left between choice and start, or has too little room. The next report or tick
+    // tries again.
     this->parts.queue.finished(taken.team, taken.cost, std::chrono::microseconds(0));
     this->enqueue(*job, taken.task.index, true);
     group.blocked_at = this->generation + 1;
 }
 
-policy::placement_choice dispatcher::choose(job const& job, std::uint32_t index,
-                                            placement_class& group, base::steady_time now)
+std::optional<policy::placement_choice> dispatcher::choose(job const& job, std::uint32_t index,
+                                                           placement_class& group,
+                                                           base::steady_time now)
 {
     auto choice = std::move(*group.choice);
     group.choice.reset();
-    auto const& tried = job.tasks[index].tried;
-    if (std::find(tried.begin(), tried.end(), choice.endpoint) == tried.end())
-        return choice;
     auto request = request_of(job.team, job.content->tasks[index]);
-    request.avoid = tried;
+    auto const* endpoint = this->parts.endpoints.find(choice.endpoint);
+    auto const fits = endpoint != nullptr
+        && this->parts.endpoints.free_slots(*endpoint) >= request.slots
+        && policy::fits_size(endpoint->state,
+                             {request.kind, {}, {}, request.cpu, request.memory_mb});
+    request.avoid = job.tasks[index].tried;
+    auto const tried = std::find(request.avoid.begin(), request.avoid.end(), choice.endpoint)
+        != request.avoid.end();
+    if (fits && !tried)
+        return choice;
     auto other
         = this->parts.placement->choose(request, this->parts.endpoints, this->parts.health, now);
-    return other ? std::move(*other) : std::move(choice);
+    if (!other && fits)
+        return choice;
+    return other;
 }
 
 bool dispatcher::start(job& job, std::uint32_t index, policy::placement_choice const& choice,
@@ -149,13 +180,14 @@
     added.epoch = job.epoch;
     added.agent = *slot;
     added.endpoint = choice.endpoint;
+    added.slots = job.content->tasks[index].slots;
     added.sent = now;
     added.hedge = hedge;
     added.counted = !hedge;
     task.attempts.push_back(added);
     task.state = protocol::task_state::starting;
     ++job.awaited;
-    this->parts.endpoints.note_start(choice.endpoint);
+    this->parts.endpoints.note_start(choice.endpoint, added.slots);
     job.note({now, hedge ? decision_kind::hedged : decision_kind::placed,
               static_cast<std::int32_t>(index), added.number, choice.endpoint, choice.reason,
               choice.candidates});
@@ -196,7 +228,7 @@
 
 void dispatcher::resend(job& job, std::uint32_t index, attempt const& open, base::steady_time now)
 {
-    if (!this->parts.leases.valid(now) || !job.claim_committed)
+    if ((!job.ephemeral && !this->parts.leases.valid(now)) || !job.claim_committed)
         return;
     job.note({now, decision_kind::resent, static_cast<std::int32_t>(index), open.number,
               open.endpoint, "the agent has no record of the start", 0});
@@ -217,6 +249,11 @@
     start.payload = request.payload;
     start.remaining = std::chrono::duration_cast<std::chrono::milliseconds>(job.deadline - now);
     start.timeout = this->parts.teams.kind(job.team, request.kind).timeout;
+    start.ephemeral = job.ephemeral;
+    start.name = request.name;
+    start.slots = request.slots;
+    start.cpu = request.cpu;
+    start.memory_mb = request.memory_mb;
     this->parts.outbox.add_start(open.agent, std::move(start));
 }
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -37,7 +37,9 @@
 
 private:
     struct placement_class {
+        /// Sizes are the least of the class, so that a choice for the class may be too small.
         policy::placement_request request;
+        bool ephemeral = false; ///< Placed without a lease, too.
         std::optional<policy::placement_choice> choice;
         std::uint64_t chosen_at = 0; ///< Generation of `choice`.
         std::uint64_t blocked_at = 0; ///< Generation in which no endpoint was free.
@@ -45,8 +47,9 @@
 
     bool placeable(std::string const& key, base::steady_time now);
     void place(policy::queued_task const& taken, base::steady_time now);
-    policy::placement_choice choose(job const& job, std::uint32_t index, placement_class& group,
-                                    base::steady_time now);
+    /// An endpoint with room for the task. Empty when only smaller tasks of its class fit.
+    std::optional<policy::placement_choice> choose(job const& job, std::uint32_t index,
+                                                   placement_class& group, base::steady_time now);
     bool start(job& job, std::uint32_t index, policy::placement_choice const& choice, bool hedge,
                base::steady_time now);
     void send(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -9,6 +9,7 @@
 #include <variant>
 
 #include "entry/entry_parts.h"
+#include "entry/job_id.h"
 
 namespace greengagehead::entry {
 
@@ -68,6 +69,8 @@
     /// Ends the handling of each input: places what can be placed and sends what was collected.
     void settle(base::steady_time now);
 
+    view_signal view_applied;
+    controls_signal controls_known;
     base::steady_time next_agent_check;
     base::steady_time next_expiry;
 };
@@ -98,6 +101,7 @@
 void entry_core::parts::on_view(base::steady_time /*now*/)
 {
     auto const& view = this->leases.applied();
+    this->view_applied.emit(view);
     this->teams.apply(view.settings, this->queue);
     this->endpoints.set_zones_out(view.zones_out);
     this->endpoints.set_draining(view.draining_endpoints);
@@ -129,6 +133,7 @@
         this->attempts.on_agent_replaced(*former, now);
     if (kind == report_kind::returned)
         this->attempts.ask(*this->agents.slot_of(report.agent));
+    this->attempts.stop_unknown(report, *this->agents.slot_of(report.agent));
     this->leases.on_report(record, now);
     this->dispatch.capacity_changed();
 }
@@ -155,6 +160,9 @@
         case timer_kind::requeue:
             this->attempts.on_requeue(*due);
             break;
+        case timer_kind::attempt_over:
+            this->attempts.on_attempt_over(*due, now);
+            break;
         case timer_kind::attachment:
             this->remote.on_timer(due->job, now);
             break;
@@ -179,6 +187,8 @@
             using type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<type, protocol::grant_lease>) {
                 this->leases.on_grant(peer, message, now);
+                if (this->control.set_members(message.controls))
+                    this->controls_known.emit(message.controls);
             } else if constexpr (std::is_same_v<type, protocol::view_update>) {
                 this->control.note_leader(peer, now);
                 this->leases.on_view(message, now);
@@ -229,6 +239,10 @@
     : own(std::make_unique<parts>(std::move(settings), sender))
 {
     this->own->connect();
+    this->own->view_applied.connect(
+        [this](protocol::view const& view) { this->view_applied.emit(view); });
+    this->own->controls_known.connect(
+        [this](auto const& controls) { this->controls_known.emit(controls); });
     this->own->leases.tick(now);
 }
 
@@ -362,6 +376,11 @@
     return this->own->counters;
 }
 
+std::string entry_core::ephemeral_id(std::string const& team, std::string const& submission) const
+{
+    return ephemeral_job_id(team, submission, this->own->settings.id);
+}
+
 protocol::view const& entry_core::applied_view() const
 {
     return this->own->leases.applied();
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include <sigc++/signal.h>
+
 #include "base/clock.h"
 #include "base/error.h"
 #include "protocol/message.h"
@@ -22,6 +24,7 @@
     std::string region;
     std::string zone;
     std::string http_address;
+    std::string link_address; ///< Where agents and other entries reach this one.
     std::vector<std::string> controls; ///< Peer names of the control members.
     std::string placement = "least_loaded";
     std::uint64_t seed = 1; ///< For random choices.
@@ -121,6 +124,14 @@
     [[nodiscard]] entry_status status(base::steady_time now) const;
     [[nodiscard]] entry_counters const& counters() const;
     [[nodiscard]] protocol::view const& applied_view() const;
+    /// Job id of an ephemeral submission to this entry.
+    [[nodiscard]] std::string ephemeral_id(std::string const& team,
+                                           std::string const& submission) const;
+
+    using view_signal = sigc::signal<void(protocol::view const&)>;
+    using controls_signal = sigc::signal<void(std::vector<protocol::member_address> const&)>;
+    view_signal view_applied; ///< A newer view is in force here.
+    controls_signal controls_known; ///< The control group has other members than before.
 
 private:
     struct parts;
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -24,6 +24,7 @@
     protocol::job_epoch epoch = 1;
     agent_slot agent = 0;
     std::string endpoint;
+    std::uint32_t slots = 1;
     base::steady_time sent;
     bool hedge = false;
     bool counted = false; ///< Holds a place of its team in the fair queue.
@@ -39,6 +40,7 @@
     bool uncertain = false; ///< Some attempt may have run, and its outcome is lost for good.
     std::uint16_t refusals = 0;
     std::uint16_t retries = 0;
+    std::uint32_t failures = 0; ///< Runs that ended as failed.
     std::uint32_t last_attempt = 0;
     std::chrono::microseconds expected {0}; ///< Estimate charged to the team.
     std::vector<attempt> attempts; ///< Without a final outcome.
@@ -78,6 +80,8 @@
     base::steady_time give_up_claim;
 
     job_phase phase = job_phase::claiming;
+    /// As in job_request. Counts as claimed from the start.
+    bool ephemeral = false;
     bool claim_committed = false;
     bool copy_settled = false; ///< The backup has the content, or was not waited for any longer.
     bool cancel_requested = false; ///< Before the claim was decided.
--- a/src/entry/job_end.cpp
+++ b/src/entry/job_end.cpp
@@ -20,6 +20,8 @@
 /// Time for the outcomes of stopped tasks, so that the answer can say what has run.
 constexpr milliseconds stop_grace {500};
 constexpr milliseconds refused_retry_after {500};
+/// A submission that is resent to the same entry within this time gets the same answer.
+constexpr milliseconds ephemeral_retention {5000};
 
 } // namespace
 
@@ -87,6 +89,8 @@
         return;
     case timer_kind::waiter:
         return this->answer_late_waiters(*job, now);
+    case timer_kind::forget:
+        return this->parts.jobs.remove(*job);
     default:
         return;
     }
@@ -226,8 +230,12 @@
               {},
               std::string(protocol::to_string(job.answer.state)),
               0});
-    job.finish_sent = true;
-    this->parts.claims.finish({job.id, job.epoch, job.answer.state, job.answer.ran});
+    if (job.ephemeral) {
+        this->add_timer(job, timer_kind::forget, now + ephemeral_retention);
+    } else {
+        job.finish_sent = true;
+        this->parts.claims.finish({job.id, job.epoch, job.answer.state, job.answer.ran});
+    }
     auto const complete = job.answer.state == job_state::complete;
     ++(complete ? this->parts.counters.jobs_complete : this->parts.counters.jobs_failed);
     this->parts.jobs.note_finished();
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -56,8 +56,9 @@
 
 void job_flow::submit(protocol::job_request request, waiter caller, base::steady_time now)
 {
-    auto const id = job_id_of(request.team, request.submission);
-    auto digest = content_digest(request);
+    auto const id = this->id_of(request);
+    // An ephemeral submission is known by its id alone: its digest would be used nowhere else.
+    auto digest = request.ephemeral ? std::string() : content_digest(request);
     if (auto* known = this->parts.jobs.find(id)) {
         if (known->digest == digest || known->digest.empty())
             return this->attach(*known, std::move(caller), now);
@@ -89,6 +90,7 @@
     auto& added = this->parts.jobs.add(id);
     added.digest = std::move(digest);
     added.team = request.team;
+    added.ephemeral = request.ephemeral;
     added.submission = request.submission;
     added.submitted = now;
     added.deadline = now + deadline;
@@ -98,19 +100,32 @@
     this->prepare_tasks(added);
     added.waiters.push_back(std::move(caller));
     this->add_timer(added, timer_kind::waiter, added.waiters.back().until);
-    this->add_timer(added, timer_kind::claim_timeout, added.give_up_claim);
     this->add_timer(added, timer_kind::job_deadline, added.deadline);
     ++this->parts.counters.jobs_accepted;
     added.note({now, decision_kind::admitted, -1, 0, {}, {}, 0});
     base::log_record(base::log_event::job_accepted)
         .with("job", id)
         .with("team", added.team)
+        .with("submission", added.submission)
         .with("tasks", added.tasks.size());
+    if (added.ephemeral) {
+        added.claim_committed = true;
+        added.copy_settled = true;
+        return this->start_if_ready(added, now);
+    }
+    this->add_timer(added, timer_kind::claim_timeout, added.give_up_claim);
     added.backup = this->choose_backup();
     this->send_claim(added, now);
     this->send_copy(added, now);
 }
 
+std::string job_flow::id_of(protocol::job_request const& request) const
+{
+    if (request.ephemeral)
+        return ephemeral_job_id(request.team, request.submission, this->parts.settings.id);
+    return job_id_of(request.team, request.submission);
+}
+
 void job_flow::prepare_tasks(job& job)
 {
     job.tasks.resize(job.content->tasks.size());
@@ -138,6 +153,15 @@
     answer.ran = ran_extent::none;
     answer.failure = refusal.reason;
     answer.retry_after = refusal.retry_after;
+    if (request.ephemeral) {
+        ++this->parts.counters.jobs_refused;
+        base::log_record(base::log_event::job_refused)
+            .with("job", answer.job)
+            .with("team", answer.team)
+            .with("submission", answer.submission)
+            .with("reason", answer.failure->message);
+        return deliver(caller, answer, "[]");
+    }
     // "Not run" is only true when no entry has accepted the same submission before.
     auto shared = std::make_shared<waiter>(std::move(caller));
     this->parts.control.request(
@@ -351,7 +375,7 @@
 void job_flow::check_ownership(base::steady_time now)
 {
     for (auto const& [number, owned] : this->parts.jobs.all()) {
-        if (!owned->claim_committed || owned->is_final())
+        if (!owned->claim_committed || owned->is_final() || owned->ephemeral)
             continue;
         owned->claim_committed = false;
         for (std::uint32_t i = 0; i < owned->tasks.size(); ++i)
--- a/src/entry/job_flow.h
+++ b/src/entry/job_flow.h
@@ -76,6 +76,7 @@
     void answer_waiters(job& job);
     void answer_late_waiters(job& job, base::steady_time now);
     [[nodiscard]] std::string choose_backup() const;
+    [[nodiscard]] std::string id_of(protocol::job_request const& request) const;
 
     entry_parts& parts;
     bool shutting_down = false;
--- a/src/entry/job_id.cpp
+++ b/src/entry/job_id.cpp
@@ -39,6 +39,12 @@
     return sha256_hex(std::to_string(team.size()) + ':' + team + submission, job_id_bytes);
 }
 
+std::string ephemeral_job_id(std::string const& team, std::string const& submission,
+                             protocol::process_id const& entry)
+{
+    return job_id_of(team, submission + '@' + entry.name + ':' + std::to_string(entry.incarnation));
+}
+
 std::string content_digest(protocol::job_request const& request)
 {
     return sha256_hex(protocol::encode(request), digest_bytes);
--- a/src/entry/lease_keeper.cpp
+++ b/src/entry/lease_keeper.cpp
@@ -21,6 +21,8 @@
 constexpr std::chrono::milliseconds doubtful_gap {800};
 constexpr std::chrono::milliseconds agent_update_interval {300};
 constexpr std::chrono::milliseconds retry_interval {50};
+/// A start without a lease is void when it arrives later than this.
+constexpr std::chrono::milliseconds unleased_validity {1000};
 /// A member that does not answer renewals for this long is taken to be cut off.
 constexpr std::chrono::milliseconds answer_timeout {250};
 
@@ -113,7 +115,8 @@
                       protocol::renew_lease {this->settings.id, this->settings.zone,
                                              this->settings.http_address, base::to_reading(now),
                                              this->current.number, this->settled_view,
-                                             this->seen_takeover});
+                                             this->seen_takeover,
+                                             this->settings.link_address});
 }
 
 void lease_keeper::note_takeover(std::uint64_t sequence)
@@ -144,6 +147,18 @@
     return protocol::lease_stamp {this->settings.id, this->current.number, agent.clock + usable};
 }
 
+std::optional<protocol::lease_stamp> lease_keeper::unleased_stamp(agent_record const& agent,
+                                                                  base::steady_time now) const
+{
+    if (agent.last_report == base::steady_time {} || agent.replaced)
+        return std::nullopt;
+    auto const ahead
+        = base::to_reading(now + unleased_validity) - base::to_reading(agent.last_report);
+    auto const usable = ahead * (100 - clock_drift_percent) / 100;
+    return protocol::lease_stamp {this->settings.id, this->current.number, agent.clock + usable,
+                                  false};
+}
+
 protocol::live_entry const* lease_keeper::live(protocol::process_id const& id) const
 {
     auto const& entries = this->current.entries;
@@ -182,7 +197,7 @@
     // Without a valid lease the agent still learns the view, under a stamp that permits nothing.
     update.lease = this->stamp(agent, now)
                        .value_or(protocol::lease_stamp {this->settings.id, this->current.number,
-                                                        base::clock_reading {0}});
+                                                        base::clock_reading {0}, false});
     update.zones_out = this->current.zones_out;
     update.draining_endpoints = this->current.draining_endpoints;
     for (auto const& entry : this->current.entries)
--- a/src/entry/lease_keeper.h
+++ b/src/entry/lease_keeper.h
@@ -44,6 +44,10 @@
     [[nodiscard]] std::optional<protocol::lease_stamp> stamp(agent_record& agent,
                                                              base::steady_time now);
 
+    /// Stamp for ephemeral starts while there is no lease; empty without a report of the agent.
+    [[nodiscard]] std::optional<protocol::lease_stamp> unleased_stamp(agent_record const& agent,
+                                                                      base::steady_time now) const;
+
     [[nodiscard]] protocol::view const& applied() const { return this->current; }
     [[nodiscard]] protocol::view_number settled() const { return this->settled_view; }
     [[nodiscard]] protocol::live_entry const* live(protocol::process_id const& id) const;
--- a/src/entry/timer_queue.h
+++ b/src/entry/timer_queue.h
@@ -21,6 +21,8 @@
     waiter,
     attempt_check, ///< Hedge a slow attempt, or ask the agent for it.
     requeue, ///< A refused task may be placed again.
+    attempt_over, ///< The run of an attempt at a lost agent has surely ended.
+    forget, ///< The answer of an ephemeral job is dropped.
     attachment, ///< `job` is the number of an attachment to a job of another entry.
 };
 
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -68,7 +68,7 @@
 
 } // namespace
 
-std::uint64_t tasks_in_progress(endpoint_record const& endpoint)
+std::uint64_t slots_in_use(endpoint_record const& endpoint)
 {
     auto const reported = std::uint64_t {endpoint.state.used_slots} + endpoint.state.queued;
     auto const own = std::min<std::uint64_t>(reported, endpoint.state.held_by_receiver);
@@ -106,7 +106,8 @@
     void refresh(tracked& endpoint);
     void list(tracked& endpoint, bool wanted);
     [[nodiscard]] std::uint32_t part_of(endpoint_record const& record) const;
-    void note(std::string const& name, bool start);
+    /// Adds the slots of a start, or takes back those of an outcome.
+    void note(std::string const& name, std::uint32_t slots, bool start);
 };
 
 namespace {
@@ -121,7 +122,7 @@
 {
     if (!allowed(record) || record.refused)
         return 0;
-    auto const in_use = tasks_in_progress(record);
+    auto const in_use = slots_in_use(record);
     auto const seen = static_cast<std::uint32_t>(
         record.usable_slots - std::min<std::uint64_t>(in_use, record.usable_slots));
     auto const part = std::min(record.own_part, record.usable_slots);
@@ -282,17 +283,17 @@
     return record.state.slots / this->entry_count + extra;
 }
 
-void endpoint_table::parts::note(std::string const& name, bool start)
+void endpoint_table::parts::note(std::string const& name, std::uint32_t slots, bool start)
 {
     auto* const endpoint = this->find(name);
     if (endpoint == nullptr)
         return;
     auto& record = *endpoint->record;
     if (start) {
-        ++record.outstanding;
+        record.outstanding += slots;
     } else {
         record.refused = false;
-        record.outstanding -= record.outstanding > 0 ? 1 : 0;
+        record.outstanding -= std::min(record.outstanding, slots);
     }
     this->list(*endpoint, free_places(record) > 0);
 }
@@ -362,19 +363,19 @@
     }
 }
 
-void endpoint_table::note_start(std::string const& endpoint)
+void endpoint_table::note_start(std::string const& endpoint, std::uint32_t slots)
 {
-    this->own->note(endpoint, true);
+    this->own->note(endpoint, slots, true);
 }
 
-void endpoint_table::note_outcome(std::string const& endpoint)
+void endpoint_table::note_outcome(std::string const& endpoint, std::uint32_t slots)
 {
-    this->own->note(endpoint, false);
+    this->own->note(endpoint, slots, false);
 }
 
 void endpoint_table::note_refused(std::string const& endpoint)
 {
-    this->own->note(endpoint, false);
+    this->own->note(endpoint, 1, false);
     this->mark_full(endpoint);
 }
 
@@ -429,7 +430,10 @@
     auto const found = this->own->kinds.find(std::string(needs.kind));
     return found != this->own->kinds.end()
         && std::any_of(found->second.begin(), found->second.end(), [&needs](group const& item) {
-               return !item.free.empty() && matches(item, needs);
+               return matches(item, needs)
+                   && std::any_of(item.free.begin(), item.free.end(), [&needs](auto const* record) {
+                          return free_places(*record) >= needs.slots;
+                      });
            });
 }
 
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -21,8 +21,8 @@
     protocol::process_id agent;
     std::string region;
     std::string zone;
-    /// Starts of this entry without an outcome yet. Counted here, so it never lags; the report only
-    /// contributes what other entries hold.
+    /// Slots of this entry's starts without an outcome yet. Counted here, so it never lags; the
+    /// report only contributes what other entries hold.
     std::uint32_t outstanding = 0;
     /// Part of the slots that this entry may use whatever the last report says; 0 with one entry.
     std::uint32_t own_part = 0;
@@ -35,8 +35,8 @@
     bool agent_registered = false; ///< join_agent of this incarnation is committed.
 };
 
-/// Tasks in progress at the endpoint: those of other entries as last reported, and own ones.
-[[nodiscard]] std::uint64_t tasks_in_progress(endpoint_record const& endpoint);
+/// Slots in use at the endpoint: those of other entries as last reported, and own ones.
+[[nodiscard]] std::uint64_t slots_in_use(endpoint_record const& endpoint);
 
 /// What a task needs of an endpoint. Empty and zero fields stand for no requirement.
 struct requirement {
@@ -45,6 +45,7 @@
     std::string_view zone;
     std::uint32_t cpu = 0;
     std::uint32_t memory_mb = 0;
+    std::uint32_t slots = 1; ///< Slots that must be free.
 };
 
 /// What the known endpoints offer to a requirement.
@@ -57,7 +58,8 @@
 using candidate_group = std::span<endpoint_record const* const>;
 
 /// Owned by the entry; not thread-safe. An index by kind, zone and size holds exactly the endpoints
-/// with a free slot, so that a placement decision looks at a few endpoints only.
+/// with a free slot, so that a placement decision looks at a few endpoints only. Whether enough
+/// slots are free for a task that needs several is up to `free_slots`.
 class endpoint_table {
 public:
     endpoint_table();
@@ -73,8 +75,8 @@
     void set_draining(std::vector<std::string> const& endpoints);
 
     /// Unknown endpoints are ignored.
-    void note_start(std::string const& endpoint);
-    void note_outcome(std::string const& endpoint);
+    void note_start(std::string const& endpoint, std::uint32_t slots = 1);
+    void note_outcome(std::string const& endpoint, std::uint32_t slots = 1);
     /// The agent refused a start because its slots and its queue are full. Takes the start back,
     /// like note_outcome, and counts the endpoint as full until the next report or outcome.
     void note_refused(std::string const& endpoint);
--- a/src/policy/placement_policy.cpp
+++ b/src/policy/placement_policy.cpp
@@ -81,6 +81,8 @@
     auto const consider = [&](endpoint_record const* record) {
         if (std::find(this->found.begin(), this->found.end(), record) != this->found.end())
             return;
+        if (endpoints.free_slots(*record) < request.slots)
+            return;
         if (!health.accepts(record->state.name, record->outstanding, fleet, now))
             return;
         if (avoided(request, record->state.name))
@@ -150,10 +152,10 @@
     {
         return {record.outstanding >= record.own_part, load(record)};
     }
-    /// Tasks per slot as far as known here.
+    /// Part of the slots that is in use, as far as known here.
     static double load(endpoint_record const& record)
     {
-        return static_cast<double>(tasks_in_progress(record)) / std::max(record.state.slots, 1U);
+        return static_cast<double>(slots_in_use(record)) / std::max(record.state.slots, 1U);
     }
     [[nodiscard]] char const* reason() const
     {
--- a/src/policy/placement_policy.h
+++ b/src/policy/placement_policy.h
@@ -24,6 +24,7 @@
     std::string zone; ///< Required zone; empty for any.
     std::uint32_t cpu = 0;
     std::uint32_t memory_mb = 0;
+    std::uint32_t slots = 1;
     std::vector<std::string> avoid; ///< Endpoints of earlier attempts, used only as a last resort.
 };
 
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -11,7 +11,7 @@
 namespace greengagehead::protocol {
 
 /// Version of the wire format. A message of another version is refused when decoded.
-constexpr std::uint32_t protocol_version = 1;
+constexpr std::uint32_t protocol_version = 2;
 
 [[nodiscard]] std::string encode(message const& body);
 
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -42,10 +42,27 @@
     std::string idempotency_key; ///< As in put_setting.
 };
 
+/// A whole configuration in one piece, for example a routing table. Its text is not interpreted
+/// here; whoever puts it has checked it.
+struct document {
+    std::uint64_t version = 0; ///< Chosen by the author; 0 for none stored yet.
+    std::string text;
+};
+
+/// Stores a document. The highest version stays in force: a lower or equal one changes nothing.
+struct put_document {
+    document wanted;
+};
+
+/// Returns the stored document. As a command it is answered only once a quorum has confirmed that
+/// nothing newer is stored.
+struct confirm_document { };
+
 struct join_entry {
     process_id entry;
     std::string zone;
     std::string http_address;
+    std::string link_address;
 };
 
 struct remove_entry {
@@ -113,7 +130,8 @@
 
 using command_body
     = std::variant<put_setting, put_zone_state, put_endpoint_drain, join_entry, remove_entry,
-                   claim_jobs, finish_jobs, take_over, expire_claims, join_agent, remove_agent>;
+                   claim_jobs, finish_jobs, take_over, expire_claims, join_agent, remove_agent,
+                   put_document, confirm_document>;
 
 struct command {
     wall_time proposed_at {0};
@@ -219,6 +237,12 @@
     std::vector<registered_agent> agents;
 };
 
+/// Result of put_document and confirm_document.
+struct document_result {
+    document stored;
+    view_number view = 0; ///< View that carries the document.
+};
+
 /// Result of commands that have nothing else to say.
 struct view_result {
     view_number view = 0;
@@ -244,6 +268,6 @@
 
 using control_result
     = std::variant<change_result, claim_results, claim_lookup, settings_list, settings_history,
-                   agent_list, view_result, control_status, base::error>;
+                   agent_list, view_result, control_status, base::error, document_result>;
 
 } // namespace greengagehead::protocol
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -29,11 +29,14 @@
     static auto of(auto& m)
     {
         return std::tie(m.kind, m.idempotent, m.payload, m.expected, m.cpu, m.memory_mb, m.region,
-                        m.zone);
+                        m.zone, m.name, m.slots, m.max_attempts);
     }
 };
 template <> struct field_list<job_request> {
-    static auto of(auto& m) { return std::tie(m.submission, m.team, m.deadline, m.tasks); }
+    static auto of(auto& m)
+    {
+        return std::tie(m.submission, m.team, m.deadline, m.tasks, m.ephemeral);
+    }
 };
 template <> struct field_list<task_answer> {
     static auto of(auto& m) { return std::tie(m.index, m.state, m.result); }
@@ -103,7 +106,19 @@
     static auto of(auto& m) { return std::tie(m.endpoint, m.draining, m.idempotency_key); }
 };
 template <> struct field_list<join_entry> {
-    static auto of(auto& m) { return std::tie(m.entry, m.zone, m.http_address); }
+    static auto of(auto& m) { return std::tie(m.entry, m.zone, m.http_address, m.link_address); }
+};
+template <> struct field_list<document> {
+    static auto of(auto& m) { return std::tie(m.version, m.text); }
+};
+template <> struct field_list<put_document> {
+    static auto of(auto& m) { return std::tie(m.wanted); }
+};
+template <> struct field_list<confirm_document> {
+    static auto of(auto& /*m*/) { return std::tie(); }
+};
+template <> struct field_list<document_result> {
+    static auto of(auto& m) { return std::tie(m.stored, m.view); }
 };
 template <> struct field_list<remove_entry> {
     static auto of(auto& m) { return std::tie(m.entry); }
@@ -209,22 +224,32 @@
     static auto of(auto& m)
     {
         return std::tie(m.entry, m.zone, m.http_address, m.entry_clock, m.applied_view,
-                        m.settled_view, m.seen_takeover);
+                        m.settled_view, m.seen_takeover, m.link_address);
     }
 };
+template <> struct field_list<member_address> {
+    static auto of(auto& m) { return std::tie(m.name, m.address); }
+};
 template <> struct field_list<grant_lease> {
-    static auto of(auto& m) { return std::tie(m.incarnation, m.expires_at, m.view); }
+    static auto of(auto& m) { return std::tie(m.incarnation, m.expires_at, m.view, m.controls); }
+};
+template <> struct field_list<directory_request> {
+    static auto of(auto& m) { return std::tie(m.from, m.known_view); }
+};
+template <> struct field_list<directory> {
+    static auto of(auto& m) { return std::tie(m.view, m.entries, m.controls); }
 };
 template <> struct field_list<not_leader> {
     static auto of(auto& m) { return std::tie(m.leader, m.request_id); }
 };
 template <> struct field_list<live_entry> {
-    static auto of(auto& m) { return std::tie(m.id, m.zone, m.http_address); }
+    static auto of(auto& m) { return std::tie(m.id, m.zone, m.http_address, m.link_address); }
 };
 template <> struct field_list<view> {
     static auto of(auto& m)
     {
-        return std::tie(m.number, m.settings, m.zones_out, m.draining_endpoints, m.entries);
+        return std::tie(m.number, m.settings, m.zones_out, m.draining_endpoints, m.entries,
+                        m.routing);
     }
 };
 template <> struct field_list<view_update> {
@@ -261,13 +286,14 @@
     static auto of(auto& m) { return std::tie(m.job); }
 };
 template <> struct field_list<lease_stamp> {
-    static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at); }
+    static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at, m.leased); }
 };
 template <> struct field_list<task_start> {
     static auto of(auto& m)
     {
         return std::tie(m.task, m.attempt, m.epoch, m.endpoint, m.team, m.kind, m.idempotent,
-                        m.payload, m.remaining, m.timeout);
+                        m.payload, m.remaining, m.timeout, m.ephemeral, m.name, m.slots, m.cpu,
+                        m.memory_mb);
     }
 };
 template <> struct field_list<start_batch> {
@@ -317,7 +343,8 @@
 template <> struct field_list<agent_report> {
     static auto of(auto& m)
     {
-        return std::tie(m.agent, m.region, m.zone, m.agent_clock, m.seen_view, m.endpoints);
+        return std::tie(m.agent, m.region, m.zone, m.agent_clock, m.seen_view, m.endpoints,
+                        m.ephemeral_runs);
     }
 };
 
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -21,6 +21,10 @@
     std::uint32_t memory_mb = 0; ///< Declared memory in MB, a hint; 0 when not given.
     std::string region; ///< Required region; empty for any.
     std::string zone; ///< Required zone; empty for any.
+    std::string name; ///< Name of the task at its endpoint; empty for job id and index.
+    std::uint32_t slots = 1; ///< Slots of the endpoint that the task occupies while it runs.
+    /// Runs that end as failed before the task counts as failed. Above 1 only in ephemeral jobs.
+    std::uint32_t max_attempts = 1;
 };
 
 struct job_request {
@@ -28,6 +32,9 @@
     std::string team;
     std::chrono::milliseconds deadline {0}; ///< Relative to submission; 0 for the team's default.
     std::vector<task_request> tasks;
+    /// The job is not stored: it has neither claim nor copy and ends with the entry that took it.
+    /// Its tasks may run again, but never beside an earlier run of the same task.
+    bool ephemeral = false;
 };
 
 enum class job_state : std::uint8_t { running, complete, failed, cancelled, refused };
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -27,12 +27,22 @@
     view_number applied_view = 0; ///< View that the entry acts on.
     view_number settled_view = 0; ///< View that all agents holding its lease have acknowledged too.
     std::uint64_t seen_takeover = 0; ///< Highest `takeover_notice::sequence` received.
+    std::string link_address; ///< Where agents and other entries reach the entry.
+};
+
+/// Where a member of the control group is reached.
+struct member_address {
+    std::string name; ///< Peer name.
+    std::string address;
+
+    bool operator==(member_address const&) const = default;
 };
 
 struct grant_lease {
     incarnation_number incarnation = 0;
     base::clock_reading expires_at {0}; ///< In the entry's clock.
     view_number view = 0;
+    std::vector<member_address> controls; ///< The present control group.
 };
 
 struct not_leader {
@@ -44,6 +54,7 @@
     process_id id;
     std::string zone;
     std::string http_address;
+    std::string link_address;
 };
 
 struct view {
@@ -52,6 +63,7 @@
     std::vector<std::string> zones_out;
     std::vector<std::string> draining_endpoints;
     std::vector<live_entry> entries;
+    document routing; ///< Version 0 until the first one is stored.
 };
 
 struct view_update {
@@ -78,6 +90,20 @@
     std::uint64_t sequence = 0;
 };
 
+// --- agent and control ---
+
+/// Asks any control member for the entries and members that it knows.
+struct directory_request {
+    process_id from;
+    view_number known_view = 0;
+};
+
+struct directory {
+    view_number view = 0;
+    std::vector<live_entry> entries;
+    std::vector<member_address> controls;
+};
+
 // --- entry and entry ---
 
 struct job_copy {
@@ -127,6 +153,9 @@
     process_id entry;
     view_number view = 0;
     base::clock_reading expires_at {0};
+    /// False when the entry holds no lease: the stamp then only bounds how late an ephemeral start
+    /// may arrive, and permits no other.
+    bool leased = true;
 };
 
 struct task_start {
@@ -140,6 +169,11 @@
     std::string payload; ///< JSON text.
     std::chrono::milliseconds remaining {0}; ///< Time left until the job's deadline.
     std::chrono::milliseconds timeout {0}; ///< Longest run time; 0 for none.
+    bool ephemeral = false; ///< As in job_request: ends with its entry, may run again afterwards.
+    std::string name; ///< As in task_request.
+    std::uint32_t slots = 1; ///< As in task_request.
+    std::uint32_t cpu = 0; ///< As in task_request.
+    std::uint32_t memory_mb = 0; ///< As in task_request.
 };
 
 struct start_batch {
@@ -216,13 +250,13 @@
     std::string name;
     std::vector<std::string> kinds;
     std::uint32_t slots = 0;
-    std::uint32_t used_slots = 0; ///< Running tasks, of all entries.
-    std::uint32_t queued = 0; ///< Admitted tasks that wait for a slot.
+    std::uint32_t used_slots = 0; ///< Slots of running tasks, of all entries.
+    std::uint32_t queued = 0; ///< Slots that admitted tasks wait for.
     std::uint32_t cpu = 0;
     std::uint32_t memory_mb = 0;
     std::string rack;
     bool draining = false;
-    /// Running and queued tasks that the entry which receives the report has started.
+    /// Slots of running and queued tasks that the entry which receives the report has started.
     std::uint32_t held_by_receiver = 0;
 };
 
@@ -233,6 +267,8 @@
     base::clock_reading agent_clock {0};
     view_number seen_view = 0;
     std::vector<endpoint_state> endpoints;
+    /// Waiting and running ephemeral attempts that the receiver has started.
+    std::vector<attempt_ref> ephemeral_runs;
 };
 
 using message
@@ -240,6 +276,6 @@
                    control_reply, takeover_notice, job_copy, job_copy_ack, job_finished_copy,
                    job_finished_ack, job_query, job_reply, job_cancel, start_batch, lease_update,
                    cancel_batch, outcome_query, outcome_batch, outcome_ack, outcome_report,
-                   agent_report>;
+                   agent_report, directory_request, directory>;
 
 } // namespace greengagehead::protocol
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -28,6 +28,17 @@
     return std::string(to_string(which)) + "." + process;
 }
 
+std::vector<peer_settings> control_links(process_settings const& settings)
+{
+    auto links = settings.controls;
+    if (settings.control_link_port == 0)
+        return links;
+    for (auto& member : links)
+        member.address = member.address.substr(0, member.address.rfind(':')) + ':'
+            + std::to_string(settings.control_link_port);
+    return links;
+}
+
 process_settings embedded_settings()
 {
     process_settings embedded;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -49,11 +49,15 @@
     std::string data_folder; ///< Only for control.
     std::vector<role> roles;
     std::string control_listen; ///< Address for links of the control role.
+    std::uint16_t control_link_port = 0; ///< 0 when `controls` gives the addresses of the links.
+    bool bootstrap = true; ///< The control role may found a group.
     std::string entry_listen; ///< Address for links of the entry role.
     std::string entry_http; ///< Address for callers and operators.
+    std::chrono::milliseconds announcement_interval {1000}; ///< Of the agent's endpoints.
     std::string agent_announce; ///< Loopback address for endpoints.
     std::string fleet_key; ///< Shared by all processes; empty switches the proof off.
     std::string placement = "least_loaded";
+    /// Control members. With `control_link_port` set, only the first ones to ask, at that port.
     std::vector<peer_settings> controls;
     std::vector<peer_settings> entries;
     std::vector<token_settings> tokens; ///< Empty switches access checks off.
@@ -69,6 +73,9 @@
 /// Peer name of a role of a process, for example `entry.recife-1`.
 [[nodiscard]] std::string peer_name(role which, std::string const& process);
 
+/// The control members with the addresses of their links.
+[[nodiscard]] std::vector<peer_settings> control_links(process_settings const& settings);
+
 /// All three roles on loopback, without access checks.
 [[nodiscard]] process_settings embedded_settings();
 
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -85,8 +85,9 @@
                 this->report(nullptr, key, "is required: " + allowed_values(rule));
             return;
         }
-        bool const accepted
-            = rule.set_text ? this->read_text(rule, *node.node()) : this->read_number(rule, node);
+        bool const accepted = rule.kind == value_kind::flag ? this->read_flag(rule, node)
+            : rule.set_text                                 ? this->read_text(rule, *node.node())
+                                                            : this->read_number(rule, node);
         if (!accepted)
             this->report(node.node(), key, "must be " + allowed_values(rule));
     }
@@ -109,6 +110,15 @@
         return true;
     }
 
+    bool read_flag(value_rule const& rule, toml::node_view<toml::node const> node)
+    {
+        auto const* const flag = node.as_boolean();
+        if (flag == nullptr)
+            return false;
+        rule.set_number(this->result.settings, flag->get() ? 1 : 0);
+        return true;
+    }
+
     bool read_number(value_rule const& rule, toml::node_view<toml::node const> node)
     {
         auto const* const number = node.as_integer();
@@ -205,12 +215,15 @@
         auto const& read = this->result.settings;
         if (read.has(role::entry) && !read.has(role::control) && read.controls.empty())
             this->report(nullptr, "controls", "is required for an entry: the control members");
-        if (read.has(role::agent) && !read.has(role::entry) && read.entries.empty())
-            this->report(nullptr, "entries", "is required for an agent: the entries");
+        if (read.has(role::agent) && !read.has(role::entry) && read.entries.empty()
+            && read.controls.empty())
+            this->report(nullptr, "entries", "is required for an agent: the entries, or the controls that know them");
         bool const listed
             = std::any_of(read.controls.begin(), read.controls.end(),
                           [&read](auto const& peer) { return peer.name == read.name; });
-        if (read.has(role::control) && !read.controls.empty() && !listed)
+        // Where members are found by asking, the list names only some of them.
+        bool const fixed = read.control_link_port == 0;
+        if (fixed && read.has(role::control) && !read.controls.empty() && !listed)
             this->report(nullptr, "controls", "must list this process too");
     }
 
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -73,6 +73,23 @@
                               "accepted from anyone."));
     rules.push_back(text_rule("control.listen", value_kind::address, {role::control},
                               &settings::control_listen, "Address for links to the control role."));
+    value_rule found;
+    found.key = "control.bootstrap";
+    found.kind = value_kind::flag;
+    found.set_number = [](settings& target, std::uint64_t value) { target.bootstrap = value != 0; };
+    found.meaning = "Whether this control member may found the group. With false it joins one.";
+    rules.push_back(std::move(found));
+    value_rule links;
+    links.key = "control.link_port";
+    links.kind = value_kind::number;
+    links.least = 1;
+    links.most = 65'535;
+    links.set_number = [](settings& target, std::uint64_t value) {
+        target.control_link_port = static_cast<std::uint16_t>(value);
+    };
+    links.meaning = "Port of the links to control members, where the addresses in [[controls]] "
+                    "name another port. Those are then only the first members to ask.";
+    rules.push_back(std::move(links));
     rules.push_back(text_rule("entry.listen", value_kind::address, {role::entry},
                               &settings::entry_listen, "Address for links to the entry role."));
     rules.push_back(text_rule("entry.http", value_kind::address, {role::entry},
@@ -82,6 +99,17 @@
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
+    value_rule interval;
+    interval.key = "agent.announcement_interval_ms";
+    interval.kind = value_kind::duration;
+    interval.least = 100;
+    interval.most = 60'000;
+    interval.set_number = [](settings& target, std::uint64_t value) {
+        target.announcement_interval = std::chrono::milliseconds(value);
+    };
+    interval.meaning = "How often endpoints announce themselves; after three missed announcements "
+                       "an endpoint counts as gone.";
+    rules.push_back(std::move(interval));
     rules.push_back(
         choice_rule("log.format", {"text", "json"}, &settings::log_format, "Format of log lines."));
     rules.push_back(choice_rule("log.level", {"debug", "info", "warning", "error"},
@@ -148,6 +176,8 @@
     case value_kind::duration:
         return "whole milliseconds from " + std::to_string(rule.least) + " to "
             + std::to_string(rule.most);
+    case value_kind::flag:
+        return "true or false";
     case value_kind::choice:
         break;
     }
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -131,6 +131,20 @@
     return this->view_now();
 }
 
+protocol::control_result control_state::on(protocol::put_document const& request)
+{
+    if (request.wanted.version > this->routing.version) {
+        this->routing = request.wanted;
+        ++this->number;
+    }
+    return protocol::document_result {this->routing, this->number};
+}
+
+protocol::control_result control_state::on(protocol::confirm_document const& /*request*/)
+{
+    return protocol::document_result {this->routing, this->number};
+}
+
 protocol::control_result control_state::view_now() const
 {
     return protocol::view_result {this->number};
@@ -139,7 +153,7 @@
 protocol::view control_state::current_view() const
 {
     return {this->number, this->tree.list("/"), this->zones.zones_out(), this->zones.draining(),
-            this->live.list()};
+            this->live.list(), this->routing};
 }
 
 protocol::view_number control_state::view() const
--- a/src/state/control_state.h
+++ b/src/state/control_state.h
@@ -32,6 +32,7 @@
     [[nodiscard]] entry_table const& entries() const;
     [[nodiscard]] agent_table const& agents() const;
     [[nodiscard]] claim_table const& claims() const;
+    [[nodiscard]] protocol::document const& routing_document() const { return this->routing; }
     /// True when `expire_claims` with these times would drop anything.
     [[nodiscard]] bool expirable(protocol::wall_time before,
                                  protocol::wall_time tombstones_before) const;
@@ -55,6 +56,8 @@
     protocol::control_result on(protocol::expire_claims const& request);
     protocol::control_result on(protocol::join_agent const& request);
     protocol::control_result on(protocol::remove_agent const& request);
+    protocol::control_result on(protocol::put_document const& request);
+    protocol::control_result on(protocol::confirm_document const& request);
 
     base::result<protocol::claim_result> claim(protocol::job_claim const& wanted,
                                                std::uint64_t request_id);
@@ -71,6 +74,8 @@
     entry_table live;
     agent_table known_agents;
     claim_table jobs;
+    /// Invariant: its version never falls.
+    protocol::document routing;
 };
 
 } // namespace greengagehead::state
--- a/src/state/entry_table.cpp
+++ b/src/state/entry_table.cpp
@@ -17,7 +17,8 @@
     if (known != this->entries.end()) {
         auto const& current = known->second;
         if (current.id == request.entry && current.zone == request.zone
-            && current.http_address == request.http_address)
+            && current.http_address == request.http_address
+            && current.link_address == request.link_address)
             return join_outcome::unchanged;
         if (current.id != request.entry)
             this->retire(current.id, true, next_view);
@@ -26,7 +27,8 @@
     // A removed incarnation must not displace its successor when one of its messages arrives late.
     for (auto& item : this->past)
         item.replaced = item.replaced || item.id.name == request.entry.name;
-    this->entries[request.entry.name] = {request.entry, request.zone, request.http_address};
+    this->entries[request.entry.name] 
+        = {request.entry, request.zone, request.http_address, request.link_address};
     return join_outcome::changed;
 }
 
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr std::uint32_t snapshot_version = 1;
+constexpr std::uint32_t snapshot_version = 2;
 constexpr std::size_t claims_per_section = 1000;
 constexpr std::size_t length_width = 4;
 
@@ -77,6 +77,7 @@
     append_section(bytes, this->zones.image());
     append_section(bytes, this->live.image());
     append_section(bytes, this->known_agents.image());
+    append_section(bytes, this->routing);
     bytes += claims;
     for (auto const& image : tombstones)
         append_section(bytes, image);
@@ -97,6 +98,7 @@
         fresh.zones.restore(take_section<zone_image>(bytes));
         fresh.live.restore(take_section<entry_image>(bytes));
         fresh.known_agents.restore(take_section<agent_image>(bytes));
+        fresh.routing = take_section<protocol::document>(bytes);
         for (std::uint64_t index = 0; index < header.claim_sections; ++index)
             for (auto const& image : unpack(take_section<claim_section>(bytes)))
                 fresh.jobs.restore(image);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -3,6 +3,7 @@
 #include "transport/http_server.h"
 
 #include <algorithm>
+#include <utility>
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -86,6 +87,7 @@
         return;
     evhttp_request* const request = this->pending;
     this->pending = nullptr;
+    this->abandoned = nullptr;
     evkeyvalq* const headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
     for (auto const& [name, value] : response.headers)
@@ -177,9 +179,12 @@
     if (found == exchanges.end())
         return;
     // evhttp frees the request together with the connection.
-    if (auto const exchange = found->second.lock())
-        exchange->pending = nullptr;
+    auto const exchange = found->second.lock();
     exchanges.erase(found);
+    if (!exchange || std::exchange(exchange->pending, nullptr) == nullptr)
+        return;
+    if (auto const action = std::exchange(exchange->abandoned, nullptr))
+        action();
 }
 
 } // namespace greengagehead::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -55,11 +55,14 @@
     void respond(http_response const& response);
     /// False once the reply is sent or the caller has closed its connection.
     [[nodiscard]] bool open() const { return this->pending != nullptr; }
+    /// Called when the caller closes its connection before the reply.
+    void on_abandoned(std::function<void()> action) { this->abandoned = std::move(action); }
 
 private:
     friend class http_server;
 
     evhttp_request* pending; // Owned by evhttp; null once replied or closed.
+    std::function<void()> abandoned;
 };
 
 struct http_limits {
