--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t idle_connections_per_address = 64;
+constexpr std::chrono::seconds idle_timeout {600};
 
 evhttp_cmd_type to_command(http_method method)
 {
@@ -128,6 +129,9 @@
     used->done = nullptr;
     auto& waiting = this->idle[used->address];
     if (reusable && waiting.size() < idle_connections_per_address) {
+        // evhttp also applies the timeout of the last request to the idle connection.
+        timeval const keep {idle_timeout.count(), 0};
+        evhttp_connection_set_timeout_tv(used->handle.get(), &keep);
         waiting.push_back(used);
     } else {
         // evhttp still uses the connection after this callback, so it is freed by the loop later.
