--- a/bench/policy/placement_loop.cpp
+++ b/bench/policy/placement_loop.cpp
@@ -136,7 +136,7 @@
         state.queued = shared ? static_cast<std::uint32_t>(source.queued.size()) : 0;
         state.held_by_receiver = source.used_by[index];
         protocol::agent_report const body {
-            {"agent." + name, 1}, "r", "z" + std::to_string(number % 3), {}, 1, {state}};
+            {"agent." + name, 1}, "r", "z" + std::to_string(number % 3), {}, 1, {state}, {}};
         this->after(this->settings.latency, [this, index, body] {
             this->entries[index].endpoints.update(body, this->now);
             this->place(index);
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -127,7 +127,7 @@
         return {entry.id,           "recife",
                 "127.0.0.1:8410",   base::to_reading(this->now) + entry.clock_offset,
                 entry.applied,      entry.settled,
-                entry.seen_takeover};
+                entry.seen_takeover, "127.0.0.1:7000"};
     }
     void renew(fake_entry const& entry)
     {
--- a/tests/entry/fake_world.h
+++ b/tests/entry/fake_world.h
@@ -44,7 +44,7 @@
         protocol::live_entry entry;
         steady_time until;
     };
-    protocol::view view {1, {}, {}, {}, {}};
+    protocol::view view {1, {}, {}, {}, {}, {}};
     std::map<std::string, lease> leases;
     std::map<std::string, protocol::job_claim> claims;
     std::vector<protocol::registered_agent> agents;
--- a/tests/state/oracle_test.cpp
+++ b/tests/state/oracle_test.cpp
@@ -215,7 +215,7 @@
         auto const known = model.incarnations.find(this->name);
         auto const last = known == model.incarnations.end() ? 0 : known->second;
         if (this->back)
-            this->check(model, real, protocol::join_entry {{this->name, last + 1}, "z", "a"});
+            this->check(model, real, protocol::join_entry {{this->name, last + 1}, "z", "a", "l"});
         else
             this->check(model, real, protocol::remove_entry {{this->name, last}});
     }
--- a/tests/state/random_command.h
+++ b/tests/state/random_command.h
@@ -74,7 +74,7 @@
         return put_endpoint_drain {pick("e", 2), *rc::gen::arbitrary<bool>(), {}};
     case 2:
     case 3:
-        return join_entry {any_process("entry."), "z0", pick("a", 2)};
+        return join_entry {any_process("entry."), "z0", pick("a", 2), pick("l", 2)};
     case 4:
         return remove_entry {any_process("entry.")};
     case 5:
--- a/tests/state/settings_test.cpp
+++ b/tests/state/settings_test.cpp
@@ -118,7 +118,7 @@
         claim.job = std::string(32, '1');
         claim.digest = std::string(64, '2');
         claim.owner = {"entry.a", 1};
-        at(15, protocol::join_entry {claim.owner, "z", "a"});
+        at(15, protocol::join_entry {claim.owner, "z", "a", "l"});
         at(15, protocol::claim_jobs {{claim}, 1});
         at(600, protocol::expire_claims {std::chrono::seconds(600), {}, 10});
         CHECK(agents_since(state, std::chrono::seconds(15)) == 2);
