--- /dev/null
+++ b/tests/agent/leased_runner_test.cpp
@@ -0,0 +1,290 @@
+// Runs on a leased worker: what is known of a run when orders or answers are lost.
+
+#include <catch2/catch.hpp>
+
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/leased_runner.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::agent;
+using protocol::outcome_kind;
+using std::chrono::milliseconds;
+
+/// A worker whose answers the test gives by hand.
+struct scripted_worker : leased_worker {
+    struct start_call {
+        order terms;
+        worker_run run;
+        worker_clock lease_until;
+        std::function<void(worker_reply const&)> done;
+    };
+    struct stop_call {
+        worker_run run;
+        std::function<void(worker_reply const&)> done;
+    };
+    struct report_call {
+        order terms;
+        worker_clock lease_until;
+        std::uint64_t seen_end;
+        std::function<void(worker_report const&)> done;
+    };
+
+    void start(order const& terms, worker_run const& run, protocol::task_start const& /*task*/,
+               worker_clock lease_until, std::function<void(worker_reply const&)> done) override
+    {
+        this->starts.push_back({terms, run, lease_until, std::move(done)});
+    }
+    void stop(order const& /*terms*/, worker_run const& run,
+              std::function<void(worker_reply const&)> done) override
+    {
+        this->stops.push_back({run, std::move(done)});
+    }
+    void report(order const& terms, worker_clock lease_until, std::uint64_t seen_end,
+                milliseconds /*wait*/, std::function<void(worker_report const&)> done) override
+    {
+        this->reports.push_back({terms, lease_until, seen_end, std::move(done)});
+    }
+
+    std::vector<start_call> starts;
+    std::vector<stop_call> stops;
+    std::vector<report_call> reports;
+};
+
+struct runner_fixture {
+    runner_fixture() : runner(worker, {}, 100, [this] { return this->now; })
+    {
+        this->runner.announced({"i-1", 5}, worker_clock(10'000));
+        this->pass(milliseconds(10));
+        this->answer_report({});
+    }
+
+    void pass(milliseconds duration)
+    {
+        for (auto const end = this->now + duration; this->now < end;) {
+            this->now += milliseconds(10);
+            this->runner.tick();
+        }
+    }
+    void start(std::string const& name, std::uint32_t attempt = 1)
+    {
+        run_request request;
+        request.task.task = {"job", 0};
+        request.task.name = name;
+        request.task.attempt = attempt;
+        request.start_before = this->now + milliseconds(1000);
+        this->runner.start(request, [this](run_result result, base::steady_time) {
+            this->results.push_back(std::move(result));
+        });
+    }
+    [[nodiscard]] worker_reply reply(worker_answer answer) const
+    {
+        return {answer, worker_clock(10'000)};
+    }
+    /// Answers the last report.
+    void answer_report(std::vector<worker_run> running, std::vector<ended_run> ended = {})
+    {
+        auto const done = std::exchange(this->worker.reports.back().done, nullptr);
+        done({this->reply(worker_answer::accepted), std::move(running), std::move(ended)});
+    }
+
+    base::steady_time now {std::chrono::hours(1)};
+    scripted_worker worker;
+    leased_runner runner;
+    std::vector<run_result> results;
+};
+
+} // namespace
+
+SCENARIO("a run on a leased worker ends", "[agent][leased]")
+{
+    GIVEN("a run that the worker has accepted")
+    {
+        runner_fixture world;
+        world.start("a.0.0.0");
+        REQUIRE(world.worker.starts.size() == 1);
+        auto const run = world.worker.starts.front().run;
+        world.worker.starts.front().done(world.reply(worker_answer::accepted));
+        world.pass(milliseconds(10));
+
+        WHEN("the worker lists its end as done")
+        {
+            world.answer_report({}, {{1, run, run_end::done}});
+            THEN("the task has succeeded, and the end is acknowledged with the next report")
+            {
+                REQUIRE(world.results.size() == 1);
+                CHECK(world.results.front().kind == outcome_kind::succeeded);
+                world.pass(milliseconds(500));
+                CHECK(world.worker.reports.back().seen_end == 1);
+            }
+        }
+        WHEN("the worker lists its lease as lapsed")
+        {
+            world.answer_report({}, {{1, run, run_end::lapsed}});
+            // Guards against a lapsed run being counted as a failure of the task.
+            THEN("the run is over without a result")
+            {
+                REQUIRE(world.results.size() == 1);
+                CHECK(world.results.front().kind == outcome_kind::cancelled);
+            }
+        }
+        WHEN("the worker restarts under the same id")
+        {
+            world.runner.announced({"i-1", 6}, worker_clock(0));
+            // Guards against waiting for a run that nobody executes any more.
+            THEN("the run is over")
+            {
+                REQUIRE(world.results.size() == 1);
+                CHECK(world.results.front().kind == outcome_kind::unknown);
+            }
+        }
+        WHEN("a delayed announcement of an earlier life arrives")
+        {
+            world.runner.announced({"i-1", 4}, worker_clock(99'000));
+            THEN("the run goes on") { CHECK(world.results.empty()); }
+        }
+        WHEN("the worker is silent")
+        {
+            world.pass(milliseconds(900));
+            THEN("nothing is known before its leases have lapsed") { CHECK(world.results.empty()); }
+            AND_WHEN("every lease has lapsed by the slowest clock")
+            {
+                world.pass(milliseconds(1200));
+                // Guards against a second run beside one that still holds its lease.
+                THEN("the run is over")
+                {
+                    REQUIRE(world.results.size() == 1);
+                    CHECK(world.results.front().kind == outcome_kind::unknown);
+                    CHECK_FALSE(world.runner.reachable());
+                }
+            }
+        }
+    }
+}
+
+SCENARIO("a start is not answered", "[agent][leased]")
+{
+    GIVEN("a start whose answer was lost")
+    {
+        runner_fixture world;
+        world.start("a.0.0.0");
+        auto const run = world.worker.starts.front().run;
+        world.worker.starts.front().done({worker_answer::no_answer, {}});
+        REQUIRE(world.worker.reports.back().done);
+
+        WHEN("the worker lists the run")
+        {
+            world.answer_report({run});
+            // Guards against stopping work that goes well.
+            THEN("it goes on") { CHECK(world.worker.stops.empty()); }
+        }
+        WHEN("the worker does not list the run")
+        {
+            world.answer_report({});
+            THEN("the run is stopped, and is not over before the worker has confirmed that")
+            {
+                REQUIRE(world.worker.stops.size() == 1);
+                CHECK(world.worker.stops.front().run == run);
+                CHECK(world.results.empty());
+            }
+            AND_WHEN("the worker has confirmed the stop and lists nothing")
+            {
+                world.worker.stops.front().done(world.reply(worker_answer::accepted));
+                world.pass(milliseconds(20));
+                world.answer_report({});
+                // Guards against a start that is carried out seconds later, beside another run.
+                THEN("the run is over and may be repeated elsewhere")
+                {
+                    REQUIRE(world.results.size() == 1);
+                    CHECK(world.results.front().kind == outcome_kind::cancelled);
+                }
+            }
+            AND_WHEN("the stop is not answered either")
+            {
+                world.worker.stops.front().done({worker_answer::no_answer, {}});
+                world.pass(milliseconds(150));
+                THEN("it is sent again") { CHECK(world.worker.stops.size() == 2); }
+            }
+        }
+    }
+}
+
+SCENARIO("a worker refuses a start", "[agent][leased]")
+{
+    GIVEN("a start under way")
+    {
+        runner_fixture world;
+        world.start("a.0.0.0");
+
+        WHEN("the fencing token is too low")
+        {
+            auto const fence = world.worker.starts.front().terms.fence;
+            world.worker.starts.front().done(world.reply(worker_answer::stale_fence));
+            // Guards against an agent whose clock was set back being refused for good.
+            THEN("the start is sent again with a higher one")
+            {
+                REQUIRE(world.worker.starts.size() == 2);
+                CHECK(world.worker.starts.back().terms.fence > fence);
+            }
+        }
+        WHEN("the worker has seen a higher run of the task")
+        {
+            auto const number = world.worker.starts.front().run.number;
+            world.worker.starts.front().done(world.reply(worker_answer::old_run));
+            THEN("the start is sent again as a later run")
+            {
+                REQUIRE(world.worker.starts.size() == 2);
+                CHECK(world.worker.starts.back().run.number > number);
+            }
+        }
+        WHEN("there is no room")
+        {
+            world.worker.starts.front().done(world.reply(worker_answer::no_room));
+            THEN("the task has not run")
+            {
+                REQUIRE(world.results.size() == 1);
+                CHECK(world.results.front().kind == outcome_kind::not_run);
+            }
+        }
+    }
+}
+
+SCENARIO("an agent starts beside a worker that already runs something", "[agent][leased]")
+{
+    GIVEN("a worker with a run of an earlier life of the agent")
+    {
+        base::steady_time now {std::chrono::hours(1)};
+        scripted_worker worker;
+        leased_runner runner(worker, {}, 100, [&now] { return now; });
+        runner.tick();
+        REQUIRE(worker.reports.size() == 1);
+        worker.reports.back().done(
+            {{worker_answer::accepted, worker_clock(7)}, {{"old.0.0.0", 3}}, {}});
+
+        // Guards against entries starting these tasks elsewhere while they still run here.
+        THEN("the run is stopped, and the agent takes no work yet")
+        {
+            REQUIRE(worker.stops.size() == 1);
+            CHECK(worker.stops.front().run == worker_run {"old.0.0.0", 3});
+            CHECK_FALSE(runner.settled());
+        }
+        WHEN("the worker lists nothing any more")
+        {
+            now += milliseconds(10);
+            runner.tick();
+            worker.reports.back().done({{worker_answer::accepted, worker_clock(60)}, {}, {}});
+            THEN("the agent takes work") { CHECK(runner.settled()); }
+        }
+        WHEN("the worker does not answer until its leases have lapsed")
+        {
+            now += milliseconds(1020);
+            runner.tick();
+            THEN("the agent takes work") { CHECK(runner.settled()); }
+        }
+    }
+}
--- /dev/null
+++ b/tests/entry/ephemeral_test.cpp
@@ -0,0 +1,174 @@
+// Jobs that are not stored: served without control, repeated after failures, never beside themselves.
+
+#include <catch2/catch.hpp>
+
+#include "entry/fake_world.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::test;
+using reply_kind = entry::submit_reply::kind;
+using protocol::job_state;
+using protocol::outcome_kind;
+
+protocol::job_request make_ephemeral(std::string const& submission, std::size_t tasks,
+                                     std::uint32_t max_attempts = 3)
+{
+    auto request = make_job(submission, tasks, false);
+    request.ephemeral = true;
+    for (auto& task : request.tasks)
+        task.max_attempts = max_attempts;
+    return request;
+}
+
+struct ephemeral_fleet : fake_world {
+    ephemeral_fleet() : fake_world(1)
+    {
+        this->add_entry("entry.a", "recife");
+        this->add_agent("agent.1", "recife");
+        this->add_agent("agent.2", "fortaleza");
+        this->run(milliseconds(500));
+    }
+};
+
+} // namespace
+
+SCENARIO("control is out of reach", "[entry][ephemeral]")
+{
+    GIVEN("an entry whose lease has lapsed")
+    {
+        ephemeral_fleet world;
+        world.cut_off.insert("control.a");
+        world.run(milliseconds(3000));
+        REQUIRE_FALSE(world.entries.at("entry.a")->status(world.now).lease_valid);
+
+        WHEN("an ephemeral job is submitted")
+        {
+            auto const job = world.submit("entry.a", make_ephemeral("s1", 4));
+            world.run(milliseconds(300));
+            // Guards against an outage of control stopping work that needs no record.
+            THEN("it is served")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+                CHECK(world.violations.empty());
+            }
+        }
+        WHEN("a stored job is submitted")
+        {
+            world.submit("entry.a", make_job("s2", 4, false));
+            world.run(milliseconds(1000));
+            THEN("nothing of it starts") { CHECK(world.runs.empty()); }
+        }
+    }
+}
+
+SCENARIO("runs of an ephemeral task fail", "[entry][ephemeral]")
+{
+    GIVEN("a fleet whose endpoints fail everything")
+    {
+        ephemeral_fleet world;
+        for (auto& [name, agent] : world.agents)
+            agent.result = outcome_kind::failed;
+
+        WHEN("the task may fail three times")
+        {
+            auto const job = world.submit("entry.a", make_ephemeral("s1", 1, 3));
+            world.run(milliseconds(2000));
+            // Guards against a task being tried beyond its limit, or given up before it.
+            THEN("it runs three times and the job fails")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::failed);
+                CHECK(job->replies.front().answer.tasks.front().state
+                      == protocol::task_state::failed);
+                CHECK(world.runs.begin()->second == 3);
+            }
+        }
+    }
+}
+
+SCENARIO("the agent of an ephemeral task is lost", "[entry][ephemeral]")
+{
+    GIVEN("a task that runs at an agent which is cut off")
+    {
+        ephemeral_fleet world;
+        for (auto& [name, agent] : world.agents)
+            agent.run_time = milliseconds(2000);
+        auto const job = world.submit("entry.a", make_ephemeral("s1", 1));
+        REQUIRE(world.run_until([&] { return world.runs.size() == 1; }));
+        auto& lost = world.agents.at("agent.1").records.empty() ? world.agents.at("agent.2")
+                                                                : world.agents.at("agent.1");
+        world.cut_off.insert(lost.id.name);
+
+        WHEN("the agent may still hold the run")
+        {
+            world.run(milliseconds(2500));
+            // Guards against a second run beside the first, which the agent has not stopped yet.
+            THEN("the task is not started elsewhere") { CHECK(world.runs.begin()->second == 1); }
+        }
+        WHEN("the agent and its worker have ended the run")
+        {
+            world.run(milliseconds(1500));
+            lost.records.clear();
+            world.run(milliseconds(3400));
+            THEN("the task runs elsewhere")
+            {
+                CHECK(world.runs.begin()->second == 2);
+                CHECK(world.violations.empty());
+            }
+        }
+    }
+}
+
+SCENARIO("an ephemeral submission is sent again to the same entry", "[entry][ephemeral]")
+{
+    GIVEN("a running job")
+    {
+        ephemeral_fleet world;
+        auto const first = world.submit("entry.a", make_ephemeral("s1", 2));
+        world.run(milliseconds(10));
+
+        WHEN("the same submission comes again")
+        {
+            auto const second = world.submit("entry.a", make_ephemeral("s1", 2));
+            world.run(milliseconds(500));
+            THEN("both callers get the one answer")
+            {
+                REQUIRE(first->replies.size() == 1);
+                REQUIRE(second->replies.size() == 1);
+                for (auto const& [task, count] : world.runs)
+                    CHECK(count == 1);
+            }
+        }
+    }
+}
+
+SCENARIO("an agent holds a run that nobody waits for", "[entry][ephemeral]")
+{
+    GIVEN("a cancelled job whose cancellation was lost")
+    {
+        ephemeral_fleet world;
+        for (auto& [name, agent] : world.agents)
+            agent.run_time = milliseconds(3000);
+        auto const job = world.submit("entry.a", make_ephemeral("s1", 1));
+        REQUIRE(world.run_until([&] { return world.runs.size() == 1; }));
+
+        WHEN("the agent reports a run that the entry does not know")
+        {
+            std::size_t cancelled = 0;
+            world.on_send = [&cancelled](auto const&, auto const&, auto const& body) {
+                if (auto const* batch = std::get_if<protocol::cancel_batch>(&body))
+                    cancelled += batch->attempts.size();
+            };
+            auto const& agent = world.agents.at("agent.1");
+            protocol::agent_report report {agent.id, {}, agent.zone, {}, agent.seen_view, {},
+                                           {{{"unknown", 0}, 7}}};
+            report.agent_clock = base::to_reading(world.now + agent.clock_offset);
+            world.entries.at("entry.a")->receive("agent.1", report, world.now);
+            // Guards against a run that blocks its endpoint, beside a run elsewhere.
+            THEN("it is cancelled") { CHECK(cancelled == 1); }
+        }
+    }
+}
--- a/tests/entry/fake_world.h
+++ b/tests/entry/fake_world.h
@@ -98,6 +98,8 @@
     void run(milliseconds time);
     /// Advances until `done`, at most for `limit`.
     bool run_until(std::function<bool()> const& done, milliseconds limit = milliseconds(5000));
+    /// Agents that run the task at this moment.
+    [[nodiscard]] std::size_t runs_now(protocol::task_ref const& task) const;
     [[nodiscard]] std::uint32_t random(std::uint32_t bound);
 
     /// Submits and keeps the replies.
