--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -12,7 +12,7 @@
 import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
-PROGRAM = ROOT / "build/src/app/greengagehead"
+PROGRAM = ROOT / "build/greengagehead"
 STAND_IN = ROOT / "build/tests/stand_in/stand_in_endpoint"
 DEPLOYMENT = ROOT / "examples/assentos-caatinga"
 ZONES = {"recife": 8510, "fortaleza": 8520, "salvador": 8530}
