Order ephemeral tasks by the latest start that meets their target; refuse at once what cannot

The admission compared with the deadline and counted the whole fleet as one entry's. Ruled out: workers cut off from control (all served on). Change: policy::target_queue and policy::check_target; an ephemeral job that has not started by its latest start is refused.

--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -349,7 +349,7 @@
 
 void agent_core::parts::report_if_due(base::steady_time now)
 {
-    state_reporter::notable_state current {this->leases.known_view(), this->endpoints.fullness()};
+    state_reporter::notable_state current {this->leases.known_view(), this->endpoints.levels()};
     if (this->reports.due(current, now))
         this->reports.send(
             [this, now](std::string const& entry) { return this->report(entry, now); },
--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -158,12 +158,14 @@
     return all;
 }
 
-std::vector<std::pair<std::string, bool>> endpoint_list::fullness() const
+std::vector<std::pair<std::string, std::uint32_t>> endpoint_list::levels() const
 {
-    std::vector<std::pair<std::string, bool>> all;
+    std::vector<std::pair<std::string, std::uint32_t>> all;
     for (auto const& [name, known] : this->endpoints) {
+        auto const capacity = std::max<std::uint64_t>(known.slots.capacity(), 1);
+        auto const level = std::uint64_t {known.slots.used()} * full_level / capacity;
         if (!known.gone)
-            all.emplace_back(name, known.slots.full());
+            all.emplace_back(name, static_cast<std::uint32_t>(level));
     }
     return all;
 }
--- a/src/agent/endpoint_list.h
+++ b/src/agent/endpoint_list.h
@@ -43,8 +43,10 @@
     /// @param held tells the attempts of the entry that gets the report.
     [[nodiscard]] std::vector<protocol::endpoint_state>
     states(lease_book const& leases, std::function<bool(attempt_key const&)> const& held) const;
-    /// Names of the present endpoints and whether each is full: a change is reported at once.
-    [[nodiscard]] std::vector<std::pair<std::string, bool>> fullness() const;
+    /// Names of the present endpoints and how full each is, from 0 to `full_level`: a change is
+    /// reported ahead of the interval.
+    [[nodiscard]] std::vector<std::pair<std::string, std::uint32_t>> levels() const;
+    static constexpr std::uint32_t full_level = 8;
 
 private:
     struct listed_endpoint {
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -25,7 +25,7 @@
     /// How much slower than ours the worker's clock may run.
     std::uint32_t clock_drift_percent = 2;
     /// A report is due at least this often while something runs.
-    std::chrono::milliseconds report_wait {400};
+    std::chrono::milliseconds report_wait {200};
 };
 
 /// One instance serves the worker beside this agent, over all its lives.
--- a/src/agent/state_reporter.h
+++ b/src/agent/state_reporter.h
@@ -20,7 +20,7 @@
     /// What is worth a report ahead of the interval when it changes.
     struct notable_state {
         protocol::view_number known_view = 0;
-        std::vector<std::pair<std::string, bool>> fullness; ///< Of each endpoint.
+        std::vector<std::pair<std::string, std::uint32_t>> levels; ///< How full each endpoint is.
 
         bool operator==(notable_state const&) const = default;
     };
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -64,6 +64,8 @@
     auto& task = job.tasks[index];
     if (task.queued || task.done() || job.content == nullptr)
         return;
+    if (job.ephemeral)
+        return this->enqueue_urgent(job, index);
     auto const& request = job.content->tasks[index];
     policy::queued_task waiting;
     waiting.task = {job.id, index};
@@ -71,11 +73,7 @@
     waiting.placement_class = class_of(request, job.ephemeral);
     waiting.cost = task.expected * request.slots;
     waiting.deadline = job.deadline;
-    auto& group = this->classes[waiting.placement_class];
-    if (group.request.kind.empty()) {
-        group.request = class_request(request);
-        group.ephemeral = job.ephemeral;
-    }
+    this->class_for(job, index, waiting.placement_class);
     task.queued = true;
     task.state = protocol::task_state::waiting;
     if (front)
@@ -84,10 +82,40 @@
         this->parts.queue.push(std::move(waiting));
 }
 
+dispatcher::placement_class& dispatcher::class_for(job const& job, std::uint32_t index,
+                                                   std::string const& key)
+{
+    auto& group = this->classes[key];
+    if (group.request.kind.empty()) {
+        group.request = class_request(job.content->tasks[index]);
+        group.ephemeral = job.ephemeral;
+    }
+    return group;
+}
+
+void dispatcher::enqueue_urgent(job& job, std::uint32_t index)
+{
+    auto& task = job.tasks[index];
+    auto const& request = job.content->tasks[index];
+    policy::target_task waiting;
+    waiting.task = {job.id, index};
+    waiting.placement_class = class_of(request, true);
+    waiting.work = task.expected * request.slots;
+    waiting.latest_start = job.latest_start;
+    this->class_for(job, index, waiting.placement_class);
+    task.queued = true;
+    task.state = protocol::task_state::waiting;
+    this->parts.urgent.push(std::move(waiting));
+}
+
 void dispatcher::withdraw(job& job, std::uint32_t index)
 {
     auto& task = job.tasks[index];
-    if (std::exchange(task.queued, false))
+    if (!std::exchange(task.queued, false))
+        return;
+    if (job.ephemeral)
+        this->parts.urgent.remove({job.id, index});
+    else
         this->parts.queue.remove({job.id, index});
 }
 
@@ -109,8 +137,36 @@
     return group.choice.has_value();
 }
 
+void dispatcher::run_urgent(base::steady_time now)
+{
+    auto const accepts = [this, now](std::string const& key) { return this->placeable(key, now); };
+    while (auto const taken = this->parts.urgent.take(accepts)) {
+        auto* job = this->parts.jobs.find(taken->task.job);
+        if (job != nullptr && job->phase == job_phase::running) {
+            job->tasks[taken->task.index].queued = false;
+            if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
+                this->enqueue_urgent(*job, taken->task.index);
+                this->classes[taken->placement_class].blocked_at = this->generation + 1;
+            }
+        }
+        ++this->generation;
+    }
+}
+
+void dispatcher::refuse_overdue(base::steady_time now)
+{
+    for (auto const& task : this->parts.urgent.overdue(now)) {
+        auto* job = this->parts.jobs.find(task.job);
+        // What has started is finished: the late answer is worth more than the lost work.
+        if (job != nullptr && job->phase == job_phase::running && job->untouched())
+            this->parts.flow.refuse_waiting(*job, now);
+    }
+}
+
 void dispatcher::run(base::steady_time now)
 {
+    this->run_urgent(now);
+    this->refuse_overdue(now);
     auto const accepts = [this, now](std::string const& key) { return this->placeable(key, now); };
     while (auto const taken = this->parts.queue.take(accepts)) {
         this->place(*taken, now);
@@ -126,15 +182,20 @@
         return;
     }
     job->tasks[taken.task.index].queued = false;
-    auto& group = this->classes[taken.placement_class];
-    auto const choice = this->choose(*job, taken.task.index, group, now);
-    if (choice && this->start(*job, taken.task.index, *choice, false, now))
+    if (this->try_start(*job, taken.task.index, taken.placement_class, now))
         return;
     // The endpoint left between choice and start, or has too little room. The next report or tick
     // tries again.
     this->parts.queue.finished(taken.team, taken.cost, std::chrono::microseconds(0));
     this->enqueue(*job, taken.task.index, true);
-    group.blocked_at = this->generation + 1;
+    this->classes[taken.placement_class].blocked_at = this->generation + 1;
+}
+
+bool dispatcher::try_start(job& job, std::uint32_t index, std::string const& key,
+                           base::steady_time now)
+{
+    auto const choice = this->choose(job, index, this->classes[key], now);
+    return choice && this->start(job, index, *choice, false, now);
 }
 
 std::optional<policy::placement_choice> dispatcher::choose(job const& job, std::uint32_t index,
@@ -183,7 +244,7 @@
     added.slots = job.content->tasks[index].slots;
     added.sent = now;
     added.hedge = hedge;
-    added.counted = !hedge;
+    added.counted = !hedge && !job.ephemeral;
     task.attempts.push_back(added);
     task.state = protocol::task_state::starting;
     ++job.awaited;
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -46,7 +46,14 @@
     };
 
     bool placeable(std::string const& key, base::steady_time now);
+    void enqueue_urgent(job& job, std::uint32_t index);
+    void run_urgent(base::steady_time now);
+    /// Gives up on ephemeral jobs that have not started and can no longer meet their target.
+    void refuse_overdue(base::steady_time now);
     void place(policy::queued_task const& taken, base::steady_time now);
+    /// Starts a waiting task. False when it cannot start now.
+    bool try_start(job& job, std::uint32_t index, std::string const& key, base::steady_time now);
+    placement_class& class_for(job const& job, std::uint32_t index, std::string const& key);
     /// An endpoint with room for the task. Empty when only smaller tasks of its class fit.
     std::optional<policy::placement_choice> choose(job const& job, std::uint32_t index,
                                                    placement_class& group, base::steady_time now);
--- a/src/entry/entry_parts.h
+++ b/src/entry/entry_parts.h
@@ -25,6 +25,7 @@
 #include "policy/fair_queue.h"
 #include "policy/placement_policy.h"
 #include "policy/run_time_estimator.h"
+#include "policy/target_queue.h"
 
 namespace greengagehead::entry {
 
@@ -60,7 +61,8 @@
 
     policy::endpoint_table endpoints;
     policy::endpoint_health health;
-    policy::fair_queue queue;
+    policy::fair_queue queue; ///< Tasks of stored jobs.
+    policy::target_queue urgent; ///< Tasks of ephemeral jobs.
     policy::run_time_estimator estimator;
     std::unique_ptr<policy::placement_policy> placement;
 
--- a/src/entry/job.cpp
+++ b/src/entry/job.cpp
@@ -22,6 +22,12 @@
                                                   [](auto const& open) { return !open.given_up; }));
 }
 
+bool job::untouched() const
+{
+    return std::all_of(this->tasks.begin(), this->tasks.end(),
+                       [](auto const& item) { return item.last_attempt == 0; });
+}
+
 bool task::done() const
 {
     return this->state != protocol::task_state::waiting
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -78,6 +78,7 @@
     base::steady_time submitted;
     base::steady_time deadline;
     base::steady_time give_up_claim;
+    base::steady_time latest_start; ///< Of an ephemeral job: a later start misses the target.
 
     job_phase phase = job_phase::claiming;
     /// As in job_request. Counts as claimed from the start.
@@ -102,6 +103,8 @@
     std::vector<waiter> waiters;
     decision_log decisions;
 
+    /// No attempt of any task was made so far.
+    [[nodiscard]] bool untouched() const;
     void note(decision entry) { this->decisions.add(std::move(entry)); }
     [[nodiscard]] bool is_final() const
     {
--- a/src/entry/job_end.cpp
+++ b/src/entry/job_end.cpp
@@ -152,6 +152,17 @@
         this->finalize(job, now);
 }
 
+void job_flow::refuse_waiting(job& job, base::steady_time now)
+{
+    job.final_state = job_state::refused;
+    job.failure = base::error {base::error_code::unavailable,
+                               base::error_step::placement,
+                               {},
+                               "no endpoint had room in time for the target"};
+    ++this->parts.counters.jobs_refused;
+    this->finalize(job, now);
+}
+
 void job_flow::complete(job& job, base::steady_time now)
 {
     job.final_state = job_state::complete;
@@ -186,6 +197,8 @@
 void job_flow::finalize(job& job, base::steady_time now)
 {
     job.answer = make_answer(job);
+    if (job.final_state == job_state::refused)
+        job.answer.retry_after = refused_retry_after;
     job.phase = job_phase::publishing;
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
         auto& task = job.tasks[i];
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -16,6 +16,7 @@
 
 using protocol::job_state;
 using protocol::ran_extent;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 constexpr milliseconds claim_retry_pause {50};
@@ -84,10 +85,14 @@
         refusal = policy::check_admission(request, deadline, limits, this->parts.endpoints,
                                           this->parts.queue, this->parts.estimator);
     }
+    auto const target = this->target_of(request, deadline, now);
+    if (!refusal && request.ephemeral)
+        refusal = policy::check_target(target, this->parts.endpoints, this->parts.urgent, now);
     if (refusal)
         return this->refuse(request, id, std::move(caller), *refusal, now);
 
     auto& added = this->parts.jobs.add(id);
+    added.latest_start = target.latest_start;
     added.digest = std::move(digest);
     added.team = request.team;
     added.ephemeral = request.ephemeral;
@@ -119,6 +124,33 @@
     this->send_copy(added, now);
 }
 
+microseconds job_flow::expected_time(protocol::job_request const& request,
+                                     protocol::task_request const& task)
+{
+    auto declared = task.expected;
+    if (declared.count() == 0)
+        declared = this->parts.teams.kind(request.team, task.kind).expected;
+    return this->parts.estimator.estimate(request.team, task.kind, declared).typical;
+}
+
+policy::target_request job_flow::target_of(protocol::job_request const& request,
+                                           milliseconds deadline, base::steady_time now)
+{
+    policy::target_request target {&request, {}, now + deadline};
+    microseconds longest {0};
+    for (auto const& task : request.tasks) {
+        auto const expected = this->expected_time(request, task);
+        longest = std::max(longest, expected);
+        target.work += expected * task.slots;
+    }
+    auto wanted = std::chrono::duration_cast<microseconds>(deadline);
+    if (request.target_stretch_percent > 0)
+        wanted = std::min(wanted,
+                          longest * request.target_stretch_percent / 100 + request.target_extra);
+    target.latest_start = now + std::max(wanted - longest, microseconds(0));
+    return target;
+}
+
 std::string job_flow::id_of(protocol::job_request const& request) const
 {
     if (request.ephemeral)
@@ -131,12 +163,7 @@
     job.tasks.resize(job.content->tasks.size());
     job.unfinished = job.tasks.size();
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        auto const& task = job.content->tasks[i];
-        auto declared = task.expected;
-        if (declared.count() == 0)
-            declared = this->parts.teams.kind(job.team, task.kind).expected;
-        job.tasks[i].expected
-            = this->parts.estimator.estimate(job.team, task.kind, declared).typical;
+        job.tasks[i].expected = this->expected_time(*job.content, job.content->tasks[i]);
     }
 }
 
--- a/src/entry/job_flow.h
+++ b/src/entry/job_flow.h
@@ -9,6 +9,7 @@
 #include "base/error.h"
 #include "entry/waiter.h"
 #include "policy/admission.h"
+#include "policy/target_admission.h"
 #include "protocol/command.h"
 #include "protocol/job.h"
 #include "protocol/message.h"
@@ -52,6 +53,8 @@
     /// Asks control again who owns the running jobs; nothing is started until it has answered.
     void check_ownership(base::steady_time now);
 
+    /// Ends an ephemeral job of which nothing has started, because it can no longer meet its target.
+    void refuse_waiting(job& job, base::steady_time now);
     void begin_shutdown() { this->shutting_down = true; }
 
     /// Forgets a job, with its waiting tasks and its attempts.
@@ -76,6 +79,11 @@
     void answer_waiters(job& job);
     void answer_late_waiters(job& job, base::steady_time now);
     [[nodiscard]] std::string choose_backup() const;
+    [[nodiscard]] std::chrono::microseconds expected_time(protocol::job_request const& request,
+                                                          protocol::task_request const& task);
+    [[nodiscard]] policy::target_request target_of(protocol::job_request const& request,
+                                                   std::chrono::milliseconds deadline,
+                                                   base::steady_time now);
     [[nodiscard]] std::string id_of(protocol::job_request const& request) const;
 
     entry_parts& parts;
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -452,6 +452,11 @@
     return sum;
 }
 
+std::uint32_t endpoint_table::entry_count() const
+{
+    return this->own->entry_count;
+}
+
 std::size_t endpoint_table::usable_endpoints() const
 {
     return this->own->usable;
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -104,6 +104,8 @@
     [[nodiscard]] capacity capacity_for(requirement const& needs) const;
     /// Endpoints that may get work, with free slots or without.
     [[nodiscard]] std::size_t usable_endpoints() const;
+    /// Live entries that use the same endpoints; at least 1.
+    [[nodiscard]] std::uint32_t entry_count() const;
 
 private:
     struct parts;
--- /dev/null
+++ b/src/policy/target_queue.cpp
@@ -0,0 +1,89 @@
+// Order and sums of waiting work.
+
+#include "policy/target_queue.h"
+
+#include <utility>
+
+namespace greengagehead::policy {
+
+namespace {
+
+constexpr std::chrono::milliseconds step_width {16};
+
+std::int64_t step_of(base::steady_time time)
+{
+    return time.time_since_epoch() / step_width;
+}
+
+} // namespace
+
+void target_queue::push(target_task task)
+{
+    if (this->places.contains(task.task))
+        return;
+    auto& list = this->classes[task.placement_class];
+    auto const id = task.task;
+    this->work_by_step[step_of(task.latest_start)] += task.work;
+    auto const latest_start = task.latest_start;
+    this->places[id] = {&list, list.emplace(latest_start, std::move(task))};
+}
+
+std::optional<target_task>
+target_queue::take(std::function<bool(std::string const&)> const& placeable)
+{
+    order* best = nullptr;
+    for (auto& [name, list] : this->classes) {
+        if (list.empty() || (best != nullptr && list.begin()->first >= best->begin()->first))
+            continue;
+        if (placeable(name))
+            best = &list;
+    }
+    if (best == nullptr)
+        return std::nullopt;
+    return this->extract({best, best->begin()});
+}
+
+target_task target_queue::extract(place const& where)
+{
+    auto task = std::move(where.item->second);
+    where.list->erase(where.item);
+    this->places.erase(task.task);
+    auto const sum = this->work_by_step.find(step_of(task.latest_start));
+    sum->second -= task.work;
+    if (sum->second.count() == 0)
+        this->work_by_step.erase(sum);
+    return task;
+}
+
+bool target_queue::remove(protocol::task_ref const& task)
+{
+    auto const found = this->places.find(task);
+    if (found == this->places.end())
+        return false;
+    this->extract(place(found->second));
+    return true;
+}
+
+std::vector<protocol::task_ref> target_queue::overdue(base::steady_time time) const
+{
+    std::vector<protocol::task_ref> late;
+    for (auto const& [name, list] : this->classes) {
+        for (auto item = list.begin(); item != list.end() && item->first < time; ++item)
+            late.push_back(item->second.task);
+    }
+    return late;
+}
+
+slot_time target_queue::work_before(base::steady_time latest_start) const
+{
+    slot_time sum {0};
+    auto const last = step_of(latest_start);
+    for (auto const& [step, work] : this->work_by_step) {
+        if (step > last)
+            break;
+        sum += work;
+    }
+    return sum;
+}
+
+} // namespace greengagehead::policy
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -35,7 +35,8 @@
 template <> struct field_list<job_request> {
     static auto of(auto& m)
     {
-        return std::tie(m.submission, m.team, m.deadline, m.tasks, m.ephemeral);
+        return std::tie(m.submission, m.team, m.deadline, m.tasks, m.ephemeral,
+                        m.target_stretch_percent, m.target_extra);
     }
 };
 template <> struct field_list<task_answer> {
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -35,6 +35,10 @@
     /// The job is not stored: it has neither claim nor copy and ends with the entry that took it.
     /// Its tasks may run again, but never beside an earlier run of the same task.
     bool ephemeral = false;
+    /// The answer has its full value within this part of the longest task's run time, in percent,
+    /// plus `target_extra`. 0 for no target but the deadline. Only for ephemeral jobs.
+    std::uint32_t target_stretch_percent = 0;
+    std::chrono::milliseconds target_extra {0};
 };
 
 enum class job_state : std::uint8_t { running, complete, failed, cancelled, refused };
