Redial after 300 ms, close callers' connections before shutdown, tell the use of endpoints with outcomes

Cause: after a power loss entries and agents found control a second late, because the first packet to a VM that is still down is repeated only after a second; requests on open connections got 503 from the third second after SIGTERM; a fifth of the starts was refused for room, because reports of use lag.

--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -45,6 +45,7 @@
       deliveries(this->settings.id, messages, this->outcomes),
       reports(this->settings.report_interval, messages)
 {
+    this->deliveries.uses = [this](std::string const& entry) { return this->uses(entry); };
 }
 
 void agent_core::parts::receive(std::string const& peer, protocol::message const& body,
@@ -356,15 +357,26 @@
             std::move(current), now);
 }
 
-protocol::agent_report agent_core::parts::report(std::string const& entry, base::steady_time now)
+std::vector<protocol::endpoint_use> agent_core::parts::uses(std::string const& entry)
+{
+    std::vector<protocol::endpoint_use> all;
+    for (auto const& state : this->states(entry))
+        all.push_back({state.name, state.used_slots, state.queued, state.held_by_receiver});
+    return all;
+}
+
+std::vector<protocol::endpoint_state> agent_core::parts::states(std::string const& entry)
 {
-    auto const held = [this, &entry](attempt_key const& key) {
+    return this->endpoints.states(this->leases, [this, &entry](attempt_key const& key) {
         auto const* const record = this->outcomes.find(key);
         return record != nullptr && record->details && record->details->owner == entry;
-    };
-    return {this->settings.id,         this->settings.region,
-            this->settings.zone,       base::to_reading(now),
-            this->leases.known_view(), this->endpoints.states(this->leases, held),
+    });
+}
+
+protocol::agent_report agent_core::parts::report(std::string const& entry, base::steady_time now)
+{
+    return {this->settings.id,          this->settings.region,     this->settings.zone,
+            base::to_reading(now),      this->leases.known_view(), this->states(entry),
             this->ephemeral_runs(entry)};
 }
 
--- a/src/agent/agent_parts.h
+++ b/src/agent/agent_parts.h
@@ -70,6 +70,9 @@
     void finish_run(attempt_key const& key, run_result result, base::steady_time now);
     void finish(attempt_key const& key, run_result const& result, base::steady_time now);
     void report_if_due(base::steady_time now);
+    [[nodiscard]] std::vector<protocol::endpoint_use> uses(std::string const& entry);
+    /// Endpoints as the entry is to know them.
+    [[nodiscard]] std::vector<protocol::endpoint_state> states(std::string const& entry);
     [[nodiscard]] std::vector<protocol::attempt_ref> ephemeral_runs(std::string const& entry);
     [[nodiscard]] protocol::agent_report report(std::string const& entry, base::steady_time now);
 };
--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -152,8 +152,7 @@
             {name, description.kinds, known.slots.capacity(), known.slots.used(),
              known.slots.queued(), description.cpu, description.memory_mb, description.rack,
              description.draining || leases.draining(name),
-             slots_of(known.slots.running_attempts(), held)
-                 + slots_of(known.slots.queue(), held)});
+             slots_of(known.slots.running_attempts(), held) + slots_of(known.slots.queue(), held)});
     }
     return all;
 }
--- a/src/agent/entry_directory.cpp
+++ b/src/agent/entry_directory.cpp
@@ -65,6 +65,16 @@
         : static_cast<std::size_t>(found - this->controls.begin());
 }
 
+void entry_directory::peer_up(std::string const& peer, base::steady_time now)
+{
+    auto const found = std::find(this->controls.begin(), this->controls.end(), peer);
+    if (this->known_view > 0 || found == this->controls.end())
+        return;
+    this->target = static_cast<std::size_t>(found - this->controls.begin());
+    this->answered = true;
+    this->next_question = now;
+}
+
 void entry_directory::tick(base::steady_time now)
 {
     if (now >= this->next_question && !this->controls.empty())
--- a/src/agent/entry_directory.h
+++ b/src/agent/entry_directory.h
@@ -23,6 +23,8 @@
     void receive(std::string const& peer, protocol::directory const& answer, base::steady_time now);
     /// Expected every 10 ms.
     void tick(base::steady_time now);
+    /// A link to a member has come up: while nothing is known it is asked at once.
+    void peer_up(std::string const& peer, base::steady_time now);
     /// Replaces the members to ask, for example after the settings have changed.
     void set_controls(std::vector<std::string> names);
 
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -36,8 +36,7 @@
                              clock_source source)
     : worker(port), limits(wanted), fence(first_fence), now(std::move(source)),
       created(this->now()), last_contact(this->created),
-      leases_over(this->created
-                  + wanted.longest * (100 + wanted.clock_drift_percent) / 100),
+      leases_over(this->created + wanted.longest * (100 + wanted.clock_drift_percent) / 100),
       alive(std::make_shared<bool>(true))
 {
 }
@@ -126,12 +125,19 @@
     case worker_answer::not_sent:
         break;
     }
-    static constexpr std::string_view reasons[]
-        = {"accepted",     "fencing token too low", "run number too low",
-           "arrived late", "no room",               "the worker is unhealthy",
-           "restarted",    "rejected",              "the worker was not reached", "no answer"};
+    static constexpr std::string_view reasons[] = {"accepted",
+                                                   "fencing token too low",
+                                                   "run number too low",
+                                                   "arrived late",
+                                                   "no room",
+                                                   "the worker is unhealthy",
+                                                   "restarted",
+                                                   "rejected",
+                                                   "the worker was not reached",
+                                                   "no answer"};
     this->end(name,
-              {outcome_kind::not_run, {},
+              {outcome_kind::not_run,
+               {},
                "the worker refused the start: "
                    + std::string(reasons[static_cast<std::size_t>(reply.answer)])});
 }
@@ -223,8 +229,7 @@
 {
     if (!this->clock)
         return this->limits.longest;
-    auto const passed
-        = std::chrono::duration_cast<worker_clock>(this->now() - this->clock_read_at);
+    auto const passed = std::chrono::duration_cast<worker_clock>(this->now() - this->clock_read_at);
     return *this->clock + passed + this->limits.longest;
 }
 
@@ -279,12 +284,12 @@
     // An order that is carried out late extends no lease beyond this: the end is absolute.
     if (!this->runs.empty())
         this->leases_over = std::max(this->leases_over, time + longest);
-    this->worker.report(this->terms(), until, this->seen_end, wait,
-                        [this, weak = std::weak_ptr(this->alive), number,
-                         kind](worker_report const& report) {
-                            if (!weak.expired())
-                                this->on_report(number, kind, report);
-                        });
+    this->worker.report(
+        this->terms(), until, this->seen_end, wait,
+        [this, weak = std::weak_ptr(this->alive), number, kind](worker_report const& report) {
+            if (!weak.expired())
+                this->on_report(number, kind, report);
+        });
 }
 
 void leased_runner::on_report(std::uint64_t number, report_kind kind, worker_report const& report)
@@ -324,7 +329,8 @@
     case run_end::done:
         return this->end(ended.run.task, {outcome_kind::succeeded, "null", {}});
     case run_end::failed:
-        return this->end(ended.run.task, {outcome_kind::failed, {}, "the worker reports a failure"});
+        return this->end(ended.run.task,
+                         {outcome_kind::failed, {}, "the worker reports a failure"});
     case run_end::stopped:
         return this->end(ended.run.task, {outcome_kind::cancelled, {}, "stopped"});
     case run_end::lapsed:
@@ -362,8 +368,7 @@
         if (item.state == phase::doubtful && !item.stop_sent && number > item.known_since)
             this->send_stop(item);
         bool const expected = item.state == phase::running || item.stop_answered;
-        if (expected && number > item.known_since
-            && ++item.missing >= missing_reports_until_over)
+        if (expected && number > item.known_since && ++item.missing >= missing_reports_until_over)
             over.push_back(name);
     }
     for (auto const& name : over)
--- a/src/agent/outcome_sender.cpp
+++ b/src/agent/outcome_sender.cpp
@@ -113,7 +113,9 @@
                   [this, &sent](auto const& key) { return !this->owed(key, sent.peer); });
     if (sent.keys.empty())
         return;
-    protocol::outcome_batch body {this->self, batch_id, {}};
+    protocol::outcome_batch body {this->self, batch_id, {}, {}};
+    if (this->uses)
+        body.uses = this->uses(sent.peer);
     for (auto const& key : sent.keys)
         body.outcomes.push_back(this->outcomes.outcome(key));
     sent.resend_at = now + sent.delay;
--- a/src/agent/outcome_sender.h
+++ b/src/agent/outcome_sender.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -25,6 +26,9 @@
     outcome_sender(protocol::process_id self, protocol::message_sender& sender,
                    outcome_store& outcomes);
 
+    /// Supplies the use of the endpoints, as the receiver of a batch is to know it.
+    std::function<std::vector<protocol::endpoint_use>(std::string const& receiver)> uses;
+
     /// Queues a finished attempt for its owner.
     void enqueue(attempt_key const& key);
     /// Sends what was queued.
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -32,7 +32,8 @@
       settings(own), client(this->loop), runner(this->loop, this->client),
       adapter(adapters.agent ? adapters.agent(this->loop) : nullptr),
       core(core_settings(own), this->hub,
-           this->adapter ? this->adapter->runner() : static_cast<agent::endpoint_runner&>(this->runner),
+           this->adapter ? this->adapter->runner()
+                         : static_cast<agent::endpoint_runner&>(this->runner),
            steady_now()),
       routes(this->core),
       server(this->loop, {own.limits.body_bytes, own.limits.header_bytes},
@@ -65,6 +66,8 @@
         [this](auto const& members) { dial_members(this->hub, members); });
     this->hub.message_received.connect(
         [this](std::string const& peer, protocol::message& body) { this->receive(peer, body); });
+    this->hub.peer_up.connect(
+        [this](std::string const& peer) { this->directory->peer_up(peer, steady_now()); });
 }
 
 void agent_task::receive(std::string const& peer, protocol::message& body)
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -83,9 +83,9 @@
         // One link per pair of members is enough: the one with the lower name dials. A member that
         // the others do not know of dials them all.
         auto const peer_address = transport::parse_address(member.address);
-        bool const listed = std::any_of(
-            settings.controls.begin(), settings.controls.end(),
-            [&settings](auto const& other) { return other.name == settings.name; });
+        bool const listed
+            = std::any_of(settings.controls.begin(), settings.controls.end(),
+                          [&settings](auto const& other) { return other.name == settings.name; });
         if (member.name != settings.name && (settings.name < member.name || !listed)
             && peer_address)
             this->hub.keep_connected(settings::peer_name(role::control, member.name),
@@ -107,9 +107,8 @@
         opened,
         consensus::durable_log::open(log_settings(settings, address), this->files, this->hub, now));
     this->log = std::move(opened);
-    this->core
-        = std::make_unique<control::control_core>(core_settings(settings), this->requests,
-                                                           *this->log);
+    this->core = std::make_unique<control::control_core>(core_settings(settings), this->requests,
+                                                         *this->log);
     this->log->start(now);
     return boost::outcome_v2::success();
 }
--- a/src/app/peer_wiring.h
+++ b/src/app/peer_wiring.h
@@ -36,7 +36,7 @@
 
 /// Keeps links to the members of the control group as it is now.
 inline void dial_members(transport::link_hub& hub,
-                          std::vector<protocol::member_address> const& members)
+                         std::vector<protocol::member_address> const& members)
 {
     for (auto const& member : members) {
         if (auto const address = transport::parse_address(member.address))
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -115,8 +115,8 @@
 
     base::result<void> open_agent()
     {
-        this->agent = std::make_unique<agent_task>(this->settings, this->settings.entries,
-                                                   this->adapters);
+        this->agent
+            = std::make_unique<agent_task>(this->settings, this->settings.entries, this->adapters);
         BOOST_OUTCOME_TRY(address, this->agent->open(this->settings));
         log_listening("announcements", address);
         this->agent->start();
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -133,7 +133,8 @@
     this->start(now);
     this->last_tick = now;
     this->say_hello(now);
-    if (auto const first = this->bootstrap.proposal(); first && this->settings.may_found && this->fresh())
+    if (auto const first = this->bootstrap.proposal();
+        first && this->settings.may_found && this->fresh())
         this->node.bootstrap(*first, now);
     this->node.tick(now);
     this->change_membership(now);
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -134,8 +134,9 @@
         return;
     auto const end = this->leases.grant(renewal.entry, renewal.entry_clock, view, now);
     log_record(log_event::lease_granted).with("entry", renewal.entry.name).with("view", view);
-    this->sender.send(peer, protocol::grant_lease {renewal.entry.incarnation, end, view,
-                                                   this->member_addresses()});
+    this->sender.send(
+        peer,
+        protocol::grant_lease {renewal.entry.incarnation, end, view, this->member_addresses()});
 }
 
 bool control_core::authoritative(steady_time now) const
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -121,6 +121,8 @@
                                base::steady_time now)
 {
     this->parts.sender.send(peer, protocol::outcome_ack {batch.agent.incarnation, batch.batch_id});
+    for (auto const& use : batch.uses)
+        this->parts.endpoints.update_use(batch.agent, use);
     for (auto& outcome : batch.outcomes) {
         auto* job = this->parts.jobs.find(outcome.task.job);
         auto const used = job != nullptr
@@ -338,8 +340,7 @@
         return false;
     // Runs of an ephemeral task are bounded one by one, and each follows the end of the last.
     auto const allowed = job.ephemeral
-        || (job.content->tasks[index].idempotent
-            && this->parts.teams.retries(job.team).try_take());
+        || (job.content->tasks[index].idempotent && this->parts.teams.retries(job.team).try_take());
     if (!allowed)
         return false;
     ++task.retries;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -329,6 +329,8 @@
 void entry_core::peer_up(std::string const& peer, base::steady_time now)
 {
     this->own->agents.on_up(peer, now);
+    if (!this->own->leases.valid(now))
+        this->own->leases.renew_soon();
     if (auto const* agent = this->own->agents.find(peer))
         this->own->attempts.ask(*this->own->agents.slot_of(agent->id));
     this->own->settle(now);
--- a/src/entry/job_flow.h
+++ b/src/entry/job_flow.h
@@ -53,7 +53,8 @@
     /// Asks control again who owns the running jobs; nothing is started until it has answered.
     void check_ownership(base::steady_time now);
 
-    /// Ends an ephemeral job of which nothing has started, because it can no longer meet its target.
+    /// Ends an ephemeral job of which nothing has started, because it can no longer meet its
+    /// target.
     void refuse_waiting(job& job, base::steady_time now);
     void begin_shutdown() { this->shutting_down = true; }
 
--- a/src/entry/lease_keeper.cpp
+++ b/src/entry/lease_keeper.cpp
@@ -115,8 +115,7 @@
                       protocol::renew_lease {this->settings.id, this->settings.zone,
                                              this->settings.http_address, base::to_reading(now),
                                              this->current.number, this->settled_view,
-                                             this->seen_takeover,
-                                             this->settings.link_address});
+                                             this->seen_takeover, this->settings.link_address});
 }
 
 void lease_keeper::note_takeover(std::uint64_t sequence)
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -321,6 +321,20 @@
             all.erase(name);
 }
 
+void endpoint_table::update_use(protocol::process_id const& agent,
+                                protocol::endpoint_use const& use)
+{
+    auto* const found = this->own->find(use.endpoint);
+    if (found == nullptr || found->record->agent != agent)
+        return;
+    auto& record = *found->record;
+    record.state.used_slots = use.used_slots;
+    record.state.queued = use.queued;
+    record.state.held_by_receiver = use.held_by_receiver;
+    record.refused = false;
+    this->own->list(*found, free_places(record) > 0);
+}
+
 void endpoint_table::remove_agent(std::string const& agent)
 {
     this->own->registered.erase(agent);
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -69,6 +69,9 @@
 
     /// Replaces what is known of the agent's endpoints. Endpoints missing from the report are gone.
     void update(protocol::agent_report const& report, base::steady_time now);
+    /// Takes over how much of a known endpoint is in use. Ignored when it comes from another
+    /// incarnation of the agent than the last report.
+    void update_use(protocol::process_id const& agent, protocol::endpoint_use const& use);
     void remove_agent(std::string const& agent);
     void set_agent_registered(protocol::process_id const& agent);
     void set_zones_out(std::vector<std::string> const& zones);
--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -42,7 +42,8 @@
         return std::nullopt;
     // The other entries use the same endpoints for about as much.
     auto const share = std::max<std::uint64_t>(usable / endpoints.entry_count(), 1);
-    auto const wait = microseconds((ahead + wanted.work).count() / static_cast<std::int64_t>(share));
+    auto const wait
+        = microseconds((ahead + wanted.work).count() / static_cast<std::int64_t>(share));
     if (now + wait <= wanted.latest_start)
         return std::nullopt;
     auto const excess = duration_cast<milliseconds>(now + wait - wanted.latest_start);
--- a/src/protocol/command.h
+++ b/src/protocol/command.h
@@ -128,10 +128,9 @@
     std::uint32_t limit = 0;
 };
 
-using command_body
-    = std::variant<put_setting, put_zone_state, put_endpoint_drain, join_entry, remove_entry,
-                   claim_jobs, finish_jobs, take_over, expire_claims, join_agent, remove_agent,
-                   put_document, confirm_document>;
+using command_body = std::variant<put_setting, put_zone_state, put_endpoint_drain, join_entry,
+                                  remove_entry, claim_jobs, finish_jobs, take_over, expire_claims,
+                                  join_agent, remove_agent, put_document, confirm_document>;
 
 struct command {
     wall_time proposed_at {0};
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -325,8 +325,14 @@
                         m.run_time);
     }
 };
+template <> struct field_list<endpoint_use> {
+    static auto of(auto& m)
+    {
+        return std::tie(m.endpoint, m.used_slots, m.queued, m.held_by_receiver);
+    }
+};
 template <> struct field_list<outcome_batch> {
-    static auto of(auto& m) { return std::tie(m.agent, m.batch_id, m.outcomes); }
+    static auto of(auto& m) { return std::tie(m.agent, m.batch_id, m.outcomes, m.uses); }
 };
 template <> struct field_list<outcome_ack> {
     static auto of(auto& m) { return std::tie(m.agent_incarnation, m.batch_id); }
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -229,10 +229,19 @@
     std::chrono::microseconds run_time {0};
 };
 
+/// Slots of an endpoint, as in endpoint_state. Sent more often than the whole state.
+struct endpoint_use {
+    std::string endpoint;
+    std::uint32_t used_slots = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t held_by_receiver = 0;
+};
+
 struct outcome_batch {
     process_id agent;
     std::uint64_t batch_id = 0; ///< Resent under the same id until acknowledged.
     std::vector<task_outcome> outcomes;
+    std::vector<endpoint_use> uses; ///< Of the agent's endpoints, when the batch was sent.
 };
 
 struct outcome_ack {
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -217,7 +217,8 @@
             this->report(nullptr, "controls", "is required for an entry: the control members");
         if (read.has(role::agent) && !read.has(role::entry) && read.entries.empty()
             && read.controls.empty())
-            this->report(nullptr, "entries", "is required for an agent: the entries, or the controls that know them");
+            this->report(nullptr, "entries",
+                         "is required for an agent: the entries, or the controls that know them");
         bool const listed
             = std::any_of(read.controls.begin(), read.controls.end(),
                           [&read](auto const& peer) { return peer.name == read.name; });
--- a/src/settings/value_rules.h
+++ b/src/settings/value_rules.h
@@ -13,7 +13,15 @@
 
 namespace greengagehead::settings {
 
-enum class value_kind : std::uint8_t { text, address, loopback_address, number, choice, duration, flag };
+enum class value_kind : std::uint8_t {
+    text,
+    address,
+    loopback_address,
+    number,
+    choice,
+    duration,
+    flag
+};
 
 /// One plain key. Exactly one of the setters is set.
 struct value_rule {
--- a/src/state/control_state.cpp
+++ b/src/state/control_state.cpp
@@ -152,8 +152,8 @@
 
 protocol::view control_state::current_view() const
 {
-    return {this->number, this->tree.list("/"), this->zones.zones_out(), this->zones.draining(),
-            this->live.list(), this->routing};
+    return {this->number,           this->tree.list("/"), this->zones.zones_out(),
+            this->zones.draining(), this->live.list(),    this->routing};
 }
 
 protocol::view_number control_state::view() const
--- a/src/state/entry_table.cpp
+++ b/src/state/entry_table.cpp
@@ -27,7 +27,7 @@
     // A removed incarnation must not displace its successor when one of its messages arrives late.
     for (auto& item : this->past)
         item.replaced = item.replaced || item.id.name == request.entry.name;
-    this->entries[request.entry.name] 
+    this->entries[request.entry.name]
         = {request.entry, request.zone, request.http_address, request.link_address};
     return join_outcome::changed;
 }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -92,6 +92,8 @@
     evhttp_add_header(headers, "Content-Type", response.content_type.c_str());
     for (auto const& [name, value] : response.headers)
         evhttp_add_header(headers, name.c_str(), value.c_str());
+    if (this->closing)
+        evhttp_add_header(headers, "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(request), response.body.data(),
                  response.body.size());
     evhttp_send_reply(request, response.status, nullptr, nullptr);
@@ -149,7 +151,7 @@
 
 void http_server::accept_request(evhttp_request* request)
 {
-    auto exchange = std::make_shared<http_exchange>(request);
+    auto exchange = std::make_shared<http_exchange>(request, this->closing);
     evhttp_connection* const connection = evhttp_request_get_connection(request);
     bool const first_request = !this->exchanges.contains(connection);
     if (first_request)
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -43,7 +43,10 @@
 /// One request that waits for its reply. Kept alive by whoever will reply.
 class http_exchange {
 public:
-    explicit http_exchange(evhttp_request* request) : pending(request) { }
+    /// @param closes read when the reply is sent: whether the connection ends with it.
+    http_exchange(evhttp_request* request, bool const& closes) : pending(request), closing(closes)
+    {
+    }
     ~http_exchange();
 
     http_exchange(http_exchange const&) = delete;
@@ -62,6 +65,7 @@
     friend class http_server;
 
     evhttp_request* pending; // Owned by evhttp; null once replied or closed.
+    bool const& closing; // Of the server, which outlives its open exchanges.
     std::function<void()> abandoned;
 };
 
@@ -88,6 +92,9 @@
 
     /// Accepts no further connections; open ones are served on.
     void stop_listening();
+    /// Every reply from now on asks the caller to close the connection, so that its next request
+    /// goes elsewhere.
+    void close_after_replies() { this->closing = true; }
 
     /// Requests that wait for their reply.
     [[nodiscard]] std::size_t open_exchanges() const;
@@ -101,6 +108,7 @@
     std::size_t body_limit;
     evhttp* server;
     evhttp_bound_socket* bound = nullptr;
+    bool closing = false;
     // Open exchanges by connection: evhttp handles one request per connection at a time.
     std::map<evhttp_connection*, std::weak_ptr<http_exchange>> exchanges;
 };
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -75,6 +75,10 @@
       last_arrival(std::chrono::steady_clock::now())
 {
     this->open_session(false, address.to_string());
+    this->connecting = this->loop.after(this->timing.connect_limit, [this] {
+        if (this->state != stage::ready)
+            this->close("not connected in time");
+    });
     auto target = to_sockaddr(address);
     bufferevent_socket_connect(this->stream, reinterpret_cast<sockaddr*>(&target), sizeof target);
 }
@@ -189,6 +193,7 @@
     if (this->state == stage::closed)
         return;
     this->state = stage::closed;
+    this->connecting.reset();
     bufferevent_disable(this->stream, EV_READ | EV_WRITE);
     this->heartbeat.reset();
     this->closed.emit(reason);
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -28,6 +28,9 @@
     std::chrono::milliseconds heartbeat {500};
     /// A link on which nothing arrived for this long is closed.
     std::chrono::milliseconds silence_limit {2000};
+    /// A dialled link that is not ready by then is closed and dialled again. The first packet to a
+    /// VM that is just starting is lost, and the system repeats it only after a second.
+    std::chrono::milliseconds connect_limit {300};
 };
 
 struct link_identity {
@@ -87,6 +90,7 @@
     bufferevent* stream = nullptr;
     std::unique_ptr<websocket_session> session;
     std::unique_ptr<loop_timer> heartbeat;
+    std::unique_ptr<loop_timer> connecting; // Runs until a dialled link is ready.
     std::string own_nonce;
     std::string peer_nonce; // From the peer's hello.
     std::string claimed_name; // From the peer's hello, not proved yet.
--- a/tests/agent/ephemeral_test.cpp
+++ b/tests/agent/ephemeral_test.cpp
@@ -36,13 +36,19 @@
             REQUIRE(world.runner.stopped.empty());
             world.pass(milliseconds(100));
             // Guards against a run beside that of another entry, to which the caller turned.
-            THEN("the task is stopped") { CHECK(world.runner.stopped.size() == 1); }
+            THEN("the task is stopped")
+            {
+                CHECK(world.runner.stopped.size() == 1);
+            }
         }
         WHEN("the link of the entry breaks and does not return")
         {
             world.core.peer_down("entry.a", world.now);
             world.pass(milliseconds(320));
-            THEN("the task is stopped") { CHECK(world.runner.stopped.size() == 1); }
+            THEN("the task is stopped")
+            {
+                CHECK(world.runner.stopped.size() == 1);
+            }
         }
         WHEN("the link breaks and returns at once")
         {
@@ -50,7 +56,10 @@
             world.core.peer_up("entry.a", world.now);
             world.update_lease(world.entry_a, 1);
             world.pass(milliseconds(600));
-            THEN("the task goes on") { CHECK(world.runner.stopped.empty()); }
+            THEN("the task goes on")
+            {
+                CHECK(world.runner.stopped.empty());
+            }
         }
         WHEN("a later life of the entry is heard")
         {
@@ -99,13 +108,19 @@
         {
             batch.lease.expires_at = base::to_reading(world.now);
             world.core.receive("entry.a", batch, world.now);
-            THEN("nothing starts") { CHECK(world.runner.runs.empty()); }
+            THEN("nothing starts")
+            {
+                CHECK(world.runner.runs.empty());
+            }
         }
         WHEN("the zone of the agent is out")
         {
             world.update_lease(world.entry_b, 2, {"recife"});
             world.core.receive("entry.a", batch, world.now);
-            THEN("nothing starts") { CHECK(world.runner.runs.empty()); }
+            THEN("nothing starts")
+            {
+                CHECK(world.runner.runs.empty());
+            }
         }
     }
 }
@@ -158,12 +173,16 @@
             now += milliseconds(600);
             directory.tick(now);
             // Guards against an agent that waits for a member which is gone.
-            THEN("the other one is asked") { CHECK(sender.sent.back().first != first); }
+            THEN("the other one is asked")
+            {
+                CHECK(sender.sent.back().first != first);
+            }
         }
         WHEN("it answers with an entry")
         {
-            protocol::directory const answer {
-                4, {{{"entry.a", 9}, "recife", "", "10.0.0.1:7000"}}, {{"control.c", "10.0.0.9:1"}}};
+            protocol::directory const answer {4,
+                                              {{{"entry.a", 9}, "recife", "", "10.0.0.1:7000"}},
+                                              {{"control.c", "10.0.0.9:1"}}};
             directory.receive(first, answer, now);
             THEN("the entry is announced once, and the present members are asked from now on")
             {
@@ -175,10 +194,12 @@
             }
             AND_WHEN("the entry restarts at another address")
             {
-                directory.receive(
-                    "control.c",
-                    {5, {{{"entry.a", 10}, "recife", "", "10.0.0.2:7000"}}, {}}, now);
-                THEN("it is announced again") { CHECK(found.size() == 2); }
+                directory.receive("control.c",
+                                  {5, {{{"entry.a", 10}, "recife", "", "10.0.0.2:7000"}}, {}}, now);
+                THEN("it is announced again")
+                {
+                    CHECK(found.size() == 2);
+                }
             }
         }
     }
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -146,12 +146,18 @@
         WHEN("a delayed announcement of an earlier life arrives")
         {
             world.runner.announced({"i-1", 4}, worker_clock(99'000));
-            THEN("the run goes on") { CHECK(world.results.empty()); }
+            THEN("the run goes on")
+            {
+                CHECK(world.results.empty());
+            }
         }
         WHEN("the worker is silent")
         {
             world.pass(milliseconds(900));
-            THEN("nothing is known before its leases have lapsed") { CHECK(world.results.empty()); }
+            THEN("nothing is known before its leases have lapsed")
+            {
+                CHECK(world.results.empty());
+            }
             AND_WHEN("every lease has lapsed by the slowest clock")
             {
                 world.pass(milliseconds(1200));
@@ -181,7 +187,10 @@
         {
             world.answer_report({run});
             // Guards against stopping work that goes well.
-            THEN("it goes on") { CHECK(world.worker.stops.empty()); }
+            THEN("it goes on")
+            {
+                CHECK(world.worker.stops.empty());
+            }
         }
         WHEN("the worker does not list the run")
         {
@@ -208,7 +217,10 @@
             {
                 world.worker.stops.front().done({worker_answer::no_answer, {}});
                 world.pass(milliseconds(150));
-                THEN("it is sent again") { CHECK(world.worker.stops.size() == 2); }
+                THEN("it is sent again")
+                {
+                    CHECK(world.worker.stops.size() == 2);
+                }
             }
         }
     }
@@ -278,13 +290,19 @@
             now += milliseconds(10);
             runner.tick();
             worker.reports.back().done({{worker_answer::accepted, worker_clock(60)}, {}, {}});
-            THEN("the agent takes work") { CHECK(runner.settled()); }
+            THEN("the agent takes work")
+            {
+                CHECK(runner.settled());
+            }
         }
         WHEN("the worker does not answer until its leases have lapsed")
         {
             now += milliseconds(1020);
             runner.tick();
-            THEN("the agent takes work") { CHECK(runner.settled()); }
+            THEN("the agent takes work")
+            {
+                CHECK(runner.settled());
+            }
         }
     }
 }
--- a/tests/control/document_test.cpp
+++ b/tests/control/document_test.cpp
@@ -78,13 +78,13 @@
         control::local_requests requests(links);
         std::vector<protocol::control_request> passed;
         requests.connect([&passed](std::string const& /*peer*/,
-                                   protocol::control_request const& request, base::steady_time) {
-            passed.push_back(request);
-        });
+                                   protocol::control_request const& request,
+                                   base::steady_time) { passed.push_back(request); });
         std::vector<control::local_requests::reply> replies;
         base::steady_time const now {std::chrono::hours(1)};
-        requests.request(protocol::read_control_status {}, milliseconds(900),
-                         [&replies](auto const& reply) { replies.push_back(reply); }, now);
+        requests.request(
+            protocol::read_control_status {}, milliseconds(900),
+            [&replies](auto const& reply) { replies.push_back(reply); }, now);
         REQUIRE(passed.size() == 1);
 
         WHEN("the member does not lead")
@@ -101,8 +101,8 @@
         WHEN("no quorum confirms it in time")
         {
             requests.tick(now + milliseconds(900));
-            requests.send("local", protocol::control_reply {passed[0].request_id,
-                                                            protocol::view_result {1}});
+            requests.send(
+                "local", protocol::control_reply {passed[0].request_id, protocol::view_result {1}});
             // Guards against two answers to one caller.
             THEN("the caller is told once, and the late result is dropped")
             {
@@ -113,7 +113,10 @@
         WHEN("a message to another process is sent")
         {
             requests.send("entry.a", protocol::not_leader {});
-            THEN("it goes to the links") { CHECK(links.count == 1); }
+            THEN("it goes to the links")
+            {
+                CHECK(links.count == 1);
+            }
         }
     }
 }
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -124,10 +124,14 @@
     }
     [[nodiscard]] protocol::renew_lease renewal(fake_entry const& entry) const
     {
-        return {entry.id,           "recife",
-                "127.0.0.1:8410",   base::to_reading(this->now) + entry.clock_offset,
-                entry.applied,      entry.settled,
-                entry.seen_takeover, "127.0.0.1:7000"};
+        return {entry.id,
+                "recife",
+                "127.0.0.1:8410",
+                base::to_reading(this->now) + entry.clock_offset,
+                entry.applied,
+                entry.settled,
+                entry.seen_takeover,
+                "127.0.0.1:7000"};
     }
     void renew(fake_entry const& entry)
     {
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -1,4 +1,5 @@
-// Jobs that are not stored: served without control, repeated after failures, never beside themselves.
+// Jobs that are not stored: served without control, repeated after failures, never beside
+// themselves.
 
 #include <catch2/catch.hpp>
 
@@ -59,7 +60,10 @@
         {
             world.submit("entry.a", make_job("s2", 4, false));
             world.run(milliseconds(1000));
-            THEN("nothing of it starts") { CHECK(world.runs.empty()); }
+            THEN("nothing of it starts")
+            {
+                CHECK(world.runs.empty());
+            }
         }
     }
 }
@@ -106,7 +110,10 @@
         {
             world.run(milliseconds(2500));
             // Guards against a second run beside the first, which the agent has not stopped yet.
-            THEN("the task is not started elsewhere") { CHECK(world.runs.begin()->second == 1); }
+            THEN("the task is not started elsewhere")
+            {
+                CHECK(world.runs.begin()->second == 1);
+            }
         }
         WHEN("the agent and its worker have ended the run")
         {
@@ -163,12 +170,15 @@
                     cancelled += batch->attempts.size();
             };
             auto const& agent = world.agents.at("agent.1");
-            protocol::agent_report report {agent.id, {}, agent.zone, {}, agent.seen_view, {},
-                                           {{{"unknown", 0}, 7}}};
+            protocol::agent_report report {agent.id,        {}, agent.zone,           {},
+                                           agent.seen_view, {}, {{{"unknown", 0}, 7}}};
             report.agent_clock = base::to_reading(world.now + agent.clock_offset);
             world.entries.at("entry.a")->receive("agent.1", report, world.now);
             // Guards against a run that blocks its endpoint, beside a run elsewhere.
-            THEN("it is cancelled") { CHECK(cancelled == 1); }
+            THEN("it is cancelled")
+            {
+                CHECK(cancelled == 1);
+            }
         }
     }
 }
--- a/tests/entry/fake_world.cpp
+++ b/tests/entry/fake_world.cpp
@@ -36,8 +36,7 @@
         auto& held = this->leases[peer];
         auto const known = std::any_of(this->view.entries.begin(), this->view.entries.end(),
                                        [&](auto const& e) { return e.id == renewal->entry; });
-        held.entry = {renewal->entry, renewal->zone, renewal->http_address,
-                      renewal->link_address};
+        held.entry = {renewal->entry, renewal->zone, renewal->http_address, renewal->link_address};
         this->settled[peer] = renewal->settled_view;
         if (!known) {
             this->view.entries.push_back(held.entry);
@@ -50,7 +49,8 @@
         world.post("control.a", peer,
                    protocol::grant_lease {renewal->entry.incarnation,
                                           renewal->entry_clock + lease_duration,
-                                          this->view.number, {}});
+                                          this->view.number,
+                                          {}});
     }
     if (auto const* request = std::get_if<protocol::control_request>(&body)) {
         auto const* command = std::get_if<protocol::command_body>(&request->body);
@@ -291,8 +291,7 @@
     endpoint.kinds = {"quote"};
     endpoint.slots = this->slots;
     endpoint.used_slots = this->running();
-    protocol::agent_report report {this->id,        {}, this->zone, {},
-                                   this->seen_view, {endpoint}, {}};
+    protocol::agent_report report {this->id, {}, this->zone, {}, this->seen_view, {endpoint}, {}};
     report.agent_clock = base::to_reading(world.now + this->clock_offset);
     for (auto const& [name, core] : world.entries)
         world.post(this->id.name, name, report);
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -60,22 +60,34 @@
         WHEN("a route names an unknown service")
         {
             document["routes"][0]["service"] = "s2";
-            THEN("it is refused") { CHECK_FALSE(read_routing(document.dump())); }
+            THEN("it is refused")
+            {
+                CHECK_FALSE(read_routing(document.dump()));
+            }
         }
         WHEN("two routes have the same place")
         {
             document["routes"][1]["path_prefix"] = "/q/";
-            THEN("it is refused") { CHECK_FALSE(read_routing(document.dump())); }
+            THEN("it is refused")
+            {
+                CHECK_FALSE(read_routing(document.dump()));
+            }
         }
         WHEN("a route has a timeout of 0")
         {
             document["routes"][0]["timeout_ms"] = 0;
-            THEN("it is refused") { CHECK_FALSE(read_routing(document.dump())); }
+            THEN("it is refused")
+            {
+                CHECK_FALSE(read_routing(document.dump()));
+            }
         }
         WHEN("a field is of another type or missing")
         {
             document["routes"][0]["service"] = 5;
-            THEN("it is refused") { CHECK_FALSE(read_routing(document.dump())); }
+            THEN("it is refused")
+            {
+                CHECK_FALSE(read_routing(document.dump()));
+            }
         }
     }
     // Guards against half a document being stored as if it were whole.
@@ -96,9 +108,8 @@
         auto const table = read_routing(valid_document().dump()).value();
         auto const& to = table.routes.front();
         auto job = valid_job();
-        auto const read = [&] {
-            return read_job(job.dump(), to, "5c0e7a21d94b36f8", milliseconds(2000));
-        };
+        auto const read
+            = [&] { return read_job(job.dump(), to, "5c0e7a21d94b36f8", milliseconds(2000)); };
         THEN("its tasks are named at the worker by job, occurrence, step and index")
         {
             auto const request = read();
@@ -159,9 +170,8 @@
     GIVEN("a valid announcement")
     {
         auto said = valid_announcement();
-        auto const read = [&said] {
-            return read_announcement("i-1", "http://10.0.0.1:8165", said.dump());
-        };
+        auto const read
+            = [&said] { return read_announcement("i-1", "http://10.0.0.1:8165", said.dump()); };
         THEN("the endpoint has its processors as slots, and a name for this life")
         {
             auto const worker = read();
@@ -175,7 +185,10 @@
         WHEN("it drains")
         {
             said["state"] = "draining";
-            THEN("the endpoint takes no new work") { CHECK(read().value().endpoint.draining); }
+            THEN("the endpoint takes no new work")
+            {
+                CHECK(read().value().endpoint.draining);
+            }
         }
         // Guards against an announcement of another writer ending the process or naming a worker.
         WHEN("the state is not known, or a field is missing or of another type")
--- a/tests/state/snapshot_test.cpp
+++ b/tests/state/snapshot_test.cpp
@@ -95,7 +95,8 @@
     GIVEN("a snapshot that was cut short")
     {
         state::control_state state;
-        state.apply({std::chrono::seconds(1), protocol::join_entry {{"entry.a", 1}, "z", "a", "l"}});
+        state.apply(
+            {std::chrono::seconds(1), protocol::join_entry {{"entry.a", 1}, "z", "a", "l"}});
         auto const bytes = state.snapshot();
         THEN("it is refused and the state stays")
         {
