--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -48,6 +48,7 @@
     event_description {log_event::job_taken_over, severity::warning, "job_taken_over"},
     event_description {log_event::task_placed, severity::info, "task_placed"},
     event_description {log_event::task_waiting, severity::debug, "task_waiting"},
+    event_description {log_event::task_stalled, severity::warning, "task_stalled"},
     event_description {log_event::task_finished, severity::debug, "task_finished"},
     event_description {log_event::routes_applied, severity::info, "routes_applied"},
     event_description {log_event::routes_rejected, severity::error, "routes_rejected"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -52,6 +52,7 @@
     task_placed = 3010,
     task_waiting = 3011,
     task_finished = 3012,
+    task_stalled = 3013,
     routes_applied = 3020,
     routes_rejected = 3021,
     request_answered = 3022,
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -31,12 +31,21 @@
 constexpr milliseconds first_pause {10};
 constexpr milliseconds longest_pause {500};
 constexpr std::uint16_t most_retries = 5;
+/// An ephemeral task that has been tried this often stays where it runs.
+constexpr std::uint16_t most_moves = 2;
+constexpr milliseconds least_stall {150};
 /// From an agent's silence until every ephemeral run that it had from this entry has ended: it
 /// stops them itself when it has not heard from the entry for 900 ms, and where it is frozen or
 /// gone, the endpoint ends them when their lease of one second, by a clock that may be 2% slow,
 /// lapses.
 constexpr milliseconds ephemeral_run_limit {2000};
 
+/// A run that takes this long stands still, or its endpoint is many times slower than others.
+base::steady_time::duration stall_limit(microseconds slow)
+{
+    return std::max<base::steady_time::duration>(slow * 3 / 2, slow + least_stall);
+}
+
 milliseconds pause_after(std::uint16_t refusals)
 {
     auto const doublings = std::min<unsigned>(refusals - refusals_before_pause, 6U);
@@ -66,6 +75,11 @@
     auto const& request = job.content->tasks[index];
     auto const estimate
         = this->parts.estimator.estimate(job.team, request.kind, job.tasks[index].expected);
+    if (job.ephemeral && estimate.samples > 0) {
+        this->parts.timers.add({added.sent + stall_limit(estimate.slow), timer_kind::attempt_check,
+                                job.number, index, added.number});
+        return;
+    }
     // Without samples the slow time is a guess, on which no hedge is spent.
     auto const hedges = request.idempotent && !added.hedge && estimate.samples > 0;
     auto const delay = hedges
@@ -91,6 +105,8 @@
         return;
     auto const agent = open->agent;
     auto const age = now - open->sent;
+    if (job->ephemeral && this->move_stalled(*job, due.index, *open, now))
+        return;
     auto const may_hedge = job->content->tasks[due.index].idempotent && !open->given_up
         && task.attempts.size() == 1 && !task.queued;
     if (may_hedge) {
@@ -108,6 +124,34 @@
         {now + next, timer_kind::attempt_check, job->number, due.index, due.attempt});
 }
 
+bool attempt_tracker::move_stalled(job& job, std::uint32_t index, attempt const& open,
+                                   base::steady_time now)
+{
+    auto& task = job.tasks[index];
+    auto const& kind = job.content->tasks[index].kind;
+    auto const estimate = this->parts.estimator.estimate(job.team, kind, task.expected);
+    auto const age = now - open.sent;
+    if (estimate.samples == 0 || age < stall_limit(estimate.slow) || open.given_up
+        || task.retries >= most_moves || now + estimate.typical >= job.deadline)
+        return false;
+    this->parts.health.record(open.endpoint, false, std::chrono::duration_cast<microseconds>(age),
+                              task.expected, now);
+    job.note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(index), open.number,
+              open.endpoint, "the run has stalled and is stopped", 0});
+    base::log_record(base::log_event::task_stalled)
+        .with("job", job.id)
+        .with("task", index)
+        .with("attempt", open.number)
+        .with("endpoint", open.endpoint)
+        .with("age", std::chrono::duration_cast<microseconds>(age))
+        .with("slow", estimate.slow);
+    // The task goes elsewhere when the agent has confirmed the end of this run.
+    this->parts.outbox.add_cancel(open.agent, {{job.id, index}, open.number});
+    this->parts.timers.add(
+        {now + ask_interval, timer_kind::attempt_check, job.number, index, open.number});
+    return true;
+}
+
 void attempt_tracker::on_requeue(timer const& due)
 {
     auto* job = this->parts.jobs.find(due.job);
--- a/src/entry/attempt_tracker.h
+++ b/src/entry/attempt_tracker.h
@@ -39,6 +39,9 @@
     /// The agent is silent, and every stamp it held has expired.
     void on_agent_lost(agent_slot agent, base::steady_time now);
     /// A newer incarnation of the agent has reported: what it ran cannot be known any more.
+    /// Stops a run that takes far longer than others of its kind, so that the task can run
+    /// elsewhere. False when it is left alone.
+    bool move_stalled(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
     /// The run of an ephemeral attempt at a lost agent has ended by now.
     void on_attempt_over(timer const& due, base::steady_time now);
     /// Cancels ephemeral runs that the agent holds and nobody here waits for, for example after a
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds claim_retry_pause {50};
 constexpr milliseconds refusal_lookup_timeout {1000};
 constexpr milliseconds shutdown_retry_after {1000};
+/// Endpoints differ in speed, and a start takes its way to the endpoint.
+constexpr int speed_margin_percent = 15;
 constexpr std::size_t decisions_per_job = 200;
 constexpr std::size_t decisions_per_task = 6;
 
@@ -147,7 +149,8 @@
     if (request.target_stretch_percent > 0)
         wanted = std::min(wanted,
                           longest * request.target_stretch_percent / 100 + request.target_extra);
-    target.latest_start = now + std::max(wanted - longest, microseconds(0));
+    auto const needed = longest * (100 + speed_margin_percent) / 100;
+    target.latest_start = now + std::max(wanted - needed, microseconds(0));
     return target;
 }
 
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -182,3 +182,32 @@
         }
     }
 }
+
+SCENARIO("a run stands still", "[entry][ephemeral]")
+{
+    GIVEN("a fleet that has served the kind before, and an endpoint that has stopped working")
+    {
+        ephemeral_fleet world;
+        for (int i = 0; i < 20; ++i)
+            world.submit("entry.a", make_ephemeral("warm" + std::to_string(i), 2));
+        world.run(milliseconds(2000));
+        for (auto& [name, agent] : world.agents)
+            agent.run_time = milliseconds(60'000);
+        auto const job = world.submit("entry.a", make_ephemeral("s1", 1));
+        world.run(milliseconds(50));
+        for (auto& [name, agent] : world.agents)
+            agent.run_time = milliseconds(30);
+
+        WHEN("the run takes far longer than others of its kind")
+        {
+            world.run(milliseconds(1500));
+            // Guards against a caller that waits for a run which never ends.
+            THEN("it is stopped, and the task runs elsewhere, never at the same time")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+                CHECK(world.violations.empty());
+            }
+        }
+    }
+}
--- a/tests/entry/fake_world.cpp
+++ b/tests/entry/fake_world.cpp
@@ -277,7 +277,7 @@
             due[record.owner].push_back(id);
     }
     for (auto const& [owner, keys] : due) {
-        protocol::outcome_batch batch {this->id, this->next_batch++, {}};
+        protocol::outcome_batch batch {this->id, this->next_batch++, {}, {}};
         for (auto const& id : keys)
             batch.outcomes.push_back(this->records[id].outcome);
         this->batches[batch.batch_id] = keys;
