Report levels of use only for endpoints with enough slots

Cause: with two slots every task changed the level, and the report of the first task held back the one that says full for 50 ms (found by the agent's test of reports).

--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -31,6 +31,16 @@
     return boost::outcome_v2::success();
 }
 
+/// With fewer slots than levels, every task would change the level: such an endpoint is only full
+/// or not.
+std::uint32_t level_of(endpoint_slots const& slots)
+{
+    constexpr auto full = endpoint_list::full_level;
+    if (slots.capacity() < full)
+        return slots.full() ? full : 0;
+    return static_cast<std::uint32_t>(std::uint64_t {slots.used()} * full / slots.capacity());
+}
+
 /// Slots of the attempts that `counts` accepts.
 template <typename Attempts>
 std::uint32_t slots_of(Attempts const& attempts,
@@ -161,10 +171,8 @@
 {
     std::vector<std::pair<std::string, std::uint32_t>> all;
     for (auto const& [name, known] : this->endpoints) {
-        auto const capacity = std::max<std::uint64_t>(known.slots.capacity(), 1);
-        auto const level = std::uint64_t {known.slots.used()} * full_level / capacity;
         if (!known.gone)
-            all.emplace_back(name, static_cast<std::uint32_t>(level));
+            all.emplace_back(name, level_of(known.slots));
     }
     return all;
 }
