--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -41,8 +41,6 @@
 {
 }
 
-leased_runner::~leased_runner() = default;
-
 std::string leased_runner::name_of(protocol::task_start const& task)
 {
     return task.name.empty() ? task.task.job + "." + std::to_string(task.task.index) : task.name;
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -36,7 +36,6 @@
     /// @param first_fence above the token of any earlier life of this agent.
     leased_runner(leased_worker& worker, lease_limits limits, std::uint64_t first_fence,
                   clock_source clock);
-    ~leased_runner() override;
 
     void start(run_request const& request, callback done) override;
     void stop(std::string const& url, protocol::task_ref const& task) override;
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -53,6 +53,7 @@
     auto const links = settings::control_links(this->settings);
     connect_peers(this->hub, settings::role::control, links);
     std::vector<std::string> names;
+    names.reserve(links.size());
     for (auto const& member : links)
         names.push_back(settings::peer_name(settings::role::control, member.name));
     this->directory = std::make_unique<agent::entry_directory>(
