--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -15,8 +15,8 @@
 using settings::role;
 
 constexpr std::chrono::milliseconds dial_interval {1'000};
-/// Only a standby takes the place of a lost member, and standbys appear where a VM was replaced. The
-/// group must be whole again before the next loss, a few seconds later.
+/// Only a standby takes the place of a lost member, and standbys appear where a VM was replaced.
+/// The group must be whole again before the next loss, a few seconds later.
 constexpr std::chrono::milliseconds replace_lost_member_after {1'500};
 
 protocol::wall_time wall_now()
