--- a/src/base/log_sink.cpp
+++ b/src/base/log_sink.cpp
@@ -54,7 +54,7 @@
 void open_log(log_style wanted_style, severity least)
 {
     auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
     // Decisions must be visible as they are made, also when the process is killed.
     backend->auto_flush(true);
     boost::log::core::get()->add_sink(boost::make_shared<text_sink>(backend));
