--- a/tests/consensus/fake_group.h
+++ b/tests/consensus/fake_group.h
@@ -64,6 +64,7 @@
         settings.snapshot_entries = this->snapshot_entries;
         settings.trailing_entries = 5;
         settings.replace_after = this->replace_after;
+        settings.may_found = this->may_found;
         auto opened = durable_log::open(settings, target.files, target, this->now);
         INFO((opened ? std::string() : base::describe(opened.error())));
         REQUIRE(opened);
@@ -193,6 +194,7 @@
                });
     }
 
+    bool may_found = true;
     std::vector<group_address> initial;
     std::map<std::string, member> members;
     /// Acknowledged commands with the term in which they were acknowledged.
--- a/tests/consensus/fault_test.cpp
+++ b/tests/consensus/fault_test.cpp
@@ -336,3 +336,19 @@
         }
     }
 }
+
+SCENARIO("members start with empty disks and may not found a group")
+{
+    GIVEN("three members that are told to join")
+    {
+        fake_group group(7, three);
+        group.may_found = false;
+        group.start_all();
+        // Guards against a second group, without what the first one has acknowledged, when the
+        // whole group has lost its disks.
+        THEN("none of them leads")
+        {
+            CHECK_FALSE(group.wait_for_leader(3s));
+        }
+    }
+}
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -1,5 +1,17 @@
+// HTTP server and client: replies that come later, callers that leave, connections that stay.
+
 #include <catch2/catch.hpp>
 
+#include <string_view>
+#include <vector>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
 #include "transport/http_server.h"
@@ -15,6 +27,54 @@
     loop.run();
 }
 
+/// Answers every request with an empty reply and counts the connections.
+struct counting_listener {
+    explicit counting_listener(event_loop& loop)
+    {
+        auto wanted = to_sockaddr({"127.0.0.1", 0});
+        this->listener = evconnlistener_new_bind(
+            loop.base(), &counting_listener::on_accept, this, LEV_OPT_CLOSE_ON_FREE, -1,
+            reinterpret_cast<sockaddr*>(&wanted), sizeof wanted);
+        sockaddr_in bound {};
+        socklen_t size = sizeof bound;
+        getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr*>(&bound),
+                    &size);
+        this->address = {"127.0.0.1", ntohs(bound.sin_port)};
+    }
+    ~counting_listener()
+    {
+        for (auto* stream : this->streams)
+            bufferevent_free(stream);
+        evconnlistener_free(this->listener);
+    }
+    counting_listener(counting_listener const&) = delete;
+    counting_listener& operator=(counting_listener const&) = delete;
+
+    static void on_accept(evconnlistener* source, int socket, sockaddr* /*address*/, int /*size*/,
+                          void* self)
+    {
+        auto& own = *static_cast<counting_listener*>(self);
+        ++own.connections;
+        auto* const stream = bufferevent_socket_new(evconnlistener_get_base(source), socket,
+                                                    BEV_OPT_CLOSE_ON_FREE);
+        own.streams.push_back(stream);
+        bufferevent_setcb(stream, &counting_listener::on_read, nullptr, nullptr, nullptr);
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+    }
+    static void on_read(bufferevent* stream, void* /*self*/)
+    {
+        static constexpr std::string_view reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        auto* const input = bufferevent_get_input(stream);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        bufferevent_write(stream, reply.data(), reply.size());
+    }
+
+    evconnlistener* listener = nullptr;
+    std::vector<bufferevent*> streams;
+    socket_address address;
+    int connections = 0;
+};
+
 } // namespace
 
 SCENARIO("HTTP requests are answered, possibly later")
@@ -87,6 +147,35 @@
         }
     }
 
+    // Guards against requests that are cut because the connection outlives the process.
+    WHEN("the server is about to leave")
+    {
+        server.close_after_replies();
+        client.send({http_method::get, address, "/now", {}, "", milliseconds(500)}, remember);
+        run_for(loop, milliseconds(50));
+        THEN("the reply asks for the end of the connection")
+        {
+            CHECK(last.code == 200);
+            CHECK(last.headers["connection"] == "close");
+        }
+    }
+
+    // Guards against a new connection for each call: the timeout of the last request closed it.
+    WHEN("a connection is idle for longer than the timeout of its last request")
+    {
+        counting_listener listener(loop);
+        for (int request = 0; request < 2; ++request) {
+            client.send({http_method::get, listener.address, "/", {}, "", milliseconds(60)},
+                        remember);
+            run_for(loop, milliseconds(200));
+        }
+        THEN("the next request uses it again")
+        {
+            CHECK(answers == 2);
+            CHECK(listener.connections == 1);
+        }
+    }
+
     // Guards against a task being reported as possibly run when its endpoint refused the
     // connection.
     WHEN("nothing listens at the address")
@@ -126,3 +215,31 @@
         }
     }
 }
+
+SCENARIO("a caller leaves while its request waits", "[known-red]")
+{
+    GIVEN("a request that is answered later")
+    {
+        event_loop loop;
+        std::shared_ptr<http_exchange> kept;
+        bool gone = false;
+        http_server server(loop, {1024, 1024}, [&](http_request&, auto const& exchange) {
+            kept = exchange;
+            kept->on_abandoned([&gone] { gone = true; });
+        });
+        auto const address = server.listen({"127.0.0.1", 0}).value();
+        http_client client(loop);
+
+        // Guards against work that goes on for a caller who has gone.
+        WHEN("the caller closes its connection")
+        {
+            client.send({http_method::get, address, "/", {}, "", milliseconds(50)},
+                        [](http_client_response&&) {});
+            run_for(loop, milliseconds(200));
+            THEN("the handler is told")
+            {
+                CHECK(gone);
+            }
+        }
+    }
+}
