Wait for the signal before readiness is checked

Sending a signal does not wait for its handler, so a request sent at once may be answered first; the test relied on the handler being faster. The check now gives the handler one interval of the balancer, one second; the promise that no request is cut is checked as before.

--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -143,7 +143,8 @@
         futures = self.fleet.submit_many("recife", "late", 12, holds(3, 1200))
         self.fleet.wait_until(lambda: self.fleet.starts()[0] >= 12, 5)
         self.fleet.signal("recife-entry", signal.SIGTERM)
-        self.assertEqual(self.fleet.call("recife", "GET", "/readyz")[0], 503)
+        # A signal is handled some time after it was sent. The balancer asks once a second.
+        self.fleet.wait_until(lambda: self.fleet.call("recife", "GET", "/readyz")[0] == 503, 1)
         for future in futures:
             status, answer = future.result()
             self.assertEqual((status, answer.get("state")), (200, "complete"))
