--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -261,7 +261,7 @@
         .with("reason", choice.reason)
         .with("candidates", choice.candidates);
     this->send(job, index, task.attempts.back(), now);
-    this->parts.attempts.watch(job, index, added);
+    this->parts.monitor.watch(job, index, added);
     return true;
 }
 
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -52,7 +52,7 @@
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
       placement(policy_of(this->settings)), jobs(finished_bytes), copies(copy_bytes),
-      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
+      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this), monitor(*this),
       flow(*this), remote(*this), takeovers(*this)
 {
 }
@@ -130,10 +130,10 @@
     if (kind == report_kind::first || kind == report_kind::replacement)
         this->claims.join_agent(report.agent, report.zone, now);
     if (kind == report_kind::replacement && former)
-        this->attempts.on_agent_replaced(*former, now);
+        this->monitor.on_agent_replaced(*former, now);
     if (kind == report_kind::returned)
-        this->attempts.ask(*this->agents.slot_of(report.agent));
-    this->attempts.stop_unknown(report, *this->agents.slot_of(report.agent));
+        this->monitor.ask(*this->agents.slot_of(report.agent));
+    this->monitor.stop_unknown(report, *this->agents.slot_of(report.agent));
     this->leases.on_report(record, now);
     this->dispatch.capacity_changed();
 }
@@ -147,7 +147,7 @@
     for (auto const slot : changed.silent)
         this->endpoints.remove_agent(this->agents.at(slot).id.name);
     for (auto const slot : changed.lost)
-        this->attempts.on_agent_lost(slot, now);
+        this->monitor.on_agent_lost(slot, now);
 }
 
 void entry_core::parts::run_timers(base::steady_time now)
@@ -155,13 +155,13 @@
     while (auto const due = this->timers.take_due(now)) {
         switch (due->kind) {
         case timer_kind::attempt_check:
-            this->attempts.on_check(*due, now);
+            this->monitor.on_check(*due, now);
             break;
         case timer_kind::requeue:
-            this->attempts.on_requeue(*due);
+            this->monitor.on_requeue(*due);
             break;
         case timer_kind::attempt_over:
-            this->attempts.on_attempt_over(*due, now);
+            this->monitor.on_attempt_over(*due, now);
             break;
         case timer_kind::attachment:
             this->remote.on_timer(due->job, now);
@@ -332,7 +332,7 @@
     if (!this->own->leases.valid(now))
         this->own->leases.renew_soon();
     if (auto const* agent = this->own->agents.find(peer))
-        this->own->attempts.ask(*this->own->agents.slot_of(agent->id));
+        this->own->monitor.ask(*this->own->agents.slot_of(agent->id));
     this->own->settle(now);
 }
 
--- a/src/entry/entry_parts.h
+++ b/src/entry/entry_parts.h
@@ -7,6 +7,7 @@
 
 #include "entry/agent_outbox.h"
 #include "entry/agent_table.h"
+#include "entry/attempt_monitor.h"
 #include "entry/attempt_tracker.h"
 #include "entry/claim_client.h"
 #include "entry/control_client.h"
@@ -74,6 +75,7 @@
 
     dispatcher dispatch;
     attempt_tracker attempts;
+    attempt_monitor monitor;
     job_flow flow;
     remote_jobs remote;
     takeover takeovers;
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -224,7 +224,7 @@
     if (outcome.kind != protocol::outcome_kind::running)
         return this->parts.attempts.apply(job, outcome, now);
     if (job.content != nullptr)
-        this->parts.attempts.watch(job, index, known);
+        this->parts.monitor.watch(job, index, known);
     return true;
 }
 
