Serve requests that arrive just after a shutdown began

Cause of the open finding "one connection closed without an answer (embedded, leave_delay 0)": a role ended with the first tick at which it was idle, and requests in flight or in the socket were dropped. A role ends now once it has been idle for 100 ms.

--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds tick_interval {10};
+/// A request that was sent before its caller could know of the shutdown may arrive this late.
+constexpr std::chrono::milliseconds late_arrival {100};
 
 } // namespace
 
@@ -27,8 +29,9 @@
 void role_task::start()
 {
     this->ticker = this->loop.every(tick_interval, [this] {
-        this->tick(steady_now());
-        this->check_shutdown();
+        auto const now = steady_now();
+        this->tick(now);
+        this->check_shutdown(now);
     });
     this->thread = std::thread([this] { this->loop.run(); });
 }
@@ -54,9 +57,15 @@
     });
 }
 
-void role_task::check_shutdown()
+void role_task::check_shutdown(base::steady_time now)
 {
-    if (!this->on_shut_down || !this->idle())
+    if (!this->on_shut_down)
+        return;
+    if (!this->idle())
+        return this->idle_since.reset();
+    if (!this->idle_since)
+        this->idle_since = now;
+    if (now - *this->idle_since < late_arrival)
         return;
     auto const done = std::move(this->on_shut_down);
     this->on_shut_down = nullptr;
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -50,10 +51,11 @@
     transport::link_hub hub;
 
 private:
-    void check_shutdown();
+    void check_shutdown(base::steady_time now);
 
     std::unique_ptr<transport::loop_timer> ticker;
     std::function<void()> on_shut_down; // Set while a shutdown is in progress.
+    std::optional<base::steady_time> idle_since; // Of that shutdown.
     std::thread thread;
 };
 
