--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -87,7 +87,8 @@
     this->leaving = true;
     this->routes.begin_shutdown();
     this->leave_timer = this->loop.after(this->settings.timing.leave_delay, [this] {
-        this->core.begin_shutdown(steady_now());
+        auto const& timing = this->settings.timing;
+        this->core.begin_shutdown(steady_now(), timing.shutdown_limit - timing.leave_delay);
         this->leaving = false;
     });
 }
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -52,8 +52,8 @@
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
       placement(policy_of(this->settings)), jobs(finished_bytes), copies(copy_bytes),
-      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this), monitor(*this),
-      flow(*this), remote(*this), takeovers(*this)
+      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
+      monitor(*this), flow(*this), remote(*this), takeovers(*this)
 {
 }
 
@@ -342,9 +342,9 @@
     this->own->control.on_peer_down(peer, now);
 }
 
-void entry_core::begin_shutdown(base::steady_time /*now*/)
+void entry_core::begin_shutdown(base::steady_time now, std::chrono::milliseconds remaining)
 {
-    this->own->flow.begin_shutdown();
+    this->own->flow.begin_shutdown(now + remaining);
 }
 
 bool entry_core::idle() const
@@ -353,6 +353,11 @@
         && this->own->control.idle();
 }
 
+bool entry_core::has_endpoints() const
+{
+    return this->own->endpoints.usable_endpoints() > 0;
+}
+
 entry_status entry_core::status(base::steady_time now) const
 {
     auto const& from = *this->own;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -116,11 +116,15 @@
     void peer_up(std::string const& peer, base::steady_time now);
     void peer_down(std::string const& peer, base::steady_time now);
 
-    /// Refuses new jobs from now on; accepted ones go on.
-    void begin_shutdown(base::steady_time now);
+    /// Refuses from now on new jobs that are not sure to end within `remaining`; accepted ones go
+    /// on.
+    void begin_shutdown(base::steady_time now, std::chrono::milliseconds remaining);
     /// No accepted job is unfinished and no reply is outstanding.
     [[nodiscard]] bool idle() const;
 
+    /// Whether some endpoint may get work.
+    [[nodiscard]] bool has_endpoints() const;
+
     [[nodiscard]] entry_status status(base::steady_time now) const;
     [[nodiscard]] entry_counters const& counters() const;
     [[nodiscard]] protocol::view const& applied_view() const;
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -22,6 +22,9 @@
 constexpr milliseconds claim_retry_pause {50};
 constexpr milliseconds refusal_lookup_timeout {1000};
 constexpr milliseconds shutdown_retry_after {1000};
+/// Time that a job may take in an entry that shuts down: its tasks may wait or run again.
+constexpr int shutdown_time_percent = 150;
+constexpr milliseconds shutdown_margin {100};
 /// Endpoints differ in speed, and a start takes its way to the endpoint.
 constexpr int speed_margin_percent = 15;
 constexpr std::size_t decisions_per_job = 200;
@@ -74,19 +77,7 @@
     if (deadline.count() == 0)
         deadline
             = team.deadline.count() != 0 ? team.deadline : this->parts.settings.default_deadline;
-    std::optional<policy::refusal> refusal;
-    if (this->shutting_down) {
-        refusal = policy::refusal {{base::error_code::unavailable,
-                                    base::error_step::admission,
-                                    {},
-                                    "the entry is shutting down"},
-                                   shutdown_retry_after};
-    } else {
-        policy::admission_limits limits;
-        limits.team_tasks = team.queue_limit;
-        refusal = policy::check_admission(request, deadline, limits, this->parts.endpoints,
-                                          this->parts.queue, this->parts.estimator);
-    }
+    auto refusal = this->check_admission(request, deadline, now);
     auto const target = this->target_of(request, deadline, now);
     if (!refusal && request.ephemeral)
         refusal = policy::check_target(target, this->parts.endpoints, this->parts.urgent, now);
@@ -126,6 +117,33 @@
     this->send_copy(added, now);
 }
 
+std::optional<policy::refusal> job_flow::check_admission(protocol::job_request const& request,
+                                                         milliseconds deadline,
+                                                         base::steady_time now)
+{
+    if (this->shutdown_end) {
+        auto const needed = this->longest_task(request) * shutdown_time_percent / 100;
+        if (now + needed + shutdown_margin > *this->shutdown_end)
+            return policy::refusal {{base::error_code::unavailable,
+                                     base::error_step::admission,
+                                     {},
+                                     "the entry is shutting down"},
+                                    shutdown_retry_after};
+    }
+    policy::admission_limits limits;
+    limits.team_tasks = this->parts.teams.of(request.team).queue_limit;
+    return policy::check_admission(request, deadline, limits, this->parts.endpoints,
+                                   this->parts.queue, this->parts.estimator);
+}
+
+microseconds job_flow::longest_task(protocol::job_request const& request)
+{
+    microseconds longest {0};
+    for (auto const& task : request.tasks)
+        longest = std::max(longest, this->expected_time(request, task));
+    return longest;
+}
+
 microseconds job_flow::expected_time(protocol::job_request const& request,
                                      protocol::task_request const& task)
 {
@@ -139,12 +157,9 @@
                                            milliseconds deadline, base::steady_time now)
 {
     policy::target_request target {&request, {}, now + deadline};
-    microseconds longest {0};
-    for (auto const& task : request.tasks) {
-        auto const expected = this->expected_time(request, task);
-        longest = std::max(longest, expected);
-        target.work += expected * task.slots;
-    }
+    auto const longest = this->longest_task(request);
+    for (auto const& task : request.tasks)
+        target.work += this->expected_time(request, task) * task.slots;
     auto wanted = std::chrono::duration_cast<microseconds>(deadline);
     if (request.target_stretch_percent > 0)
         wanted = std::min(wanted,
--- a/src/entry/job_flow.h
+++ b/src/entry/job_flow.h
@@ -2,7 +2,9 @@
 
 #pragma once
 
+#include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -56,12 +58,17 @@
     /// Ends an ephemeral job of which nothing has started, because it can no longer meet its
     /// target.
     void refuse_waiting(job& job, base::steady_time now);
-    void begin_shutdown() { this->shutting_down = true; }
+    /// Jobs that may not end by `end` are refused from now on.
+    void begin_shutdown(base::steady_time end) { this->shutdown_end = end; }
 
     /// Forgets a job, with its waiting tasks and its attempts.
     void drop(job& job);
 
 private:
+    [[nodiscard]] std::optional<policy::refusal>
+    check_admission(protocol::job_request const& request, std::chrono::milliseconds deadline,
+                    base::steady_time now);
+    [[nodiscard]] std::chrono::microseconds longest_task(protocol::job_request const& request);
     void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
                 policy::refusal const& refusal, base::steady_time now);
     void add_timer(job const& job, timer_kind kind, base::steady_time at);
@@ -88,7 +95,7 @@
     [[nodiscard]] std::string id_of(protocol::job_request const& request) const;
 
     entry_parts& parts;
-    bool shutting_down = false;
+    std::optional<base::steady_time> shutdown_end;
 };
 
 } // namespace greengagehead::entry
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -36,7 +36,8 @@
     std::chrono::milliseconds claim_retention {900'000};
     std::chrono::milliseconds tombstone_retention {86'400'000};
     /// After a shutdown request an entry serves on for this long while /readyz already fails, so
-    /// that the balancer stops sending before requests are refused.
+    /// that the balancer stops sending. Afterwards it ends when it is idle, and refuses jobs that
+    /// may not end within the limit.
     std::chrono::milliseconds leave_delay {2'000};
     /// A shutdown that has not finished by then ends the process anyway.
     std::chrono::milliseconds shutdown_limit {60'000};
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -419,7 +419,7 @@
         small_fleet world;
         auto const job = world.submit("entry.a", make_job("s1", 10, false));
         world.run(milliseconds(5));
-        world.entries.at("entry.a")->begin_shutdown(world.now);
+        world.entries.at("entry.a")->begin_shutdown(world.now, milliseconds(0));
 
         // Guards against a shutdown that interrupts an accepted job.
         THEN("new jobs are refused and the accepted one ends")
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -211,3 +211,40 @@
         }
     }
 }
+
+SCENARIO("callers use their open connections while an entry shuts down", "[entry][ephemeral]")
+{
+    GIVEN("an entry that must have ended in one second")
+    {
+        ephemeral_fleet world;
+        world.entries.at("entry.a")->begin_shutdown(world.now, milliseconds(1000));
+
+        // Guards against refusals of work that the entry has time for.
+        WHEN("a short job comes")
+        {
+            auto request = make_ephemeral("s1", 2);
+            for (auto& task : request.tasks)
+                task.expected = milliseconds(30);
+            auto const job = world.submit("entry.a", request);
+            world.run(milliseconds(300));
+            THEN("it is served")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+            }
+        }
+        // Guards against jobs that are cut by the end of the process.
+        WHEN("a job comes that may take longer")
+        {
+            auto request = make_ephemeral("s2", 2);
+            request.tasks.back().expected = milliseconds(700);
+            auto const job = world.submit("entry.a", request);
+            THEN("it is refused at once and has not run")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().what == reply_kind::refused);
+                CHECK(world.runs.empty());
+            }
+        }
+    }
+}
