--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -66,12 +66,12 @@
     this->directory->controls_known.connect(
         [this](auto const& members) { dial_members(this->hub, members); });
     this->hub.message_received.connect(
-        [this](std::string const& peer, protocol::message& body) { this->receive(peer, body); });
+        [this](std::string const& /*peer*/, protocol::message& body) { this->receive(body); });
     this->hub.peer_up.connect(
         [this](std::string const& peer) { this->directory->peer_up(peer, steady_now()); });
 }
 
-void agent_task::receive(std::string const& peer, protocol::message& body)
+void agent_task::receive(protocol::message& body)
 {
     if (auto const* const answer = std::get_if<protocol::directory>(&body))
         this->directory->receive(*answer);
--- a/src/app/agent_task.h
+++ b/src/app/agent_task.h
@@ -37,7 +37,7 @@
 
 private:
     void connect(std::vector<settings::peer_settings> const& entries);
-    void receive(std::string const& peer, protocol::message& body);
+    void receive(protocol::message& body);
 
     settings::process_settings settings;
     transport::http_client client;
