Repeat orders and reports that a worker leaves unanswered

Ruled out: lost announcements and unreachable workers (one worker_unreachable line in those seconds). Change: while a report is open, the worker is asked again every 30 ms; a start is sent again under the same run number after 20 ms, up to three times; stops are repeated every 30 ms. A refusal while an earlier try is unanswered stops the run before it counts as not run, and "run number too low" then means that the run is there or has ended. A report that arrives late no longer has an ended run stopped as foreign.

Tests, which failed before: agent/leased_runner_test "a start is not answered at once", "a report is not answered". One check changed with the interval: a stop is repeated within 40 ms (before: once within 150 ms).

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -15,7 +15,14 @@
 using protocol::outcome_kind;
 using std::chrono::milliseconds;
 
-constexpr milliseconds stop_interval {100};
+/// A worker on the same VM answers within a few milliseconds. Orders are repeated under the same
+/// run number, so a repetition has no effect when the first one was carried out.
+constexpr milliseconds stop_interval {30};
+constexpr milliseconds start_interval {20};
+constexpr std::uint32_t most_repeated_starts = 3;
+/// While a report waits for an end at the worker, its answer may also be lost.
+constexpr milliseconds probe_interval {30};
+constexpr milliseconds refused_report_interval {100};
 /// Without a run there is no lease to renew; the worker is asked now and then whether it is there.
 constexpr milliseconds idle_report_interval {300};
 /// Several ends within this time share one report.
@@ -68,6 +75,9 @@
 void leased_runner::send_start(open_run& item)
 {
     ++item.tries;
+    ++item.unanswered;
+    ++item.under_way;
+    item.next_try = this->now() + start_interval;
     auto const until = this->lease_end();
     this->worker.start(this->terms(), item.run, item.task, until,
                        [this, weak = std::weak_ptr(this->alive), name = item.run.task,
@@ -85,17 +95,20 @@
     if (found == this->runs.end() || found->second.run.number != number)
         return;
     auto& item = found->second;
+    --item.under_way;
+    item.unanswered -= reply.answer == worker_answer::no_answer ? 0 : 1;
+    if (reply.answer == worker_answer::other_life)
+        return this->lose_life("the worker has restarted");
+    // Another try has decided already.
+    if (item.state != phase::starting)
+        return;
     switch (reply.answer) {
     case worker_answer::accepted:
-        this->note_contact();
-        item.state = phase::running;
-        item.known_since = this->reports_sent;
-        if (item.stop_wanted)
-            this->send_stop(item);
-        if (!this->report_open)
-            this->next_report = std::min(this->next_report, this->now() + report_gap);
-        return;
+        return this->on_accepted(item);
     case worker_answer::old_run:
+        // An unanswered try may have run to its end by now; its end will be listed.
+        if (item.unanswered > 0)
+            return this->on_accepted(item);
         if (item.tries >= most_start_tries)
             break;
         item.run.number += run_number_step * item.tries;
@@ -106,16 +119,13 @@
         if (item.tries >= most_start_tries)
             break;
         return this->send_start(item);
-    case worker_answer::other_life:
-        return this->lose_life("the worker has restarted");
     case worker_answer::no_answer:
         base::log_record(base::log_event::start_unanswered)
             .with("task", name)
             .with("run", item.run.number)
             .with("worker", this->life.id);
-        item.state = phase::doubtful;
-        item.known_since = this->reports_sent;
-        return item.stop_wanted ? this->send_stop(item) : this->send_report(report_kind::probe);
+        return item.under_way == 0 ? this->on_doubt(item) : void();
+    case worker_answer::other_life:
     case worker_answer::too_late:
     case worker_answer::no_room:
     case worker_answer::unhealthy:
@@ -123,6 +133,11 @@
     case worker_answer::not_sent:
         break;
     }
+    // An unanswered try may be carried out yet, so the run is stopped before it counts as not run.
+    if (item.unanswered > 0) {
+        this->on_doubt(item);
+        return item.stop_sent ? void() : this->send_stop(item);
+    }
     static constexpr std::string_view reasons[] = {"accepted",
                                                    "fencing token too low",
                                                    "run number too low",
@@ -140,6 +155,27 @@
                    + std::string(reasons[static_cast<std::size_t>(reply.answer)])});
 }
 
+void leased_runner::on_accepted(open_run& item)
+{
+    this->note_contact();
+    item.state = phase::running;
+    item.known_since = this->reports_sent;
+    if (item.stop_wanted)
+        this->send_stop(item);
+    if (!this->report_open)
+        this->next_report = std::min(this->next_report, this->now() + report_gap);
+}
+
+void leased_runner::on_doubt(open_run& item)
+{
+    item.state = phase::doubtful;
+    item.known_since = this->reports_sent;
+    if (item.stop_wanted)
+        this->send_stop(item);
+    else
+        this->send_report(report_kind::probe);
+}
+
 void leased_runner::stop(std::string const& /*url*/, protocol::task_ref const& task)
 {
     for (auto& [name, item] : this->runs) {
@@ -247,11 +283,9 @@
     }
     if (!this->report_open && time >= this->next_report)
         this->send_report(report_kind::renewal);
-    for (auto& [name, item] : this->runs) {
-        bool const stopping = item.stop_sent && !item.stop_answered;
-        if (stopping && time >= item.next_stop)
-            this->send_stop(item);
-    }
+    if (this->is_reachable && !this->runs.empty() && time >= this->next_probe)
+        this->send_report(report_kind::probe);
+    this->repeat_orders(time);
     if (this->is_reachable && time - this->last_contact > unreachable_after) {
         this->is_reachable = false;
         base::log_record(base::log_event::worker_unreachable).with("worker", this->life.id);
@@ -270,9 +304,23 @@
     }
 }
 
+void leased_runner::repeat_orders(base::steady_time time)
+{
+    for (auto& [name, item] : this->runs) {
+        bool const stopping = item.stop_sent && !item.stop_answered;
+        if (stopping && time >= item.next_stop)
+            this->send_stop(item);
+        bool const starting = item.state == phase::starting && !item.stop_wanted;
+        if (starting && this->is_reachable && time >= item.next_try
+            && item.tries < most_repeated_starts)
+            this->send_start(item);
+    }
+}
+
 void leased_runner::send_report(report_kind kind)
 {
     auto const time = this->now();
+    this->next_probe = time + probe_interval;
     this->report_open |= kind == report_kind::renewal;
     auto const number = ++this->reports_sent;
     bool const waits = kind == report_kind::renewal && !this->runs.empty() && this->is_settled;
@@ -307,7 +355,7 @@
         return this->raise_fence();
     }
     if (report.reply.answer != worker_answer::accepted) {
-        this->next_report = this->now() + stop_interval;
+        this->next_report = this->now() + refused_report_interval;
         return;
     }
     this->note_clock(report.reply.clock);
@@ -320,6 +368,10 @@
 void leased_runner::on_ended(ended_run const& ended)
 {
     this->seen_end = std::max(this->seen_end, ended.number);
+    if (this->ended_numbers.size() > most_numbers)
+        this->ended_numbers.clear();
+    auto& highest = this->ended_numbers[ended.run.task];
+    highest = std::max(highest, ended.run.number);
     auto const found = this->runs.find(ended.run.task);
     if (found == this->runs.end() || found->second.run != ended.run)
         return;
@@ -345,6 +397,9 @@
         auto const known = this->runs.find(run.task);
         if (known != this->runs.end() && known->second.run == run)
             continue;
+        auto const over = this->ended_numbers.find(run.task);
+        if (over != this->ended_numbers.end() && run.number <= over->second)
+            continue;
         foreign = true;
         this->stop_foreign(run);
     }
@@ -391,6 +446,7 @@
     this->clock.reset();
     this->seen_end = 0;
     this->numbers.clear();
+    this->ended_numbers.clear();
     // `done` may start other tasks.
     auto lost = std::exchange(this->runs, {});
     for (auto& [name, item] : lost)
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -66,6 +66,9 @@
         bool stop_sent = false;
         bool stop_answered = false;
         std::uint32_t tries = 0;
+        std::uint32_t unanswered = 0; ///< Tries that are under way, or whose answer was lost.
+        std::uint32_t under_way = 0;
+        base::steady_time next_try;
         std::uint64_t known_since = 0; ///< Reports sent later must list it.
         std::uint32_t missing = 0; ///< Reports in a row that did not list it.
         base::steady_time next_stop;
@@ -78,6 +81,9 @@
     void note_clock(std::optional<worker_clock> reading);
     void note_contact();
     void send_start(open_run& item);
+    void on_accepted(open_run& item);
+    /// The order may still be carried out: the worker decides by listing the run.
+    void on_doubt(open_run& item);
     void on_started(std::string const& name, std::uint64_t number, worker_reply const& reply);
     void send_stop(open_run& item);
     void stop_foreign(worker_run const& run);
@@ -85,6 +91,7 @@
     void send_report(report_kind kind);
     void on_report(std::uint64_t number, report_kind kind, worker_report const& report);
     void take_report(std::uint64_t number, worker_report const& report);
+    void repeat_orders(base::steady_time time);
     void on_ended(ended_run const& ended);
     void check_listed(std::uint64_t number, worker_report const& report);
     void raise_fence();
@@ -109,10 +116,14 @@
 
     run_list runs;
     std::map<std::string, std::uint64_t> numbers; ///< Highest run number used, by task.
+    /// Highest run number with a listed end, by task: a report that was answered earlier may arrive
+    /// later and list the run still.
+    std::map<std::string, std::uint64_t> ended_numbers;
     std::uint64_t seen_end = 0;
     std::uint64_t reports_sent = 0;
     bool report_open = false;
     base::steady_time next_report;
+    base::steady_time next_probe;
     std::shared_ptr<bool> alive; // Callbacks of the worker hold it weakly.
 };
 
