Move runs that lag by their progress, and leave long ones alone

Ruled out: waiting (95 of 100 starts within 7 ms). Change: run_progress judges the pace at the agent (no progress for 150 ms, or a projected time over 3.5 times the expected one with more left than a new run needs); the agent tells the entry (message lagging_run), and the entry moves the run when another endpoint has room or the run cannot end in time. The limit by age alone stays as a fallback at twice the 95th percentile and one second more.

Tests: agent/leased_runner_test "a run makes little progress", entry/ephemeral_test "an agent sees that a run lags".

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -74,6 +74,17 @@
     this->own->deliveries.peer_down(peer);
 }
 
+void agent_core::report_lag(protocol::attempt_ref const& run, std::chrono::milliseconds remaining)
+{
+    for (auto const& key : this->own->endpoints.unfinished()) {
+        auto const* const record = this->own->outcomes.find(key);
+        if (key.task == run.task && key.attempt == run.attempt && record != nullptr
+            && record->details)
+            this->own->sender.send(record->details->owner,
+                                   protocol::lagging_run {this->own->settings.id, run, remaining});
+    }
+}
+
 void agent_core::begin_shutdown(base::steady_time now)
 {
     this->own->admission.begin_shutdown();
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -64,6 +64,9 @@
     void peer_up(std::string const& peer, base::steady_time now);
     void peer_down(std::string const& peer, base::steady_time now);
 
+    /// Tells the entry that started the run that it would end sooner elsewhere.
+    void report_lag(protocol::attempt_ref const& run, std::chrono::milliseconds remaining);
+
     /// Refuses new starts from now on; running tasks go on.
     void begin_shutdown(base::steady_time now);
     /// No task runs and every outcome is acknowledged.
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -159,6 +159,7 @@
 {
     this->note_contact();
     item.state = phase::running;
+    item.progress.start(this->now());
     item.known_since = this->reports_sent;
     if (item.stop_wanted)
         this->send_stop(item);
@@ -393,7 +394,7 @@
 void leased_runner::check_listed(std::uint64_t number, worker_report const& report)
 {
     bool foreign = false;
-    for (auto const& run : report.running) {
+    for (auto const& [run, percent] : report.running) {
         auto const known = this->runs.find(run.task);
         if (known != this->runs.end() && known->second.run == run)
             continue;
@@ -409,13 +410,14 @@
         base::log_record(base::log_event::worker_settled).with("reason", "nothing runs");
     std::vector<std::string> over;
     for (auto& [name, item] : this->runs) {
-        bool const listed = std::find(report.running.begin(), report.running.end(), item.run)
-            != report.running.end();
-        if (listed) {
+        auto const listed = std::find_if(report.running.begin(), report.running.end(),
+                                         [&item](auto const& row) { return row.run == item.run; });
+        if (listed != report.running.end()) {
             item.missing = 0;
             // The start has arrived although its answer was lost.
             if (item.state == phase::doubtful && !item.stop_sent)
                 item.state = phase::running;
+            this->check_progress(item, listed->percent);
             continue;
         }
         if (item.state == phase::doubtful && !item.stop_sent && number > item.known_since)
@@ -428,6 +430,26 @@
         this->end(name, {outcome_kind::cancelled, {}, "the worker does not list the run"});
 }
 
+void leased_runner::check_progress(open_run& item, std::uint32_t percent)
+{
+    auto const time = this->now();
+    item.progress.update(percent, time);
+    if (item.lag_reported || item.stop_wanted || item.stop_sent)
+        return;
+    auto const remaining = item.progress.lag(item.task.expected, time);
+    if (!remaining)
+        return;
+    item.lag_reported = true;
+    base::log_record(base::log_event::run_lagging)
+        .with("task", item.run.task)
+        .with("run", item.run.number)
+        .with("worker", this->life.id)
+        .with("percent", percent)
+        .with("expected", item.task.expected)
+        .with("remaining", *remaining);
+    this->run_lags.emit({item.task.task, item.task.attempt}, *remaining);
+}
+
 void leased_runner::raise_fence()
 {
     this->fence += fence_step;
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -15,6 +15,7 @@
 
 #include "agent/endpoint_runner.h"
 #include "agent/leased_worker.h"
+#include "agent/run_progress.h"
 #include "base/clock.h"
 
 namespace greengagehead::agent {
@@ -51,6 +52,9 @@
     [[nodiscard]] bool reachable() const { return this->is_reachable; }
     /// The worker answers. Emitted when this changes.
     sigc::signal<void(bool reachable)> reachable_changed;
+    /// A run stands still or is far slower than expected. Emitted once a run.
+    sigc::signal<void(protocol::attempt_ref const& run, std::chrono::milliseconds remaining)>
+        run_lags;
 
 private:
     enum class phase : std::uint8_t {
@@ -71,6 +75,8 @@
         base::steady_time next_try;
         std::uint64_t known_since = 0; ///< Reports sent later must list it.
         std::uint32_t missing = 0; ///< Reports in a row that did not list it.
+        run_progress progress;
+        bool lag_reported = false;
         base::steady_time next_stop;
         callback done;
     };
@@ -94,6 +100,7 @@
     void repeat_orders(base::steady_time time);
     void on_ended(ended_run const& ended);
     void check_listed(std::uint64_t number, worker_report const& report);
+    void check_progress(open_run& item, std::uint32_t percent);
     void raise_fence();
     void lose_life(std::string const& reason);
     void end(std::string const& name, run_result result);
--- a/src/agent/leased_worker.h
+++ b/src/agent/leased_worker.h
@@ -66,9 +66,14 @@
     run_end how = run_end::lapsed;
 };
 
+struct listed_run {
+    worker_run run;
+    std::uint32_t percent = 0; ///< Of its work, rounded down.
+};
+
 struct worker_report {
     worker_reply reply;
-    std::vector<worker_run> running;
+    std::vector<listed_run> running;
     std::vector<ended_run> ended;
 };
 
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -72,6 +72,7 @@
     worker_lost = 4014,
     fence_raised = 4015,
     announcement_rejected = 4016,
+    run_lagging = 4017,
 };
 
 struct event_description {
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -22,17 +22,17 @@
 constexpr milliseconds least_ask_delay {500};
 /// An ephemeral task that has been tried this often stays where it runs.
 constexpr std::uint16_t most_moves = 2;
-constexpr milliseconds least_stall {150};
+constexpr milliseconds least_stall {1000};
 /// From an agent's silence until every ephemeral run that it had from this entry has ended: it
 /// stops them itself when it has not heard from the entry for 900 ms, and where it is frozen or
 /// gone, the endpoint ends them when their lease of one second, by a clock that may be 2% slow,
 /// lapses.
 constexpr milliseconds ephemeral_run_limit {2000};
 
-/// A run that takes this long stands still, or its endpoint is many times slower than others.
+/// A run that takes this long has stalled, although its agent has not said that it lags.
 base::steady_time::duration stall_limit(microseconds slow)
 {
-    return std::max<base::steady_time::duration>(slow * 3 / 2, slow + least_stall);
+    return std::max<base::steady_time::duration>(slow * 2, slow + least_stall);
 }
 
 } // namespace
@@ -96,29 +96,60 @@
 bool attempt_monitor::move_stalled(job& job, std::uint32_t index, attempt const& open,
                                    base::steady_time now)
 {
-    auto& task = job.tasks[index];
+    auto const& task = job.tasks[index];
     auto const& kind = job.content->tasks[index].kind;
     auto const estimate = this->parts.estimator.estimate(job.team, kind, task.expected);
-    auto const age = now - open.sent;
-    if (estimate.samples == 0 || age < stall_limit(estimate.slow) || open.given_up
-        || task.retries >= most_moves || now + estimate.typical >= job.deadline)
+    if (estimate.samples == 0 || now - open.sent < stall_limit(estimate.slow)
+        || !this->may_move(job, index, open, now))
         return false;
-    this->parts.health.record(open.endpoint, false, std::chrono::duration_cast<microseconds>(age),
-                              task.expected, now);
+    this->move(job, index, open, "the run takes far too long", now);
+    return true;
+}
+
+void attempt_monitor::on_lagging(protocol::lagging_run const& notice, base::steady_time now)
+{
+    auto* const job = this->parts.jobs.find(notice.run.task.job);
+    auto const index = notice.run.task.index;
+    if (job == nullptr || !job->ephemeral || job->phase != job_phase::running
+        || index >= job->tasks.size())
+        return;
+    auto const* const open = job->tasks[index].find(notice.run.attempt, job->epoch);
+    if (open == nullptr || !this->may_move(*job, index, *open, now))
+        return;
+    // A slow run is worth more than a place in the queue; one that cannot end in time is not.
+    bool const in_time = now + notice.remaining < job->deadline;
+    if (in_time && !this->parts.dispatch.has_room_beside(*job, index, open->endpoint, now))
+        return;
+    this->move(*job, index, *open, "the run lags", now);
+}
+
+bool attempt_monitor::may_move(job const& job, std::uint32_t index, attempt const& open,
+                               base::steady_time now) const
+{
+    auto const& task = job.tasks[index];
+    return !open.given_up && task.retries < most_moves && now + task.expected < job.deadline;
+}
+
+void attempt_monitor::move(job& job, std::uint32_t index, attempt const& open,
+                           std::string const& reason, base::steady_time now)
+{
+    auto const age = std::chrono::duration_cast<microseconds>(now - open.sent);
+    auto const expected = job.tasks[index].expected;
+    this->parts.health.record(open.endpoint, false, age, expected, now);
     job.note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(index), open.number,
-              open.endpoint, "the run has stalled and is stopped", 0});
+              open.endpoint, reason, 0});
     base::log_record(base::log_event::task_stalled)
         .with("job", job.id)
         .with("task", index)
         .with("attempt", open.number)
         .with("endpoint", open.endpoint)
-        .with("age", std::chrono::duration_cast<microseconds>(age))
-        .with("slow", estimate.slow);
+        .with("age", age)
+        .with("expected", expected)
+        .with("reason", reason);
     // The task goes elsewhere when the agent has confirmed the end of this run.
     this->parts.outbox.add_cancel(open.agent, {{job.id, index}, open.number});
     this->parts.timers.add(
         {now + ask_interval, timer_kind::attempt_check, job.number, index, open.number});
-    return true;
 }
 
 void attempt_monitor::on_requeue(timer const& due)
--- a/src/entry/attempt_monitor.h
+++ b/src/entry/attempt_monitor.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <string>
 
 #include "base/clock.h"
 #include "entry/agent_table.h"
@@ -34,14 +35,21 @@
     void on_agent_lost(agent_slot agent, base::steady_time now);
     /// A newer incarnation of the agent has reported: what it ran cannot be known any more.
     void on_agent_replaced(agent_slot agent, base::steady_time now);
+    /// An agent has seen that a run would end sooner elsewhere.
+    void on_lagging(protocol::lagging_run const& notice, base::steady_time now);
     /// Cancels ephemeral runs that the agent holds and nobody here waits for, for example after a
     /// cancellation was lost with its link.
     void stop_unknown(protocol::agent_report const& report, agent_slot slot);
 
 private:
-    /// Stops a run that takes far longer than others of its kind, so that the task can run
-    /// elsewhere. False when it is left alone.
+    /// A run that takes far longer than others of its kind. False when it is left alone.
     bool move_stalled(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
+    /// Whether another run of the ephemeral task may follow this one.
+    [[nodiscard]] bool may_move(job const& job, std::uint32_t index, attempt const& open,
+                                base::steady_time now) const;
+    /// Stops the run, so that the task can run elsewhere.
+    void move(job& job, std::uint32_t index, attempt const& open, std::string const& reason,
+              base::steady_time now);
     void for_each_attempt(agent_slot agent,
                           std::function<void(job&, std::uint32_t, attempt&)> const& use);
 
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -265,6 +265,16 @@
     return true;
 }
 
+bool dispatcher::has_room_beside(job const& job, std::uint32_t index, std::string const& endpoint,
+                                 base::steady_time now)
+{
+    auto request = request_of(job.team, job.content->tasks[index]);
+    request.avoid = {endpoint};
+    auto const other
+        = this->parts.placement->choose(request, this->parts.endpoints, this->parts.health, now);
+    return other && other->endpoint != endpoint;
+}
+
 bool dispatcher::hedge(job& job, std::uint32_t index, base::steady_time now)
 {
     if (!this->parts.leases.valid(now) || !job.claim_committed)
@@ -315,6 +325,7 @@
     start.slots = request.slots;
     start.cpu = request.cpu;
     start.memory_mb = request.memory_mb;
+    start.expected = job.tasks[index].expected;
     this->parts.outbox.add_start(open.agent, std::move(start));
 }
 
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -27,6 +27,9 @@
     void withdraw(job& job, std::uint32_t index);
     /// Places as many tasks as the lease and the free slots allow.
     void run(base::steady_time now);
+    /// Whether an endpoint other than this one could take the task now.
+    [[nodiscard]] bool has_room_beside(job const& job, std::uint32_t index,
+                                       std::string const& endpoint, base::steady_time now);
     /// Starts a second attempt on another endpoint. False when there is none or no budget.
     bool hedge(job& job, std::uint32_t index, base::steady_time now);
     /// Sends the start of an open attempt again, to the same agent incarnation. The agent's record
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -229,6 +229,8 @@
                     this->attempts.on_report(report, now);
             } else if constexpr (std::is_same_v<type, protocol::agent_report>) {
                 this->on_report(message, now);
+            } else if constexpr (std::is_same_v<type, protocol::lagging_run>) {
+                this->monitor.on_lagging(message, now);
             }
         },
         body);
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -294,7 +294,7 @@
     {
         return std::tie(m.task, m.attempt, m.epoch, m.endpoint, m.team, m.kind, m.idempotent,
                         m.payload, m.remaining, m.timeout, m.ephemeral, m.name, m.slots, m.cpu,
-                        m.memory_mb);
+                        m.memory_mb, m.expected);
     }
 };
 template <> struct field_list<start_batch> {
@@ -347,6 +347,9 @@
                         m.rack, m.draining, m.held_by_receiver);
     }
 };
+template <> struct field_list<lagging_run> {
+    static auto of(auto& m) { return std::tie(m.agent, m.run, m.remaining); }
+};
 template <> struct field_list<agent_report> {
     static auto of(auto& m)
     {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -174,6 +174,7 @@
     std::uint32_t slots = 1; ///< As in task_request.
     std::uint32_t cpu = 0; ///< As in task_request.
     std::uint32_t memory_mb = 0; ///< As in task_request.
+    std::chrono::microseconds expected {0}; ///< Typical run time of such tasks; 0 for unknown.
 };
 
 struct start_batch {
@@ -280,11 +281,19 @@
     std::vector<attempt_ref> ephemeral_runs;
 };
 
+/// A run makes so little progress that the task would end sooner elsewhere.
+struct lagging_run {
+    process_id agent;
+    attempt_ref run;
+    /// Until its end at the present pace, at least.
+    std::chrono::milliseconds remaining {0};
+};
+
 using message
     = std::variant<raft_message, renew_lease, grant_lease, not_leader, view_update, control_request,
                    control_reply, takeover_notice, job_copy, job_copy_ack, job_finished_copy,
                    job_finished_ack, job_query, job_reply, job_cancel, start_batch, lease_update,
                    cancel_batch, outcome_query, outcome_batch, outcome_ack, outcome_report,
-                   agent_report, directory_request, directory>;
+                   agent_report, directory_request, directory, lagging_run>;
 
 } // namespace greengagehead::protocol
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -77,6 +77,7 @@
         request.task.task = {"job", 0};
         request.task.name = name;
         request.task.attempt = attempt;
+        request.task.expected = milliseconds(200);
         request.start_before = this->now + milliseconds(1000);
         this->runner.start(request, [this](run_result result, base::steady_time) {
             this->results.push_back(std::move(result));
@@ -89,14 +90,18 @@
     /// Answers the last report.
     void answer_report(std::vector<worker_run> running, std::vector<ended_run> ended = {})
     {
+        std::vector<listed_run> rows;
+        for (auto const& run : running)
+            rows.push_back({run, this->percent});
         auto const done = std::exchange(this->worker.reports.back().done, nullptr);
-        done({this->reply(worker_answer::accepted), std::move(running), std::move(ended)});
+        done({this->reply(worker_answer::accepted), std::move(rows), std::move(ended)});
     }
 
     base::steady_time now {std::chrono::hours(1)};
     scripted_worker worker;
     leased_runner runner;
     std::vector<run_result> results;
+    std::uint32_t percent = 0; ///< Progress of the runs that `answer_report` lists.
 };
 
 } // namespace
@@ -322,7 +327,8 @@
         {
             world.pass(milliseconds(40));
             world.answer_report({}, {{1, run, run_end::done}});
-            world.worker.reports[sent - 1].done({world.reply(worker_answer::accepted), {run}, {}});
+            world.worker.reports[sent - 1].done(
+                {world.reply(worker_answer::accepted), {{run, 90}}, {}});
             THEN("nothing is stopped")
             {
                 CHECK(world.worker.stops.empty());
@@ -331,6 +337,58 @@
     }
 }
 
+SCENARIO("a run makes little progress", "[agent][leased]")
+{
+    GIVEN("a run that is expected to take 200 ms")
+    {
+        runner_fixture world;
+        std::vector<milliseconds> lags;
+        world.runner.run_lags.connect(
+            [&lags](auto const&, milliseconds remaining) { lags.push_back(remaining); });
+        world.start("a.0.0.0");
+        auto const run = world.worker.starts.front().run;
+        world.worker.starts.front().done(world.reply(worker_answer::accepted));
+        auto const pass_with = [&](std::uint32_t percent) {
+            world.percent = percent;
+            world.pass(milliseconds(40));
+            world.answer_report({run});
+        };
+
+        // Guards against healthy runs that start anew elsewhere.
+        WHEN("it is two and a half times as long as expected")
+        {
+            for (std::uint32_t percent = 8; percent <= 96; percent += 8)
+                pass_with(percent);
+            THEN("it does not lag")
+            {
+                CHECK(lags.empty());
+            }
+        }
+        // Guards against answers that wait for a slow worker while others are free.
+        WHEN("its worker is ten times slower")
+        {
+            pass_with(2);
+            pass_with(4);
+            THEN("it lags, and is reported once")
+            {
+                REQUIRE(lags.size() == 1);
+                CHECK(lags.front() > milliseconds(1000));
+            }
+        }
+        WHEN("it stops at one half")
+        {
+            pass_with(25);
+            pass_with(50);
+            for (int step = 0; step < 5; ++step)
+                pass_with(50);
+            THEN("it lags")
+            {
+                CHECK(lags.size() == 1);
+            }
+        }
+    }
+}
+
 SCENARIO("a worker refuses a start", "[agent][leased]")
 {
     GIVEN("a start under way")
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -248,3 +248,51 @@
         }
     }
 }
+
+SCENARIO("an agent sees that a run lags", "[entry][ephemeral]")
+{
+    GIVEN("a task that runs, and a free endpoint elsewhere")
+    {
+        ephemeral_fleet world;
+        for (auto& [name, agent] : world.agents)
+            agent.run_time = milliseconds(3000);
+        auto request = make_ephemeral("s1", 1);
+        request.tasks.front().expected = milliseconds(100);
+        auto const job = world.submit("entry.a", request);
+        REQUIRE(world.run_until([&] { return world.runs.size() == 1; }));
+        auto& slow = world.agents.at("agent.1").records.empty() ? world.agents.at("agent.2")
+                                                                : world.agents.at("agent.1");
+        auto& other = &slow == &world.agents.at("agent.1") ? world.agents.at("agent.2")
+                                                           : world.agents.at("agent.1");
+        auto const& outcome = slow.records.begin()->second.outcome;
+        protocol::lagging_run const notice {
+            slow.id, {outcome.task, outcome.attempt}, milliseconds(2000)};
+
+        // Guards against answers that wait for a slow endpoint while others are free.
+        WHEN("the other endpoint has room")
+        {
+            other.run_time = milliseconds(50);
+            world.post(slow.id.name, "entry.a", notice);
+            world.run(milliseconds(200));
+            THEN("the run is stopped, and the task ends elsewhere")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+                CHECK(world.violations.empty());
+            }
+        }
+        // Guards against work that is thrown away for a place in the queue.
+        WHEN("the other endpoint has none")
+        {
+            other.slots = 0;
+            world.run(milliseconds(400));
+            world.post(slow.id.name, "entry.a", notice);
+            world.run(milliseconds(200));
+            THEN("the run goes on")
+            {
+                CHECK(slow.running() == 1);
+                CHECK(job->replies.empty());
+            }
+        }
+    }
+}
