Keep a start's own stamp when the known lease has lapsed

Ruled out: workers that refuse (no rejected start at any worker), lost agents. Change: the known stamp is used only when it ends later. Test, which failed before: agent/ephemeral_test "a lease of the entry has lapsed before".

--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -273,8 +273,10 @@
         return;
     while (auto const key = slots->take_next()) {
         auto& request = *this->outcomes.find(*key)->details->request;
-        // The entry may have renewed its lease while the task waited.
-        if (auto const renewed = this->leases.latest(request.stamp.entry); renewed)
+        // The entry may have renewed its lease while the task waited. A stamp of a lease that has
+        // lapsed since must not replace a later one without a lease.
+        auto const renewed = this->leases.latest(request.stamp.entry);
+        if (renewed && renewed->expires_at > request.stamp.expires_at)
             request.stamp = *renewed;
         auto const refused = this->admission.refuse(request, admission_stage::start, now);
         if (refused)
--- a/tests/agent/ephemeral_test.cpp
+++ b/tests/agent/ephemeral_test.cpp
@@ -104,6 +104,20 @@
                 CHECK(world.runner.runs.front().request.task.task.index == 0);
             }
         }
+        // Guards against refusals while control is out of reach: the endpoint's runner refuses a
+        // start whose stamp has expired.
+        WHEN("a lease of the entry has lapsed before")
+        {
+            world.pass(milliseconds(1600));
+            auto later = world.batch(world.entry_a, {ephemeral_start(0)});
+            later.lease.leased = false;
+            world.core.receive("entry.a", later, world.now);
+            THEN("the task starts under the later stamp")
+            {
+                REQUIRE(world.runner.runs.size() == 1);
+                CHECK(world.runner.runs.front().request.start_before > world.now);
+            }
+        }
         WHEN("the starts arrive late, as after a partition")
         {
             batch.lease.expires_at = base::to_reading(world.now);
