Judge lagging runs by the worker's clock and leave natural lengths alone

Change: ages are readings of the worker's clock, a run is not judged before half of its expected time and 30 ms, and only a projection beyond six times the expected time counts.

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -159,7 +159,8 @@
 {
     this->note_contact();
     item.state = phase::running;
-    item.progress.start(this->now());
+    if (this->clock)
+        item.progress.start(*this->clock);
     item.known_since = this->reports_sent;
     if (item.stop_wanted)
         this->send_stop(item);
@@ -417,7 +418,8 @@
             // The start has arrived although its answer was lost.
             if (item.state == phase::doubtful && !item.stop_sent)
                 item.state = phase::running;
-            this->check_progress(item, listed->percent);
+            if (report.reply.clock)
+                this->check_progress(item, listed->percent, *report.reply.clock);
             continue;
         }
         if (item.state == phase::doubtful && !item.stop_sent && number > item.known_since)
@@ -430,9 +432,8 @@
         this->end(name, {outcome_kind::cancelled, {}, "the worker does not list the run"});
 }
 
-void leased_runner::check_progress(open_run& item, std::uint32_t percent)
+void leased_runner::check_progress(open_run& item, std::uint32_t percent, worker_clock time)
 {
-    auto const time = this->now();
     item.progress.update(percent, time);
     if (item.lag_reported || item.stop_wanted || item.stop_sent)
         return;
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -100,7 +100,7 @@
     void repeat_orders(base::steady_time time);
     void on_ended(ended_run const& ended);
     void check_listed(std::uint64_t number, worker_report const& report);
-    void check_progress(open_run& item, std::uint32_t percent);
+    void check_progress(open_run& item, std::uint32_t percent, worker_clock time);
     void raise_fence();
     void lose_life(std::string const& reason);
     void end(std::string const& name, run_result result);
--- a/src/agent/run_progress.cpp
+++ b/src/agent/run_progress.cpp
@@ -12,9 +12,11 @@
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
-/// Run times of one kind spread to about four times the typical one; three and a half times is
-/// exceeded by one in a thousand.
-constexpr int unlikely_length_percent = 350;
+/// Run times of one kind spread to about four times the typical one, and a declared time may be
+/// off by half.
+constexpr int unlikely_length_percent = 600;
+/// The first moments of a run show too little of its pace.
+constexpr milliseconds least_age {30};
 /// A new run takes its whole time, and waits and stops first.
 constexpr int new_run_percent = 150;
 constexpr milliseconds moving_time {50};
@@ -27,13 +29,13 @@
 
 } // namespace
 
-void run_progress::start(base::steady_time now)
+void run_progress::start(milliseconds now)
 {
     this->started = now;
     this->advanced = now;
 }
 
-void run_progress::update(std::uint32_t percent, base::steady_time now)
+void run_progress::update(std::uint32_t percent, milliseconds now)
 {
     if (!this->started)
         this->start(now);
@@ -43,16 +45,16 @@
     this->advanced = now;
 }
 
-std::optional<milliseconds> run_progress::lag(microseconds expected, base::steady_time now) const
+std::optional<milliseconds> run_progress::lag(microseconds expected, milliseconds now) const
 {
     if (!this->started || expected.count() <= 0)
         return std::nullopt;
-    auto const age = duration_cast<microseconds>(now - *this->started);
-    auto const step = std::max(
-        expected / whole,
-        this->done > 0 ? duration_cast<microseconds>(this->advanced - *this->started) / this->done
-                       : microseconds(0));
-    auto const still = duration_cast<microseconds>(now - this->advanced);
+    microseconds const age = now - *this->started;
+    if (age < std::max<microseconds>(least_age, expected / 2))
+        return std::nullopt;
+    microseconds const progressed = this->advanced - *this->started;
+    auto const step = std::max(expected / whole, progressed / std::max(this->done, 1U));
+    microseconds const still = now - this->advanced;
     if (still >= std::max<microseconds>(least_standstill, standstill_steps * step))
         return standing_still;
     // The share is rounded down, so the run is nearly one percent further at most.
