--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -411,8 +411,9 @@
         base::log_record(base::log_event::worker_settled).with("reason", "nothing runs");
     std::vector<std::string> over;
     for (auto& [name, item] : this->runs) {
+        auto const& wanted = item.run;
         auto const listed = std::find_if(report.running.begin(), report.running.end(),
-                                         [&item](auto const& row) { return row.run == item.run; });
+                                         [&wanted](auto const& row) { return row.run == wanted; });
         if (listed != report.running.end()) {
             item.missing = 0;
             // The start has arrived although its answer was lost.
