Count the runs of a task that stays where it lags

With the check for room elsewhere switched off, "the other endpoint has none" still passed: the run was stopped and started again on the same endpoint. The test now also counts the runs, and fails without that check.

--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -291,6 +291,7 @@
             THEN("the run goes on")
             {
                 CHECK(slow.running() == 1);
+                CHECK(world.runs.begin()->second == 1);
                 CHECK(job->replies.empty());
             }
         }
