--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/value_rules.h"
 
+#include <functional>
+#include <type_traits>
 #include <utility>
 
 namespace greengagehead::settings {
@@ -13,7 +15,17 @@
     return [member](process_settings& target, std::string const& value) { target.*member = value; };
 }
 
-template <typename Group, typename Member> auto number_into(Group group, Member member)
+using number_setter = std::function<void(process_settings&, std::uint64_t)>;
+
+template <typename Member> number_setter number_into(Member member)
+{
+    return [member](process_settings& target, std::uint64_t value) {
+        auto& field = target.*member;
+        field = std::remove_reference_t<decltype(field)>(value);
+    };
+}
+
+template <typename Group, typename Member> number_setter number_into(Group group, Member member)
 {
     return [group, member](process_settings& target, std::uint64_t value) {
         auto& field = (target.*group).*member;
@@ -41,16 +53,15 @@
     return rule;
 }
 
-template <typename Group, typename Member>
 value_rule number_rule(std::string_view key, value_kind kind, std::uint64_t least,
-                       std::uint64_t most, Group group, Member member, std::string_view meaning)
+                       std::uint64_t most, number_setter set, std::string_view meaning)
 {
     value_rule rule;
     rule.key = key;
     rule.kind = kind;
     rule.least = least;
     rule.most = most;
-    rule.set_number = number_into(group, member);
+    rule.set_number = std::move(set);
     rule.meaning = meaning;
     return rule;
 }
@@ -73,23 +84,15 @@
                               "accepted from anyone."));
     rules.push_back(text_rule("control.listen", value_kind::address, {role::control},
                               &settings::control_listen, "Address for links to the control role."));
-    value_rule found;
-    found.key = "control.bootstrap";
-    found.kind = value_kind::flag;
-    found.set_number = [](settings& target, std::uint64_t value) { target.bootstrap = value != 0; };
-    found.meaning = "Whether this control member may found the group. With false it joins one.";
-    rules.push_back(std::move(found));
-    value_rule links;
-    links.key = "control.link_port";
-    links.kind = value_kind::number;
-    links.least = 1;
-    links.most = 65'535;
-    links.set_number = [](settings& target, std::uint64_t value) {
-        target.control_link_port = static_cast<std::uint16_t>(value);
-    };
-    links.meaning = "Port of the links to control members, where the addresses in [[controls]] "
-                    "name another port. Those are then only the first members to ask.";
-    rules.push_back(std::move(links));
+    rules.push_back(number_rule("control.bootstrap", value_kind::flag, 0, 1,
+                                number_into(&settings::bootstrap),
+                                "Whether this control member may found the group. With false it "
+                                "joins one."));
+    rules.push_back(number_rule("control.link_port", value_kind::number, 1, 65'535,
+                                number_into(&settings::control_link_port),
+                                "Port of the links to control members, where the addresses in "
+                                "[[controls]] name another port. Those are then only the first "
+                                "members to ask."));
     rules.push_back(text_rule("entry.listen", value_kind::address, {role::entry},
                               &settings::entry_listen, "Address for links to the entry role."));
     rules.push_back(text_rule("entry.http", value_kind::address, {role::entry},
@@ -99,17 +102,10 @@
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
-    value_rule interval;
-    interval.key = "agent.announcement_interval_ms";
-    interval.kind = value_kind::duration;
-    interval.least = 100;
-    interval.most = 60'000;
-    interval.set_number = [](settings& target, std::uint64_t value) {
-        target.announcement_interval = std::chrono::milliseconds(value);
-    };
-    interval.meaning = "How often endpoints announce themselves; after three missed announcements "
-                       "an endpoint counts as gone.";
-    rules.push_back(std::move(interval));
+    rules.push_back(number_rule("agent.announcement_interval_ms", value_kind::duration, 100, 60'000,
+                                number_into(&settings::announcement_interval),
+                                "How often endpoints announce themselves; after three missed "
+                                "announcements an endpoint counts as gone."));
     rules.push_back(
         choice_rule("log.format", {"text", "json"}, &settings::log_format, "Format of log lines."));
     rules.push_back(choice_rule("log.level", {"debug", "info", "warning", "error"},
@@ -121,30 +117,31 @@
     using settings = process_settings;
     using limits = limit_settings;
     using timing = timing_settings;
-    auto const limit = &settings::limits;
-    auto const time = &settings::timing;
-    rules.push_back(number_rule("limits.body_bytes", value_kind::number, 1'024, 67'108'864, limit,
-                                &limits::body_bytes, "Largest HTTP body."));
-    rules.push_back(number_rule("limits.header_bytes", value_kind::number, 1'024, 1'048'576, limit,
-                                &limits::header_bytes, "Largest HTTP header block."));
-    rules.push_back(number_rule("limits.tasks_per_job", value_kind::number, 1, 10'000, limit,
-                                &limits::tasks_per_job, "Most tasks of one job."));
+    auto const limit = [](auto member) { return number_into(&settings::limits, member); };
+    auto const time = [](auto member) { return number_into(&settings::timing, member); };
+    rules.push_back(number_rule("limits.body_bytes", value_kind::number, 1'024, 67'108'864,
+                                limit(&limits::body_bytes), "Largest HTTP body."));
+    rules.push_back(number_rule("limits.header_bytes", value_kind::number, 1'024, 1'048'576,
+                                limit(&limits::header_bytes), "Largest HTTP header block."));
+    rules.push_back(number_rule("limits.tasks_per_job", value_kind::number, 1, 10'000,
+                                limit(&limits::tasks_per_job), "Most tasks of one job."));
     rules.push_back(number_rule("limits.longest_deadline_ms", value_kind::duration, 1'000,
-                                3'600'000, limit, &limits::longest_deadline,
+                                3'600'000, limit(&limits::longest_deadline),
                                 "Longest deadline that a caller may ask for."));
-    rules.push_back(number_rule("limits.longest_wait_ms", value_kind::duration, 0, 3'600'000, limit,
-                                &limits::longest_wait, "Longest wait for an answer in one call."));
+    rules.push_back(number_rule("limits.longest_wait_ms", value_kind::duration, 0, 3'600'000,
+                                limit(&limits::longest_wait),
+                                "Longest wait for an answer in one call."));
     rules.push_back(number_rule("timing.claim_retention_ms", value_kind::duration, 1'000,
-                                86'400'000, time, &timing::claim_retention,
+                                86'400'000, time(&timing::claim_retention),
                                 "How long answers of finished jobs are kept."));
     rules.push_back(number_rule("timing.tombstone_retention_ms", value_kind::duration, 1'000,
-                                604'800'000, time, &timing::tombstone_retention,
+                                604'800'000, time(&timing::tombstone_retention),
                                 "How long ids of older jobs are kept, to refuse resubmissions."));
-    rules.push_back(number_rule("timing.leave_delay_ms", value_kind::duration, 0, 60'000, time,
-                                &timing::leave_delay,
+    rules.push_back(number_rule("timing.leave_delay_ms", value_kind::duration, 0, 60'000,
+                                time(&timing::leave_delay),
                                 "How long an entry serves on after /readyz has failed."));
     rules.push_back(number_rule("timing.shutdown_limit_ms", value_kind::duration, 1'000, 600'000,
-                                time, &timing::shutdown_limit,
+                                time(&timing::shutdown_limit),
                                 "Longest time of a graceful shutdown."));
 }
 
