--- a/src/agent/announce_routes.cpp
+++ b/src/agent/announce_routes.cpp
@@ -77,14 +77,14 @@
     auto const endpoint = parse_announcement(request.body);
     if (!endpoint)
         return refused(400, endpoint.error());
-    auto const done = this->core.announce(endpoint.value(), std::chrono::steady_clock::now());
+    auto const done = this->core.announce(endpoint.value(), base::steady_now());
     return done ? accepted() : refused(400, done.error());
 }
 
 http_response announce_routes::leave(http_request const& request)
 {
     auto const name = request.path.substr(leave_prefix.size());
-    auto const done = this->core.leave(name, std::chrono::steady_clock::now());
+    auto const done = this->core.leave(name, base::steady_now());
     return done ? accepted() : refused(404, done.error());
 }
 
--- a/src/api/control_routes.cpp
+++ b/src/api/control_routes.cpp
@@ -47,7 +47,7 @@
         [exchange = call.exchange](protocol::control_result const& result) {
             exchange->respond(control_response(result));
         },
-        steady_now());
+        base::steady_now());
 }
 
 /// Reads `If-Match: VERSION`, quoted or not.
@@ -115,7 +115,7 @@
             }
             exchange->respond(control_response(result));
         },
-        steady_now());
+        base::steady_now());
 }
 
 void change_setting(route_context& context, route_call& call)
@@ -147,7 +147,7 @@
     std::set<std::string> names(view.zones_out.begin(), view.zones_out.end());
     for (auto const& member : view.entries)
         names.insert(member.zone);
-    for (auto const& endpoint : context.core.status(steady_now()).endpoints)
+    for (auto const& endpoint : context.core.status(base::steady_now()).endpoints)
         names.insert(endpoint.zone);
     json zones = json::array();
     for (auto const& name : names) {
--- a/src/api/job_routes.cpp
+++ b/src/api/job_routes.cpp
@@ -85,16 +85,16 @@
     if (!call.sender.may_use_team(request.value().team))
         return reject(call, forbidden("the token does not belong to team " + request.value().team));
 
-    auto const begin = steady_now();
+    auto const begin = base::steady_now();
     auto const team = request.value().team;
     context.core.submit(
         std::move(request).value(), wait.value(),
         [exchange = call.exchange, &metrics = context.metrics, team,
          begin](entry::submit_reply const& reply) {
             if (reply.what == entry::submit_reply::kind::answered)
-                metrics.record(
-                    team,
-                    std::chrono::duration_cast<std::chrono::microseconds>(steady_now() - begin));
+                metrics.record(team,
+                               std::chrono::duration_cast<std::chrono::microseconds>(
+                                   base::steady_now() - begin));
             exchange->respond(submit_response(reply));
         },
         begin);
@@ -119,7 +119,7 @@
             bool const visible = reply.answer && sender.may_use_team(team_of(reply));
             exchange->respond(job_response(job, visible ? reply : unknown, explain));
         },
-        steady_now());
+        base::steady_now());
 }
 
 void cancel_job(route_context& context, route_call& call)
@@ -137,9 +137,9 @@
                 [exchange, job](protocol::job_reply const& cancelled) {
                     exchange->respond(job_response(job, cancelled, false));
                 },
-                steady_now());
+                base::steady_now());
         },
-        steady_now());
+        base::steady_now());
 }
 
 } // namespace greengagehead::api
--- a/src/api/route_context.h
+++ b/src/api/route_context.h
@@ -18,12 +18,6 @@
 
 namespace greengagehead::api {
 
-/// Cores read no clock; the routes pass the time in.
-[[nodiscard]] inline base::steady_time steady_now()
-{
-    return std::chrono::steady_clock::now();
-}
-
 struct route_context {
     entry::entry_core& core;
     settings::process_settings const& settings;
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -115,7 +115,7 @@
 {
     if (context.shutting_down)
         return respond_json(call, 503, {{"ready", false}, {"reason", "shutting down"}});
-    if (!context.core.status(steady_now()).lease_valid)
+    if (!context.core.status(base::steady_now()).lease_valid)
         return respond_json(call, 503, {{"ready", false}, {"reason", "no valid lease"}});
     respond_json(call, 200, {{"ready", true}});
 }
@@ -125,7 +125,7 @@
     context.core.control(
         protocol::read_control_status {}, status_timeout,
         [&core = context.core, exchange = call.exchange](protocol::control_result const& result) {
-            auto const status = core.status(steady_now());
+            auto const status = core.status(base::steady_now());
             auto const* const control = std::get_if<protocol::control_status>(&result);
             json body {{"entry", status_json(status)},
                        {"control", control == nullptr ? json() : control_json(*control)},
@@ -141,7 +141,7 @@
             response.body = dump(body);
             exchange->respond(response);
         },
-        steady_now());
+        base::steady_now());
 }
 
 void show_metrics(route_context& context, route_call& call)
@@ -154,7 +154,7 @@
         text += " counter\n";
         append_gauge(text, line.name, "", counters.*(line.value));
     }
-    append_gauges(text, context.core.status(steady_now()));
+    append_gauges(text, context.core.status(base::steady_now()));
     context.metrics.append_to(text);
     call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
 }
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -2,9 +2,11 @@
 
 #include "app/agent_task.h"
 
+#include <utility>
+#include <variant>
+
 #include "app/peer_wiring.h"
 #include "base/random.h"
-#include <variant>
 
 namespace greengagehead::app {
 
@@ -34,7 +36,7 @@
       core(core_settings(own), this->hub,
            this->adapter ? this->adapter->runner()
                          : static_cast<agent::endpoint_runner&>(this->runner),
-           steady_now()),
+           base::steady_now()),
       routes(this->core),
       server(this->loop, {own.limits.body_bytes, own.limits.header_bytes},
              [this](auto& request, auto const& exchange) { this->routes(request, exchange); })
@@ -60,15 +62,14 @@
         protocol::process_id {settings::peer_name(settings::role::agent, this->settings.name), 0},
         std::move(names), this->hub);
     this->directory->entry_found.connect([this](std::string const& name, std::string const& place) {
-        if (auto const address = transport::parse_address(place))
-            this->hub.keep_connected(name, address.value());
+        dial(this->hub, name, place);
     });
     this->directory->controls_known.connect(
         [this](auto const& members) { dial_members(this->hub, members); });
     this->hub.message_received.connect(
         [this](std::string const& /*peer*/, protocol::message& body) { this->receive(body); });
     this->hub.peer_up.connect(
-        [this](std::string const& peer) { this->directory->peer_up(peer, steady_now()); });
+        [this](std::string const& peer) { this->directory->peer_up(peer, base::steady_now()); });
 }
 
 void agent_task::receive(protocol::message& body)
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -82,14 +82,11 @@
         this->configured.insert(settings::peer_name(role::control, member.name));
         // One link per pair of members is enough: the one with the lower name dials. A member that
         // the others do not know of dials them all.
-        auto const peer_address = transport::parse_address(member.address);
         bool const listed
             = std::any_of(settings.controls.begin(), settings.controls.end(),
                           [&settings](auto const& other) { return other.name == settings.name; });
-        if (member.name != settings.name && (settings.name < member.name || !listed)
-            && peer_address)
-            this->hub.keep_connected(settings::peer_name(role::control, member.name),
-                                     peer_address.value());
+        if (member.name != settings.name && (settings.name < member.name || !listed))
+            dial(this->hub, settings::peer_name(role::control, member.name), member.address);
     }
     this->hub.message_received.connect(
         [this](std::string const& peer, protocol::message& body) { this->receive(peer, body); });
@@ -102,7 +99,7 @@
 base::result<void> control_task::open_log(settings::process_settings const& settings,
                                           transport::socket_address const& address)
 {
-    auto const now = steady_now();
+    auto const now = base::steady_now();
     BOOST_OUTCOME_TRY(
         opened,
         consensus::durable_log::open(log_settings(settings, address), this->files, this->hub, now));
@@ -115,7 +112,7 @@
 
 void control_task::receive(std::string const& peer, protocol::message const& body)
 {
-    auto const now = steady_now();
+    auto const now = base::steady_now();
     if (auto const* const message = std::get_if<protocol::raft_message>(&body))
         this->log->receive(peer, *message, now);
     else
@@ -131,16 +128,15 @@
     this->flush_pending = true;
     this->loop.post([this] {
         this->flush_pending = false;
-        this->log->flush(steady_now());
+        this->log->flush(base::steady_now());
     });
 }
 
 void control_task::dial_new_members()
 {
     for (auto const& member : this->log->members()) {
-        auto const address = transport::parse_address(member.address);
-        if (!this->configured.contains(member.name) && address)
-            this->hub.keep_connected(member.name, address.value());
+        if (!this->configured.contains(member.name))
+            dial(this->hub, member.name, member.address);
     }
 }
 
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -32,7 +32,7 @@
                        std::vector<settings::peer_settings> const& controls,
                        adapter_set const& adapters)
     : role_task({settings::peer_name(settings::role::entry, own.name), own.fleet_key}),
-      settings(own), core(core_settings(own, controls), this->hub, steady_now()),
+      settings(own), core(core_settings(own, controls), this->hub, base::steady_now()),
       routes(this->core, this->settings),
       server(
           this->loop, {own.limits.body_bytes, own.limits.header_bytes},
@@ -88,7 +88,7 @@
     this->routes.begin_shutdown();
     this->leave_timer = this->loop.after(this->settings.timing.leave_delay, [this] {
         auto const& timing = this->settings.timing;
-        this->core.begin_shutdown(steady_now(), timing.shutdown_limit - timing.leave_delay);
+        this->core.begin_shutdown(base::steady_now(), timing.shutdown_limit - timing.leave_delay);
         this->leaving = false;
     });
 }
--- a/src/app/peer_wiring.h
+++ b/src/app/peer_wiring.h
@@ -2,10 +2,10 @@
 
 #pragma once
 
-#include <chrono>
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "settings/process_settings.h"
 #include "transport/link_hub.h"
 
@@ -15,33 +15,35 @@
 template <typename Core> void wire_core(transport::link_hub& hub, Core& core)
 {
     hub.message_received.connect([&core](std::string const& peer, protocol::message& body) {
-        core.receive(peer, body, std::chrono::steady_clock::now());
+        core.receive(peer, body, base::steady_now());
     });
     hub.peer_up.connect(
-        [&core](std::string const& peer) { core.peer_up(peer, std::chrono::steady_clock::now()); });
-    hub.peer_down.connect([&core](std::string const& peer) {
-        core.peer_down(peer, std::chrono::steady_clock::now());
-    });
+        [&core](std::string const& peer) { core.peer_up(peer, base::steady_now()); });
+    hub.peer_down.connect(
+        [&core](std::string const& peer) { core.peer_down(peer, base::steady_now()); });
+}
+
+/// Keeps a link to the peer. An invalid address is left out.
+inline void dial(transport::link_hub& hub, std::string const& peer, std::string const& place)
+{
+    if (auto const address = transport::parse_address(place))
+        hub.keep_connected(peer, address.value());
 }
 
-/// Addresses were checked with the settings; an invalid one is left out.
+/// Addresses were checked with the settings.
 inline void connect_peers(transport::link_hub& hub, settings::role which,
                           std::vector<settings::peer_settings> const& peers)
 {
-    for (auto const& peer : peers) {
-        if (auto const address = transport::parse_address(peer.address))
-            hub.keep_connected(settings::peer_name(which, peer.name), address.value());
-    }
+    for (auto const& peer : peers)
+        dial(hub, settings::peer_name(which, peer.name), peer.address);
 }
 
 /// Keeps links to the members of the control group as it is now.
 inline void dial_members(transport::link_hub& hub,
                          std::vector<protocol::member_address> const& members)
 {
-    for (auto const& member : members) {
-        if (auto const address = transport::parse_address(member.address))
-            hub.keep_connected(member.name, address.value());
-    }
+    for (auto const& member : members)
+        dial(hub, member.name, member.address);
 }
 
 } // namespace greengagehead::app
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -29,7 +29,7 @@
 void role_task::start()
 {
     this->ticker = this->loop.every(tick_interval, [this] {
-        auto const now = steady_now();
+        auto const now = base::steady_now();
         this->tick(now);
         this->check_shutdown(now);
     });
@@ -39,7 +39,7 @@
 void role_task::shut_down(std::function<void()> done)
 {
     this->loop.post([this, finished = std::move(done)]() mutable {
-        this->begin_shutdown(steady_now());
+        this->begin_shutdown(base::steady_now());
         this->on_shut_down = std::move(finished);
     });
 }
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -45,8 +45,6 @@
     /// Nothing is in progress any more.
     [[nodiscard]] virtual bool idle() const = 0;
 
-    [[nodiscard]] static base::steady_time steady_now() { return std::chrono::steady_clock::now(); }
-
     transport::event_loop loop;
     transport::link_hub hub;
 
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -8,6 +8,12 @@
 
 using steady_time = std::chrono::steady_clock::time_point;
 
+/// For what connects cores to sockets: tasks, routes and adapters.
+[[nodiscard]] inline steady_time steady_now()
+{
+    return std::chrono::steady_clock::now();
+}
+
 /// Reading of some process's steady clock, as sent on the wire. It is only comparable with other
 /// readings of the same process.
 using clock_reading = std::chrono::microseconds;
