--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -31,11 +31,9 @@
           "Load a running fleet and measure its answers.", &bench_verb},
 };
 
-void print_usage(std::ostream& output, std::span<verb const> further)
+void print_usage(std::ostream& output, std::vector<verb> const& all)
 {
     output << "usage: greengagehead VERB [OPTIONS]\n\n";
-    std::vector<verb> all(verbs.begin(), verbs.end());
-    all.insert(all.end(), further.begin(), further.end());
     for (auto const& item : all)
         output << "  " << item.usage << "\n      " << item.summary << "\n";
     output << "\nEach verb has --help. Exit codes: 0 done, 1 failed or refused, 2 wrong usage or "
@@ -46,21 +44,18 @@
 
 exit_code run_command_line(std::span<char const* const> words, std::span<verb const> further)
 {
+    std::vector<verb> all(verbs.begin(), verbs.end());
+    all.insert(all.end(), further.begin(), further.end());
     std::string const name = words.size() > 1 ? words[1] : "";
     if (name == "--help" || name == "-h" || name == "help") {
-        print_usage(std::cout, further);
+        print_usage(std::cout, all);
         return exit_code::done;
     }
-    auto const named = [&name](verb const& item) { return item.name == name; };
-    verb const* found = nullptr;
-    for (auto const& list : {std::span<verb const>(verbs), further}) {
-        auto const match = std::find_if(list.begin(), list.end(), named);
-        if (found == nullptr && match != list.end())
-            found = &*match;
-    }
-    if (found == nullptr) {
+    auto const found = std::find_if(all.begin(), all.end(),
+                                    [&name](verb const& item) { return item.name == name; });
+    if (found == all.end()) {
         std::cerr << (name.empty() ? "a verb is required" : "unknown verb " + name) << "\n\n";
-        print_usage(std::cerr, further);
+        print_usage(std::cerr, all);
         return exit_code::usage;
     }
     return found->run({words.begin() + 2, words.end()});
