--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -25,11 +25,6 @@
 constexpr milliseconds least_retry {100};
 constexpr milliseconds most_retry {10'000};
 
-refusal make_refusal(base::error_code code, std::string message, milliseconds retry_after)
-{
-    return {{code, base::error_step::admission, {}, std::move(message)}, retry_after};
-}
-
 requirement needs_of(protocol::task_request const& task)
 {
     return {task.kind, task.region, task.zone, task.cpu, task.memory_mb};
@@ -132,6 +127,11 @@
 
 } // namespace
 
+refusal make_refusal(base::error_code code, std::string message, milliseconds retry_after)
+{
+    return {{code, base::error_step::admission, {}, std::move(message)}, retry_after};
+}
+
 std::optional<refusal> check_admission(protocol::job_request const& request, milliseconds deadline,
                                        admission_limits const& limits,
                                        endpoint_table const& endpoints, fair_queue const& queue,
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -27,6 +28,9 @@
     std::chrono::milliseconds retry_after {0}; ///< 0 when retrying cannot help.
 };
 
+[[nodiscard]] refusal make_refusal(base::error_code code, std::string message,
+                                   std::chrono::milliseconds retry_after);
+
 /// Checks in this order: some endpoint known that could ever run each task (kind, region, zone,
 /// cpu, memory), queue limits, deadline against the backlog and the known slots. A job for which no
 /// endpoint is known yet is refused with a retry time, not for good.
--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -20,12 +20,6 @@
 /// Without an endpoint nothing is known about when one returns.
 constexpr milliseconds no_endpoint_retry {1000};
 
-refusal make_refusal(std::string message, milliseconds retry_after)
-{
-    return {{base::error_code::unavailable, base::error_step::admission, {}, std::move(message)},
-            retry_after};
-}
-
 } // namespace
 
 std::optional<refusal> check_target(target_request const& wanted, endpoint_table const& endpoints,
@@ -36,7 +30,8 @@
         = endpoints.capacity_for({task.kind, task.region, task.zone, task.cpu, task.memory_mb})
               .usable_slots;
     if (usable == 0)
-        return make_refusal("no endpoint takes work now", no_endpoint_retry);
+        return make_refusal(base::error_code::unavailable, "no endpoint takes work now",
+                            no_endpoint_retry);
     auto const ahead = queue.work_before(wanted.latest_start);
     if (ahead.count() == 0)
         return std::nullopt;
@@ -47,7 +42,8 @@
     if (now + wait <= wanted.latest_start)
         return std::nullopt;
     auto const excess = duration_cast<milliseconds>(now + wait - wanted.latest_start);
-    return make_refusal("the target cannot be met: waiting work takes "
+    return make_refusal(base::error_code::unavailable,
+                        "the target cannot be met: waiting work takes "
                             + std::to_string(duration_cast<milliseconds>(wait).count()) + " ms",
                         std::clamp(excess, least_retry, most_retry));
 }
