Say in the table which jobs an admission check is for

Six checks began with a test for ephemeral jobs. The table has a column for that now, and the checks say only what they check. No change in behaviour.

--- a/src/agent/start_admission.cpp
+++ b/src/agent/start_admission.cpp
@@ -23,12 +23,21 @@
 constexpr unsigned at_start = at_receipt | stage_bit(admission_stage::start);
 constexpr unsigned always = at_start | stage_bit(admission_stage::waiting);
 
+/// Jobs whose starts a check is for. Ephemeral ones need no lease, but their entry must be heard.
+enum class jobs : std::uint8_t { all, stored, ephemeral };
+
+bool concerns(jobs which, bool ephemeral)
+{
+    return which == jobs::all || (which == jobs::ephemeral) == ephemeral;
+}
+
 } // namespace
 
 struct start_admission::check {
     predicate passes;
     unsigned stages;
     refusal otherwise;
+    jobs of = jobs::all;
 };
 
 start_admission::check const start_admission::checks[] = {
@@ -41,13 +50,22 @@
     {&start_admission::not_cancelled, at_receipt, {"cancelled before it started"}},
     {&start_admission::serving, always, {"the agent shuts down"}},
     {&start_admission::sender_matches, at_receipt, {"the lease belongs to another entry"}},
-    {&start_admission::arrived_in_time, at_receipt, {"the start message is too old"}},
-    {&start_admission::owner_heard, at_start, {"the entry has not been heard for too long"}},
-    {&start_admission::view_current, at_start, {"the lease is on a superseded view"}},
-    {&start_admission::view_known, at_start, {"the view of the lease is not known here yet"}},
+    {&start_admission::arrived_in_time,
+     at_receipt,
+     {"the start message is too old"},
+     jobs::ephemeral},
+    {&start_admission::owner_heard,
+     at_start,
+     {"the entry has not been heard for too long"},
+     jobs::ephemeral},
+    {&start_admission::view_current, at_start, {"the lease is on a superseded view"}, jobs::stored},
+    {&start_admission::view_known,
+     at_start,
+     {"the view of the lease is not known here yet"},
+     jobs::stored},
     {&start_admission::zones_known, at_start, {"no view is known here yet"}},
-    {&start_admission::lease_valid, at_start, {"the lease has expired"}},
-    {&start_admission::entry_live, always, {"the entry is not part of the view"}},
+    {&start_admission::lease_valid, at_start, {"the lease has expired"}, jobs::stored},
+    {&start_admission::entry_live, always, {"the entry is not part of the view"}, jobs::stored},
     {&start_admission::zone_in, always, {"the zone is out"}},
     {&start_admission::epoch_current, always, {"another owner has taken the job over"}},
     {&start_admission::deadline_ahead, always, {"the deadline has passed"}},
@@ -70,7 +88,9 @@
                                                base::steady_time now) const
 {
     for (auto const& item : start_admission::checks) {
-        if ((item.stages & stage_bit(stage)) != 0 && !(this->*item.passes)(request, now))
+        bool const due
+            = (item.stages & stage_bit(stage)) != 0 && concerns(item.of, request.task.ephemeral);
+        if (due && !(this->*item.passes)(request, now))
             return item.otherwise;
     }
     return std::nullopt;
@@ -104,18 +124,17 @@
 
 bool start_admission::lease_valid(start_request const& request, base::steady_time now) const
 {
-    return request.task.ephemeral
-        || (request.stamp.leased && this->leases.valid(request.stamp, now));
+    return request.stamp.leased && this->leases.valid(request.stamp, now);
 }
 
 bool start_admission::arrived_in_time(start_request const& request, base::steady_time now) const
 {
-    return !request.task.ephemeral || this->leases.valid(request.stamp, now);
+    return this->leases.valid(request.stamp, now);
 }
 
 bool start_admission::owner_heard(start_request const& request, base::steady_time now) const
 {
-    return !request.task.ephemeral || !this->owners.lost(request.stamp.entry, now);
+    return !this->owners.lost(request.stamp.entry, now);
 }
 
 bool start_admission::zones_known(start_request const& /*request*/, base::steady_time /*now*/) const
@@ -125,17 +144,17 @@
 
 bool start_admission::view_current(start_request const& request, base::steady_time /*now*/) const
 {
-    return request.task.ephemeral || request.stamp.view >= this->leases.highest_view();
+    return request.stamp.view >= this->leases.highest_view();
 }
 
 bool start_admission::view_known(start_request const& request, base::steady_time /*now*/) const
 {
-    return request.task.ephemeral || request.stamp.view == this->leases.known_view();
+    return request.stamp.view == this->leases.known_view();
 }
 
 bool start_admission::entry_live(start_request const& request, base::steady_time /*now*/) const
 {
-    return request.task.ephemeral || this->leases.live(request.stamp.entry);
+    return this->leases.live(request.stamp.entry);
 }
 
 bool start_admission::zone_in(start_request const& /*request*/, base::steady_time /*now*/) const
