Keep only the addresses in the entry directory; simplify start answers

The directory kept whole entries and searched them twice to learn whether an address is new; a map by name does both. names_of replaces two copies of the same loop, and set_controls, which nobody called from outside, is gone. The texts of a worker's answers stand outside on_started, which returns no void expressions any more. No change in behaviour.

--- a/src/agent/entry_directory.cpp
+++ b/src/agent/entry_directory.cpp
@@ -31,36 +31,20 @@
     // A member that is cut off from the others may name former members.
     if (answer.view < this->known_view)
         return;
-    std::vector<std::string> names;
-    for (auto const& member : answer.controls)
-        names.push_back(member.name);
+    auto names = protocol::names_of(answer.controls);
     if (!names.empty() && names != this->controls) {
-        this->set_controls(std::move(names));
+        this->controls = std::move(names);
+        this->next_member %= this->controls.size();
         this->controls_known.emit(answer.controls);
     }
     if (answer.view <= this->known_view)
         return;
     this->known_view = answer.view;
     for (auto const& entry : answer.entries) {
-        bool const known
-            = std::any_of(this->entries.begin(), this->entries.end(), [&entry](auto const& item) {
-                  return item.id.name == entry.id.name && item.link_address == entry.link_address;
-              });
-        if (!known)
+        auto& address = this->addresses[entry.id.name];
+        if (std::exchange(address, entry.link_address) != entry.link_address)
             this->entry_found.emit(entry.id.name, entry.link_address);
     }
-    // An entry that has left the view may only be cut off from control: its link is kept.
-    for (auto const& entry : answer.entries) {
-        std::erase_if(this->entries,
-                      [&entry](auto const& item) { return item.id.name == entry.id.name; });
-        this->entries.push_back(entry);
-    }
-}
-
-void entry_directory::set_controls(std::vector<std::string> names)
-{
-    this->controls = std::move(names);
-    this->next_member = this->controls.empty() ? 0 : this->next_member % this->controls.size();
 }
 
 void entry_directory::peer_up(std::string const& peer, base::steady_time now)
--- a/src/agent/entry_directory.h
+++ b/src/agent/entry_directory.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -13,7 +14,7 @@
 
 namespace greengagehead::agent {
 
-/// Asks one control member at a time and turns to the next when it does not answer.
+/// Each question goes to the next control member.
 class entry_directory {
 public:
     /// @param self the agent. @param controls peer names of control members; may be out of date.
@@ -25,8 +26,6 @@
     void tick(base::steady_time now);
     /// A link to a member has come up: while nothing is known it is asked at once.
     void peer_up(std::string const& peer, base::steady_time now);
-    /// Replaces the members to ask, for example after the settings have changed.
-    void set_controls(std::vector<std::string> names);
 
     /// An entry is live at this link address. Emitted again when the address changes.
     sigc::signal<void(std::string const& name, std::string const& address)> entry_found;
@@ -42,7 +41,9 @@
     protocol::message_sender& sender;
     protocol::view_number known_view = 0;
     base::steady_time next_question;
-    std::vector<protocol::live_entry> entries;
+    /// Link addresses by entry. An entry that has left the view may only be cut off from control:
+    /// its link is kept.
+    std::map<std::string, std::string> addresses;
 };
 
 } // namespace greengagehead::agent
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -37,6 +37,21 @@
 constexpr std::uint32_t missing_reports_until_over = 3;
 constexpr std::size_t most_numbers = 20'000;
 
+std::string_view text_of(worker_answer answer)
+{
+    static constexpr std::string_view texts[] = {"accepted",
+                                                 "fencing token too low",
+                                                 "run number too low",
+                                                 "arrived late",
+                                                 "no room",
+                                                 "the worker is unhealthy",
+                                                 "restarted",
+                                                 "rejected",
+                                                 "the worker was not reached",
+                                                 "no answer"};
+    return texts[static_cast<std::size_t>(answer)];
+}
+
 } // namespace
 
 leased_runner::leased_runner(leased_worker& port, lease_limits wanted, std::uint64_t first_fence,
@@ -124,7 +139,9 @@
             .with("task", name)
             .with("run", item.run.number)
             .with("worker", this->life.id);
-        return item.under_way == 0 ? this->on_doubt(item) : void();
+        if (item.under_way == 0)
+            this->on_doubt(item);
+        return;
     case worker_answer::other_life:
     case worker_answer::too_late:
     case worker_answer::no_room:
@@ -136,23 +153,14 @@
     // An unanswered try may be carried out yet, so the run is stopped before it counts as not run.
     if (item.unanswered > 0) {
         this->on_doubt(item);
-        return item.stop_sent ? void() : this->send_stop(item);
+        if (!item.stop_sent)
+            this->send_stop(item);
+        return;
     }
-    static constexpr std::string_view reasons[] = {"accepted",
-                                                   "fencing token too low",
-                                                   "run number too low",
-                                                   "arrived late",
-                                                   "no room",
-                                                   "the worker is unhealthy",
-                                                   "restarted",
-                                                   "rejected",
-                                                   "the worker was not reached",
-                                                   "no answer"};
     this->end(name,
               {outcome_kind::not_run,
                {},
-               "the worker refused the start: "
-                   + std::string(reasons[static_cast<std::size_t>(reply.answer)])});
+               "the worker refused the start: " + std::string(text_of(reply.answer))});
 }
 
 void leased_runner::on_accepted(open_run& item)
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -121,10 +121,7 @@
 
 bool control_client::set_members(std::vector<protocol::member_address> const& members)
 {
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (auto const& member : members)
-        names.push_back(member.name);
+    auto names = protocol::names_of(members);
     if (names.empty() || names == this->controls)
         return false;
     this->controls = std::move(names);
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -38,6 +38,15 @@
     bool operator==(member_address const&) const = default;
 };
 
+[[nodiscard]] inline std::vector<std::string> names_of(std::vector<member_address> const& members)
+{
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (auto const& member : members)
+        names.push_back(member.name);
+    return names;
+}
+
 struct grant_lease {
     incarnation_number incarnation = 0;
     base::clock_reading expires_at {0}; ///< In the entry's clock.
