Queue tasks in one function; end lost attempts in one function

enqueue and enqueue_urgent did the same but for the queue they pushed to. attempt_monitor added the same timer in four places, and ended an attempt with an unknown outcome in two. No change in behaviour.

--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -44,18 +44,20 @@
     auto const& request = job.content->tasks[index];
     auto const estimate
         = this->parts.estimator.estimate(job.team, request.kind, job.tasks[index].expected);
-    if (job.ephemeral && estimate.samples > 0) {
-        this->parts.timers.add({added.sent + stall_limit(estimate.slow), timer_kind::attempt_check,
-                                job.number, index, added.number});
-        return;
-    }
+    if (job.ephemeral && estimate.samples > 0)
+        return this->check_at(added.sent + stall_limit(estimate.slow), job, index, added.number);
     // Without samples the slow time is a guess, on which no hedge is spent.
     auto const hedges = request.idempotent && !added.hedge && estimate.samples > 0;
     auto const delay = hedges
         ? std::chrono::duration_cast<base::steady_time::duration>(estimate.slow)
         : std::max<base::steady_time::duration>(least_ask_delay, 2 * estimate.slow);
-    this->parts.timers.add(
-        {added.sent + delay, timer_kind::attempt_check, job.number, index, added.number});
+    this->check_at(added.sent + delay, job, index, added.number);
+}
+
+void attempt_monitor::check_at(base::steady_time time, job const& job, std::uint32_t index,
+                               std::uint32_t attempt)
+{
+    this->parts.timers.add({time, timer_kind::attempt_check, job.number, index, attempt});
 }
 
 void attempt_monitor::on_check(timer const& due, base::steady_time now)
@@ -89,8 +91,7 @@
         this->parts.outbox.add_query(agent, job->id, job->epoch);
     else
         next = std::chrono::duration_cast<milliseconds>(least_ask_delay - age) + milliseconds(1);
-    this->parts.timers.add(
-        {now + next, timer_kind::attempt_check, job->number, due.index, due.attempt});
+    this->check_at(now + next, *job, due.index, due.attempt);
 }
 
 bool attempt_monitor::move_stalled(job& job, std::uint32_t index, attempt const& open,
@@ -148,8 +149,7 @@
         .with("reason", reason);
     // The task goes elsewhere when the agent has confirmed the end of this run.
     this->parts.outbox.add_cancel(open.agent, {{job.id, index}, open.number});
-    this->parts.timers.add(
-        {now + ask_interval, timer_kind::attempt_check, job.number, index, open.number});
+    this->check_at(now + ask_interval, job, index, open.number);
 }
 
 void attempt_monitor::on_requeue(timer const& due)
@@ -237,12 +237,21 @@
     // An agent that has returned is asked for the outcome.
     if (open == nullptr || !this->parts.agents.at(open->agent).lost)
         return;
-    auto const endpoint = open->endpoint;
-    this->parts.attempts.close(*job, task, *open, task.expected);
-    job->note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(due.index), due.attempt,
-               endpoint, "the agent was lost", 0});
-    this->parts.attempts.on_unknown(*job, due.index, endpoint, "the agent was lost", now);
-    this->parts.flow.end_if_stopped(*job, now);
+    this->end_unknown(*job, due.index, *open, due.attempt, "the agent was lost", now);
+}
+
+void attempt_monitor::end_unknown(job& job, std::uint32_t index, attempt const& open,
+                                  std::uint32_t noted, std::string const& cause,
+                                  base::steady_time now)
+{
+    auto& task = job.tasks[index];
+    // Closing drops the attempt.
+    auto const endpoint = open.endpoint;
+    this->parts.attempts.close(job, task, open, task.expected);
+    job.note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(index), noted, endpoint,
+              cause, 0});
+    this->parts.attempts.on_unknown(job, index, endpoint, cause, now);
+    this->parts.flow.end_if_stopped(job, now);
 }
 
 void attempt_monitor::stop_unknown(protocol::agent_report const& report, agent_slot slot)
@@ -261,13 +270,8 @@
 void attempt_monitor::on_agent_replaced(agent_slot agent, base::steady_time now)
 {
     this->for_each_attempt(agent, [&](job& job, std::uint32_t index, attempt& open) {
-        auto const endpoint = open.endpoint;
-        auto& task = job.tasks[index];
-        this->parts.attempts.close(job, task, open, task.expected);
-        job.note({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(index),
-                  task.last_attempt, endpoint, "the agent was restarted", 0});
-        this->parts.attempts.on_unknown(job, index, endpoint, "the agent was restarted", now);
-        this->parts.flow.end_if_stopped(job, now);
+        this->end_unknown(job, index, open, job.tasks[index].last_attempt,
+                          "the agent was restarted", now);
     });
 }
 
--- a/src/entry/attempt_monitor.h
+++ b/src/entry/attempt_monitor.h
@@ -42,6 +42,12 @@
     void stop_unknown(protocol::agent_report const& report, agent_slot slot);
 
 private:
+    void check_at(base::steady_time time, job const& job, std::uint32_t index,
+                  std::uint32_t attempt);
+    /// The attempt has ended at its agent, and whether the task ran cannot be known.
+    /// @param noted number of the attempt that the job's decisions name.
+    void end_unknown(job& job, std::uint32_t index, attempt const& open, std::uint32_t noted,
+                     std::string const& cause, base::steady_time now);
     /// A run that takes far longer than others of its kind. False when it is left alone.
     bool move_stalled(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
     /// Whether another run of the ephemeral task may follow this one.
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -64,18 +64,20 @@
     auto& task = job.tasks[index];
     if (task.queued || task.done() || job.content == nullptr)
         return;
-    if (job.ephemeral)
-        return this->enqueue_urgent(job, index);
     auto const& request = job.content->tasks[index];
+    auto key = class_of(request, job.ephemeral);
+    auto const work = task.expected * request.slots;
+    this->class_for(job, index, key);
+    task.queued = true;
+    task.state = protocol::task_state::waiting;
+    if (job.ephemeral)
+        return this->parts.urgent.push({{job.id, index}, std::move(key), work, job.latest_start});
     policy::queued_task waiting;
     waiting.task = {job.id, index};
     waiting.team = job.team;
-    waiting.placement_class = class_of(request, job.ephemeral);
-    waiting.cost = task.expected * request.slots;
+    waiting.placement_class = std::move(key);
+    waiting.cost = work;
     waiting.deadline = job.deadline;
-    this->class_for(job, index, waiting.placement_class);
-    task.queued = true;
-    task.state = protocol::task_state::waiting;
     if (front)
         this->parts.queue.push_front(std::move(waiting));
     else
@@ -93,21 +95,6 @@
     return group;
 }
 
-void dispatcher::enqueue_urgent(job& job, std::uint32_t index)
-{
-    auto& task = job.tasks[index];
-    auto const& request = job.content->tasks[index];
-    policy::target_task waiting;
-    waiting.task = {job.id, index};
-    waiting.placement_class = class_of(request, true);
-    waiting.work = task.expected * request.slots;
-    waiting.latest_start = job.latest_start;
-    this->class_for(job, index, waiting.placement_class);
-    task.queued = true;
-    task.state = protocol::task_state::waiting;
-    this->parts.urgent.push(std::move(waiting));
-}
-
 void dispatcher::withdraw(job& job, std::uint32_t index)
 {
     auto& task = job.tasks[index];
@@ -145,7 +132,7 @@
         if (job != nullptr && job->phase == job_phase::running) {
             job->tasks[taken->task.index].queued = false;
             if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
-                this->enqueue_urgent(*job, taken->task.index);
+                this->enqueue(*job, taken->task.index, true);
                 this->classes[taken->placement_class].blocked_at = this->generation + 1;
             }
         }
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -21,9 +21,10 @@
 public:
     explicit dispatcher(entry_parts& parts);
 
-    /// Puts a waiting task into the fair queue, `front` for one that was refused.
+    /// Puts a waiting task into its queue, `front` for one that was refused. Tasks of ephemeral
+    /// jobs have their place in the order by target.
     void enqueue(job& job, std::uint32_t index, bool front);
-    /// Takes a task out of the fair queue, if it is there.
+    /// Takes a task out of its queue, if it is there.
     void withdraw(job& job, std::uint32_t index);
     /// Places as many tasks as the lease and the free slots allow.
     void run(base::steady_time now);
@@ -49,7 +50,6 @@
     };
 
     bool placeable(std::string const& key, base::steady_time now);
-    void enqueue_urgent(job& job, std::uint32_t index);
     void run_urgent(base::steady_time now);
     /// Gives up on ephemeral jobs that have not started and can no longer meet their target.
     void refuse_overdue(base::steady_time now);
