--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -14,6 +15,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 PROGRAM = ROOT / "build/greengagehead"
 STAND_IN = ROOT / "build/tests/stand_in/stand_in_endpoint"
+LOGS = ROOT / "build/fleet-logs"
 DEPLOYMENT = ROOT / "examples/assentos-caatinga"
 ZONES = {"recife": 8510, "fortaleza": 8520, "salvador": 8530}
 STAND_IN_PORT = 8700
@@ -35,7 +37,12 @@
         for number, (zone, base) in enumerate(ZONES.items()):
             for agent in (1, 2):
                 self.start_endpoint(zone, agent, base, STAND_IN_PORT + 2 * number + agent)
-        self.wait_until(self.complete, 15)
+        try:
+            self.wait_until(self.complete, 15)
+        except AssertionError:
+            self.keep_logs("start")
+            self.stop()
+            raise
 
     def start(self, name):
         folder = pathlib.Path(self.folder.name)
@@ -71,6 +78,14 @@
             process.wait()
         self.folder.cleanup()
 
+    def keep_logs(self, name):
+        """Copies the logs of all processes to build/fleet-logs/NAME, to trace a failure."""
+        kept = LOGS / name
+        kept.mkdir(parents=True, exist_ok=True)
+        for log in pathlib.Path(self.folder.name).glob("*.log"):
+            shutil.copy(log, kept)
+        print(f"logs of the processes: {kept}")
+
     def data_folder(self, zone):
         return pathlib.Path(self.folder.name) / "greengagehead-data/assentos-caatinga" / zone
 
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -11,10 +11,18 @@
 
 
 class FleetTest(unittest.TestCase):
+    def run(self, result=None):
+        self.result = result
+        return super().run(result)
+
     def setUp(self):
         self.fleet = Fleet()
         self.addCleanup(self.fleet.stop)
 
+    def tearDown(self):
+        if any(test is self for test, _ in self.result.failures + self.result.errors):
+            self.fleet.keep_logs(self.id().rpartition(".")[2])
+
     def check_no_doubled_start(self):
         _, doubled = self.fleet.starts()
         self.assertEqual(doubled, 0)
