--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -73,7 +73,8 @@
     log_record(log_event::log_recovered)
         .with("folder", settings.folder)
         .with("last_index", recovered.start.log.last().index)
-        .with("cut_bytes", recovered.cut_bytes);
+        .with("cut_bytes", recovered.cut_bytes)
+        .with("voters", names_of_voters(recovered.start.log.members()));
     return std::make_unique<durable_log>(std::move(settings), std::move(store),
                                          std::move(recovered), random(), sender, now);
 }
@@ -113,6 +114,7 @@
     if (this->stopped_by)
         return;
     this->start(now);
+    this->watch.heard(peer, now);
     if (std::holds_alternative<protocol::member_hello>(message.body))
         return this->handle_hello(peer, message, now);
     if (message.to != this->node.id())
@@ -139,6 +141,7 @@
     this->node.tick(now);
     this->change_membership(now);
     this->settle(true, now);
+    this->watch.tick(this->node, this->leader(), now);
 }
 
 void durable_log::flush(base::steady_time now)
@@ -219,10 +222,19 @@
         if (entry.kind == protocol::log_entry_kind::command)
             this->committed.emit(entry, now);
         if (entry.kind == protocol::log_entry_kind::membership)
-            log_record(log_event::members_changed).with("index", entry.index);
+            this->log_members(entry.index);
     }
 }
 
+void durable_log::log_members(std::uint64_t index) const
+{
+    auto const& members = this->node.log().members_at(index);
+    log_record(log_event::members_changed)
+        .with("index", index)
+        .with("voters", names_of_voters(members))
+        .with("learners", names_of_learners(members));
+}
+
 void durable_log::snapshot_if_due(base::steady_time now)
 {
     auto const& log = this->node.log();
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "consensus/group_bootstrap.h"
+#include "consensus/leader_watch.h"
 #include "consensus/member_store.h"
 #include "consensus/membership_keeper.h"
 #include "consensus/raft_node.h"
@@ -96,6 +97,7 @@
     bool install_snapshot(base::steady_time now);
     void send_messages();
     void apply(base::steady_time now);
+    void log_members(std::uint64_t index) const;
     void snapshot_if_due(base::steady_time now);
     void report_leadership(base::steady_time now);
     void change_membership(base::steady_time now);
@@ -110,6 +112,7 @@
     protocol::message_sender& sender;
     group_bootstrap bootstrap;
     membership_keeper keeper;
+    leader_watch watch;
     /// Damaged data was set aside in this folder.
     bool damaged;
 
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -73,6 +73,7 @@
 void control_client::note_leader(std::string const& peer, base::steady_time now)
 {
     this->known_leader = peer;
+    this->watch.answered(peer, now);
     if (this->current == peer)
         return;
     this->current = peer;
@@ -98,8 +99,14 @@
     this->resend_all(now);
 }
 
+void control_client::on_peer_up(std::string const& peer)
+{
+    this->watch.link_up(peer);
+}
+
 void control_client::on_peer_down(std::string const& peer, base::steady_time now)
 {
+    this->watch.link_down(peer);
     this->give_up_on(peer, now);
 }
 
@@ -130,6 +137,7 @@
 
 void control_client::tick(base::steady_time now)
 {
+    this->watch.tick(this->current, this->controls, now);
     std::vector<callback> expired;
     bool unanswered = false;
     for (auto it = this->open.begin(); it != this->open.end();) {
--- a/src/entry/control_client.h
+++ b/src/entry/control_client.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "entry/control_watch.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 
@@ -31,6 +32,7 @@
                   base::steady_time now);
     void on_not_leader(std::string const& peer, protocol::not_leader const& answer,
                        base::steady_time now);
+    void on_peer_up(std::string const& peer);
     void on_peer_down(std::string const& peer, base::steady_time now);
     void tick(base::steady_time now);
 
@@ -64,6 +66,7 @@
     std::string known_leader;
     std::uint64_t last_id = 0;
     base::steady_time last_turn;
+    control_watch watch;
     std::map<std::uint64_t, pending> open;
 };
 
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -331,6 +331,7 @@
 void entry_core::peer_up(std::string const& peer, base::steady_time now)
 {
     this->own->agents.on_up(peer, now);
+    this->own->control.on_peer_up(peer);
     if (!this->own->leases.valid(now))
         this->own->leases.renew_soon();
     if (auto const* agent = this->own->agents.find(peer))
