Tell every process the control group, so that a leader outside the settings is reached

Cause: processes know control only by their settings. A control member that freezes is replaced by a standby; after all processes restart, that one may be elected, and the configured members answered an entry only with its name. Entries have no link to it and never get a lease or the routes. Members outside the group had the same blind spot: they introduced themselves only to configured members, and answered operators that no leader is known.

Evidence: 1,886 refusals, no 2002 and no 1011 from any entry to the leader, while agents, which are told members by any control process, did connect.

Change: not_leader, grant_lease, directory and the answer to member_hello carry the control group with addresses, ordered by term and log index. Entries, agents and control processes keep the newest, dial it, and fall back on their settings. Messages have a version of their own now; what is stored keeps its version.

--- a/src/agent/entry_directory.h
+++ b/src/agent/entry_directory.h
@@ -9,6 +9,7 @@
 #include <sigc++/signal.h>
 
 #include "base/clock.h"
+#include "protocol/known_controls.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 
@@ -21,7 +22,7 @@
     entry_directory(protocol::process_id self, std::vector<std::string> controls,
                     protocol::message_sender& sender);
 
-    void receive(protocol::directory const& answer);
+    void receive(protocol::directory const& answer, base::steady_time now);
     /// Expected every 10 ms.
     void tick(base::steady_time now);
     /// A link to a member has come up: while nothing is known it is asked at once.
@@ -29,15 +30,18 @@
 
     /// An entry is live at this link address. Emitted again when the address changes.
     sigc::signal<void(std::string const& name, std::string const& address)> entry_found;
-    /// The control group has other members than before.
-    sigc::signal<void(std::vector<protocol::member_address> const&)> controls_known;
+    /// The control group has other members or another leader than before.
+    sigc::signal<void(protocol::control_group const&)> controls_known;
 
 private:
     void ask(base::steady_time now);
+    /// The members to ask now.
+    [[nodiscard]] std::vector<std::string> const& names(base::steady_time now) const;
 
     protocol::process_id self;
-    std::vector<std::string> controls;
-    std::size_t next_member = 0; ///< Index into `controls`.
+    protocol::known_controls controls;
+    std::size_t next_member = 0; ///< Counts the questions; the remainder selects the member.
+    base::steady_time last_answer; ///< The first question while there was none.
     protocol::message_sender& sender;
     protocol::view_number known_view = 0;
     base::steady_time next_question;
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -65,7 +65,7 @@
         dial(this->hub, name, place);
     });
     this->directory->controls_known.connect(
-        [this](auto const& members) { dial_members(this->hub, members); });
+        [this](auto const& group) { dial_members(this->hub, group); });
     this->hub.message_received.connect(
         [this](std::string const& /*peer*/, protocol::message& body) { this->receive(body); });
     this->hub.peer_up.connect(
@@ -75,7 +75,7 @@
 void agent_task::receive(protocol::message& body)
 {
     if (auto const* const answer = std::get_if<protocol::directory>(&body))
-        this->directory->receive(*answer);
+        this->directory->receive(*answer, base::steady_now());
 }
 
 agent_task::~agent_task()
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -14,7 +14,8 @@
 
 using settings::role;
 
-constexpr std::chrono::milliseconds dial_interval {1'000};
+/// A member that has just learned of the leader reaches it within this time.
+constexpr std::chrono::milliseconds dial_interval {250};
 /// Only a standby takes the place of a lost member, and standbys appear where a VM was replaced.
 /// The group must be whole again before the next loss, a few seconds later.
 constexpr std::chrono::milliseconds replace_lost_member_after {1'500};
@@ -134,7 +135,7 @@
 
 void control_task::dial_new_members()
 {
-    for (auto const& member : this->log->members()) {
+    for (auto const& member : this->log->group().members) {
         if (!this->configured.contains(member.name))
             dial(this->hub, member.name, member.address);
     }
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -48,7 +48,7 @@
     }
     connect_peers(this->hub, settings::role::entry, others);
     this->core.controls_known.connect(
-        [this](auto const& members) { dial_members(this->hub, members); });
+        [this](auto const& group) { dial_members(this->hub, group); });
     if (adapters.entry)
         this->adapter = adapters.entry(this->loop, this->core);
 }
--- a/src/app/peer_wiring.h
+++ b/src/app/peer_wiring.h
@@ -38,12 +38,14 @@
         dial(hub, settings::peer_name(which, peer.name), peer.address);
 }
 
-/// Keeps links to the members of the control group as it is now.
-inline void dial_members(transport::link_hub& hub,
-                         std::vector<protocol::member_address> const& members)
+/// Keeps links to the members of the control group as it is now, and to the leader, which a learner
+/// may know before the membership that names it.
+inline void dial_members(transport::link_hub& hub, protocol::control_group const& group)
 {
-    for (auto const& member : members)
+    for (auto const& member : group.members)
         dial(hub, member.name, member.address);
+    if (!group.leader.name.empty())
+        dial(hub, group.leader.name, group.leader.address);
 }
 
 } // namespace greengagehead::app
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "base/log_record.h"
@@ -20,6 +21,8 @@
 /// How often a member outside the group introduces itself. Short against the half second in which
 /// a new group should be ready.
 constexpr std::chrono::milliseconds hello_interval {100};
+/// Answers to introductions come at that pace; an older leader may have been followed by another.
+constexpr std::chrono::milliseconds told_leader_lifetime {1000};
 /// Bounds the table of identities that are not members.
 constexpr std::size_t max_unknown_members = 64;
 
@@ -292,14 +295,17 @@
     if (settled || (this->last_hello && now - *this->last_hello < hello_interval))
         return;
     this->last_hello = now;
-    std::map<std::string, bool> peers;
+    std::set<std::string> peers;
     for (auto const& member : this->settings.initial)
-        peers[member.name] = true;
+        peers.insert(member.name);
     for (auto const& member : members.members)
-        peers[member.name] = true;
+        peers.insert(member.name);
+    // The leader, which alone can let this member in, may be none of these.
+    for (auto const& name : this->told.all())
+        peers.insert(name);
     peers.erase(this->settings.name);
-    protocol::member_hello const hello {false, this->fresh(), this->settings.address};
-    for (auto const& [peer, _] : peers)
+    protocol::member_hello const hello {false, this->fresh(), this->settings.address, {}};
+    for (auto const& peer : peers)
         this->send(peer, {this->node.id(), 0, this->node.term(), hello});
 }
 
@@ -308,12 +314,17 @@
 {
     auto const& hello = std::get<protocol::member_hello>(message.body);
     if (hello.answer) {
-        if (message.to == this->node.id())
-            this->bootstrap.heard(peer, message.from, hello.fresh);
+        if (message.to != this->node.id())
+            return;
+        this->bootstrap.heard(peer, message.from, hello.fresh);
+        this->told.learn(hello.group);
+        if (!hello.group.leader.name.empty() && !protocol::older(hello.group, this->told.latest()))
+            this->leader_told = now;
         return;
     }
     this->keeper.announced(peer, message.from, hello.address, now);
-    protocol::member_hello const answer {true, this->fresh(), this->settings.address};
+    protocol::member_hello const answer {true, this->fresh(), this->settings.address,
+                                         this->group()};
     this->send(peer, {this->node.id(), message.from, this->node.term(), answer});
 }
 
@@ -361,7 +372,38 @@
 
 std::string durable_log::leader() const
 {
-    return this->stopped_by ? std::string() : this->peer_name(this->node.leader());
+    return this->group().leader.name;
+}
+
+protocol::control_group durable_log::own_group() const
+{
+    auto const& log = this->node.log();
+    bool const led = this->node.leader() != 0;
+    protocol::control_group group {
+        led ? this->node.term() : log.last().term, log.members_index(), {}, {}};
+    for (auto const& member : log.members().members)
+        group.members.push_back({member.name, member.address});
+    if (!led)
+        return group;
+    group.leader.name = this->peer_name(this->node.leader());
+    group.leader.address = protocol::address_of(group, group.leader.name);
+    // A learner may not have the membership entry yet that names its leader.
+    if (group.leader.address.empty())
+        group.leader.address = protocol::address_of(this->told.latest(), group.leader.name);
+    return group;
+}
+
+protocol::control_group durable_log::group() const
+{
+    if (this->stopped_by)
+        return {};
+    auto group = this->own_group();
+    if (!group.leader.name.empty() || !protocol::older(group, this->told.latest()))
+        return group;
+    group = this->told.latest();
+    if (!this->leader_told || this->last_tick - *this->leader_told >= told_leader_lifetime)
+        group.leader = {};
+    return group;
 }
 
 std::uint64_t durable_log::term() const
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -22,6 +22,7 @@
 #include "consensus/membership_keeper.h"
 #include "consensus/raft_node.h"
 #include "consensus/replicated_log.h"
+#include "protocol/known_controls.h"
 #include "protocol/message_sender.h"
 #include "storage/file_system.h"
 
@@ -76,6 +77,7 @@
     [[nodiscard]] std::uint64_t commit_index() const override;
     [[nodiscard]] bool quorum_contact_recent(base::steady_time now) const override;
     [[nodiscard]] std::vector<protocol::control_member> members() const override;
+    [[nodiscard]] protocol::control_group group() const override;
 
     /// Identity of the data folder.
     [[nodiscard]] protocol::member_id identity() const { return this->node.id(); }
@@ -102,6 +104,8 @@
     void report_leadership(base::steady_time now);
     void change_membership(base::steady_time now);
     [[nodiscard]] bool fresh() const;
+    /// The group by the own log.
+    [[nodiscard]] protocol::control_group own_group() const;
     bool check(base::result<void> const& result, base::steady_time now);
     void send(std::string const& peer, protocol::raft_message message);
     [[nodiscard]] std::string peer_name(protocol::member_id id) const;
@@ -127,6 +131,10 @@
     std::uint64_t reported_members_index = 0;
     base::steady_time last_tick;
     std::optional<base::steady_time> last_hello;
+    /// What other members told this one while it knew no leader; stale once it follows one.
+    protocol::known_controls told {{}};
+    /// Last time that another member named the leader of `told`.
+    std::optional<base::steady_time> leader_told;
     std::optional<base::error> stopped_by;
     /// Peer names of identities outside the membership, learned from their messages.
     std::map<protocol::member_id, std::string> unknown_members;
--- a/src/consensus/replicated_log.h
+++ b/src/consensus/replicated_log.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "protocol/command.h"
+#include "protocol/control_group.h"
 #include "protocol/raft_message.h"
 
 namespace greengagehead::consensus {
@@ -49,6 +50,8 @@
     /// from the time of the requests. Only then may it grant leases and answer reads.
     [[nodiscard]] virtual bool quorum_contact_recent(base::steady_time now) const = 0;
     [[nodiscard]] virtual std::vector<protocol::control_member> members() const = 0;
+    /// The group as far as this process knows it, also when it is not a member.
+    [[nodiscard]] virtual protocol::control_group group() const = 0;
 
     /// Supplies the state for a snapshot, as of the last committed entry that was reported.
     std::function<std::string()> take_snapshot;
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -46,20 +46,12 @@
                                     protocol::directory_request const& request)
 {
     auto const view = this->state.view();
-    protocol::directory answer {view, {}, this->member_addresses()};
+    protocol::directory answer {view, {}, this->log.group()};
     if (request.known_view < view)
         answer.entries = this->state.entries().list();
     this->sender.send(peer, answer);
 }
 
-std::vector<protocol::member_address> control_core::member_addresses() const
-{
-    std::vector<protocol::member_address> list;
-    for (auto const& member : this->log.members())
-        list.push_back({member.name, member.address});
-    return list;
-}
-
 void control_core::tick(base::steady_time now, protocol::wall_time wall)
 {
     this->tick_time = now;
@@ -81,7 +73,7 @@
                          steady_time now)
 {
     if (!this->log.leading())
-        return this->sender.send(peer, protocol::not_leader {this->log.leader(), 0});
+        return this->sender.send(peer, protocol::not_leader {this->log.group(), 0});
     if (!this->authoritative(now))
         return;
     if (!this->state.entries().live(renewal.entry))
@@ -135,8 +127,7 @@
     auto const end = this->leases.grant(renewal.entry, renewal.entry_clock, view, now);
     log_record(log_event::lease_granted).with("entry", renewal.entry.name).with("view", view);
     this->sender.send(
-        peer,
-        protocol::grant_lease {renewal.entry.incarnation, end, view, this->member_addresses()});
+        peer, protocol::grant_lease {renewal.entry.incarnation, end, view, this->log.group()});
 }
 
 bool control_core::authoritative(steady_time now) const
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -63,7 +63,6 @@
     void grant(std::string const& peer, protocol::renew_lease const& renewal, steady_time now);
 
     void answer_directory(std::string const& peer, protocol::directory_request const& request);
-    [[nodiscard]] std::vector<protocol::member_address> member_addresses() const;
 
     void request(std::string const& peer, protocol::control_request const& request,
                  steady_time now);
--- a/src/control/local_requests.cpp
+++ b/src/control/local_requests.cpp
@@ -43,7 +43,7 @@
     if (auto const* const answer = std::get_if<protocol::control_reply>(&body))
         this->finish(answer->request_id, answer->result);
     else if (auto const* const elsewhere = std::get_if<protocol::not_leader>(&body))
-        this->finish(elsewhere->request_id, not_leading {elsewhere->leader});
+        this->finish(elsewhere->request_id, not_leading {elsewhere->group.leader.name});
 }
 
 void local_requests::finish(std::uint64_t id, reply const& result)
--- a/src/control/requests.cpp
+++ b/src/control/requests.cpp
@@ -129,8 +129,11 @@
 void control_core::redirect(request_origin const& origin)
 {
     this->requests.end(origin);
-    auto const hint = this->log.leading() ? std::string() : this->log.leader();
-    this->sender.send(origin.peer, protocol::not_leader {hint, origin.request_id});
+    auto group = this->log.group();
+    // A leader that cannot serve now must not send requests back to itself.
+    if (this->log.leading())
+        group.leader = {};
+    this->sender.send(origin.peer, protocol::not_leader {std::move(group), origin.request_id});
 }
 
 void control_core::redirect_all()
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -21,8 +21,8 @@
                                protocol::message_sender& out)
     : self(std::move(self_id)), controls(std::move(members)), sender(out)
 {
-    if (!this->controls.empty())
-        this->current = this->controls.front();
+    if (!this->controls.all().empty())
+        this->current = this->controls.all().front();
 }
 
 std::string const& control_client::target() const
@@ -87,7 +87,9 @@
         this->known_leader.clear();
     if (peer != this->current)
         return;
-    if (answer.leader.empty() || answer.leader == peer) {
+    auto const& leader = answer.group.leader.name;
+    // A former member may name a former leader.
+    if (leader.empty() || leader == peer || protocol::older(answer.group, this->group())) {
         this->give_up_on(peer, now);
         return;
     }
@@ -95,7 +97,7 @@
     if (now - this->last_turn < turn_interval && this->last_turn != base::steady_time {})
         return;
     this->last_turn = now;
-    this->current = answer.leader;
+    this->current = leader;
     this->resend_all(now);
 }
 
@@ -114,30 +116,27 @@
 {
     if (this->known_leader == peer)
         this->known_leader.clear();
-    if (peer != this->current || this->controls.empty())
+    auto const& candidates = this->controls.all();
+    if (peer != this->current || candidates.empty())
         return;
     if (now - this->last_turn < turn_interval && this->last_turn != base::steady_time {})
         return;
     this->last_turn = now;
-    auto found = std::find(this->controls.begin(), this->controls.end(), this->current);
-    if (found == this->controls.end() || ++found == this->controls.end())
-        found = this->controls.begin();
+    auto found = std::find(candidates.begin(), candidates.end(), this->current);
+    if (found == candidates.end() || ++found == candidates.end())
+        found = candidates.begin();
     this->current = *found;
     this->resend_all(now);
 }
 
-bool control_client::set_members(std::vector<protocol::member_address> const& members)
+bool control_client::learn(protocol::control_group const& group)
 {
-    auto names = protocol::names_of(members);
-    if (names.empty() || names == this->controls)
-        return false;
-    this->controls = std::move(names);
-    return true;
+    return this->controls.learn(group);
 }
 
 void control_client::tick(base::steady_time now)
 {
-    this->watch.tick(this->current, this->controls, now);
+    this->watch.tick(this->current, this->controls.all(), now);
     std::vector<callback> expired;
     bool unanswered = false;
     for (auto it = this->open.begin(); it != this->open.end();) {
--- a/src/entry/control_client.h
+++ b/src/entry/control_client.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "entry/control_watch.h"
+#include "protocol/known_controls.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 
@@ -44,8 +45,9 @@
     void note_leader(std::string const& peer, base::steady_time now);
     /// Turns to the next member when `peer` is the present target.
     void give_up_on(std::string const& peer, base::steady_time now);
-    /// Takes over the members of the present group. Returns whether they differ from those before.
-    bool set_members(std::vector<protocol::member_address> const& members);
+    /// Returns whether the group has other members or another leader than before.
+    bool learn(protocol::control_group const& group);
+    [[nodiscard]] protocol::control_group const& group() const { return this->controls.latest(); }
     [[nodiscard]] bool idle() const { return this->open.empty(); }
 
 private:
@@ -60,7 +62,7 @@
     void resend_all(base::steady_time now);
 
     protocol::process_id self;
-    std::vector<std::string> controls;
+    protocol::known_controls controls;
     protocol::message_sender& sender;
     std::string current;
     std::string known_leader;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -62,6 +62,7 @@
 
     void connect();
     void handle(std::string const& peer, protocol::message const& body, base::steady_time now);
+    void learn(protocol::control_group const& group);
     void on_view(base::steady_time now);
     void on_report(protocol::agent_report const& report, base::steady_time now);
     void check_agents(base::steady_time now);
@@ -98,6 +99,12 @@
     });
 }
 
+void entry_core::parts::learn(protocol::control_group const& group)
+{
+    if (this->control.learn(group))
+        this->controls_known.emit(this->control.group());
+}
+
 void entry_core::parts::on_view(base::steady_time /*now*/)
 {
     auto const& view = this->leases.applied();
@@ -187,12 +194,12 @@
             using type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<type, protocol::grant_lease>) {
                 this->leases.on_grant(peer, message, now);
-                if (this->control.set_members(message.controls))
-                    this->controls_known.emit(message.controls);
+                this->learn(message.group);
             } else if constexpr (std::is_same_v<type, protocol::view_update>) {
                 this->control.note_leader(peer, now);
                 this->leases.on_view(message, now);
             } else if constexpr (std::is_same_v<type, protocol::not_leader>) {
+                this->learn(message.group);
                 if (message.request_id == 0)
                     this->leases.on_not_leader(now);
                 this->control.on_not_leader(peer, message, now);
@@ -244,7 +251,7 @@
     this->own->view_applied.connect(
         [this](protocol::view const& view) { this->view_applied.emit(view); });
     this->own->controls_known.connect(
-        [this](auto const& controls) { this->controls_known.emit(controls); });
+        [this](auto const& group) { this->controls_known.emit(group); });
     this->own->leases.tick(now);
 }
 
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -133,7 +133,7 @@
                                            std::string const& submission) const;
 
     using view_signal = sigc::signal<void(protocol::view const&)>;
-    using controls_signal = sigc::signal<void(std::vector<protocol::member_address> const&)>;
+    using controls_signal = sigc::signal<void(protocol::control_group const&)>;
     view_signal view_applied; ///< A newer view is in force here.
     controls_signal controls_known; ///< The control group has other members than before.
 
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -10,10 +10,10 @@
 
 namespace {
 
-template <typename T> std::string encode_versioned(T const& body)
+template <typename T> std::string encode_versioned(std::uint32_t version, T const& body)
 {
     std::string bytes;
-    detail::json::to_cbor(detail::json::array({protocol_version, detail::to_value(body)}), bytes);
+    detail::json::to_cbor(detail::json::array({version, detail::to_value(body)}), bytes);
     return bytes;
 }
 
@@ -22,14 +22,15 @@
     return {base::error_code::malformed, base::error_step::decode, {}, std::move(text)};
 }
 
-template <typename T> base::result<T> decode_versioned(std::string_view bytes)
+template <typename T>
+base::result<T> decode_versioned(std::uint32_t expected, std::string_view bytes)
 {
     try {
         auto const value = detail::json::from_cbor(bytes.begin(), bytes.end());
         auto const version = value.at(0).get<std::uint32_t>();
-        if (version != protocol_version)
-            return malformed("protocol version " + std::to_string(version)
-                             + " is not supported, expected " + std::to_string(protocol_version));
+        if (version != expected)
+            return malformed("version " + std::to_string(version) + " is not supported, expected "
+                             + std::to_string(expected));
         T body;
         detail::from_value(value.at(1), body);
         return body;
@@ -42,27 +43,27 @@
 
 std::string encode(message const& body)
 {
-    return encode_versioned(body);
+    return encode_versioned(message_version, body);
 }
 
 base::result<message> decode_message(std::string_view bytes)
 {
-    return decode_versioned<message>(bytes);
+    return decode_versioned<message>(message_version, bytes);
 }
 
 std::string encode(command const& body)
 {
-    return encode_versioned(body);
+    return encode_versioned(command_version, body);
 }
 
 base::result<command> decode_command(std::string_view bytes)
 {
-    return decode_versioned<command>(bytes);
+    return decode_versioned<command>(command_version, bytes);
 }
 
 std::string encode(job_request const& body)
 {
-    return encode_versioned(body);
+    return encode_versioned(command_version, body);
 }
 
 } // namespace greengagehead::protocol
--- a/src/protocol/codec.h
+++ b/src/protocol/codec.h
@@ -10,8 +10,10 @@
 
 namespace greengagehead::protocol {
 
-/// Version of the wire format. A message of another version is refused when decoded.
-constexpr std::uint32_t protocol_version = 2;
+/// Version of the messages between processes. A message of another version is refused when decoded.
+constexpr std::uint32_t message_version = 3;
+/// Version of what is stored: replicated commands, and the digests of job requests.
+constexpr std::uint32_t command_version = 2;
 
 [[nodiscard]] std::string encode(message const& body);
 
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -50,6 +50,15 @@
     }
 };
 
+// --- control_group.h ---
+
+template <> struct field_list<member_address> {
+    static auto of(auto& m) { return std::tie(m.name, m.address); }
+};
+template <> struct field_list<control_group> {
+    static auto of(auto& m) { return std::tie(m.term, m.index, m.leader, m.members); }
+};
+
 // --- raft_message.h ---
 
 template <> struct field_list<log_entry> {
@@ -80,7 +89,7 @@
     static auto of(auto& m) { return std::tie(m.last_index, m.next_offset, m.round); }
 };
 template <> struct field_list<member_hello> {
-    static auto of(auto& m) { return std::tie(m.answer, m.fresh, m.address); }
+    static auto of(auto& m) { return std::tie(m.answer, m.fresh, m.address, m.group); }
 };
 template <> struct field_list<group_member> {
     static auto of(auto& m) { return std::tie(m.id, m.name, m.address, m.voter, m.replaces); }
@@ -228,20 +237,17 @@
                         m.settled_view, m.seen_takeover, m.link_address);
     }
 };
-template <> struct field_list<member_address> {
-    static auto of(auto& m) { return std::tie(m.name, m.address); }
-};
 template <> struct field_list<grant_lease> {
-    static auto of(auto& m) { return std::tie(m.incarnation, m.expires_at, m.view, m.controls); }
+    static auto of(auto& m) { return std::tie(m.incarnation, m.expires_at, m.view, m.group); }
 };
 template <> struct field_list<directory_request> {
     static auto of(auto& m) { return std::tie(m.from, m.known_view); }
 };
 template <> struct field_list<directory> {
-    static auto of(auto& m) { return std::tie(m.view, m.entries, m.controls); }
+    static auto of(auto& m) { return std::tie(m.view, m.entries, m.group); }
 };
 template <> struct field_list<not_leader> {
-    static auto of(auto& m) { return std::tie(m.leader, m.request_id); }
+    static auto of(auto& m) { return std::tie(m.group, m.request_id); }
 };
 template <> struct field_list<live_entry> {
     static auto of(auto& m) { return std::tie(m.id, m.zone, m.http_address, m.link_address); }
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -11,6 +11,7 @@
 
 #include "base/clock.h"
 #include "protocol/command.h"
+#include "protocol/control_group.h"
 #include "protocol/identity.h"
 #include "protocol/job.h"
 #include "protocol/raft_message.h"
@@ -30,32 +31,15 @@
     std::string link_address; ///< Where agents and other entries reach the entry.
 };
 
-/// Where a member of the control group is reached.
-struct member_address {
-    std::string name; ///< Peer name.
-    std::string address;
-
-    bool operator==(member_address const&) const = default;
-};
-
-[[nodiscard]] inline std::vector<std::string> names_of(std::vector<member_address> const& members)
-{
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (auto const& member : members)
-        names.push_back(member.name);
-    return names;
-}
-
 struct grant_lease {
     incarnation_number incarnation = 0;
     base::clock_reading expires_at {0}; ///< In the entry's clock.
     view_number view = 0;
-    std::vector<member_address> controls; ///< The present control group.
+    control_group group;
 };
 
 struct not_leader {
-    std::string leader; ///< Peer name of the leader; empty when unknown.
+    control_group group;
     std::uint64_t request_id = 0; ///< 0 in answer to renew_lease.
 };
 
@@ -110,7 +94,7 @@
 struct directory {
     view_number view = 0;
     std::vector<live_entry> entries;
-    std::vector<member_address> controls;
+    control_group group;
 };
 
 // --- entry and entry ---
--- a/src/protocol/raft_message.h
+++ b/src/protocol/raft_message.h
@@ -7,6 +7,8 @@
 #include <variant>
 #include <vector>
 
+#include "protocol/control_group.h"
+
 namespace greengagehead::protocol {
 
 /// Random identity of a member's data folder. A wiped disk gets a new one.
@@ -70,6 +72,7 @@
     bool answer = false;
     bool fresh = false; ///< The log is empty and there is no snapshot.
     std::string address;
+    control_group group; ///< In answers: the group as the sender knows it.
 };
 
 /// One member in the replicated membership.
--- a/tests/agent/ephemeral_test.cpp
+++ b/tests/agent/ephemeral_test.cpp
@@ -194,7 +194,7 @@
         }
         WHEN("the member has lost its disk and knows no entry")
         {
-            directory.receive({0, {}, {}});
+            directory.receive({0, {}, {}}, now);
             now += milliseconds(100);
             directory.tick(now);
             // Guards against an agent that stays without work while other members know entries.
@@ -208,11 +208,11 @@
         {
             protocol::directory const answer {4,
                                               {{{"entry.a", 9}, "recife", "", "10.0.0.1:7000"}},
-                                              {{"control.c", "10.0.0.9:1"}}};
-            directory.receive(answer);
+                                              {2, 1, {}, {{"control.c", "10.0.0.9:1"}}}};
+            directory.receive(answer, now);
             THEN("the entry is announced once, and the present members are asked from now on")
             {
-                directory.receive(answer);
+                directory.receive(answer, now);
                 CHECK(found == std::vector<std::string> {"entry.a@10.0.0.1:7000"});
                 now += milliseconds(600);
                 directory.tick(now);
@@ -220,7 +220,7 @@
             }
             AND_WHEN("the entry restarts at another address")
             {
-                directory.receive({5, {{{"entry.a", 10}, "recife", "", "10.0.0.2:7000"}}, {}});
+                directory.receive({5, {{{"entry.a", 10}, "recife", "", "10.0.0.2:7000"}}, {}}, now);
                 THEN("it is announced again")
                 {
                     CHECK(found.size() == 2);
--- a/tests/control/document_test.cpp
+++ b/tests/control/document_test.cpp
@@ -89,7 +89,9 @@
 
         WHEN("the member does not lead")
         {
-            requests.send("local", protocol::not_leader {"control.b", passed[0].request_id});
+            requests.send("local",
+                          protocol::not_leader {{1, 1, {"control.b", "10.0.0.2:1"}, {}},
+                                                passed[0].request_id});
             THEN("the caller is told who does")
             {
                 REQUIRE(replies.size() == 1);
--- a/tests/control/fleet_fixture.h
+++ b/tests/control/fleet_fixture.h
@@ -43,6 +43,10 @@
     std::uint64_t commit_index() const override { return this->applied; }
     bool quorum_contact_recent(base::steady_time /*now*/) const override { return this->contact; }
     std::vector<protocol::control_member> members() const override { return {}; }
+    protocol::control_group group() const override
+    {
+        return {this->current_term, 1, {this->leader(), "10.0.0.2:1"}, {}};
+    }
 
     void commit_all()
     {
--- a/tests/control/lease_test.cpp
+++ b/tests/control/lease_test.cpp
@@ -114,7 +114,7 @@
             CHECK(redirects[0].request_id == read);
             fleet.log.lead(false);
             fleet.renew(entry);
-            CHECK(fleet.sender.take<protocol::not_leader>("entry.near").back().leader
+            CHECK(fleet.sender.take<protocol::not_leader>("entry.near").back().group.leader.name
                   == "control.b");
         }
     }
--- a/tests/control/process_world.h
+++ b/tests/control/process_world.h
@@ -92,10 +92,7 @@
         settings.link_address = name + ":1";
         settings.controls = this->seeds;
         target.core = std::make_unique<entry::entry_core>(settings, target, this->now);
-        target.core->controls_known.connect([&target](auto const& members) {
-            for (auto const& member : members)
-                target.dialled.insert(member.name);
-        });
+        target.core->controls_known.connect([&target](auto const& group) { dial(target, group); });
     }
 
     /// Ends a process without a warning; what it had not synced is lost.
@@ -220,6 +217,14 @@
         }
     }
 
+    static void dial(process& from, protocol::control_group const& group)
+    {
+        for (auto const& member : group.members)
+            from.dialled.insert(member.name);
+        if (!group.leader.name.empty())
+            from.dialled.insert(group.leader.name);
+    }
+
     void unlink(std::string const& name)
     {
         for (auto& [_, item] : this->controls) {
@@ -289,16 +294,13 @@
     {
         auto const wall
             = 1000h + std::chrono::duration_cast<protocol::wall_time>(this->now.time_since_epoch());
-        for (auto& [name, item] : this->controls) {
+        for (auto& [_, item] : this->controls) {
             if (!item.log || item.frozen)
                 continue;
             item.log->tick(this->now);
             item.core->tick(this->now, wall);
             item.log->flush(this->now);
-            for (auto const& member : item.log->members()) {
-                if (member.name != name)
-                    item.dialled.insert(member.name);
-            }
+            dial(item, item.log->group());
         }
         for (auto& [_, item] : this->entries) {
             if (item.core)
--- a/tests/control/recovery_test.cpp
+++ b/tests/control/recovery_test.cpp
@@ -36,7 +36,7 @@
 
 } // namespace
 
-SCENARIO("entries restart while the leader is not in their settings", "[recovery][known-red]")
+SCENARIO("entries restart while the leader is not in their settings", "[recovery]")
 {
     GIVEN("five control members, of which settings name three")
     {
