Drop a learner that is lost before it votes

Found while looking for other ways in which the control group stays smaller than it may be. The leader makes one change at a time and lets nobody in beside a learner; a standby whose VM was lost between its admission and its first vote kept the group from growing and from replacing lost voters for good. A learner that has not answered for replace_after is dropped now; the time counts from the first request that was sent to it.

--- a/src/consensus/leader_state.cpp
+++ b/src/consensus/leader_state.cpp
@@ -96,7 +96,7 @@
             bytes += request.entries.back().data.size();
             ++progress.next;
         }
-        progress.last_send = now;
+        progress.note_send(now);
         heartbeat_due = false;
         outbox.push_back({this->self, to, 0, std::move(request)});
     }
@@ -127,7 +127,7 @@
     chunk.data = content.substr(chunk.offset, snapshot_chunk_bytes);
     chunk.done = chunk.offset + chunk.data.size() == content.size();
     chunk.round = to_round(now);
-    progress.last_send = now;
+    progress.note_send(now);
     progress.chunk_pending = true;
     outbox.push_back({this->self, to, 0, std::move(chunk)});
 }
--- a/src/consensus/leader_state.h
+++ b/src/consensus/leader_state.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,12 +26,21 @@
     /// Time of the latest request that the member has answered.
     base::steady_time contact = base::steady_time::min();
     base::steady_time last_send = base::steady_time::min();
+    /// Empty until the first request was sent.
+    std::optional<base::steady_time> first_send;
     /// Snapshot in transfer; null when none is.
     std::shared_ptr<std::string const> snapshot;
     log_position snapshot_position;
     std::uint64_t snapshot_offset = 0;
     /// A chunk was sent and not answered yet.
     bool chunk_pending = false;
+
+    void note_send(base::steady_time now)
+    {
+        this->last_send = now;
+        if (!this->first_send)
+            this->first_send = now;
+    }
 };
 
 class leader_state {
--- a/src/consensus/membership_keeper.cpp
+++ b/src/consensus/membership_keeper.cpp
@@ -27,15 +27,15 @@
 /// Bounds the table against peers with made-up names.
 constexpr std::size_t max_announcements = 64;
 
-/// How long the leader has not heard from `member`; zero for itself.
+/// How long the leader has not heard from `member`, or has asked it without an answer; zero for
+/// itself.
 std::chrono::nanoseconds silence(raft_node const& node, protocol::member_id member,
                                  base::steady_time now)
 {
-    if (member == node.id())
-        return {};
     auto const* progress = node.followers()->find(member);
-    auto const elected = node.followers()->elected_at();
-    return now - (progress == nullptr ? elected : std::max(progress->contact, elected));
+    if (progress == nullptr || !progress->first_send)
+        return {};
+    return now - std::max(progress->contact, *progress->first_send);
 }
 
 bool reachable(raft_node const& node, protocol::member_id member, base::steady_time now)
@@ -113,10 +113,10 @@
                                                                   base::steady_time) const;
     // A lost voter is replaced before the group grows, so that a standby does not join beside a
     // member that is gone for good.
-    constexpr std::array<rule, 5> order {
-        &membership_keeper::readmit_wiped, &membership_keeper::promote_learner,
-        &membership_keeper::remove_replaced, &membership_keeper::replace_unreachable,
-        &membership_keeper::grow};
+    constexpr std::array<rule, 6> order {
+        &membership_keeper::readmit_wiped,       &membership_keeper::promote_learner,
+        &membership_keeper::remove_replaced,     &membership_keeper::drop_lost_learner,
+        &membership_keeper::replace_unreachable, &membership_keeper::grow};
     for (auto const& apply : order) {
         if (auto step = (this->*apply)(node, now))
             return step;
@@ -176,6 +176,22 @@
     return {};
 }
 
+std::optional<membership> membership_keeper::drop_lost_learner(raft_node const& node,
+                                                               base::steady_time now) const
+{
+    if (this->rules.replace_after.count() == 0)
+        return {};
+    auto const& members = node.log().members();
+    for (auto const& member : members.members) {
+        if (member.voter || silence(node, member.id, now) < this->rules.replace_after)
+            continue;
+        auto step = members;
+        std::erase_if(step.members, [&member](auto const& other) { return other.id == member.id; });
+        return step;
+    }
+    return {};
+}
+
 std::optional<membership> membership_keeper::replace_unreachable(raft_node const& node,
                                                                  base::steady_time now) const
 {
--- a/src/consensus/membership_keeper.h
+++ b/src/consensus/membership_keeper.h
@@ -58,6 +58,9 @@
                                                                       base::steady_time now) const;
     [[nodiscard]] std::optional<protocol::membership> remove_replaced(raft_node const& node,
                                                                       base::steady_time now) const;
+    /// A learner that is gone for good would keep the group from every other change.
+    [[nodiscard]] std::optional<protocol::membership>
+    drop_lost_learner(raft_node const& node, base::steady_time now) const;
     [[nodiscard]] std::optional<protocol::membership>
     replace_unreachable(raft_node const& node, base::steady_time now) const;
     [[nodiscard]] std::optional<protocol::membership> grow(raft_node const& node,
--- a/tests/consensus/fault_test.cpp
+++ b/tests/consensus/fault_test.cpp
@@ -337,6 +337,43 @@
     }
 }
 
+SCENARIO("a standby is lost while it is being let in")
+{
+    GIVEN("a group of three that takes in standbys")
+    {
+        auto const seed = GENERATE(range(1, 11));
+        fake_group group(static_cast<std::uint64_t>(seed), three);
+        group.membership = {1500ms, 7};
+        group.start_all();
+        REQUIRE(group.wait_for_leader());
+        auto const* leader = group.leader();
+        auto const is_member = [&](std::string const& name) {
+            return find_member(leader->log->raft().log().members(), name) != nullptr;
+        };
+        group.start("control.d");
+        REQUIRE(group.run_until([&] { return is_member("control.d"); }, 2s));
+        bool const votes = group.voters(leader->name) == 4;
+
+        WHEN("it is gone for good before it votes")
+        {
+            group.kill("control.d");
+            group.start("control.e");
+
+            // Guards against a learner without a VM that keeps the group from every other change.
+            THEN("another standby takes its place")
+            {
+                REQUIRE_FALSE(votes);
+                CHECK(group.run_until(
+                    [&] {
+                        return group.complete(*leader) && is_member("control.e")
+                            && !is_member("control.d");
+                    },
+                    6s));
+            }
+        }
+    }
+}
+
 SCENARIO("members start with empty disks and may not found a group")
 {
     GIVEN("three members that are told to join")
