Ask the control members that changed settings name

An entry, agent or standby whose known members are all gone then stayed without control although its settings were right again. The names now reach known_controls in each of the three.

--- a/src/agent/entry_directory.cpp
+++ b/src/agent/entry_directory.cpp
@@ -27,6 +27,11 @@
 {
 }
 
+void entry_directory::set_configured(std::vector<std::string> members)
+{
+    this->controls.set_configured(std::move(members));
+}
+
 void entry_directory::receive(protocol::directory const& answer, base::steady_time now)
 {
     this->last_answer = now;
--- a/src/agent/entry_directory.h
+++ b/src/agent/entry_directory.h
@@ -22,6 +22,8 @@
     entry_directory(protocol::process_id self, std::vector<std::string> controls,
                     protocol::message_sender& sender);
 
+    /// The settings name these control members now.
+    void set_configured(std::vector<std::string> members);
     void receive(protocol::directory const& answer, base::steady_time now);
     /// Expected every 10 ms.
     void tick(base::steady_time now);
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -54,13 +54,9 @@
         return;
     auto const links = settings::control_links(this->settings);
     connect_peers(this->hub, settings::role::control, links);
-    std::vector<std::string> names;
-    names.reserve(links.size());
-    for (auto const& member : links)
-        names.push_back(settings::peer_name(settings::role::control, member.name));
     this->directory = std::make_unique<agent::entry_directory>(
         protocol::process_id {settings::peer_name(settings::role::agent, this->settings.name), 0},
-        std::move(names), this->hub);
+        control_names(links), this->hub);
     this->directory->entry_found.connect([this](std::string const& name, std::string const& place) {
         dial(this->hub, name, place);
     });
@@ -92,6 +88,12 @@
     return this->server.listen(address);
 }
 
+void agent_task::controls_configured(std::vector<std::string> const& peers)
+{
+    if (this->directory)
+        this->directory->set_configured(peers);
+}
+
 void agent_task::tick(base::steady_time now)
 {
     if (this->adapter)
--- a/src/app/agent_task.h
+++ b/src/app/agent_task.h
@@ -31,6 +31,7 @@
     base::result<transport::socket_address> open(settings::process_settings const& settings);
 
 protected:
+    void controls_configured(std::vector<std::string> const& peers) override;
     void tick(base::steady_time now) override;
     void begin_shutdown(base::steady_time now) override;
     [[nodiscard]] bool idle() const override;
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -142,6 +142,11 @@
     }
 }
 
+void control_task::controls_configured(std::vector<std::string> const& peers)
+{
+    this->log->set_configured(peers);
+}
+
 void control_task::tick(base::steady_time now)
 {
     this->log->tick(now);
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -18,8 +18,7 @@
     core.zone = settings.zone;
     core.http_address = settings.entry_http;
     core.link_address = settings.entry_listen;
-    for (auto const& control : controls)
-        core.controls.push_back(settings::peer_name(settings::role::control, control.name));
+    core.controls = control_names(controls);
     core.placement = settings.placement;
     core.seed = core.id.incarnation;
     core.answer_retention = settings.timing.claim_retention;
@@ -73,6 +72,11 @@
     return this->server.listen(address);
 }
 
+void entry_task::controls_configured(std::vector<std::string> const& peers)
+{
+    this->core.set_configured_controls(peers);
+}
+
 void entry_task::tick(base::steady_time now)
 {
     this->core.tick(now);
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -29,6 +29,7 @@
     base::result<transport::socket_address> open_http();
 
 protected:
+    void controls_configured(std::vector<std::string> const& peers) override;
     void tick(base::steady_time now) override;
     void begin_shutdown(base::steady_time now) override;
     [[nodiscard]] bool idle() const override;
--- a/src/app/peer_wiring.h
+++ b/src/app/peer_wiring.h
@@ -38,6 +38,16 @@
         dial(hub, settings::peer_name(which, peer.name), peer.address);
 }
 
+/// Peer names of control members.
+inline std::vector<std::string> control_names(std::vector<settings::peer_settings> const& members)
+{
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (auto const& member : members)
+        names.push_back(settings::peer_name(settings::role::control, member.name));
+    return names;
+}
+
 /// Keeps links to the members of the control group as it is now, and to the leader, which a learner
 /// may know before the membership that names it.
 inline void dial_members(transport::link_hub& hub, protocol::control_group const& group)
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -60,7 +60,7 @@
         for (role_task* const task : std::initializer_list<role_task*> {
                  this->control.get(), this->entry.get(), this->agent.get()}) {
             if (task != nullptr)
-                task->dial_controls(links, settings::peer_name(role::control, wanted.name));
+                task->set_controls(links, settings::peer_name(role::control, wanted.name));
         }
     }
 
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -44,16 +44,16 @@
     });
 }
 
-void role_task::dial_controls(std::vector<settings::peer_settings> const& members,
-                              std::string const& self)
+void role_task::set_controls(std::vector<settings::peer_settings> const& members,
+                             std::string const& self)
 {
     this->loop.post([this, members, self] {
-        std::vector<settings::peer_settings> others;
         for (auto const& member : members) {
-            if (settings::peer_name(settings::role::control, member.name) != self)
-                others.push_back(member);
+            auto const peer = settings::peer_name(settings::role::control, member.name);
+            if (peer != self)
+                dial(this->hub, peer, member.address);
         }
-        connect_peers(this->hub, settings::role::control, others);
+        this->controls_configured(control_names(members));
     });
 }
 
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -31,13 +31,15 @@
     void start();
     /// Lets work in progress finish, then calls `done` on the task's thread. Thread-safe.
     void shut_down(std::function<void()> done);
-    /// Keeps links to further control members, except to `self`. Thread-safe.
-    void dial_controls(std::vector<settings::peer_settings> const& members,
-                       std::string const& self);
+    /// Takes over the control members that changed settings name, and keeps links to them, except
+    /// to `self`. Thread-safe.
+    void set_controls(std::vector<settings::peer_settings> const& members, std::string const& self);
     /// Ends the thread at once. Thread-safe.
     void stop();
 
 protected:
+    /// The settings name these control members now.
+    virtual void controls_configured(std::vector<std::string> const& peers) = 0;
     /// Runs every 10 ms.
     virtual void tick(base::steady_time now) = 0;
     /// Refuses new work from now on.
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -56,6 +56,15 @@
             "this member has stopped: " + base::describe(reason)};
 }
 
+std::vector<std::string> names_of(std::vector<group_address> const& members)
+{
+    std::vector<std::string> names;
+    names.reserve(members.size());
+    for (auto const& member : members)
+        names.push_back(member.name);
+    return names;
+}
+
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -88,7 +97,8 @@
     : settings(std::move(given)), store(std::move(opened)),
       node(this->settings.timing, std::move(recovered.start), seed, now), sender(sender),
       bootstrap(this->settings.name, this->settings.initial, this->node.id()),
-      keeper(this->settings.membership), damaged(this->store.was_damaged()), last_tick(now)
+      keeper(this->settings.membership), told(names_of(this->settings.initial)),
+      damaged(this->store.was_damaged()), last_tick(now)
 {
     if (recovered.has_snapshot)
         this->initial_state = std::move(recovered.state);
@@ -101,6 +111,11 @@
     };
 }
 
+void durable_log::set_configured(std::vector<std::string> members)
+{
+    this->told.set_configured(std::move(members));
+}
+
 void durable_log::start(base::steady_time now)
 {
     if (this->started)
@@ -296,8 +311,6 @@
         return;
     this->last_hello = now;
     std::set<std::string> peers;
-    for (auto const& member : this->settings.initial)
-        peers.insert(member.name);
     for (auto const& member : members.members)
         peers.insert(member.name);
     // The leader, which alone can let this member in, may be none of these.
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -58,6 +58,8 @@
                                                            protocol::message_sender& sender,
                                                            base::steady_time now);
 
+    /// The settings name these members now; a member outside the group introduces itself to them.
+    void set_configured(std::vector<std::string> members);
     /// Called once after the signals are connected: reports the snapshot, if any.
     void start(base::steady_time now);
     void receive(std::string const& peer, protocol::raft_message const& message,
@@ -116,6 +118,8 @@
     group_bootstrap bootstrap;
     membership_keeper keeper;
     leader_watch watch;
+    /// Configured members, and the group that others told of while this member knew no leader.
+    protocol::known_controls told;
     /// Damaged data was set aside in this folder.
     bool damaged;
 
@@ -130,8 +134,6 @@
     std::uint64_t reported_members_index = 0;
     base::steady_time last_tick;
     std::optional<base::steady_time> last_hello;
-    /// What other members told this one while it knew no leader; stale once it follows one.
-    protocol::known_controls told {{}};
     /// Last time that another member named the leader of `told`.
     std::optional<base::steady_time> leader_told;
     std::optional<base::error> stopped_by;
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -129,6 +129,11 @@
     this->resend_all(now);
 }
 
+void control_client::set_configured(std::vector<std::string> members)
+{
+    this->controls.set_configured(std::move(members));
+}
+
 bool control_client::learn(protocol::control_group const& group)
 {
     return this->controls.learn(group);
--- a/src/entry/control_client.h
+++ b/src/entry/control_client.h
@@ -45,6 +45,8 @@
     void note_leader(std::string const& peer, base::steady_time now);
     /// Turns to the next member when `peer` is the present target.
     void give_up_on(std::string const& peer, base::steady_time now);
+    /// The settings name these members now.
+    void set_configured(std::vector<std::string> members);
     /// Returns whether the group has other members or another leader than before.
     bool learn(protocol::control_group const& group);
     [[nodiscard]] protocol::control_group const& group() const { return this->controls.latest(); }
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -310,6 +310,11 @@
         now);
 }
 
+void entry_core::set_configured_controls(std::vector<std::string> peers)
+{
+    this->own->control.set_configured(std::move(peers));
+}
+
 void entry_core::receive(std::string const& peer, protocol::message const& body,
                          base::steady_time now)
 {
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -110,6 +110,8 @@
     void control(protocol::control_request_body body, std::chrono::milliseconds timeout,
                  std::function<void(protocol::control_result const&)> reply, base::steady_time now);
 
+    /// The settings name these control members now.
+    void set_configured_controls(std::vector<std::string> peers);
     void receive(std::string const& peer, protocol::message const& body, base::steady_time now);
     /// Expected every 10 ms.
     void tick(base::steady_time now);
--- a/src/protocol/known_controls.cpp
+++ b/src/protocol/known_controls.cpp
@@ -33,11 +33,22 @@
     this->member_names.clear();
     for (auto const& member : this->group.members)
         add(this->member_names, member.name);
+    this->list_candidates();
+    return before.members != this->group.members || before.leader != this->group.leader;
+}
+
+void known_controls::set_configured(std::vector<std::string> names)
+{
+    this->configured = std::move(names);
+    this->list_candidates();
+}
+
+void known_controls::list_candidates()
+{
     this->candidates = this->member_names;
     add(this->candidates, this->group.leader.name);
     for (auto const& name : this->configured)
         add(this->candidates, name);
-    return before.members != this->group.members || before.leader != this->group.leader;
 }
 
 std::vector<std::string> const& known_controls::members() const
--- a/src/protocol/known_controls.h
+++ b/src/protocol/known_controls.h
@@ -15,6 +15,7 @@
     /// @param configured peer names of the members that the settings name.
     explicit known_controls(std::vector<std::string> configured);
 
+    void set_configured(std::vector<std::string> names);
     /// Returns whether there are peers now that were not known before. An older group than the
     /// latest one changes nothing.
     bool learn(control_group const& told);
@@ -27,6 +28,8 @@
     [[nodiscard]] std::vector<std::string> const& all() const { return this->candidates; }
 
 private:
+    void list_candidates();
+
     std::vector<std::string> configured;
     control_group group;
     std::vector<std::string> member_names; ///< Of `group`.
--- a/tests/app/role_task_test.cpp
+++ b/tests/app/role_task_test.cpp
@@ -33,6 +33,7 @@
     transport::socket_address open() { return this->server.listen({"127.0.0.1", 0}).value(); }
 
 private:
+    void controls_configured(std::vector<std::string> const& /*peers*/) override { }
     void tick(base::steady_time /*now*/) override { }
     void begin_shutdown(base::steady_time /*now*/) override { }
     [[nodiscard]] bool idle() const override { return this->server.open_exchanges() == 0; }
--- a/tests/protocol/known_controls_test.cpp
+++ b/tests/protocol/known_controls_test.cpp
@@ -64,6 +64,15 @@
                 }
             }
         }
+        // Guards against new settings that are linked to but never asked.
+        WHEN("the settings name others")
+        {
+            known.set_configured({"control.e", "control.f"});
+            THEN("these are asked")
+            {
+                CHECK(known.all() == std::vector<std::string> {"control.e", "control.f"});
+            }
+        }
         WHEN("a member without data knows no group")
         {
             CHECK_FALSE(known.learn({}));
