Answer every caller before a shutdown reaches its limit

An entry got SIGTERM at 6.400 s, was sent a job on an open connection at 11.447 s and closed it at 11.903 s without an answer.

Cause: the process ends 5.5 s after the signal (shutdown_limit_ms), at 11.900 s, with whatever is unfinished. Jobs are admitted during a shutdown while they should end in time, by their usual length; one that takes longer was cut.

Change: 100 ms before the limit the entry answers every caller with what is known.

Both new cases of "callers use their open connections while an entry shuts down" failed before (0 == 1 replies), and test_entry_ends_with_unfinished_job of the fleet tests got no answer (0 in place of 202).

--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -2,6 +2,8 @@
 
 #include "app/entry_task.h"
 
+#include <algorithm>
+
 #include "app/peer_wiring.h"
 #include "base/random.h"
 
@@ -9,6 +11,9 @@
 
 namespace {
 
+/// Before the end of a shutdown: time to write the last replies.
+constexpr std::chrono::milliseconds last_reply_time {100};
+
 entry::entry_settings core_settings(settings::process_settings const& settings,
                                     std::vector<settings::peer_settings> const& controls)
 {
@@ -90,6 +95,9 @@
         this->adapter->begin_shutdown(now);
     this->leaving = true;
     this->routes.begin_shutdown();
+    auto const limit = this->settings.timing.shutdown_limit;
+    this->end_timer = this->loop.after(std::max(limit - last_reply_time, last_reply_time),
+                                       [this] { this->core.end_waits(base::steady_now()); });
     this->leave_timer = this->loop.after(this->settings.timing.leave_delay, [this] {
         auto const& timing = this->settings.timing;
         this->core.begin_shutdown(base::steady_now(), timing.shutdown_limit - timing.leave_delay);
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -41,6 +41,7 @@
     transport::http_server server;
     std::unique_ptr<role_adapter> adapter; // Null without a deployment adapter.
     std::unique_ptr<transport::loop_timer> leave_timer; // Runs while /readyz fails already.
+    std::unique_ptr<transport::loop_timer> end_timer; // Runs until the last replies are due.
     bool leaving = false;
 };
 
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -362,6 +362,12 @@
     this->own->flow.begin_shutdown(now + remaining);
 }
 
+void entry_core::end_waits(base::steady_time now)
+{
+    this->own->flow.end_waits(now);
+    this->own->settle(now);
+}
+
 bool entry_core::idle() const
 {
     return this->own->jobs.unfinished() == 0 && this->own->remote.idle() && this->own->claims.idle()
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -121,6 +121,9 @@
     /// Refuses from now on new jobs that are not sure to end within `remaining`; accepted ones go
     /// on.
     void begin_shutdown(base::steady_time now, std::chrono::milliseconds remaining);
+    /// The process ends in a moment: answers every caller with what is known, also callers that
+    /// come later.
+    void end_waits(base::steady_time now);
     /// No accepted job is unfinished and no reply is outstanding.
     [[nodiscard]] bool idle() const;
 
--- a/src/entry/job_end.cpp
+++ b/src/entry/job_end.cpp
@@ -32,7 +32,7 @@
         return deliver_unknown(caller, job.answer, *job.failure);
     if (job.is_final())
         return deliver(caller, job.answer, job.decisions.to_json(job.submitted));
-    if (caller.until <= now)
+    if (caller.until <= now || this->waits_ended)
         return deliver(caller, present_answer(job), job.decisions.to_json(job.submitted));
     this->add_timer(job, timer_kind::waiter, caller.until);
     job.waiters.push_back(std::move(caller));
@@ -163,6 +163,29 @@
     this->finalize(job, now);
 }
 
+void job_flow::end_waits(base::steady_time now)
+{
+    this->waits_ended = true;
+    std::vector<std::uint64_t> open;
+    for (auto const& [number, job] : this->parts.jobs.all()) {
+        if (!job->is_final() && !job->waiters.empty())
+            open.push_back(number);
+    }
+    for (auto const number : open) {
+        if (auto* job = this->parts.jobs.find(number))
+            this->answer_before_end(*job, now);
+    }
+}
+
+void job_flow::answer_before_end(job& job, base::steady_time now)
+{
+    if (job.ephemeral && job.phase == job_phase::running && job.untouched())
+        return this->refuse_waiting(job, now);
+    for (auto& caller : job.waiters)
+        caller.until = now;
+    this->answer_late_waiters(job, now);
+}
+
 void job_flow::complete(job& job, base::steady_time now)
 {
     job.final_state = job_state::complete;
--- a/src/entry/job_flow.cpp
+++ b/src/entry/job_flow.cpp
@@ -123,7 +123,7 @@
 {
     if (this->shutdown_end) {
         auto const needed = this->longest_task(request) * shutdown_time_percent / 100;
-        if (now + needed + shutdown_margin > *this->shutdown_end)
+        if (this->waits_ended || now + needed + shutdown_margin > *this->shutdown_end)
             return policy::make_refusal(base::error_code::unavailable, "the entry is shutting down",
                                         shutdown_retry_after);
     }
--- a/src/entry/job_flow.h
+++ b/src/entry/job_flow.h
@@ -60,6 +60,8 @@
     void refuse_waiting(job& job, base::steady_time now);
     /// Jobs that may not end by `end` are refused from now on.
     void begin_shutdown(base::steady_time end) { this->shutdown_end = end; }
+    /// Answers every caller with what is known, from now on without waiting, and admits no job.
+    void end_waits(base::steady_time now);
 
     /// Forgets a job, with its waiting tasks and its attempts.
     void drop(job& job);
@@ -86,6 +88,7 @@
     void on_deadline(job& job, base::steady_time now);
     void answer_waiters(job& job);
     void answer_late_waiters(job& job, base::steady_time now);
+    void answer_before_end(job& job, base::steady_time now);
     [[nodiscard]] std::string choose_backup() const;
     [[nodiscard]] std::chrono::microseconds expected_time(protocol::job_request const& request,
                                                           protocol::task_request const& task);
@@ -96,6 +99,7 @@
 
     entry_parts& parts;
     std::optional<base::steady_time> shutdown_end;
+    bool waits_ended = false;
 };
 
 } // namespace greengagehead::entry
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -233,6 +233,40 @@
                 CHECK(job->replies.front().answer.state == job_state::complete);
             }
         }
+        // Guards against connections that are closed without an answer when the process ends.
+        WHEN("a job takes far longer than expected")
+        {
+            for (auto& [_, agent] : world.agents)
+                agent.run_time = milliseconds(3000);
+            auto request = make_ephemeral("s3", 2);
+            for (auto& task : request.tasks)
+                task.expected = milliseconds(30);
+            auto const job = world.submit("entry.a", request);
+            world.run(milliseconds(900));
+            world.entries.at("entry.a")->end_waits(world.now);
+            THEN("its caller is answered before the process ends, and not told that it has not run")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().what == reply_kind::running);
+                auto const again = world.submit("entry.a", request);
+                CHECK(again->replies.size() == 1);
+            }
+        }
+        WHEN("a job is admitted and nothing of it starts")
+        {
+            auto request = make_ephemeral("s4", 2);
+            for (auto& task : request.tasks)
+                task.expected = milliseconds(30);
+            for (auto const& [name, _] : world.agents)
+                world.cut_off.insert(name);
+            auto const job = world.submit("entry.a", request);
+            world.run(milliseconds(900));
+            world.entries.at("entry.a")->end_waits(world.now);
+            THEN("its caller is answered before the process ends")
+            {
+                CHECK(job->replies.size() == 1);
+            }
+        }
         // Guards against jobs that are cut by the end of the process.
         WHEN("a job comes that may take longer")
         {
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -44,11 +44,12 @@
             self.stop()
             raise
 
-    def start(self, name):
+    def start(self, name, extra=""):
+        """Starts a process; `extra` is added to its settings file."""
         folder = pathlib.Path(self.folder.name)
         text = (DEPLOYMENT / f"{name}.toml").read_text()
         text = text.replace("[entry]\n", f'[entry]\nplacement = "{PLACEMENT}"\n')
-        (folder / f"{name}.toml").write_text(text)
+        (folder / f"{name}.toml").write_text(text + extra)
         log = open(folder / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
             [PROGRAM, "run", "--config", f"{name}.toml"],
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -159,6 +159,20 @@
         self.assertEqual(self.fleet.processes["recife-entry"].wait(20), 0)
         self.assertEqual(self.fleet.starts(), (36, 0))
 
+    def test_entry_ends_with_unfinished_job(self):
+        """Guards against connections that are closed without an answer at the shutdown limit."""
+        self.fleet.kill("recife-entry")
+        self.fleet.start("recife-entry",
+                         "\n[timing]\nleave_delay_ms = 300\nshutdown_limit_ms = 1500\n")
+        self.fleet.wait_until(self.fleet.complete, 15)
+        futures = self.fleet.submit_many("recife", "long", 3, quotes(2, 6000))
+        self.fleet.wait_until(lambda: self.fleet.starts()[0] >= 6, 5)
+        self.fleet.signal("recife-entry", signal.SIGTERM)
+        for future in futures:
+            status, answer = future.result()
+            self.assertEqual((status, answer.get("state")), (202, "running"))
+        self.assertEqual(self.fleet.processes["recife-entry"].wait(5), 0)
+
     def test_agent_shutdown_under_load(self):
         """Guards against tasks that are lost when an agent is restarted."""
         futures = self.fleet.submit_many("recife", "agent", 12, holds(3, 800))
