--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <random>
-#include <set>
 #include <utility>
 
 #include "base/log_record.h"
@@ -18,11 +17,6 @@
 using base::log_event;
 using base::log_record;
 
-/// How often a member outside the group introduces itself. Short against the half second in which
-/// a new group should be ready.
-constexpr std::chrono::milliseconds hello_interval {100};
-/// Answers to introductions come at that pace; an older leader may have been followed by another.
-constexpr std::chrono::milliseconds told_leader_lifetime {1000};
 /// Bounds the table of identities that are not members.
 constexpr std::size_t max_unknown_members = 64;
 
@@ -56,15 +50,6 @@
             "this member has stopped: " + base::describe(reason)};
 }
 
-std::vector<std::string> names_of(std::vector<group_address> const& members)
-{
-    std::vector<std::string> names;
-    names.reserve(members.size());
-    for (auto const& member : members)
-        names.push_back(member.name);
-    return names;
-}
-
 std::uint64_t random_seed()
 {
     std::random_device source;
@@ -97,7 +82,7 @@
     : settings(std::move(given)), store(std::move(opened)),
       node(this->settings.timing, std::move(recovered.start), seed, now), sender(sender),
       bootstrap(this->settings.name, this->settings.initial, this->node.id()),
-      keeper(this->settings.membership), told(names_of(this->settings.initial)),
+      introducer(this->settings.name, this->settings.initial), keeper(this->settings.membership),
       damaged(this->store.was_damaged()), last_tick(now)
 {
     if (recovered.has_snapshot)
@@ -113,7 +98,7 @@
 
 void durable_log::set_configured(std::vector<std::string> members)
 {
-    this->told.set_configured(std::move(members));
+    this->introducer.set_configured(std::move(members));
 }
 
 void durable_log::start(base::steady_time now)
@@ -152,7 +137,7 @@
         return;
     this->start(now);
     this->last_tick = now;
-    this->say_hello(now);
+    this->introduce(now);
     if (auto const first = this->bootstrap.proposal();
         first && this->settings.may_found && this->fresh())
         this->node.bootstrap(*first, now);
@@ -302,23 +287,13 @@
 
 // --- members ---
 
-void durable_log::say_hello(base::steady_time now)
+void durable_log::introduce(base::steady_time now)
 {
     auto const& members = this->node.log().members();
-    bool const settled
-        = find_member(members, this->node.id()) != nullptr && this->node.leader() != 0;
-    if (settled || (this->last_hello && now - *this->last_hello < hello_interval))
+    if (find_member(members, this->node.id()) != nullptr && this->node.leader() != 0)
         return;
-    this->last_hello = now;
-    std::set<std::string> peers;
-    for (auto const& member : members.members)
-        peers.insert(member.name);
-    // The leader, which alone can let this member in, may be none of these.
-    for (auto const& name : this->told.all())
-        peers.insert(name);
-    peers.erase(this->settings.name);
     protocol::member_hello const hello {false, this->fresh(), this->settings.address, {}};
-    for (auto const& peer : peers)
+    for (auto const& peer : this->introducer.due_peers(members, now))
         this->send(peer, {this->node.id(), 0, this->node.term(), hello});
 }
 
@@ -330,10 +305,7 @@
         if (message.to != this->node.id())
             return;
         this->bootstrap.heard(peer, message.from, hello.fresh);
-        this->told.learn(hello.group);
-        if (!hello.group.leader.name.empty() && !protocol::older(hello.group, this->told.latest()))
-            this->leader_told = now;
-        return;
+        return this->introducer.answered(hello.group, now);
     }
     this->keeper.announced(peer, message.from, hello.address, now);
     protocol::member_hello const answer {true, this->fresh(), this->settings.address,
@@ -402,7 +374,8 @@
     group.leader.address = protocol::address_of(group, group.leader.name);
     // A learner may not have the membership entry yet that names its leader.
     if (group.leader.address.empty())
-        group.leader.address = protocol::address_of(this->told.latest(), group.leader.name);
+        group.leader.address
+            = protocol::address_of(this->introducer.told(this->last_tick), group.leader.name);
     return group;
 }
 
@@ -410,13 +383,10 @@
 {
     if (this->stopped_by)
         return {};
-    auto group = this->own_group();
-    if (!group.leader.name.empty() || !protocol::older(group, this->told.latest()))
-        return group;
-    group = this->told.latest();
-    if (!this->leader_told || this->last_tick - *this->leader_told >= told_leader_lifetime)
-        group.leader = {};
-    return group;
+    auto own = this->own_group();
+    if (!own.leader.name.empty() || this->introducer.up_to_date(own))
+        return own;
+    return this->introducer.told(this->last_tick);
 }
 
 std::uint64_t durable_log::term() const
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -17,12 +17,12 @@
 #include <vector>
 
 #include "consensus/group_bootstrap.h"
+#include "consensus/group_introducer.h"
 #include "consensus/leader_watch.h"
 #include "consensus/member_store.h"
 #include "consensus/membership_keeper.h"
 #include "consensus/raft_node.h"
 #include "consensus/replicated_log.h"
-#include "protocol/known_controls.h"
 #include "protocol/message_sender.h"
 #include "storage/file_system.h"
 
@@ -93,7 +93,7 @@
 private:
     void handle_hello(std::string const& peer, protocol::raft_message const& message,
                       base::steady_time now);
-    void say_hello(base::steady_time now);
+    void introduce(base::steady_time now);
     /// Handles all output of the node; entries of a leader are written only when `sync` is set.
     void settle(bool sync, base::steady_time now);
     bool persist(bool sync, base::steady_time now);
@@ -116,10 +116,9 @@
     raft_node node;
     protocol::message_sender& sender;
     group_bootstrap bootstrap;
+    group_introducer introducer;
     membership_keeper keeper;
     leader_watch watch;
-    /// Configured members, and the group that others told of while this member knew no leader.
-    protocol::known_controls told;
     /// Damaged data was set aside in this folder.
     bool damaged;
 
@@ -133,9 +132,6 @@
     bool reported_leading = false;
     std::uint64_t reported_members_index = 0;
     base::steady_time last_tick;
-    std::optional<base::steady_time> last_hello;
-    /// Last time that another member named the leader of `told`.
-    std::optional<base::steady_time> leader_told;
     std::optional<base::error> stopped_by;
     /// Peer names of identities outside the membership, learned from their messages.
     std::map<protocol::member_id, std::string> unknown_members;
--- a/tests/consensus/fake_group.h
+++ b/tests/consensus/fake_group.h
@@ -5,7 +5,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -17,12 +16,13 @@
 
 #include "consensus/durable_log.h"
 #include "storage/faulty_file_system.h"
+#include "virtual_time.h"
 
 namespace greengagehead::consensus {
 
 using namespace std::chrono_literals;
 
-class fake_group {
+class fake_group : public test::virtual_time {
 public:
     struct member : protocol::message_sender {
         std::string name;
@@ -95,22 +95,6 @@
             target.log->receive(peer, message, this->now);
     }
 
-    void run(std::chrono::milliseconds time)
-    {
-        for (auto const end = this->now + time; this->now < end; this->now += 1ms)
-            this->step();
-    }
-
-    bool run_until(std::function<bool()> const& condition, std::chrono::milliseconds limit)
-    {
-        for (auto const end = this->now + limit; this->now < end; this->now += 1ms) {
-            if (condition())
-                return true;
-            this->step();
-        }
-        return condition();
-    }
-
     /// A member that leads, is established and runs; null when there is none.
     member* leader()
     {
@@ -199,7 +183,6 @@
     std::map<std::string, member> members;
     /// Acknowledged commands with the term in which they were acknowledged.
     std::map<std::string, std::uint64_t> acknowledged;
-    base::steady_time now {1h};
     unsigned loss_percent = 0;
     unsigned double_percent = 0;
     std::chrono::milliseconds longest_delay {2};
@@ -250,7 +233,7 @@
         }
     }
 
-    void step()
+    void step() override
     {
         while (!this->network.empty() && this->network.begin()->first <= this->now) {
             auto const item = std::move(this->network.begin()->second);
--- a/tests/control/process_world.h
+++ b/tests/control/process_world.h
@@ -6,7 +6,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -21,12 +20,13 @@
 #include "control/control_core.h"
 #include "entry/entry_core.h"
 #include "storage/faulty_file_system.h"
+#include "virtual_time.h"
 
 namespace greengagehead::test {
 
 using namespace std::chrono_literals;
 
-class process_world {
+class process_world : public virtual_time {
 public:
     struct process : protocol::message_sender {
         process_world* world = nullptr;
@@ -130,22 +130,6 @@
     void freeze(std::string const& name) { this->controls.at(name).frozen = true; }
     void thaw(std::string const& name) { this->controls.at(name).frozen = false; }
 
-    void run(std::chrono::milliseconds time)
-    {
-        for (auto const end = this->now + time; this->now < end; this->now += 1ms)
-            this->step();
-    }
-
-    bool run_until(std::function<bool()> const& condition, std::chrono::milliseconds limit)
-    {
-        for (auto const end = this->now + limit; this->now < end; this->now += 1ms) {
-            if (condition())
-                return true;
-            this->step();
-        }
-        return condition();
-    }
-
     /// Peer name of the member that may grant leases; empty for none.
     std::string leader() const
     {
@@ -192,7 +176,6 @@
         return this->entries.at(entry).core->applied_view().routing.version;
     }
 
-    base::steady_time now {1h};
     std::map<std::string, control_process> controls;
     std::map<std::string, entry_process> entries;
 
@@ -277,7 +260,7 @@
         this->network.emplace(this->now + delay, delivery {from.name, from.life, to, body});
     }
 
-    void step()
+    void step() override
     {
         while (!this->network.empty() && this->network.begin()->first <= this->now) {
             auto const item = std::move(this->network.begin()->second);
