Drop voters that are gone while more than enough of them are left

The leader drops an unreachable voter while more than 2 x control.tolerated_losses + 1 of them are left. The bound is what keeps acknowledged data: with fewer voters a change could be on no more disks than may be lost. Weighed: no growth beyond that number, as before for three; rejected, because one availability zone may then hold a majority of the voters.

--- a/src/consensus/membership_keeper.cpp
+++ b/src/consensus/membership_keeper.cpp
@@ -113,10 +113,13 @@
                                                                   base::steady_time) const;
     // A lost voter is replaced before the group grows, so that a standby does not join beside a
     // member that is gone for good.
-    constexpr std::array<rule, 6> order {
-        &membership_keeper::readmit_wiped,       &membership_keeper::promote_learner,
-        &membership_keeper::remove_replaced,     &membership_keeper::drop_lost_learner,
-        &membership_keeper::replace_unreachable, &membership_keeper::grow};
+    constexpr std::array<rule, 7> order {&membership_keeper::readmit_wiped,
+                                         &membership_keeper::promote_learner,
+                                         &membership_keeper::remove_replaced,
+                                         &membership_keeper::drop_lost_learner,
+                                         &membership_keeper::replace_unreachable,
+                                         &membership_keeper::drop_surplus,
+                                         &membership_keeper::grow};
     for (auto const& apply : order) {
         if (auto step = (this->*apply)(node, now))
             return step;
@@ -194,18 +197,33 @@
 
 std::optional<membership> membership_keeper::replace_unreachable(raft_node const& node,
                                                                  base::steady_time now) const
+{
+    auto const* lost = this->lost_voter(node, now);
+    return lost == nullptr ? std::nullopt : this->add_standby(node, lost->name, now);
+}
+
+std::optional<membership> membership_keeper::drop_surplus(raft_node const& node,
+                                                          base::steady_time now) const
+{
+    auto const& members = node.log().members();
+    auto const* lost = this->lost_voter(node, now);
+    if (lost == nullptr || voter_count(members) <= this->rules.least_voters)
+        return {};
+    return when_safe(node, without(members, lost->name), now);
+}
+
+group_member const* membership_keeper::lost_voter(raft_node const& node,
+                                                  base::steady_time now) const
 {
     auto const& members = node.log().members();
     bool const learning = voter_count(members) != members.members.size();
     if (this->rules.replace_after.count() == 0 || learning)
-        return {};
+        return nullptr;
     auto const lost
         = std::find_if(members.members.begin(), members.members.end(), [&](auto const& member) {
               return silence(node, member.id, now) >= this->rules.replace_after;
           });
-    if (lost == members.members.end())
-        return {};
-    return this->add_standby(node, lost->name, now);
+    return lost == members.members.end() ? nullptr : &*lost;
 }
 
 std::optional<membership> membership_keeper::grow(raft_node const& node,
--- a/src/consensus/membership_keeper.h
+++ b/src/consensus/membership_keeper.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,6 +24,9 @@
     std::chrono::milliseconds replace_after {0};
     /// Standbys are let in until the group has this many members; 0 for never.
     std::size_t most_members = 0;
+    /// Voters that must stay, reachable or not: with twice the losses to bear and one more, every
+    /// acknowledged change is on a disk that is left. More are dropped while they are unreachable.
+    std::size_t least_voters = std::numeric_limits<std::size_t>::max();
 };
 
 class membership_keeper {
@@ -63,8 +67,14 @@
     drop_lost_learner(raft_node const& node, base::steady_time now) const;
     [[nodiscard]] std::optional<protocol::membership>
     replace_unreachable(raft_node const& node, base::steady_time now) const;
+    /// A voter that is gone for good beside its successor would still count for the quorum.
+    [[nodiscard]] std::optional<protocol::membership> drop_surplus(raft_node const& node,
+                                                                   base::steady_time now) const;
     [[nodiscard]] std::optional<protocol::membership> grow(raft_node const& node,
                                                            base::steady_time now) const;
+    /// A voter that has been silent for too long; null for none, and while a member learns.
+    [[nodiscard]] protocol::group_member const* lost_voter(raft_node const& node,
+                                                           base::steady_time now) const;
     /// Adds any announced standby.
     [[nodiscard]] std::optional<protocol::membership>
     add_standby(raft_node const& node, std::string const& replaces, base::steady_time now) const;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -55,6 +55,8 @@
     /// Standbys are let into the control group until it has this many members; only with
     /// `control_link_port`.
     std::uint64_t most_control_members = 7;
+    /// Control VMs that may be lost at the same time.
+    std::uint64_t tolerated_losses = 1;
     std::string entry_listen; ///< Address for links of the entry role.
     std::string entry_http; ///< Address for callers and operators.
     std::chrono::milliseconds announcement_interval {1000}; ///< Of the agent's endpoints.
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -92,6 +92,11 @@
                                 number_into(&settings::most_control_members),
                                 "With control.link_port: members that announce themselves are let "
                                 "into the control group until it has this many."));
+    rules.push_back(number_rule("control.tolerated_losses", value_kind::number, 0, 100,
+                                number_into(&settings::tolerated_losses),
+                                "With control.link_port: control members that may be lost at the "
+                                "same time. Twice as many and one more stay voters even while they "
+                                "are unreachable; others are dropped."));
     rules.push_back(number_rule("control.link_port", value_kind::number, 1, 65'535,
                                 number_into(&settings::control_link_port),
                                 "Port of the links to control members, where the addresses in "
--- a/tests/consensus/fault_test.cpp
+++ b/tests/consensus/fault_test.cpp
@@ -337,6 +337,55 @@
     }
 }
 
+SCENARIO("a VM is replaced in a planned way")
+{
+    GIVEN("five voters that must bear two losses")
+    {
+        auto const seed = GENERATE(range(1, 6));
+        fake_group group(static_cast<std::uint64_t>(seed), three);
+        group.membership = {1500ms, 7, 5};
+        group.start_all();
+        group.start("control.d");
+        group.start("control.e");
+        auto const has_voters = [&](std::size_t wanted) {
+            auto const* leader = group.leader();
+            return leader != nullptr && group.voters(leader->name) == wanted;
+        };
+        REQUIRE(group.run_until([&] { return has_voters(5); }, 5s));
+
+        WHEN("the new one joins before the old one leaves for good")
+        {
+            group.start("control.f");
+            REQUIRE(group.run_until([&] { return has_voters(6); }, 3s));
+            group.kill(GENERATE(as<std::string>(), "control.a", "control.e"));
+            group.run(5s);
+
+            // Guards against voters that are gone and still count for the quorum.
+            THEN("two more losses are borne")
+            {
+                CHECK(has_voters(5));
+                auto const first = other_than(group, {});
+                group.kill(first);
+                group.kill(other_than(group, {first}));
+                REQUIRE(group.wait_for_leader(2s));
+                CHECK(group.put("after both losses"));
+            }
+        }
+        // Guards against acknowledged data that is on too few disks.
+        WHEN("two of the five are away for long")
+        {
+            group.kill("control.a");
+            group.kill("control.b");
+            group.run(8s);
+
+            THEN("they still count, so that every change is on three disks")
+            {
+                CHECK(has_voters(5));
+            }
+        }
+    }
+}
+
 SCENARIO("a standby is lost while it is being let in")
 {
     GIVEN("a group of three that takes in standbys")
--- a/tests/control/process_world.h
+++ b/tests/control/process_world.h
@@ -71,7 +71,7 @@
             settings.initial.push_back({member, member + ":1"});
         settings.may_found = !std::exchange(target.started_before, true);
         settings.seed = this->random() | 1;
-        settings.membership = {1500ms, 7};
+        settings.membership = {1500ms, 7, 5};
         auto opened = consensus::durable_log::open(settings, target.files, target, this->now);
         REQUIRE(opened);
         target.log = std::move(opened.value());
