--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -81,6 +82,12 @@
         callback done;
     };
     using run_list = std::map<std::string, open_run>; // By name at the worker.
+    /// Bounds `numbers` and `ended_numbers`.
+    static constexpr std::size_t most_numbers = 20'000;
+    /// Several ends within this time share one report.
+    static constexpr std::chrono::milliseconds report_gap {3};
+    /// A run may be missing from one report that crossed its start.
+    static constexpr std::uint32_t missing_reports_until_over = 3;
 
     [[nodiscard]] leased_worker::order terms() const { return {this->fence, this->life}; }
     [[nodiscard]] worker_clock lease_end() const;
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -137,7 +137,7 @@
     bool install(std::string content);
     void advance_commit(base::steady_time now);
     log_position append_own(protocol::log_entry_kind kind, std::string data);
-    template <typename Body> void send(protocol::member_id to, std::uint64_t term, Body body);
+    void send(protocol::member_id to, std::uint64_t term, protocol::raft_body body);
 
     raft_timing timing;
     protocol::member_id self;
--- a/src/protocol/raft_message.h
+++ b/src/protocol/raft_message.h
@@ -92,13 +92,14 @@
     bool operator==(membership const&) const = default;
 };
 
+using raft_body = std::variant<vote_request, vote_reply, append_request, append_reply,
+                               snapshot_chunk, snapshot_reply, member_hello>;
+
 struct raft_message {
     member_id from = 0;
     member_id to = 0; ///< 0 in a member_hello to an unknown identity.
     std::uint64_t term = 0;
-    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_chunk,
-                 snapshot_reply, member_hello>
-        body;
+    raft_body body;
 };
 
 } // namespace greengagehead::protocol
