Do not handle a request whose connection was reset before it was read

Cause: what was sent before a reset can still be read. The entry read the request, started its tasks, and only then noticed that the caller had gone; the caller had sent the job to another entry at once.

Change: the HTTP server looks at the connection before it handles a request, and drops one whose connection is reset. A caller that only stops sending is served as before. One more system call a request.

"a connection is reset before its request is read" failed before (handled 1 == 0), with a real socket. Left open: a reset that arrives between the look and the start.

--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -21,6 +21,7 @@
     event_description {log_event::peer_refused, severity::warning, "peer_refused"},
     event_description {log_event::message_rejected, severity::warning, "message_rejected"},
     event_description {log_event::http_rejected, severity::info, "http_rejected"},
+    event_description {log_event::request_dropped, severity::info, "request_dropped"},
     event_description {log_event::lease_granted, severity::debug, "lease_granted"},
     event_description {log_event::entry_joined, severity::info, "entry_joined"},
     event_description {log_event::entry_removed, severity::warning, "entry_removed"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -24,6 +24,7 @@
     peer_refused = 1013,
     message_rejected = 1014,
     http_rejected = 1020,
+    request_dropped = 1021,
     lease_granted = 2001,
     entry_joined = 2002,
     entry_removed = 2003,
--- a/src/transport/close_watch.h
+++ b/src/transport/close_watch.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 
+#include <sys/types.h>
+
 struct event;
 
 namespace greengagehead::transport {
@@ -23,10 +25,15 @@
     close_watch(close_watch&&) = delete;
     close_watch& operator=(close_watch&&) = delete;
 
+    /// Whether the connection was reset, as far as is known now: nothing can be sent on it any
+    /// more.
+    [[nodiscard]] bool reset() const;
     /// Watches until the peer closes the socket or sends something.
     void arm();
 
 private:
+    /// Result of looking at the next byte without taking it.
+    static ssize_t peek(int descriptor);
     static void check(int descriptor, short what, void* self);
 
     std::function<void()> closed;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -13,6 +13,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include "base/log_record.h"
 #include "transport/close_watch.h"
 #include "transport/event_loop.h"
 #include "transport/http_parts.h"
@@ -162,6 +163,14 @@
     auto exchange = std::make_shared<http_exchange>(request, this->closing, caller.writing);
     caller.exchange = exchange;
     caller.watch->arm();
+    // What was sent before a reset can still be read. Its caller may have sent it elsewhere since.
+    if (caller.watch->reset()) {
+        base::log_record(base::log_event::request_dropped)
+            .with("path", evhttp_request_get_uri(request))
+            .with("reason", "its connection was reset before it was read");
+        caller.dropped = std::move(exchange);
+        return;
+    }
     auto received = read_request(request);
     if (received.body.size() > this->body_limit)
         return exchange->respond(
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -110,6 +110,8 @@
         // the caller has closed it.
         std::unique_ptr<close_watch> watch;
         std::weak_ptr<http_exchange> exchange;
+        /// Keeps a request that is not handled until the watch ends its connection.
+        std::shared_ptr<http_exchange> dropped;
         bool writing = false; // A reply is not completely written yet.
     };
 
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -246,6 +246,51 @@
     }
 }
 
+SCENARIO("a connection is reset before its request is read", "[transport]")
+{
+    GIVEN("a server that has not run since the request was sent")
+    {
+        event_loop loop;
+        std::size_t handled = 0;
+        http_server server(loop, {}, [&handled](http_request&, auto const& exchange) {
+            ++handled;
+            exchange->respond({});
+        });
+        auto const target = to_sockaddr(server.listen({"127.0.0.1", 0}).value());
+        int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(connect(socket, reinterpret_cast<sockaddr const*>(&target), sizeof target) == 0);
+        std::string_view const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        REQUIRE(send(socket, request.data(), request.size(), 0)
+                == static_cast<ssize_t>(request.size()));
+
+        // Guards against work that starts here while its caller has sent it elsewhere already.
+        WHEN("the caller resets the connection")
+        {
+            linger const at_once {1, 0};
+            REQUIRE(setsockopt(socket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once) == 0);
+            close(socket);
+            run_for(loop, milliseconds(100));
+            THEN("the request is not handled")
+            {
+                CHECK(handled == 0);
+                CHECK(server.open_exchanges() == 0);
+            }
+        }
+        WHEN("the caller only stops sending")
+        {
+            shutdown(socket, SHUT_WR);
+            run_for(loop, milliseconds(100));
+            THEN("the request is handled and answered")
+            {
+                CHECK(handled == 1);
+                char first = 0;
+                CHECK(recv(socket, &first, 1, MSG_DONTWAIT) == 1);
+            }
+            close(socket);
+        }
+    }
+}
+
 SCENARIO("a caller reads slowly", "[transport]")
 {
     GIVEN("a reply that is larger than the buffers of the connection")
