--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -62,6 +62,8 @@
     counter_line {"jobs_failed_total", "Jobs marked failed.", &entry::entry_counters::jobs_failed},
     counter_line {"first_attempts_total", "First attempts of tasks.",
                   &entry::entry_counters::first_attempts},
+    counter_line {"refused_starts_total", "Starts that an agent did not admit.",
+                  &entry::entry_counters::refused_starts},
     counter_line {"retries_total", "Further attempts after a failure.",
                   &entry::entry_counters::retries},
     counter_line {"hedges_total", "Second attempts of stragglers.", &entry::entry_counters::hedges},
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -58,7 +58,7 @@
 {
     this->parts.sender.send(peer, protocol::outcome_ack {batch.agent.incarnation, batch.batch_id});
     for (auto const& use : batch.uses)
-        this->parts.endpoints.update_use(batch.agent, use);
+        this->parts.endpoints.update_use(batch.agent, use, now);
     for (auto& outcome : batch.outcomes) {
         auto* job = this->parts.jobs.find(outcome.task.job);
         auto const used = job != nullptr
@@ -110,8 +110,11 @@
     auto const endpoint = open->endpoint;
     this->record_run(job, index, outcome, now);
     this->close(job, task, *open, outcome.run_time);
-    if (refused_by_agent(outcome))
+    if (refused_by_agent(outcome)) {
+        ++this->parts.counters.refused_starts;
+        ++job.refused_starts;
         this->parts.endpoints.mark_full(endpoint);
+    }
     job.note({now, decision_kind::outcome, static_cast<std::int32_t>(index), outcome.attempt,
               endpoint,
               outcome.message.empty() ? std::string(name_of(outcome.kind))
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -14,6 +14,9 @@
 
 namespace {
 
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
 /// Attempts of one owner of a job. Owners of different epochs use different ranges, since agents
 /// cancel attempts by number alone.
 constexpr std::uint32_t attempts_per_epoch = 1000;
@@ -246,7 +249,9 @@
         .with("endpoint", choice.endpoint)
         .with("policy", this->parts.placement->name())
         .with("reason", choice.reason)
-        .with("candidates", choice.candidates);
+        .with("candidates", choice.candidates)
+        .with("waited", duration_cast<microseconds>(now - job.submitted))
+        .with("report_age", duration_cast<microseconds>(now - endpoint->reported_at));
     this->send(job, index, task.attempts.back(), now);
     this->parts.monitor.watch(job, index, added);
     return true;
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -82,6 +82,7 @@
     std::uint64_t jobs_complete = 0;
     std::uint64_t jobs_failed = 0;
     std::uint64_t first_attempts = 0;
+    std::uint64_t refused_starts = 0; ///< Starts that an agent did not admit.
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t messages_sent = 0;
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -95,6 +95,7 @@
     std::vector<task> tasks;
     std::size_t unfinished = 0; ///< Tasks that are not done.
     std::size_t awaited = 0; ///< Attempts over all tasks that are awaited.
+    std::uint32_t refused_starts = 0; ///< Attempts that an agent did not admit, for the log.
 
     protocol::job_state final_state = protocol::job_state::running;
     std::optional<base::error> failure;
--- a/src/entry/job_end.cpp
+++ b/src/entry/job_end.cpp
@@ -15,6 +15,8 @@
 
 using protocol::job_state;
 using protocol::ran_extent;
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
 using std::chrono::milliseconds;
 
 /// Time for the outcomes of stopped tasks, so that the answer can say what has run.
@@ -279,7 +281,9 @@
         .with("job", job.id)
         .with("team", job.team)
         .with("state", protocol::to_string(job.answer.state))
-        .with("ran", protocol::to_string(job.answer.ran));
+        .with("ran", protocol::to_string(job.answer.ran))
+        .with("age", duration_cast<microseconds>(now - job.submitted))
+        .with("refused_starts", job.refused_starts);
     job.content.reset();
     job.tasks.clear();
     job.tasks.shrink_to_fit();
--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -257,6 +257,7 @@
     if (record.agent != report.agent)
         record.outstanding = 0;
     record.state = state;
+    record.reported_at = this->latest;
     record.refused = false;
     record.own_part = this->part_of(record);
     record.agent = report.agent;
@@ -322,7 +323,7 @@
 }
 
 void endpoint_table::update_use(protocol::process_id const& agent,
-                                protocol::endpoint_use const& use)
+                                protocol::endpoint_use const& use, base::steady_time now)
 {
     auto* const found = this->own->find(use.endpoint);
     if (found == nullptr || found->record->agent != agent)
@@ -331,6 +332,7 @@
     record.state.used_slots = use.used_slots;
     record.state.queued = use.queued;
     record.state.held_by_receiver = use.held_by_receiver;
+    record.reported_at = now;
     record.refused = false;
     this->own->list(*found, free_places(record) > 0);
 }
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -29,6 +29,7 @@
     /// Slots in use here; below `state.slots` for a short time after the endpoint or its zone came
     /// back.
     std::uint32_t usable_slots = 0;
+    base::steady_time reported_at; ///< When the use of the slots was last reported.
     bool refused = false; ///< The agent refused a start after its last report or outcome.
     bool drain_requested = false; ///< Drained by operators.
     bool zone_out = false;
@@ -71,7 +72,8 @@
     void update(protocol::agent_report const& report, base::steady_time now);
     /// Takes over how much of a known endpoint is in use. Ignored when it comes from another
     /// incarnation of the agent than the last report.
-    void update_use(protocol::process_id const& agent, protocol::endpoint_use const& use);
+    void update_use(protocol::process_id const& agent, protocol::endpoint_use const& use,
+                    base::steady_time now);
     void remove_agent(std::string const& agent);
     void set_agent_registered(protocol::process_id const& agent);
     void set_zones_out(std::vector<std::string> const& zones);
