Start the most urgent waiting task first at an endpoint, and let four of them wait

A start now carries the time left until its latest start, the queue of an endpoint is ordered by it, and four tasks with a target may wait. Stored tasks keep their two places. The new test in agent/ephemeral_test fails before the change at "it is admitted and starts first".

--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -10,6 +10,7 @@
 
 #include "agent/announcement.h"
 #include "agent/endpoint_runner.h"
+#include "agent/endpoint_slots.h"
 #include "base/clock.h"
 #include "base/error.h"
 #include "protocol/message.h"
@@ -25,7 +26,7 @@
     std::chrono::milliseconds announcement_interval {1000};
     /// Finished outcomes are kept this long: the longest deadline plus claim retention.
     std::chrono::milliseconds outcome_retention {1'500'000};
-    std::uint32_t queue_per_endpoint = 2; ///< Admitted tasks that may wait for a slot.
+    queue_limits queue; ///< Of each endpoint.
     /// Refused attempts, and idempotent ones without a kept result, are remembered this long.
     /// Must be longer than any start message can be delayed.
     std::chrono::milliseconds refusal_memory {60'000};
--- a/src/agent/agent_parts.cpp
+++ b/src/agent/agent_parts.cpp
@@ -45,7 +45,7 @@
       outcomes({this->settings.outcome_retention, this->settings.refusal_memory,
                 this->settings.outcome_bytes}),
       cancellations(this->settings.refusal_memory),
-      endpoints(this->settings.announcement_interval, this->settings.queue_per_endpoint),
+      endpoints(this->settings.announcement_interval, this->settings.queue),
       owners(this->settings.entry_silence, this->settings.entry_link_grace),
       admission({this->settings.id, this->settings.zone,
                  // An attempt may end a whole lease before its stamp does.
@@ -91,7 +91,8 @@
     this->owners.heard(batch.lease.entry, now);
     this->leases.note(batch.lease, now);
     for (auto const& task : batch.starts)
-        this->handle_start({peer, batch.lease, batch.agent_incarnation, task, now + task.remaining},
+        this->handle_start({peer, batch.lease, batch.agent_incarnation, task, now + task.remaining,
+                            now + task.start_within},
                            now);
 }
 
@@ -166,8 +167,9 @@
     this->outcomes.raise_fence(key.task.job, key.epoch, now);
     auto const endpoint = request.task.endpoint;
     auto const slots = request.task.slots;
+    auto const start_by = request.start_by;
     record.details->request = std::make_unique<start_request>(std::move(request));
-    this->endpoints.present(endpoint)->enqueue(key, slots);
+    this->endpoints.present(endpoint)->enqueue(key, slots, start_by);
     this->start_waiting(endpoint, now);
 }
 
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -34,6 +34,7 @@
     protocol::incarnation_number agent_incarnation = 0;
     protocol::task_start task;
     base::steady_time deadline; ///< In this agent's clock.
+    base::steady_time start_by; ///< In this agent's clock.
 };
 
 enum class attempt_phase : std::uint8_t {
--- a/src/agent/endpoint_list.cpp
+++ b/src/agent/endpoint_list.cpp
@@ -54,8 +54,8 @@
 
 } // namespace
 
-endpoint_list::endpoint_list(std::chrono::milliseconds interval, std::uint32_t queue_places)
-    : announcement_interval(interval), queue_limit(queue_places)
+endpoint_list::endpoint_list(std::chrono::milliseconds interval, queue_limits wanted)
+    : announcement_interval(interval), limits(wanted)
 {
 }
 
@@ -63,8 +63,7 @@
 {
     BOOST_OUTCOME_TRYV(check(description));
     auto const [item, added] = this->endpoints.try_emplace(
-        description.name,
-        listed_endpoint {endpoint_slots(description, this->queue_limit, now), false});
+        description.name, listed_endpoint {endpoint_slots(description, this->limits, now), false});
     auto& known = item->second;
     if (added || known.gone || known.slots.description() != description)
         base::log_record(base::log_event::endpoint_announced)
--- a/src/agent/endpoint_list.h
+++ b/src/agent/endpoint_list.h
@@ -21,7 +21,7 @@
 /// reported, but stays in the list until its running tasks have ended.
 class endpoint_list {
 public:
-    endpoint_list(std::chrono::milliseconds announcement_interval, std::uint32_t queue_limit);
+    endpoint_list(std::chrono::milliseconds announcement_interval, queue_limits limits);
 
     /// Errors: `error_code::invalid_argument`.
     base::result<void> announce(announcement const& description, base::steady_time now);
@@ -55,7 +55,7 @@
     };
 
     std::chrono::milliseconds announcement_interval;
-    std::uint32_t queue_limit;
+    queue_limits limits;
     std::map<std::string, listed_endpoint> endpoints;
 };
 
--- a/src/agent/endpoint_slots.cpp
+++ b/src/agent/endpoint_slots.cpp
@@ -19,9 +19,8 @@
 
 } // namespace
 
-endpoint_slots::endpoint_slots(announcement description, std::uint32_t queue_places,
-                               base::steady_time now)
-    : described(std::move(description)), queue_limit(queue_places), last_announced(now)
+endpoint_slots::endpoint_slots(announcement description, queue_limits wanted, base::steady_time now)
+    : described(std::move(description)), limits(wanted), last_announced(now)
 {
 }
 
@@ -53,13 +52,23 @@
     return sum_slots(this->waiting);
 }
 
-bool endpoint_slots::has_room(std::uint32_t slots) const
+bool endpoint_slots::has_room(std::uint32_t slots, bool targeted) const
 {
     if (slots > this->capacity())
         return false;
     bool const starts_now
         = this->waiting.empty() && this->used() + std::uint64_t {slots} <= this->capacity();
-    return starts_now || this->waiting.size() < this->queue_limit;
+    auto const places = targeted ? this->limits.targeted : this->limits.untargeted;
+    return starts_now || this->waiting.size() < places;
+}
+
+void endpoint_slots::enqueue(attempt_key const& key, std::uint32_t slots,
+                             base::steady_time start_by)
+{
+    auto const later = std::upper_bound(
+        this->waiting.begin(), this->waiting.end(), start_by,
+        [](base::steady_time time, held_attempt const& item) { return time < item.start_by; });
+    this->waiting.insert(later, {key, slots, start_by});
 }
 
 std::optional<attempt_key> endpoint_slots::take_next()
--- a/src/agent/endpoint_slots.h
+++ b/src/agent/endpoint_slots.h
@@ -18,12 +18,21 @@
 struct held_attempt {
     attempt_key key;
     std::uint32_t slots = 1;
+    base::steady_time start_by; ///< A later start misses the target of the job.
+};
+
+/// How many attempts may wait when another one comes.
+struct queue_limits {
+    std::uint32_t untargeted = 2; ///< For a task that should start at once.
+    /// For a task that has time until its latest start: more of them may wait, since the most
+    /// urgent one goes first.
+    std::uint32_t targeted = 4;
 };
 
 /// Holds the keys of waiting attempts only; their records are in the outcome store.
 class endpoint_slots {
 public:
-    endpoint_slots(announcement description, std::uint32_t queue_limit, base::steady_time now);
+    endpoint_slots(announcement description, queue_limits limits, base::steady_time now);
 
     /// Takes over changed values. A lower number of slots ends no running task.
     void refresh(announcement const& description, base::steady_time now);
@@ -41,12 +50,10 @@
     /// Slots that the waiting attempts need.
     [[nodiscard]] std::uint32_t queued() const;
     /// The slots, or a place in the queue, are free.
-    [[nodiscard]] bool has_room(std::uint32_t slots) const;
+    [[nodiscard]] bool has_room(std::uint32_t slots, bool targeted) const;
 
-    void enqueue(attempt_key const& key, std::uint32_t slots)
-    {
-        this->waiting.push_back({key, slots});
-    }
+    /// Puts an attempt before those that must start later, and behind those with the same time.
+    void enqueue(attempt_key const& key, std::uint32_t slots, base::steady_time start_by);
     /// Next attempt to start; empty while too few slots are free for it.
     [[nodiscard]] std::optional<attempt_key> take_next();
     /// Removes an attempt from the queue. Returns false when it is not in there.
@@ -55,7 +62,7 @@
 
     void acquire(attempt_key const& key, std::uint32_t slots)
     {
-        this->running.push_back({key, slots});
+        this->running.push_back({key, slots, {}});
     }
     void release(attempt_key const& key);
     [[nodiscard]] std::vector<held_attempt> const& running_attempts() const
@@ -65,10 +72,10 @@
 
 private:
     announcement described;
-    std::uint32_t queue_limit;
+    queue_limits limits;
     base::steady_time last_announced;
     std::vector<held_attempt> running;
-    std::deque<held_attempt> waiting;
+    std::deque<held_attempt> waiting; ///< Ordered by `start_by`.
 };
 
 } // namespace greengagehead::agent
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -318,6 +318,9 @@
     start.cpu = request.cpu;
     start.memory_mb = request.memory_mb;
     start.expected = job.tasks[index].expected;
+    if (job.ephemeral)
+        start.start_within
+            = std::chrono::duration_cast<std::chrono::milliseconds>(job.latest_start - now);
     this->parts.outbox.add_start(open.agent, std::move(start));
 }
 
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -300,7 +300,7 @@
     {
         return std::tie(m.task, m.attempt, m.epoch, m.endpoint, m.team, m.kind, m.idempotent,
                         m.payload, m.remaining, m.timeout, m.ephemeral, m.name, m.slots, m.cpu,
-                        m.memory_mb, m.expected);
+                        m.memory_mb, m.expected, m.start_within);
     }
 };
 template <> struct field_list<start_batch> {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -168,6 +168,9 @@
     std::uint32_t cpu = 0; ///< As in task_request.
     std::uint32_t memory_mb = 0; ///< As in task_request.
     std::chrono::microseconds expected {0}; ///< Typical run time of such tasks; 0 for unknown.
+    /// Time left until the latest start that meets the job's target; below 0 when it has passed.
+    /// A task without a target should start at once.
+    std::chrono::milliseconds start_within {0};
 };
 
 struct start_batch {
--- a/tests/agent/ephemeral_test.cpp
+++ b/tests/agent/ephemeral_test.cpp
@@ -167,6 +167,63 @@
     }
 }
 
+SCENARIO("tasks with different targets wait at one endpoint", "[agent][queue]")
+{
+    GIVEN("a full endpoint and two waiting tasks that have half a second")
+    {
+        agent_fixture world;
+        auto const start = [&world](std::uint32_t index, milliseconds start_within) {
+            auto task = ephemeral_start(index, 2);
+            task.start_within = start_within;
+            world.start(task);
+        };
+        start(0, milliseconds(500));
+        start(1, milliseconds(500));
+        start(2, milliseconds(400));
+        REQUIRE(world.runner.runs.size() == 1);
+        auto const started = [&world] { return world.runner.runs.back().request.task.task.index; };
+
+        // Guards against a task that is refused until its slack is gone because tasks with more
+        // time hold the places in the queue.
+        WHEN("a task comes that has 80 ms")
+        {
+            start(3, milliseconds(80));
+            THEN("it is admitted and starts first, the others by their latest start")
+            {
+                CHECK(world.sender.outcomes("entry.a").empty());
+                world.succeed(0);
+                CHECK(started() == 3);
+                world.succeed(1);
+                CHECK(started() == 2);
+                world.succeed(2);
+                CHECK(started() == 1);
+            }
+        }
+        // Guards against late answers of tasks that wait behind each other for too long.
+        WHEN("more tasks come than may wait")
+        {
+            start(3, milliseconds(80));
+            start(4, milliseconds(80));
+            start(5, milliseconds(80));
+            THEN("the last one is refused at once")
+            {
+                REQUIRE(world.sender.outcomes("entry.a").size() == 1);
+                CHECK(world.last_outcome().task.index == 5);
+                CHECK(world.last_outcome().kind == outcome_kind::not_run);
+            }
+        }
+        // Guards against a longer wait of stored tasks, which have no order.
+        WHEN("a task without a target comes")
+        {
+            world.start(make_start(3));
+            THEN("it is refused at once")
+            {
+                CHECK(world.last_outcome().kind == outcome_kind::not_run);
+            }
+        }
+    }
+}
+
 SCENARIO("an agent asks control for the entries", "[agent][directory]")
 {
     GIVEN("a directory that knows two control members")
