Admit a job with a target only when it can start in a quarter of its slack

Callers of price-quote and stock-check got late answers under overload: jobs were admitted as long as the work before them took no longer than their whole slack. That prediction assumes that each slot goes to this entry's most urgent task as it becomes free. Other entries take slots too, a job is only as early as its last task, and work that runs late makes the next jobs late.

--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds most_retry {10'000};
 /// Without an endpoint nothing is known about when one returns.
 constexpr milliseconds no_endpoint_retry {1000};
+/// Slots become free one by one, other entries take some of them, and the last task of a job
+/// decides: waits beyond this part of the slack come out longer than the slack.
+constexpr int slack_for_waiting_percent = 25;
 
 } // namespace
 
@@ -39,9 +42,11 @@
     auto const share = std::max<std::uint64_t>(usable / endpoints.entry_count(), 1);
     auto const wait
         = microseconds((ahead + wanted.work).count() / static_cast<std::int64_t>(share));
-    if (now + wait <= wanted.latest_start)
+    auto const slack = duration_cast<microseconds>(wanted.latest_start - now);
+    auto const longest_wait = slack * slack_for_waiting_percent / 100;
+    if (wait <= longest_wait)
         return std::nullopt;
-    auto const excess = duration_cast<milliseconds>(now + wait - wanted.latest_start);
+    auto const excess = duration_cast<milliseconds>(wait - longest_wait);
     return make_refusal(base::error_code::unavailable,
                         "the target cannot be met: waiting work takes "
                             + std::to_string(duration_cast<milliseconds>(wait).count()) + " ms",
