Refuse jobs of a lower priority first under overload

Operators give each queue a priority (0 comes first). Admission ignored it, so that the kind with the least slack, which they put first, was refused as often as the others and answered late most often (SHORT names this kind).

The new sections of policy/target_test fail when the priority is not used; platform/decoding_test checks that a job has the priority of its route.

--- a/bench/policy/target_loop.cpp
+++ b/bench/policy/target_loop.cpp
@@ -45,10 +45,11 @@
     double tasks;
     double run_ms;
     double arrivals; ///< Relative to the other kinds.
+    std::uint32_t priority; ///< 0 comes first.
 };
 
 constexpr std::array<kind_of_job, job_kinds> mix {
-    kind_of_job {8, 60, 206}, kind_of_job {2, 200, 600}, kind_of_job {4, 900, 37.5}};
+    kind_of_job {8, 60, 206, 0}, kind_of_job {2, 200, 600, 1}, kind_of_job {4, 900, 37.5, 2}};
 constexpr double mean_slots = 57;
 constexpr double target_stretch = 1.6;
 constexpr microseconds target_extra(60'000);
@@ -256,6 +257,7 @@
     protocol::task_request task;
     task.kind = "k";
     request.tasks.assign(added.tasks.size(), task);
+    request.priority = mix.at(added.kind).priority;
     slot_time work {0};
     for (auto const& each : added.tasks)
         work += milliseconds(static_cast<int>(mix.at(added.kind).run_ms)) * each.slots;
--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -21,7 +21,15 @@
 constexpr milliseconds no_endpoint_retry {1000};
 /// Slots become free one by one, other entries take some of them, and the last task of a job
 /// decides: waits beyond this part of the slack come out longer than the slack.
-constexpr int slack_for_waiting_percent = 25;
+constexpr std::int64_t slack_for_waiting_percent = 30;
+/// Priority at which a job may spend half of that part, so that the more urgent ones find room.
+constexpr std::int64_t half_share_priority = 2;
+
+microseconds longest_wait(microseconds slack, std::int64_t priority)
+{
+    return slack * slack_for_waiting_percent * half_share_priority
+        / (100 * (half_share_priority + priority));
+}
 
 } // namespace
 
@@ -42,11 +50,11 @@
     auto const share = std::max<std::uint64_t>(usable / endpoints.entry_count(), 1);
     auto const wait
         = microseconds((ahead + wanted.work).count() / static_cast<std::int64_t>(share));
-    auto const slack = duration_cast<microseconds>(wanted.latest_start - now);
-    auto const longest_wait = slack * slack_for_waiting_percent / 100;
-    if (wait <= longest_wait)
+    auto const limit = longest_wait(duration_cast<microseconds>(wanted.latest_start - now),
+                                    wanted.job->priority);
+    if (wait <= limit)
         return std::nullopt;
-    auto const excess = duration_cast<milliseconds>(wait - longest_wait);
+    auto const excess = duration_cast<milliseconds>(wait - limit);
     return make_refusal(base::error_code::unavailable,
                         "the target cannot be met: waiting work takes "
                             + std::to_string(duration_cast<milliseconds>(wait).count()) + " ms",
--- a/src/policy/target_admission.h
+++ b/src/policy/target_admission.h
@@ -19,10 +19,11 @@
     base::steady_time latest_start;
 };
 
-/// Refuses a job when the work that waits before it takes more than a quarter of the time until its
-/// latest start: it would run too late and make others late. A caller who is told at once can turn
-/// elsewhere or come back. `retry_after` is the time after which the queue has drained as far as
-/// the job needs.
+/// Refuses a job when the work that waits before it takes more than a part of the time until its
+/// latest start: it would run too late and make others late. The part is 30% at priority 0 and
+/// shrinks with the priority (20% at 1, 15% at 2). A caller who is told at once can turn elsewhere
+/// or come back. `retry_after` is the time after which the queue has drained as far as the job
+/// needs.
 [[nodiscard]] std::optional<refusal> check_target(target_request const& wanted,
                                                   endpoint_table const& endpoints,
                                                   target_queue const& queue, base::steady_time now);
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -36,7 +36,7 @@
     static auto of(auto& m)
     {
         return std::tie(m.submission, m.team, m.deadline, m.tasks, m.ephemeral,
-                        m.target_stretch_percent, m.target_extra);
+                        m.target_stretch_percent, m.target_extra, m.priority);
     }
 };
 template <> struct field_list<task_answer> {
--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -39,6 +39,8 @@
     /// plus `target_extra`. 0 for no target but the deadline. Only for ephemeral jobs.
     std::uint32_t target_stretch_percent = 0;
     std::chrono::milliseconds target_extra {0};
+    /// Jobs with a target of a lower number are refused later under overload; 0 comes first.
+    std::uint32_t priority = 0;
 };
 
 enum class job_state : std::uint8_t { running, complete, failed, cancelled, refused };
--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -122,6 +122,16 @@
             CHECK(last.max_attempts == 3);
             CHECK(request.value().ephemeral);
         }
+        // Guards against an overload in which the operators' order of queues has no effect.
+        THEN("it has the priority of its route")
+        {
+            auto second = to;
+            second.priority = 2;
+            auto const request
+                = read_job(job.dump(), second, "5c0e7a21d94b36f8", milliseconds(2000));
+            CHECK(request.value().priority == 2);
+            CHECK(read().value().priority == to.priority);
+        }
         // Guards against a worker being filled beyond its processors.
         THEN("a task takes its processors in whole slots, rounded up")
         {
--- a/tests/policy/overload_test.cpp
+++ b/tests/policy/overload_test.cpp
@@ -10,7 +10,7 @@
 
 /// An answer after the target is worth a fifth.
 constexpr double late_worth = 0.2;
-/// The highest floor that the users set for the worst-served kind of a day.
+/// The highest floor that the users set for the worst-served kind of an overloaded day.
 constexpr double kind_floor = 0.47;
 /// The users' bound for one kind against all.
 constexpr double least_part_of_whole = 0.5;
@@ -45,6 +45,15 @@
         for (auto const& kind : result.kinds)
             CHECK(credit(kind) >= earned / asked * least_part_of_whole);
     }
+    // Guards against a priority of the operators that changes nothing.
+    THEN("the kind that comes first is refused least")
+    {
+        auto const refused = [&result](std::size_t kind) {
+            return static_cast<double>(result.kinds.at(kind).refused) / result.kinds.at(kind).asked;
+        };
+        CHECK(refused(0) < refused(1));
+        CHECK(refused(1) < refused(2));
+    }
     THEN("most of what is accepted is answered in its target")
     {
         for (auto const& kind : result.kinds)
--- a/tests/policy/target_test.cpp
+++ b/tests/policy/target_test.cpp
@@ -14,6 +14,7 @@
 #include <rapidcheck/catch.h>
 
 #include "policy/endpoint_table.h"
+#include "policy/fleet.h"
 #include "policy/target_admission.h"
 #include "policy/target_queue.h"
 
@@ -270,6 +271,34 @@
                 CHECK(ordered.share(kind) >= whole / 2);
         }
     }
+    GIVEN("waiting work that takes 23 of the 100 ms until the latest start")
+    {
+        endpoint_table endpoints;
+        add_workers(endpoints, 1);
+        target_queue queue;
+        queue.push(make_task(0, milliseconds(50), "c", milliseconds(23) * 8));
+        protocol::job_request request;
+        request.tasks.resize(1);
+        request.tasks.front().kind = "quote";
+        auto const refused = [&](std::uint32_t priority) {
+            request.priority = priority;
+            return check_target({&request, milliseconds(8), start + milliseconds(100)}, endpoints,
+                                queue, start);
+        };
+        // Guards against jobs that the operators put first being refused together with those that
+        // can wait.
+        THEN("only jobs of the first priority are admitted")
+        {
+            CHECK_FALSE(refused(0));
+            CHECK(refused(1));
+            CHECK(refused(2));
+        }
+        THEN("the time to come back grows with the excess, and has a least value")
+        {
+            CHECK(refused(1)->retry_after >= milliseconds(200));
+            CHECK(refused(1)->retry_after <= refused(2)->retry_after);
+        }
+    }
     GIVEN("no usable endpoint")
     {
         endpoint_table endpoints;
