--- a/bench/policy/placement_loop.cpp
+++ b/bench/policy/placement_loop.cpp
@@ -5,15 +5,13 @@
 
 #include <algorithm>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <numeric>
-#include <queue>
 #include <random>
-#include <tuple>
 
 #include "policy/endpoint_health.h"
 #include "policy/endpoint_table.h"
+#include "policy/event_queue.h"
 #include "policy/placement_policy.h"
 
 namespace greengagehead::policy {
@@ -44,26 +42,12 @@
     std::deque<work> waiting;
 };
 
-struct event {
-    steady_time at;
-    std::uint64_t order = 0;
-    std::function<void()> run;
-    bool operator<(event const& other) const
-    {
-        return std::tie(other.at, other.order) < std::tie(this->at, this->order);
-    }
-};
-
 class loop {
 public:
     explicit loop(loop_settings const& wanted);
     loop_result run();
 
 private:
-    void after(microseconds delay, std::function<void()> run)
-    {
-        this->events.push({this->now + delay, this->event_count++, std::move(run)});
-    }
     [[nodiscard]] std::uint32_t slots_for(std::size_t entry, std::size_t agent) const;
     void report(std::size_t agent);
     void arrive(std::size_t entry);
@@ -74,9 +58,7 @@
 
     loop_settings settings;
     std::mt19937_64 random;
-    steady_time now = steady_time(std::chrono::seconds(100));
-    std::uint64_t event_count = 0;
-    std::priority_queue<event> events;
+    event_queue events;
     std::deque<entry> entries;
     std::vector<agent> agents;
     std::vector<double> ratios;
@@ -102,9 +84,9 @@
         for (auto& each : this->entries)
             each.endpoints.set_agent_registered({"agent." + std::to_string(number), 1});
         // Agents do not report in step.
-        this->after(report_interval * static_cast<std::int64_t>(number)
-                        / static_cast<std::int64_t>(this->agents.size()),
-                    [this, number] { this->report(number); });
+        this->events.after(report_interval * static_cast<std::int64_t>(number)
+                               / static_cast<std::int64_t>(this->agents.size()),
+                           [this, number] { this->report(number); });
     }
     for (std::size_t number = 0; number < this->entries.size(); ++number)
         this->arrive(number);
@@ -137,12 +119,12 @@
         state.held_by_receiver = source.used_by[index];
         protocol::agent_report const body {
             {"agent." + name, 1}, "r", "z" + std::to_string(number % 3), {}, 1, {state}, {}};
-        this->after(this->settings.latency, [this, index, body] {
-            this->entries[index].endpoints.update(body, this->now);
+        this->events.after(this->settings.latency, [this, index, body] {
+            this->entries[index].endpoints.update(body, this->events.now());
             this->place(index);
         });
     }
-    this->after(report_interval, [this, number] { this->report(number); });
+    this->events.after(report_interval, [this, number] { this->report(number); });
 }
 
 void loop::arrive(std::size_t number)
@@ -153,14 +135,14 @@
     auto const mean = static_cast<double>(this->settings.run_time.count())
         / (capacity * this->settings.load * parts[number] / sum);
     std::exponential_distribution<double> gap(1 / mean);
-    this->after(microseconds(static_cast<std::int64_t>(gap(this->random))), [this, number] {
+    this->events.after(microseconds(static_cast<std::int64_t>(gap(this->random))), [this, number] {
         if (this->arrived++ >= this->settings.tasks)
             return;
         auto const spread = this->settings.run_time_spread;
         std::uniform_real_distribution<double> length(1 - spread, 1 + spread);
         auto const time = static_cast<double>(this->settings.run_time.count());
         this->entries[number].waiting.push_back(
-            {number, this->now,
+            {number, this->events.now(),
              microseconds(static_cast<std::int64_t>(time * length(this->random)))});
         this->place(number);
         this->arrive(number);
@@ -173,13 +155,15 @@
     placement_request request;
     request.kind = "quote";
     while (!self.waiting.empty()) {
-        auto const choice = self.policy->choose(request, self.endpoints, self.health, this->now);
+        auto const choice
+            = self.policy->choose(request, self.endpoints, self.health, this->events.now());
         if (!choice)
             return;
         auto const target = std::stoul(choice->endpoint.substr(choice->endpoint.find('.') + 1));
         self.endpoints.note_start(choice->endpoint);
-        this->after(this->settings.latency,
-                    [this, target, task = self.waiting.front()] { this->start(target, task); });
+        this->events.after(this->settings.latency, [this, target, task = self.waiting.front()] {
+            this->start(target, task);
+        });
         self.waiting.pop_front();
     }
 }
@@ -199,7 +183,7 @@
         return;
     }
     ++this->refused;
-    this->after(this->settings.latency, [this, number, task] {
+    this->events.after(this->settings.latency, [this, number, task] {
         auto& source = this->entries[task.entry];
         source.endpoints.note_refused("endpoint." + std::to_string(number));
         source.waiting.push_front(task);
@@ -210,7 +194,7 @@
 void loop::run_task(std::size_t number, work const& task)
 {
     ++this->agents[number].used;
-    this->after(task.run_time, [this, number, task] { this->finish(number, task); });
+    this->events.after(task.run_time, [this, number, task] { this->finish(number, task); });
 }
 
 void loop::finish(std::size_t number, work const& task)
@@ -223,10 +207,10 @@
         self.queued.pop_front();
         this->run_task(number, next);
     }
-    this->after(this->settings.latency, [this, number, task] {
+    this->events.after(this->settings.latency, [this, number, task] {
         this->entries[task.entry].endpoints.note_outcome("endpoint." + std::to_string(number));
         auto const ideal = task.run_time + 2 * this->settings.latency;
-        this->ratios.push_back(static_cast<double>((this->now - task.arrived).count())
+        this->ratios.push_back(static_cast<double>((this->events.now() - task.arrived).count())
                                / static_cast<double>(steady_time::duration(ideal).count()));
         this->place(task.entry);
     });
@@ -235,10 +219,7 @@
 loop_result loop::run()
 {
     while (this->ratios.size() < this->settings.tasks) {
-        auto const next = this->events.top();
-        this->events.pop();
-        this->now = next.at;
-        next.run();
+        this->events.run_next();
     }
     // The first tenth fills the fleet.
     this->ratios.erase(this->ratios.begin(),
--- a/bench/policy/placement_report.cpp
+++ b/bench/policy/placement_report.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "policy/placement_loop.h"
+#include "policy/target_loop.h"
 
 using namespace greengagehead::policy;
 
@@ -18,10 +19,35 @@
                 result.worst_queue, result.refused);
 }
 
+/// Jobs with targets, by the users' mix: what callers of each kind get.
+void print_target_table(std::uint64_t seed)
+{
+    for (std::size_t const entries : {10U, 3U, 1U}) {
+        for (double const load : {0.8, 1.0, 1.2, 1.4}) {
+            target_loop_settings settings;
+            settings.seed = seed;
+            settings.load = load;
+            if (entries < settings.entry_parts.size()) {
+                settings.entry_parts.assign(entries, 1);
+                settings.endpoints = 11;
+            }
+            auto const result = run_target_loop(settings);
+            std::printf("targets, %2zu entries %3.0f%% load:", entries, load * 100);
+            for (auto const& kind : result.kinds)
+                std::printf("  in %.3f late %.3f refused %.3f", kind.share(),
+                            static_cast<double>(kind.late) / kind.asked,
+                            static_cast<double>(kind.refused) / kind.asked);
+            std::printf("  refused starts %.2f per task, slots used %.2f\n", result.refused_starts,
+                        result.used);
+        }
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    print_target_table(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1);
     for (std::uint32_t const endpoints : {12U, 120U}) {
         for (double const load : {0.3, 0.7, 0.9}) {
             loop_settings settings;
--- a/bench/policy/target_loop.cpp
+++ b/bench/policy/target_loop.cpp
@@ -4,18 +4,16 @@
 
 #include <algorithm>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <numeric>
-#include <queue>
 #include <random>
 #include <string>
-#include <tuple>
 
 #include "agent/endpoint_slots.h"
 #include "policy/endpoint_health.h"
 #include "policy/endpoint_table.h"
+#include "policy/event_queue.h"
 #include "policy/placement_policy.h"
 #include "policy/target_admission.h"
 #include "policy/target_queue.h"
@@ -86,26 +84,12 @@
     std::uint32_t level = 0;
 };
 
-struct event {
-    steady_time at;
-    std::uint64_t order = 0;
-    std::function<void()> run;
-    bool operator<(event const& other) const
-    {
-        return std::tie(other.at, other.order) < std::tie(this->at, this->order);
-    }
-};
-
 class target_loop {
 public:
     explicit target_loop(target_loop_settings const& wanted);
     target_loop_result run();
 
 private:
-    void after(microseconds delay, std::function<void()> run)
-    {
-        this->events.push({this->now + delay, this->event_count++, std::move(run)});
-    }
     void arrive();
     simulated_job make_job(std::size_t kind);
     [[nodiscard]] std::size_t draw(std::vector<double> const& parts);
@@ -132,10 +116,8 @@
 
     target_loop_settings settings;
     std::mt19937_64 random;
-    steady_time now = steady_time(std::chrono::seconds(100));
+    event_queue events;
     steady_time end;
-    std::uint64_t event_count = 0;
-    std::priority_queue<event> events;
     std::deque<simulated_entry> entries;
     std::vector<simulated_agent> agents;
     std::map<std::string, simulated_job> jobs;
@@ -162,7 +144,7 @@
 }
 
 target_loop::target_loop(target_loop_settings const& wanted)
-    : settings(wanted), random(wanted.seed), end(this->now + wanted.length),
+    : settings(wanted), random(wanted.seed), end(this->events.now() + wanted.length),
       entries(wanted.entry_parts.size()), agents(wanted.endpoints)
 {
     auto const count = static_cast<std::uint32_t>(this->entries.size());
@@ -176,18 +158,18 @@
         described.name = endpoint_name(number);
         described.slots = wanted.slots;
         auto& self = this->agents[number];
-        self.slots
-            = std::make_unique<agent::endpoint_slots>(described, agent::queue_limits(), this->now);
+        self.slots = std::make_unique<agent::endpoint_slots>(described, agent::queue_limits(),
+                                                             this->events.now());
         self.held_by.resize(count);
         for (auto& each : this->entries)
             each.endpoints.set_agent_registered(agent_id(number));
         this->report(number);
         // Agents do not report in step.
-        this->after(report_interval * static_cast<std::int64_t>(number)
-                        / static_cast<std::int64_t>(this->agents.size()),
-                    [this, number] { this->report_regularly(number); });
+        this->events.after(report_interval * static_cast<std::int64_t>(number)
+                               / static_cast<std::int64_t>(this->agents.size()),
+                           [this, number] { this->report_regularly(number); });
     }
-    this->after(milliseconds(20), [this] { this->arrive(); });
+    this->events.after(milliseconds(20), [this] { this->arrive(); });
 }
 
 std::size_t target_loop::draw(std::vector<double> const& parts)
@@ -207,14 +189,15 @@
     }
     auto const capacity = 1000.0 * this->settings.endpoints * this->settings.slots;
     std::exponential_distribution<double> gap(rate * capacity * this->settings.load / work);
-    this->after(microseconds(static_cast<std::int64_t>(gap(this->random) * 1e6)), [this, parts] {
-        if (this->now >= this->end)
-            return;
-        auto const id = std::to_string(++this->job_count);
-        this->jobs[id] = this->make_job(this->draw(parts));
-        this->submit(id);
-        this->arrive();
-    });
+    this->events.after(microseconds(static_cast<std::int64_t>(gap(this->random) * 1e6)),
+                       [this, parts] {
+                           if (this->events.now() >= this->end)
+                               return;
+                           auto const id = std::to_string(++this->job_count);
+                           this->jobs[id] = this->make_job(this->draw(parts));
+                           this->submit(id);
+                           this->arrive();
+                       });
 }
 
 simulated_job target_loop::make_job(std::size_t kind)
@@ -227,7 +210,7 @@
     simulated_job made;
     made.entry = this->draw(this->settings.entry_parts);
     made.kind = kind;
-    made.submitted = this->now;
+    made.submitted = this->events.now();
     auto const width = std::clamp(scaled(mix.at(kind).tasks, spread), 1.0, 4 * mix.at(kind).tasks);
     made.tasks.resize(static_cast<std::size_t>(width + 0.5));
     made.left = made.tasks.size();
@@ -241,7 +224,8 @@
     }
     auto const expected = microseconds(static_cast<std::int64_t>(mix.at(kind).run_ms * 1000));
     auto const target_for = [this](microseconds run_time) {
-        return this->now + duration_cast<microseconds>(run_time * target_stretch) + target_extra;
+        return this->events.now() + duration_cast<microseconds>(run_time * target_stretch)
+            + target_extra;
     };
     made.target = target_for(longest);
     made.latest_start = target_for(expected) - expected * (100 + speed_margin_percent) / 100;
@@ -262,7 +246,7 @@
     for (auto const& each : added.tasks)
         work += milliseconds(static_cast<int>(mix.at(added.kind).run_ms)) * each.slots;
     if (check_target({&request, work, added.latest_start}, self.endpoints, self.waiting,
-                     this->now)) {
+                     this->events.now())) {
         ++this->result.kinds.at(added.kind).refused;
         this->jobs.erase(id);
         return;
@@ -270,8 +254,9 @@
     this->tasks += added.tasks.size();
     for (std::uint32_t index = 0; index < added.tasks.size(); ++index)
         this->enqueue({id, index});
-    this->after(duration_cast<microseconds>(added.latest_start - this->now) + microseconds(1),
-                [this, entry = added.entry] { this->drop_overdue(entry); });
+    this->events.after(duration_cast<microseconds>(added.latest_start - this->events.now())
+                           + microseconds(1),
+                       [this, entry = added.entry] { this->drop_overdue(entry); });
     this->place(added.entry);
 }
 
@@ -290,7 +275,8 @@
     placement_request request;
     request.kind = "k";
     request.slots = std::max(slots, 1U);
-    auto const found = self.placement->choose(request, self.endpoints, self.health, this->now);
+    auto const found
+        = self.placement->choose(request, self.endpoints, self.health, this->events.now());
     return found ? std::optional(found->endpoint) : std::nullopt;
 }
 
@@ -324,13 +310,13 @@
     auto& owner = this->jobs.at(task.job);
     owner.untouched = false;
     this->entries[owner.entry].endpoints.note_start(endpoint, this->at(task).slots);
-    this->after(this->settings.latency,
-                [this, agent = agent_of(endpoint), task] { this->receive(agent, task); });
+    this->events.after(this->settings.latency,
+                       [this, agent = agent_of(endpoint), task] { this->receive(agent, task); });
 }
 
 void target_loop::drop_overdue(std::size_t entry)
 {
-    for (auto const& task : this->entries[entry].waiting.overdue(this->now)) {
+    for (auto const& task : this->entries[entry].waiting.overdue(this->events.now())) {
         auto const found = this->jobs.find(task.job);
         if (found == this->jobs.end() || !found->second.untouched)
             continue;
@@ -349,7 +335,7 @@
     if (!self.slots->has_room(slots, true)) {
         ++this->refused;
         auto const use = this->use_of(number, owner.entry);
-        this->after(this->settings.latency, [this, number, task, entry = owner.entry, use] {
+        this->events.after(this->settings.latency, [this, number, task, entry = owner.entry, use] {
             this->note_use(number, entry, use);
             this->on_refused(number, task);
         });
@@ -367,7 +353,8 @@
         auto const& task = this->at(key->task);
         self.slots->acquire(*key, task.slots);
         this->slot_seconds += task.slots * std::chrono::duration<double>(task.run_time).count();
-        this->after(task.run_time, [this, number, key = *key] { this->finish(number, key.task); });
+        this->events.after(task.run_time,
+                           [this, number, key = *key] { this->finish(number, key.task); });
     }
     this->report_changes(number);
 }
@@ -379,11 +366,11 @@
     self.slots->release({task, 1, 1});
     self.held_by.at(entry) -= this->at(task).slots;
     this->start_waiting(number);
-    this->after(this->settings.latency,
-                [this, number, task, entry, use = this->use_of(number, entry)] {
-                    this->note_use(number, entry, use);
-                    this->on_done(number, task);
-                });
+    this->events.after(this->settings.latency,
+                       [this, number, task, entry, use = this->use_of(number, entry)] {
+                           this->note_use(number, entry, use);
+                           this->on_done(number, task);
+                       });
 }
 
 void target_loop::on_refused(std::size_t number, protocol::task_ref const& task)
@@ -397,7 +384,7 @@
         return this->place(entry);
     }
     auto const doublings = std::min(refusals - refusals_before_pause, most_doublings);
-    this->after(first_pause * (1 << doublings), [this, task, entry] {
+    this->events.after(first_pause * (1 << doublings), [this, task, entry] {
         this->enqueue(task);
         this->place(entry);
     });
@@ -410,7 +397,7 @@
     this->entries[entry].endpoints.note_outcome(endpoint_name(number), this->at(task).slots);
     if (--owner.left == 0) {
         auto& counts = this->result.kinds.at(owner.kind);
-        ++(this->now <= owner.target ? counts.in_target : counts.late);
+        ++(this->events.now() <= owner.target ? counts.in_target : counts.late);
         this->jobs.erase(task.job);
     }
     this->place(entry);
@@ -425,21 +412,21 @@
 
 void target_loop::note_use(std::size_t number, std::size_t entry, protocol::endpoint_use const& use)
 {
-    this->entries[entry].endpoints.update_use(agent_id(number), use, this->now);
+    this->entries[entry].endpoints.update_use(agent_id(number), use, this->events.now());
 }
 
 void target_loop::report_changes(std::size_t number)
 {
     auto& self = this->agents[number];
     auto const level = self.slots->used() * use_levels / self.slots->capacity();
-    if (level != self.level && this->now - self.reported >= shortest_report_gap)
+    if (level != self.level && this->events.now() - self.reported >= shortest_report_gap)
         this->report(number);
 }
 
 void target_loop::report(std::size_t number)
 {
     auto& self = this->agents[number];
-    self.reported = this->now;
+    self.reported = this->events.now();
     self.level = self.slots->used() * use_levels / self.slots->capacity();
     for (std::size_t index = 0; index < this->entries.size(); ++index) {
         auto const use = this->use_of(number, index);
@@ -452,8 +439,8 @@
         state.held_by_receiver = use.held_by_receiver;
         protocol::agent_report const body {
             agent_id(number), "r", "z" + std::to_string(number % 3), {}, 1, {state}, {}};
-        this->after(this->settings.latency, [this, index, body] {
-            this->entries[index].endpoints.update(body, this->now);
+        this->events.after(this->settings.latency, [this, index, body] {
+            this->entries[index].endpoints.update(body, this->events.now());
             this->place(index);
         });
     }
@@ -461,19 +448,16 @@
 
 void target_loop::report_regularly(std::size_t number)
 {
-    if (this->now - this->agents[number].reported >= report_interval)
+    if (this->events.now() - this->agents[number].reported >= report_interval)
         this->report(number);
-    if (this->now < this->end + std::chrono::seconds(10))
-        this->after(report_interval / 6, [this, number] { this->report_regularly(number); });
+    if (this->events.now() < this->end + std::chrono::seconds(10))
+        this->events.after(report_interval / 6, [this, number] { this->report_regularly(number); });
 }
 
 target_loop_result target_loop::run()
 {
     while (!this->events.empty()) {
-        auto const next = this->events.top();
-        this->events.pop();
-        this->now = next.at;
-        next.run();
+        this->events.run_next();
     }
     this->result.refused_starts
         = static_cast<double>(this->refused) / static_cast<double>(std::max(this->tasks, 1UL));
