--- a/src/protocol/job.h
+++ b/src/protocol/job.h
@@ -39,7 +39,7 @@
     /// plus `target_extra`. 0 for no target but the deadline. Only for ephemeral jobs.
     std::uint32_t target_stretch_percent = 0;
     std::chrono::milliseconds target_extra {0};
-    /// Jobs with a target of a lower number are refused later under overload; 0 comes first.
+    /// Of jobs with targets, those with a lower number are refused later under overload.
     std::uint32_t priority = 0;
 };
 
