Let a control member recover from a failed write or sync without a restart

Cause: log_file keeps its failure for good, and durable_log made the member inactive until a restart that nobody triggers. Disks that were full one after another, never two at once, so took away the quorum for good.

Change: a member whose storage fails resigns and stays silent, and writes the state of its node to new files every 250 ms until that succeeds. The state in memory is at least as new as all that the member has sent, and files on which a write or sync failed are not used again. A member that starts while its disk is full waits in the same way instead of ending.

--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -43,6 +43,7 @@
     event_description {log_event::storage_failed, severity::error, "storage_failed"},
     event_description {log_event::leader_missing, severity::warning, "leader_missing"},
     event_description {log_event::leader_known, severity::info, "leader_known"},
+    event_description {log_event::storage_recovered, severity::warning, "storage_recovered"},
     event_description {log_event::document_stored, severity::info, "document_stored"},
     event_description {log_event::operator_request, severity::info, "operator_request"},
     event_description {log_event::job_accepted, severity::info, "job_accepted"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -46,6 +46,7 @@
     storage_failed = 2026,
     leader_missing = 2027,
     leader_known = 2028,
+    storage_recovered = 2029,
     document_stored = 2030,
     operator_request = 2031,
     job_accepted = 3001,
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -19,6 +19,8 @@
 
 /// Bounds the table of senders, whose identities are not verified.
 constexpr std::size_t max_sender_names = 64;
+/// Interval at which a member tries to write its data anew after a storage failure.
+constexpr std::chrono::milliseconds storage_retry_interval {250};
 
 /// True when the group has other members, from which damaged data can be restored.
 bool has_others(durable_log_settings const& settings)
@@ -47,7 +49,7 @@
     return {base::error_code::unavailable,
             base::error_step::replicate,
             {},
-            "this member has stopped after a storage failure: " + base::describe(reason)};
+            "this member is inactive after a storage failure: " + base::describe(reason)};
 }
 
 std::uint64_t random_seed()
@@ -87,6 +89,8 @@
 {
     if (recovered.has_snapshot)
         this->pending_snapshot_state = std::move(recovered.state);
+    if (recovered.write_error)
+        this->stop_on_error(*recovered.write_error, now);
     this->node.load_snapshot = [this] {
         auto content = this->store.read_snapshot();
         if (content)
@@ -133,10 +137,12 @@
 
 void durable_log::tick(base::steady_time now)
 {
-    if (this->storage_failure)
-        return;
     this->start(now);
     this->last_tick = now;
+    if (this->storage_failure)
+        this->retry_storage(now);
+    if (this->storage_failure)
+        return;
     this->send_hellos(now);
     if (auto const first = this->bootstrap.proposal();
         first && this->settings.allow_bootstrap && this->fresh())
@@ -168,6 +174,8 @@
             this->snapshot_if_due(now);
         this->report_leadership(now);
     }
+    if (this->storage_failure)
+        this->node.resign(now);
     this->processing_output = false;
 }
 
@@ -193,17 +201,24 @@
 
 bool durable_log::install_snapshot(base::steady_time now)
 {
-    auto const content = this->node.take_received_snapshot();
-    if (!content)
+    this->received_snapshot = this->node.take_received_snapshot();
+    if (!this->received_snapshot)
         return true;
     auto const& log = this->node.log();
-    if (!this->stop_on_error(
-            this->store.save_snapshot(*content, log.entries_after(log.base().index)), now))
+    auto const saved
+        = this->store.save_snapshot(*this->received_snapshot, log.entries_after(log.base().index));
+    if (!this->stop_on_error(saved, now))
         return false;
+    this->emit_received_snapshot();
+    return true;
+}
+
+void durable_log::emit_received_snapshot()
+{
+    auto const content = std::exchange(this->received_snapshot, {});
     auto const decoded = decode_snapshot(*content);
     if (decoded)
         this->restored.emit(decoded.value().state);
-    return true;
 }
 
 void durable_log::send_messages()
@@ -281,12 +296,35 @@
     if (result)
         return true;
     this->storage_failure = result.error();
+    this->next_storage_retry = now + storage_retry_interval;
     log_record(log_event::storage_failed).with("error", base::describe(result.error()));
     if (std::exchange(this->reported_leading, false))
         this->leadership_changed.emit(false, now);
     return false;
 }
 
+void durable_log::retry_storage(base::steady_time now)
+{
+    // Only a restart sets damaged data aside.
+    if (this->storage_failure->code != base::error_code::io || now < this->next_storage_retry)
+        return;
+    this->next_storage_retry = now + storage_retry_interval;
+    auto const& log = this->node.log();
+    // Included in the rewritten log.
+    this->node.take_unwritten();
+    auto const rewritten
+        = this->store.rewrite(this->node.term(), this->node.vote(), this->received_snapshot,
+                              log.entries_after(log.base().index));
+    if (!rewritten)
+        return;
+    this->storage_failure.reset();
+    this->node.take_vote_change();
+    this->node.entries_synced(now);
+    log_record(log_event::storage_recovered).with("last_index", log.last().index);
+    if (this->received_snapshot)
+        this->emit_received_snapshot();
+}
+
 // --- members ---
 
 void durable_log::send_hellos(base::steady_time now)
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -5,6 +5,11 @@
 // the quorum only after it. All syncs run on the calling thread, so the member handles nothing else
 // during an fdatasync. That takes several milliseconds on a busy disk, which is short compared with
 // the heartbeat interval of 75 ms. Entries that arrive meanwhile share the next sync.
+//
+// After a failed write or sync, the member is silent and resigns. The state of the node in memory is
+// at least as new as everything that the member has ever sent or acknowledged, so it continues as
+// soon as that state has been written to new files. A file whose write or sync failed is not used
+// again, since a later sync of it may succeed without its data being on the disk.
 
 #pragma once
 
@@ -87,7 +92,8 @@
 
     /// Identity of this member, as stored in the data folder.
     [[nodiscard]] protocol::member_id identity() const { return this->node.id(); }
-    /// Set when storage has failed. The member is then inactive until it is restarted.
+    /// Set while storage fails. The member is then inactive. It tries to write its data anew until
+    /// that succeeds; damaged data (`corrupt`) keeps it inactive until it is restarted.
     [[nodiscard]] std::optional<base::error> const& failure() const
     {
         return this->storage_failure;
@@ -122,8 +128,13 @@
     [[nodiscard]] bool fresh() const;
     /// The group according to the local log.
     [[nodiscard]] protocol::control_group local_group() const;
-    /// On an error, stops this member until its restart. Returns whether `result` is a success.
+    /// On an error, makes this member inactive. Returns whether `result` is a success.
     bool stop_on_error(base::result<void> const& result, base::steady_time now);
+    /// While storage fails, writes the state of the node to new files at intervals. When that
+    /// succeeds, the member is active again, as a follower.
+    void retry_storage(base::steady_time now);
+    /// Emits the state of the received snapshot, which is durable now.
+    void emit_received_snapshot();
     void send(std::string const& peer, protocol::raft_message message);
     /// Empty for an unknown identity.
     [[nodiscard]] std::string peer_name(protocol::member_id id) const;
@@ -150,6 +161,10 @@
     std::uint64_t reported_members_index = 0;
     base::steady_time last_tick;
     std::optional<base::error> storage_failure;
+    /// While storage fails: when to write again.
+    base::steady_time next_storage_retry {};
+    /// Snapshot received from the leader that is not durable yet.
+    std::optional<std::string> received_snapshot;
     /// Peer names by identity, learned from messages; used for identities that are not members.
     std::map<protocol::member_id, std::string> sender_names;
 };
--- a/src/consensus/member_store.cpp
+++ b/src/consensus/member_store.cpp
@@ -48,7 +48,7 @@
         BOOST_OUTCOME_TRY(acquired, this->files.lock_folder(this->folder));
         this->lock = std::move(acquired);
     }
-    BOOST_OUTCOME_TRY(this->open_record(new_identity));
+    BOOST_OUTCOME_TRY(this->open_record(new_identity, result));
     result.raft.self = this->record.identity;
     result.raft.term = this->record.term;
     result.raft.vote = this->record.vote;
@@ -57,7 +57,7 @@
     return result;
 }
 
-base::result<void> member_store::open_record(std::uint64_t new_identity)
+base::result<void> member_store::open_record(std::uint64_t new_identity, recovered& result)
 {
     BOOST_OUTCOME_TRY(found, storage::read_record(this->record_file));
     if (found) {
@@ -72,7 +72,9 @@
         return corrupt(this->folder
                        + ": the member record is missing, but a log or a snapshot exists");
     this->record.identity = new_identity;
-    return storage::write_record(this->record_file, this->record);
+    if (auto const written = storage::write_record(this->record_file, this->record); !written)
+        result.write_error = written.error();
+    return boost::outcome_v2::success();
 }
 
 base::result<void> member_store::open_snapshot(recovered& result)
@@ -92,6 +94,8 @@
     BOOST_OUTCOME_TRY(opened, storage::log_file::open(this->files, this->folder, log_name));
     this->log = std::move(opened.log);
     result.truncated_bytes = opened.truncated_bytes;
+    if (opened.write_error)
+        result.write_error = std::move(opened.write_error);
     auto& entries = result.raft.log;
     for (auto const& payload : opened.payloads) {
         BOOST_OUTCOME_TRY(entry, decode_entry(payload));
@@ -147,13 +151,29 @@
                                                std::vector<protocol::log_entry> const& remaining)
 {
     BOOST_OUTCOME_TRY(this->snapshot.write(content));
+    return this->rewrite_log(remaining);
+}
+
+base::result<void> member_store::rewrite_log(std::vector<protocol::log_entry> const& entries)
+{
     BOOST_OUTCOME_TRY(
         rewritten,
-        storage::log_file::rewrite(this->files, this->folder, log_name, encode_all(remaining)));
+        storage::log_file::rewrite(this->files, this->folder, log_name, encode_all(entries)));
     this->log = std::move(rewritten);
     return boost::outcome_v2::success();
 }
 
+base::result<void> member_store::rewrite(std::uint64_t term, protocol::member_id vote,
+                                         std::optional<std::string> const& new_snapshot,
+                                         std::vector<protocol::log_entry> const& entries)
+{
+    BOOST_OUTCOME_TRY(this->save_vote(term, vote));
+    if (new_snapshot) {
+        BOOST_OUTCOME_TRY(this->snapshot.write(*new_snapshot));
+    }
+    return this->rewrite_log(entries);
+}
+
 base::result<std::string> member_store::read_snapshot() const
 {
     BOOST_OUTCOME_TRY(content, this->snapshot.read());
--- a/src/consensus/member_store.h
+++ b/src/consensus/member_store.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -26,13 +27,16 @@
         bool has_snapshot = false;
         /// Size of the incomplete data at the end of the log file that was cut off, in bytes.
         std::uint64_t truncated_bytes = 0;
+        /// Set when the folder could be read but not written, for example because the disk is full.
+        /// `rewrite` must then succeed before anything else is written.
+        std::optional<base::error> write_error;
     };
 
     member_store(storage::file_system& files, std::string folder);
 
     /// Opens and locks the folder, so that no two processes vote under one identity. A new folder
-    /// gets `new_identity`. Errors: `corrupt` and `malformed` for damaged data, `io`, `conflict`
-    /// when another process uses the folder.
+    /// gets `new_identity`. Errors: `corrupt` and `malformed` for damaged data, `io` when it cannot
+    /// be read, `conflict` when another process uses the folder.
     base::result<recovered> open(std::uint64_t new_identity);
 
     /// Renames the files of a damaged folder, so that the member can start with an empty log under
@@ -42,8 +46,8 @@
     /// bootstrap a group, because its files may contain acknowledged data of an existing one.
     [[nodiscard]] bool has_damaged_data() const;
 
-    // The data is durable when one of these functions succeeds. After an error the store must not
-    // be used any more.
+    // The data is durable when one of these functions succeeds. After an error the content of the
+    // files is unknown, and `rewrite` must succeed before the next call of another function.
 
     base::result<void> save_vote(std::uint64_t term, protocol::member_id vote);
     base::result<void> append(std::vector<protocol::log_entry> const& entries);
@@ -51,14 +55,21 @@
     base::result<void> save_snapshot(std::string const& content,
                                      std::vector<protocol::log_entry> const& remaining);
 
+    /// Writes the vote and the log to new files, and the snapshot too if `new_snapshot` is set. The
+    /// data of files that a write or sync has failed on is not used again.
+    base::result<void> rewrite(std::uint64_t term, protocol::member_id vote,
+                               std::optional<std::string> const& new_snapshot,
+                               std::vector<protocol::log_entry> const& entries);
+
     /// Returns the content of the snapshot file. Errors: `corrupt` when it is missing or damaged,
     /// `io`.
     [[nodiscard]] base::result<std::string> read_snapshot() const;
 
 private:
-    base::result<void> open_record(std::uint64_t new_identity);
+    base::result<void> open_record(std::uint64_t new_identity, recovered& result);
     base::result<void> open_snapshot(recovered& result);
     base::result<void> open_log(recovered& result);
+    base::result<void> rewrite_log(std::vector<protocol::log_entry> const& entries);
 
     storage::file_system& files;
     std::string folder;
--- a/src/consensus/raft_node.cpp
+++ b/src/consensus/raft_node.cpp
@@ -308,6 +308,12 @@
     return newly_committed;
 }
 
+void raft_node::resign(base::steady_time now)
+{
+    this->outbox.clear();
+    this->become_follower(this->current_term, 0, now);
+}
+
 bool raft_node::established() const
 {
     return this->leading() && this->committed >= this->term_start_index;
--- a/src/consensus/raft_node.h
+++ b/src/consensus/raft_node.h
@@ -80,6 +80,9 @@
     /// first.
     std::vector<protocol::log_entry> take_committed();
 
+    /// Gives up leadership or candidacy, and drops the messages that were not taken.
+    void resign(base::steady_time now);
+
     /// Removes the entries up to `index` from memory. The caller has a durable snapshot of them.
     void compact(std::uint64_t index) { this->entries.compact(index); }
 
--- a/src/storage/log_file.cpp
+++ b/src/storage/log_file.cpp
@@ -82,6 +82,15 @@
     return false;
 }
 
+/// Opens a file that ends with the sync marker after `durable_size` bytes.
+base::result<std::unique_ptr<log_file>> open_complete(file_system& files, std::string const& path,
+                                                      std::uint64_t durable_size)
+{
+    BOOST_OUTCOME_TRY(target, files.open_append(path));
+    return std::make_unique<log_file>(std::move(target), path, durable_size + header_bytes,
+                                      durable_size);
+}
+
 base::error corruption_error(std::string const& path, std::size_t offset)
 {
     return {base::error_code::corrupt,
@@ -116,13 +125,13 @@
         return corruption_error(path, offset);
 
     // Everything is durable except possibly the last sync marker, so the file can be used as it is.
-    if (!content.empty() && durable_size + header_bytes == content.size()) {
-        BOOST_OUTCOME_TRY(log_target, files.open_append(path));
-        result.log = std::make_unique<log_file>(std::move(log_target), path, offset, durable_size);
-        return result;
-    }
-    BOOST_OUTCOME_TRY(rewritten, rewrite(files, folder, name, result.payloads));
-    result.log = std::move(rewritten);
+    bool const complete = !content.empty() && durable_size + header_bytes == content.size();
+    auto opened = complete ? open_complete(files, path, durable_size)
+                           : rewrite(files, folder, name, result.payloads);
+    if (opened)
+        result.log = std::move(opened.value());
+    else
+        result.write_error = opened.error();
     return result;
 }
 
--- a/src/storage/log_file.h
+++ b/src/storage/log_file.h
@@ -16,6 +16,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,8 +32,8 @@
     struct open_result;
 
     /// Opens or creates `folder/name`, truncates an unacknowledged torn write at its end and
-    /// returns all payloads in order; they are durable. Errors: `corrupt` when acknowledged data is
-    /// damaged, `io` otherwise.
+    /// returns all payloads in order; they are durable unless the result has a write error. Errors:
+    /// `corrupt` when acknowledged data is damaged, `io` when the file cannot be read.
     static base::result<open_result> open(file_system& files, std::string const& folder,
                                           std::string const& name);
 
@@ -67,7 +68,11 @@
 };
 
 struct log_file::open_result {
+    /// Null if and only if `write_error` is set.
     std::unique_ptr<log_file> log;
+    /// Why the file could not be opened for writing, or could not be rewritten. The payloads are
+    /// then not known to be durable; the caller has to write them with `rewrite`.
+    std::optional<base::error> write_error;
     /// Recovered payloads in the order in which they were appended.
     std::vector<std::string> payloads;
     /// Length of the torn write that was removed from the end of the file.
--- a/tests/consensus/fault_test.cpp
+++ b/tests/consensus/fault_test.cpp
@@ -224,6 +224,7 @@
     GIVEN("a group of three with acknowledged commands")
     {
         fake_group group(7, three_members);
+        group.snapshot_entries = 10;
         group.start_all();
         REQUIRE(group.wait_for_leader());
         REQUIRE(group.put("one"));
@@ -257,6 +258,108 @@
             }
         }
 
+        // Guards against a member that stays inactive although its disk works again. The disk fails
+        // during the write of an entry, of the vote, or of a snapshot.
+        WHEN("a disk fails for two seconds and works again")
+        {
+            auto& files = GENERATE(true, false)
+                ? leader->files
+                : group.members[other_than(group, {leader->name})].files;
+            auto const full = GENERATE(true, false);
+            files.fail_syncs = !full;
+            files.free_bytes = full ? 3 : files.free_bytes;
+            group.run(2s);
+            CHECK(group.wait_for_leader(2s));
+            CHECK(group.put("two"));
+            files.make_writable();
+
+            THEN("the member takes part again without a restart and has all commands")
+            {
+                auto const recovered = [&] {
+                    return group.leader() != nullptr
+                        && std::none_of(group.members.begin(), group.members.end(),
+                                        [](auto& node) { return node.second.log->failure(); })
+                        && group.converged();
+                };
+                CHECK(group.run_until(recovered, 2s));
+                CHECK(group.put("three"));
+                CHECK(group.run_until(recovered, 2s));
+
+                AND_THEN("its data survives a power loss of all members")
+                {
+                    for (auto const& name : three_members)
+                        group.kill(name);
+                    group.start_all();
+                    CHECK(group.run_until(recovered, 5s));
+                    CHECK(group.put("four"));
+                }
+            }
+        }
+
+        // Guards against a loss of quorum after faults that never affected two members at once.
+        WHEN("the disks of the members are full for two seconds each, one after another")
+        {
+            for (int turn = 0; turn < 7; ++turn) {
+                auto& files = group.members[three_members[turn % 3]].files;
+                files.free_bytes = static_cast<std::size_t>(turn);
+                group.run(2s);
+                files.make_writable();
+                group.run(500ms);
+            }
+
+            THEN("changes are acknowledged afterwards, and each member has them")
+            {
+                REQUIRE(group.wait_for_leader(2s));
+                CHECK(group.put("two"));
+                CHECK(group.run_until([&] { return group.converged(); }, 2s));
+                for (auto& [_, node] : group.members)
+                    CHECK_FALSE(node.log->failure());
+            }
+        }
+
+        // Guards against a process that ends, and a member that votes twice, when its disk is full
+        // at the start.
+        WHEN("a member starts after a power loss while its disk is full")
+        {
+            auto& restarted = group.members[other_than(group, {leader->name})];
+            REQUIRE(group.propose(*leader, "two"));
+            group.kill(restarted.name);
+            restarted.files.free_bytes = 0;
+            group.start(restarted.name);
+            group.run(1s);
+
+            THEN("it takes part as soon as there is room")
+            {
+                REQUIRE(group.wait_for_leader(2s));
+                restarted.files.make_writable();
+                CHECK(group.run_until(
+                    [&] { return !restarted.log->failure() && group.converged(); }, 2s));
+            }
+        }
+
+        // Guards against a state that differs from the log when the disk fails while a received
+        // snapshot is written.
+        WHEN("the disk of a member is full while it receives a snapshot")
+        {
+            auto& behind = group.members[other_than(group, {leader->name})];
+            group.isolate(behind.name);
+            for (int command = 0; command < 40; ++command)
+                REQUIRE(group.put("command " + std::to_string(command)));
+            group.heal();
+            behind.files.free_bytes = GENERATE(0, 50, 200, 400);
+            group.run(1s);
+            behind.files.make_writable();
+
+            THEN("it installs the snapshot as soon as there is room")
+            {
+                CHECK(group.run_until(
+                    [&] { return !behind.log->failure() && group.converged(); }, 3s));
+                group.kill(behind.name);
+                group.start(behind.name);
+                CHECK(group.run_until([&] { return group.converged(); }, 3s));
+            }
+        }
+
         // Guards against votes and acknowledgements by a member that has lost acknowledged data.
         WHEN("acknowledged data of a member is damaged")
         {
--- a/tests/consensus/schedule_test.cpp
+++ b/tests/consensus/schedule_test.cpp
@@ -17,11 +17,13 @@
 
 namespace {
 
+enum class disk_faults : std::uint8_t { none, one_at_a_time, any };
+
 /// Runs one random schedule of faults. fake_group checks the invariants in each step.
 class schedule {
 public:
-    explicit schedule(std::uint64_t seed)
-        : random(seed),
+    explicit schedule(std::uint64_t seed, disk_faults disks = disk_faults::none)
+        : disks(disks), random(seed),
           group(seed,
                 seed % 4 == 0 ? std::vector<std::string> {"c.a", "c.b", "c.c", "c.d", "c.e"}
                               : std::vector<std::string> {"c.a", "c.b", "c.c"})
@@ -36,7 +38,10 @@
     {
         this->group.start_all();
         for (int step = 0; step < 60; ++step) {
-            this->inject_fault();
+            if (this->disks != disk_faults::none && this->random() % 3 == 0)
+                this->inject_disk_fault();
+            else
+                this->inject_fault();
             this->propose_on_leaders();
             this->group.run(std::chrono::milliseconds(this->random() % 700));
         }
@@ -82,6 +87,31 @@
         }
     }
 
+    /// Makes writes or syncs of a random member fail, or ends such a fault.
+    void inject_disk_fault()
+    {
+        auto& member = this->random_member();
+        if (this->disks == disk_faults::one_at_a_time || this->random() % 2 == 0)
+            this->end_disk_faults();
+        switch (this->random() % 3) {
+        case 0:
+            member.files.fail_syncs = true;
+            return;
+        case 1:
+            member.files.free_bytes = this->random() % 2000;
+            return;
+        default:
+            member.files.max_write_bytes = 1 + this->random() % 100;
+            return;
+        }
+    }
+
+    void end_disk_faults()
+    {
+        for (auto& [_, member] : this->group.members)
+            member.files.make_writable();
+    }
+
     /// Wipes a disk, after waiting until all members have all acknowledged commands.
     void wipe(fake_group::member& member)
     {
@@ -97,9 +127,10 @@
         this->group.start(member.name);
     }
 
-    /// Restores the network, and starts or resumes all members.
+    /// Ends the faults of disks and network, and starts or resumes all members.
     void repair()
     {
+        this->end_disk_faults();
         this->group.heal();
         for (auto& [name, member] : this->group.members) {
             if (!member.log)
@@ -124,6 +155,7 @@
             this->group.initial[this->random() % this->member_count()].name);
     }
 
+    disk_faults disks;
     std::mt19937_64 random;
     fake_group group;
     int next_command = 0;
@@ -163,6 +195,28 @@
     }
 }
 
+// Guards against members that stay inactive after a fault of their disk, and against acknowledged
+// commands that depend on data which a failed write or sync has lost. Uses the seeds of GH_SCHEDULES
+// and GH_FIRST_SEED.
+SCENARIO("the replicated log stays consistent while disks fail for some time")
+{
+    auto const disks = GENERATE(disk_faults::one_at_a_time, disk_faults::any);
+    GIVEN("seeded schedules with full disks, short writes and failing syncs")
+    {
+        auto const first = number_from_environment("GH_FIRST_SEED", 1);
+        auto const count = number_from_environment("GH_SCHEDULES", 60);
+
+        THEN("every acknowledged command survives, and the group has a quorum after the last fault")
+        {
+            for (auto seed = first; seed < first + count; ++seed) {
+                INFO("seed " << seed << ", disk faults "
+                             << (disks == disk_faults::any ? "at any time" : "one at a time"));
+                schedule(seed, disks).run();
+            }
+        }
+    }
+}
+
 SCENARIO("a member restarts after many commands")
 {
     GIVEN("a group of one on a real disk with 50,000 commands")
--- a/tests/storage/faulty_file_system.h
+++ b/tests/storage/faulty_file_system.h
@@ -99,6 +99,14 @@
         this->durable_names.clear();
     }
 
+    /// Ends all faults of the disk. Data that was dropped stays dropped.
+    void make_writable()
+    {
+        this->fail_syncs = false;
+        this->free_bytes = std::numeric_limits<std::size_t>::max();
+        this->max_write_bytes = std::numeric_limits<std::size_t>::max();
+    }
+
     /// Flips one bit of the byte at `offset`, durably. A second call repairs it.
     void damage(std::string const& path, std::size_t offset)
     {
