Bound the depth of documents and check the numbers that are read from them

Cause: copying, dumping and destroying a JSON value recurse, and so does the CBOR reader of the library. One request with a payload nested 60,000 deep ended an entry by a stack overflow; a peer's message or an announcement could do the same.

Change: protocol/json_document reads all documents from outside, with at most 64 levels, and all whole numbers, with a range. The platform's readers check times, processors and addresses; an announcement with a port out of range or a start in the future names no worker. guarded_call keeps exceptions inside the callbacks of the event loop: the link is closed or the request answered 500, with the event callback_failed.

Tests: protocol/json_document_test, platform/malformed_input_test (each value of a valid document replaced by 23 others, and 5,000 damaged documents for each reader), and a fleet test that sends the three requests to three entries and agents.

--- a/src/agent/announcement_json.cpp
+++ b/src/agent/announcement_json.cpp
@@ -5,8 +5,7 @@
 #include <set>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
+#include "protocol/json_document.h"
 #include "transport/http_client.h"
 
 namespace greengagehead::agent {
@@ -95,9 +94,7 @@
 {
     static std::set<std::string> const fields {"name",        "url", "kinds",     "slots",
                                                "connections", "cpu", "memory_mb", "rack"};
-    auto const body = json::parse(text, nullptr, false);
-    if (body.is_discarded())
-        return invalid("body is not well-formed JSON in UTF-8");
+    BOOST_OUTCOME_TRY(body, protocol::parse_body(text));
     if (!body.is_object())
         return invalid("body must be an object");
     for (auto const& [key, value] : body.items()) {
--- a/src/agent/http_endpoint_runner.cpp
+++ b/src/agent/http_endpoint_runner.cpp
@@ -6,8 +6,7 @@
 #include <memory>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
+#include "protocol/json_document.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
 
@@ -45,10 +44,13 @@
 run_result read_answer(transport::http_client_response const& response)
 {
     if (response.code >= 200 && response.code < 300) {
-        if (!nlohmann::json::accept(response.body))
-            return {outcome_kind::failed, {}, "the endpoint answered 2xx without a JSON body"};
         if (response.body.size() > max_result_bytes)
             return {outcome_kind::failed, {}, "the endpoint answered with more than 4 MiB"};
+        auto const parsed = protocol::parse_json(response.body);
+        if (!parsed)
+            return {outcome_kind::failed,
+                    {},
+                    "the endpoint answered 2xx without a JSON body: " + parsed.error().message};
         return {outcome_kind::succeeded, response.body, {}};
     }
     auto const message = "the endpoint answered " + std::to_string(response.code) + ": "
--- a/src/api/control_routes.cpp
+++ b/src/api/control_routes.cpp
@@ -11,10 +11,9 @@
 #include <string_view>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include "api/json_replies.h"
 #include "entry/entry_core.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::api {
 
@@ -75,7 +74,7 @@
 base::result<std::map<std::string, std::string>>
 parse_string_fields(std::string const& text, std::set<std::string> const& allowed_fields)
 {
-    auto const body = json::parse(text, nullptr, false);
+    BOOST_OUTCOME_TRY(body, protocol::parse_body(text));
     if (!body.is_object())
         return invalid("the body must be a JSON object");
     std::map<std::string, std::string> values;
@@ -124,11 +123,14 @@
     change.path = "/" + call.path_suffix;
     if (!call.sender.may_use_path(change.path))
         return call.exchange->respond(error_response(forbidden()));
-    auto body = json::parse(call.request.body, nullptr, false);
+    auto const parsed = protocol::parse_body(call.request.body);
+    if (!parsed)
+        return call.exchange->respond(error_response(parsed.error()));
+    auto body = parsed.value();
     // Both a plain JSON value and {"value": ...} are accepted.
     if (body.is_object() && body.size() == 1 && body.contains("value"))
         body = json(body["value"]);
-    if (body.is_discarded() || body.is_structured() || body.is_null())
+    if (body.is_structured() || body.is_null())
         return call.exchange->respond(
             error_response(invalid("the body must be a JSON number, string or boolean")));
     auto const expected = parse_expected_version(call);
--- a/src/api/json_replies.cpp
+++ b/src/api/json_replies.cpp
@@ -5,9 +5,8 @@
 #include <utility>
 #include <variant>
 
-#include <nlohmann/json.hpp>
-
 #include "protocol/job_json.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::api {
 
@@ -36,7 +35,7 @@
 json setting_json(protocol::setting const& setting)
 {
     return {{"path", setting.path},
-            {"value", json::parse(setting.value, nullptr, false)},
+            {"value", protocol::parse_json_or(setting.value, nullptr)},
             {"version", setting.version}};
 }
 
@@ -241,9 +240,8 @@
         return answer_response(reply.answer->state == protocol::job_state::running ? 202 : 200,
                                *reply.answer);
     // An entry that holds only a replica of the answer has no record of the decisions.
-    auto decisions = json::parse(reply.explanation, nullptr, false);
-    if (decisions.is_discarded())
-        decisions = json::array();
+    auto decisions
+        = protocol::parse_json_or(reply.explanation, json::array(), protocol::max_answer_depth);
     json body {{"job", job},
                {"state", protocol::to_string(reply.answer->state)},
                {"decisions", std::move(decisions)}};
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -20,6 +20,7 @@
     event_description {log_event::peer_disconnected, severity::warning, "peer_disconnected"},
     event_description {log_event::peer_refused, severity::warning, "peer_refused"},
     event_description {log_event::message_rejected, severity::warning, "message_rejected"},
+    event_description {log_event::callback_failed, severity::error, "callback_failed"},
     event_description {log_event::http_rejected, severity::info, "http_rejected"},
     event_description {log_event::request_dropped, severity::info, "request_dropped"},
     event_description {log_event::lease_granted, severity::debug, "lease_granted"},
@@ -75,6 +76,7 @@
     event_description {log_event::worker_lost, severity::warning, "worker_lost"},
     event_description {log_event::run_lagging, severity::warning, "run_lagging"},
     event_description {log_event::fence_raised, severity::warning, "fence_raised"},
+    event_description {log_event::report_rejected, severity::warning, "report_rejected"},
     event_description {log_event::announcement_rejected, severity::warning,
                        "announcement_rejected"},
 };
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -23,6 +23,7 @@
     peer_disconnected = 1012,
     peer_refused = 1013,
     message_rejected = 1014,
+    callback_failed = 1015,
     http_rejected = 1020,
     request_dropped = 1021,
     lease_granted = 2001,
@@ -79,6 +80,7 @@
     fence_raised = 4015,
     announcement_rejected = 4016,
     run_lagging = 4017,
+    report_rejected = 4018,
 };
 
 struct event_description {
--- a/src/cli/bench_run.cpp
+++ b/src/cli/bench_run.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "protocol/json_document.h"
 
 namespace greengagehead::cli {
 
@@ -25,7 +25,7 @@
     : settings(std::move(run_settings)), client(this->loop)
 {
     for (auto const& text : this->settings.jobs) {
-        auto body = json::parse(text);
+        auto body = protocol::parse_json_or(text, json::object());
         body.erase("submission");
         prepared_job job;
         job.team = body.value("team", "");
@@ -92,7 +92,7 @@
 {
     ++this->answered_jobs;
     auto& result = this->results[job.team];
-    auto const body = json::parse(response.body, nullptr, false);
+    auto const body = protocol::parse_json_or(response.body, nullptr, protocol::max_answer_depth);
     if (response.status != transport::http_client_status::answered || !body.is_object()) {
         ++result.unanswered;
         return;
--- a/src/cli/bench_verb.cpp
+++ b/src/cli/bench_verb.cpp
@@ -4,19 +4,19 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
+#include <iterator>
 #include <optional>
 #include <set>
 #include <sstream>
 #include <string>
 
-#include <nlohmann/json.hpp>
-
 #include "base/random.h"
 #include "cli/api_client.h"
 #include "cli/bench_run.h"
 #include "cli/command_line.h"
 #include "cli/table_printer.h"
 #include "cli/verb_options.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::cli {
 
@@ -45,7 +45,8 @@
 std::optional<std::vector<std::string>> read_workload(std::string const& file)
 {
     std::ifstream input(file);
-    auto const body = json::parse(input, nullptr, false);
+    std::string const text(std::istreambuf_iterator<char>(input), {});
+    auto const body = protocol::parse_json_or(text, nullptr);
     std::vector<std::string> jobs;
     auto const listed_jobs = body.is_array() ? body : json::array({body});
     for (auto const& job : listed_jobs) {
--- a/src/cli/control_verbs.cpp
+++ b/src/cli/control_verbs.cpp
@@ -10,6 +10,7 @@
 #include "cli/entry_session.h"
 #include "cli/table_printer.h"
 #include "cli/verb_options.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::cli {
 
@@ -99,9 +100,7 @@
 {
     auto const text = parsed["VALUE"].as<std::string>();
     // A value that is not valid JSON is sent as a string.
-    auto value = json::parse(text, nullptr, false);
-    if (value.is_discarded())
-        value = text;
+    auto const value = protocol::parse_json_or(text, text);
     api_client::request request {http_method::put,
                                  "/v1/config" + encode_path(parsed["PATH"].as<std::string>()),
                                  value.dump(),
--- a/src/cli/entry_session.h
+++ b/src/cli/entry_session.h
@@ -6,11 +6,10 @@
 #include <optional>
 #include <string>
 
-#include <nlohmann/json.hpp>
-
 #include "cli/api_client.h"
 #include "cli/command_line.h"
 #include "cli/verb_options.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::cli {
 
@@ -32,7 +31,9 @@
             std::cerr << base::describe(response.error()) << "\n";
             return std::nullopt;
         }
-        auto body = nlohmann::json::parse(response.value().body, nullptr, false);
+        auto body = protocol::parse_json_or(response.value().body,
+                                            nlohmann::json(nlohmann::json::value_t::discarded),
+                                            protocol::max_answer_depth);
         if (response.value().code >= 200 && response.value().code < 300 && !body.is_discarded())
             return body;
         this->print_failure(response.value().code, body, response.value().body);
--- a/src/cli/job_verbs.cpp
+++ b/src/cli/job_verbs.cpp
@@ -14,6 +14,7 @@
 #include "cli/command_line.h"
 #include "cli/entry_session.h"
 #include "cli/verb_options.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::cli {
 
@@ -144,7 +145,7 @@
         return options.early_exit_code;
     }
     auto const text = read_input((*parsed)["FILE"].as<std::string>());
-    auto body = text ? json::parse(*text, nullptr, false) : json(json::value_t::discarded);
+    auto body = text ? protocol::parse_json_or(*text, nullptr) : json();
     if (!body.is_object()) {
         options.report_usage_error("FILE must be a readable file with a JSON object");
         return options.early_exit_code;
--- a/src/consensus/durable_log.cpp
+++ b/src/consensus/durable_log.cpp
@@ -22,6 +22,18 @@
 /// Interval at which a member tries to write its data anew after a storage failure.
 constexpr std::chrono::milliseconds storage_retry_interval {250};
 
+/// Sets a flag for the duration of a scope, also when an exception leaves the scope.
+class scoped_flag {
+public:
+    explicit scoped_flag(bool& flag) : flag(flag) { flag = true; }
+    ~scoped_flag() { this->flag = false; }
+    scoped_flag(scoped_flag const&) = delete;
+    scoped_flag& operator=(scoped_flag const&) = delete;
+
+private:
+    bool& flag;
+};
+
 /// True when the group has other members, from which damaged data can be restored.
 bool has_others(durable_log_settings const& settings)
 {
@@ -164,7 +176,7 @@
 {
     if (this->storage_failure || this->processing_output)
         return;
-    this->processing_output = true;
+    scoped_flag const processing(this->processing_output);
     this->node.replicate(now);
     // `replicate` may have failed to read the snapshot that it has to send.
     if (!this->storage_failure && this->persist(sync, now)) {
@@ -176,7 +188,6 @@
     }
     if (this->storage_failure)
         this->node.resign(now);
-    this->processing_output = false;
 }
 
 bool durable_log::persist(bool sync, base::steady_time now)
--- a/src/consensus/durable_log.h
+++ b/src/consensus/durable_log.h
@@ -6,10 +6,10 @@
 // during an fdatasync. That takes several milliseconds on a busy disk, which is short compared with
 // the heartbeat interval of 75 ms. Entries that arrive meanwhile share the next sync.
 //
-// After a failed write or sync, the member is silent and resigns. The state of the node in memory is
-// at least as new as everything that the member has ever sent or acknowledged, so it continues as
-// soon as that state has been written to new files. A file whose write or sync failed is not used
-// again, since a later sync of it may succeed without its data being on the disk.
+// After a failed write or sync, the member is silent and resigns. The state of the node in memory
+// is at least as new as everything that the member has ever sent or acknowledged, so it continues
+// as soon as that state has been written to new files. A file whose write or sync failed is not
+// used again, since a later sync of it may succeed without its data being on the disk.
 
 #pragma once
 
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -25,9 +25,9 @@
 template <typename T>
 base::result<T> decode_versioned(std::uint32_t expected, std::string_view bytes)
 {
+    BOOST_OUTCOME_TRY(value, parse_cbor(bytes));
     try {
-        auto const value = detail::json::from_cbor(bytes.begin(), bytes.end());
-        auto const version = value.at(0).get<std::uint32_t>();
+        auto const version = whole_number<std::uint32_t>(value.at(0));
         if (version != expected)
             return malformed("version " + std::to_string(version) + " is not supported, expected "
                              + std::to_string(expected));
--- a/src/protocol/job_json.cpp
+++ b/src/protocol/job_json.cpp
@@ -6,7 +6,7 @@
 #include <set>
 #include <utility>
 
-#include <nlohmann/json.hpp>
+#include "protocol/json_document.h"
 
 namespace greengagehead::protocol {
 
@@ -128,7 +128,7 @@
 {
     json entry {{"index", task.index}, {"state", to_string(task.state)}};
     if (with_result)
-        entry["result"] = json::parse(task.result, nullptr, false);
+        entry["result"] = parse_json_or(task.result, nullptr);
     return entry;
 }
 
@@ -143,9 +143,7 @@
 base::result<job_request> parse_job_request(std::string_view text, job_limits const& limits)
 {
     static std::set<std::string> const allowed {"submission", "team", "deadline_ms", "tasks"};
-    auto const body = json::parse(text, nullptr, false);
-    if (body.is_discarded())
-        return invalid("body is not well-formed JSON in UTF-8");
+    BOOST_OUTCOME_TRY(body, parse_body(text));
     if (!body.is_object())
         return invalid("body must be an object");
     BOOST_OUTCOME_TRYV(reject_unknown_fields(body, allowed, ""));
--- a/src/protocol/json_fields.h
+++ b/src/protocol/json_fields.h
@@ -17,6 +17,7 @@
 #include <nlohmann/json.hpp>
 
 #include "protocol/fields.h"
+#include "protocol/json_document.h"
 
 namespace greengagehead::protocol::detail {
 
@@ -122,14 +123,16 @@
         if (!value.empty())
             from_value(value[0], target.emplace());
     } else if constexpr (is_variant<T>::value) {
-        read_alternative(value.at(0).get<std::size_t>(), value.at(1), target);
+        read_alternative(whole_number<std::size_t>(value.at(0)), value.at(1), target);
     } else if constexpr (is_duration<T>::value) {
-        target = T(value.get<typename T::rep>());
+        target = T(whole_number<typename T::rep>(value));
     } else if constexpr (std::is_enum_v<T>) {
-        target = static_cast<T>(value.get<std::underlying_type_t<T>>());
+        target = static_cast<T>(whole_number<std::underlying_type_t<T>>(value));
     } else if constexpr (std::is_same_v<T, std::string>) {
         auto const& bytes = value.get_binary();
         target.assign(bytes.begin(), bytes.end());
+    } else if constexpr (std::is_integral_v<T> && !std::is_same_v<T, bool>) {
+        target = whole_number<T>(value);
     } else {
         value.get_to(target);
     }
@@ -146,8 +149,11 @@
 /// Throws an exception derived from std::exception when `bytes` are not an encoded `T`.
 template <typename T> T from_cbor(std::string_view bytes)
 {
+    auto const parsed = parse_cbor(bytes);
+    if (!parsed)
+        throw std::invalid_argument(parsed.error().message);
     T target;
-    from_value(json::from_cbor(bytes.begin(), bytes.end()), target);
+    from_value(parsed.value(), target);
     return target;
 }
 
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -7,6 +7,8 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include "transport/guarded_call.h"
+
 namespace greengagehead::transport {
 
 namespace {
@@ -46,7 +48,7 @@
 {
     // Calls a copy, since the action may destroy the timer.
     auto const action = static_cast<loop_timer*>(self)->action;
-    action();
+    guarded_call("timer", action);
 }
 
 event_loop::event_loop()
@@ -101,7 +103,7 @@
         actions.swap(loop.posted);
     }
     for (auto const& action : actions)
-        action();
+        guarded_call("posted", action);
 }
 
 } // namespace greengagehead::transport
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -11,6 +11,7 @@
 
 #include "transport/event_loop.h"
 #include "transport/evhttp_message.h"
+#include "transport/guarded_call.h"
 
 namespace greengagehead::transport {
 
@@ -144,7 +145,7 @@
         this->connections.erase(owned);
         this->loop.post([retired] {});
     }
-    done(std::move(response));
+    guarded_call("response", [&] { done(std::move(response)); });
 }
 
 base::result<std::pair<socket_address, std::string>> parse_http_url(std::string const& url)
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -17,6 +17,7 @@
 #include "transport/close_watch.h"
 #include "transport/event_loop.h"
 #include "transport/evhttp_message.h"
+#include "transport/guarded_call.h"
 
 namespace greengagehead::transport {
 
@@ -189,7 +190,13 @@
                  + std::to_string(this->body_limit_bytes) + R"( bytes"}})",
              "application/json",
              {}});
-    this->request_handler(received, exchange);
+    auto const handle = [&] { this->request_handler(received, exchange); };
+    if (!guarded_call("request", handle))
+        exchange->respond(
+            {500,
+             R"({"error":{"code":"internal","message":"the request caused an internal error"}})",
+             "application/json",
+             {}});
 }
 
 http_server::connection_state& http_server::find_or_add_connection(evhttp_connection* connection)
@@ -227,7 +234,7 @@
     if (!exchange || std::exchange(exchange->pending_request, nullptr) == nullptr)
         return;
     if (auto const action = std::exchange(exchange->disconnect_callback, nullptr))
-        action();
+        guarded_call("disconnect", action);
 }
 
 } // namespace greengagehead::transport
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -23,6 +23,7 @@
 #include "base/log_record.h"
 #include "protocol/codec.h"
 #include "transport/event_loop.h"
+#include "transport/guarded_call.h"
 #include "transport/socket_address.h"
 #include "transport/websocket_session.h"
 
@@ -218,7 +219,8 @@
             return;
         std::string bytes(size, '\0');
         evbuffer_remove(input, bytes.data(), size);
-        self_link.session->feed(bytes.data(), bytes.size());
+        if (!guarded_call("message", [&] { self_link.session->feed(bytes.data(), bytes.size()); }))
+            return self_link.close("a message caused an internal error");
     }
 }
 
--- a/tests/consensus/fault_test.cpp
+++ b/tests/consensus/fault_test.cpp
@@ -352,8 +352,8 @@
 
             THEN("it installs the snapshot as soon as there is room")
             {
-                CHECK(group.run_until(
-                    [&] { return !behind.log->failure() && group.converged(); }, 3s));
+                CHECK(group.run_until([&] { return !behind.log->failure() && group.converged(); },
+                                      3s));
                 group.kill(behind.name);
                 group.start(behind.name);
                 CHECK(group.run_until([&] { return group.converged(); }, 3s));
--- a/tests/consensus/schedule_test.cpp
+++ b/tests/consensus/schedule_test.cpp
@@ -196,8 +196,8 @@
 }
 
 // Guards against members that stay inactive after a fault of their disk, and against acknowledged
-// commands that depend on data which a failed write or sync has lost. Uses the seeds of GH_SCHEDULES
-// and GH_FIRST_SEED.
+// commands that depend on data which a failed write or sync has lost. Uses the seeds of
+// GH_SCHEDULES and GH_FIRST_SEED.
 SCENARIO("the replicated log stays consistent while disks fail for some time")
 {
     auto const disks = GENERATE(disk_faults::one_at_a_time, disk_faults::any);
--- a/tests/fleet/fleet.py
+++ b/tests/fleet/fleet.py
@@ -120,10 +120,19 @@
         raise AssertionError(f"condition not met within {seconds} s: {condition}")
 
     def call(self, zone, method, path, body=None, token=OPERATOR_TOKEN, headers=None, timeout=60):
-        """Returns status and body of the answer, or (0, {}) if the connection fails."""
+        """Returns status and body of the answer, or (0, {}) if the connection fails.
+
+        A body of bytes is sent as it is, any other one as JSON.
+        """
+        return self.call_port(ZONES[zone] + 2, method, path, body, token, headers, timeout)
+
+    def call_port(self, port, method, path, body=None, token=OPERATOR_TOKEN, headers=None,
+                  timeout=60):
+        """As `call`, at any port of the fleet."""
+        if body is not None and not isinstance(body, bytes):
+            body = json.dumps(body).encode()
         request = urllib.request.Request(
-            f"http://127.0.0.1:{ZONES[zone] + 2}{path}", method=method,
-            data=None if body is None else json.dumps(body).encode(),
+            f"http://127.0.0.1:{port}{path}", method=method, data=body,
             headers={"Authorization": f"Bearer {token}", **(headers or {})})
         try:
             with urllib.request.urlopen(request, timeout=timeout) as reply:
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -7,7 +7,7 @@
 import time
 import unittest
 
-from fleet import ZONES, Fleet, holds, quotes
+from fleet import TEAM_TOKEN, ZONES, Fleet, holds, quotes
 
 
 class FleetTest(unittest.TestCase):
@@ -185,6 +185,26 @@
         self.assertEqual(self.fleet.processes["fortaleza-agent-1"].wait(20), 0)
         self.check_no_duplicate_starts()
 
+    def test_deeply_nested_requests(self):
+        """Guards against one request that ends a process, at one entry or agent after another."""
+        nested = b"[" * 200_000 + b"]" * 200_000
+        job = b'{"submission": "deep", "team": "hospital", "tasks": [{"kind": "quote", "payload": '
+        for zone, base_port in ZONES.items():
+            status, answer = self.fleet.call(zone, "POST", "/v1/jobs", job + nested + b"}]}",
+                                             TEAM_TOKEN)
+            self.assertEqual((status, answer["error"]["ran"]), (400, "none"))
+            status, _ = self.fleet.call(zone, "PUT", "/v1/config/limits/max_running_jobs",
+                                        b'{"value": ' + nested + b"}")
+            self.assertEqual(status, 400)
+            status, _ = self.fleet.call_port(base_port + 3, "POST", "/v1/announce",
+                                             b'{"name": "deep", "url": ' + nested + b"}")
+            self.assertEqual(status, 400)
+        ended = [name for name, process in self.fleet.processes.items()
+                 if process.poll() is not None]
+        self.assertEqual(ended, [])
+        status, answer = self.fleet.submit("recife", "after", quotes(2, 50))
+        self.assertEqual((status, answer.get("state")), (200, "complete"))
+
 
 if __name__ == "__main__":
     result = unittest.main(verbosity=2, exit=False).result
