Confirm the ownership of a job whose recovery is pending

Control answers the claim with "existing", owned by this entry. on_claim_decided returned for every job with a pending recovery, since a recovery that the answer itself starts confirms the ownership; this one had started before, so claim_committed stayed false and publish never ran. The job did not end, and its callers waited until their limit.

Change: the test asks whether the ownership is confirmed, not whether a recovery is pending.

--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -299,7 +299,9 @@
             // The job came here by a takeover whose notice has not arrived yet.
             this->components.takeovers.on_notice({this->components.settings.id, {claim}, 0}, now);
             job = this->components.jobs.find(id);
-            if (job == nullptr || job->recovery_pending)
+            // A recovery that has just started confirms the ownership. One that had started before
+            // does not, when the ownership has come into doubt since.
+            if (job == nullptr || job->claim_committed)
                 return;
             return this->on_owned(*job, claim, now);
         }
--- a/tests/entry/schedule_test.cpp
+++ b/tests/entry/schedule_test.cpp
@@ -132,8 +132,9 @@
     }
 }
 
-// Guards against an entry with unfinished work after all faults have ended.
-SCENARIO("an entry is idle after the schedule of seed 20261605", "[schedules][known-red]")
+// Guards against a job that never ends: its ownership came into doubt while its recovery after a
+// takeover was pending, and the confirmation by control was ignored.
+SCENARIO("an entry is idle after the schedule of seed 20261605", "[schedules]")
 {
     GIVEN("the schedule in which the number of tasks is drawn before the idempotence")
     {
