--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds no_endpoint_retry_after {1000};
 /// A job ends with its last task, slots become free one by one, and other entries take some of
 /// them. Therefore a predicted wait above this percentage of the slack really exceeds the slack.
-constexpr std::int64_t max_wait_percent_of_slack = 30;
+constexpr std::int64_t max_wait_percent_of_slack = 40;
 /// Priority value at which the maximum wait is halved, so that more urgent jobs are still admitted.
 constexpr std::int64_t half_share_priority = 2;
 
--- a/src/policy/target_admission.h
+++ b/src/policy/target_admission.h
@@ -20,8 +20,8 @@
 };
 
 /// Refuses a job when the predicted wait exceeds a percentage of the time until its latest start,
-/// because it would run too late and delay other jobs. The percentage is 30% at priority 0, 20% at
-/// 1 and 15% at 2. A caller who is refused at once can turn elsewhere or retry. `retry_after` is
+/// because it would run too late and delay other jobs. The percentage is 40% at priority 0, 27% at
+/// 1 and 20% at 2. A caller who is refused at once can turn elsewhere or retry. `retry_after` is
 /// the time after which the queue has drained far enough for the job.
 [[nodiscard]] std::optional<refusal> check_target(target_request const& request,
                                                   endpoint_table const& endpoints,
