Answer unknown when the result of a repeated start is no longer stored

Cause: outcome_store drops the details of acknowledged outcomes to stay within its memory. A repeated start of such an attempt created empty details, and the owner was told "succeeded" with an empty result, while a query was answered "unknown" for the same attempt until then (reported fault: after a lost answer).

Change: reopening a success without its details makes it unknown. The task still counts as run, so it does not run again.

Test: agent/outcome_test, which failed before (succeeded instead of unknown).

--- a/src/agent/outcome_store.cpp
+++ b/src/agent/outcome_store.cpp
@@ -147,6 +147,9 @@
     if (!record->details) {
         record->details = std::make_unique<attempt_details>();
         record->details->message = "the details of the outcome are no longer stored";
+        // Without its result, a success is of no use to the owner, who must not take it for one.
+        if (record->kind == outcome_kind::succeeded)
+            record->kind = outcome_kind::unknown;
         this->used_bytes += size_of(*record->details);
     }
     record->acknowledged = false;
--- a/tests/agent/outcome_test.cpp
+++ b/tests/agent/outcome_test.cpp
@@ -132,6 +132,18 @@
             agent.start(make_start(0, false, 2));
             CHECK(agent.runner.runs.size() == 4);
         }
+        // Guards against an answer without the result: the start may be a resend after a lost
+        // outcome.
+        THEN("a repeated start of the same attempt is answered unknown, not succeeded")
+        {
+            agent.start(make_start(0, false));
+            agent.advance(milliseconds(100));
+            CHECK(agent.runner.runs.size() == 4);
+            auto const repeated = agent.last_outcome();
+            CHECK(repeated.task.index == 0);
+            CHECK(repeated.kind == outcome_kind::unknown);
+            CHECK(reported()[0].kind == outcome_kind::unknown);
+        }
     }
     WHEN("unacknowledged results exceed the budget")
     {
