--- a/src/cli/job_verbs.cpp
+++ b/src/cli/job_verbs.cpp
@@ -29,6 +29,8 @@
 /// client times out.
 constexpr milliseconds reply_margin {10'000};
 
+constexpr char const* wait_usage = "--wait must be a duration such as 500ms, 30s or 2m";
+
 /// Parses a duration with the unit ms, s or m, such as "500ms". A number without a unit is in
 /// milliseconds. Returns nothing when the text is malformed.
 std::optional<milliseconds> parse_duration(std::string const& text)
@@ -141,7 +143,7 @@
         return options.early_exit_code;
     auto const wait = parse_duration((*parsed)["wait"].as<std::string>());
     if (!wait) {
-        options.report_usage_error("--wait must be a duration such as 500ms, 30s or 2m");
+        options.report_usage_error(wait_usage);
         return options.early_exit_code;
     }
     auto const text = read_input((*parsed)["FILE"].as<std::string>());
@@ -172,15 +174,27 @@
 
 exit_code job_verb(arguments const& args)
 {
-    return run_job_verb(
-        "job", "Print the answer of a job.", args,
-        [](entry_session& session, std::string const& path) {
-            auto const answer = session.call({transport::http_method::get, path, "", {}});
-            if (!answer)
-                return exit_code::failed;
-            std::cout << answer->dump() << "\n";
-            return exit_code::done;
-        });
+    verb_options options("job", "Print the answer of a job.");
+    options.add()("wait", "How long to wait for the answer, for example 30s.",
+                  cxxopts::value<std::string>()->default_value("0"));
+    options.positional({"ID"}, 1);
+    auto const parsed = options.parse(args);
+    if (!parsed)
+        return options.early_exit_code;
+    auto const wait = parse_duration((*parsed)["wait"].as<std::string>());
+    if (!wait) {
+        options.report_usage_error(wait_usage);
+        return options.early_exit_code;
+    }
+    entry_session session(*parsed);
+    auto const path = "/v1/jobs/" + percent_encode_segment((*parsed)["ID"].as<std::string>());
+    auto const answer = session.call({transport::http_method::get, path, "", {}});
+    if (!answer)
+        return exit_code::failed;
+    if (wait->count() > 0)
+        return wait_for_answer(session, *answer, *wait);
+    std::cout << answer->dump() << "\n";
+    return exit_code::done;
 }
 
 exit_code cancel_verb(arguments const& args)
--- a/src/cli/run_verbs.cpp
+++ b/src/cli/run_verbs.cpp
@@ -20,8 +20,8 @@
 
 namespace {
 
-/// An unknown name gives the level info.
-base::severity parse_severity(std::string_view name)
+/// No value for an unknown name.
+std::optional<base::severity> parse_severity(std::string_view name)
 {
     static constexpr std::array names {
         std::string_view {"debug"},
@@ -30,8 +30,9 @@
         std::string_view {"error"},
     };
     auto const* const found = std::find(names.begin(), names.end(), name);
-    return found == names.end() ? base::severity::info
-                                : static_cast<base::severity>(found - names.begin());
+    if (found == names.end())
+        return std::nullopt;
+    return static_cast<base::severity>(found - names.begin());
 }
 
 /// Prints the problems of a settings file to standard error. Returns the exit code.
@@ -49,7 +50,7 @@
 {
     auto const style
         = run_settings.log_format == "json" ? base::log_style::json : base::log_style::text;
-    base::open_log(style, parse_severity(run_settings.log_level));
+    base::open_log(style, parse_severity(run_settings.log_level).value_or(base::severity::info));
     auto const result = app::run_process(run_settings, std::move(adapters), std::move(reload));
     base::flush_log();
     if (result)
@@ -116,6 +117,10 @@
             return options.early_exit_code;
         }
     }
+    if (!parse_severity(run_settings.log_level)) {
+        options.report_usage_error("--log-level must be debug, info, warning or error");
+        return options.early_exit_code;
+    }
     app::settings_source reload;
     if (parsed->count("config") > 0)
         reload
--- a/tests/fleet/fleet_test.py
+++ b/tests/fleet/fleet_test.py
@@ -1,13 +1,15 @@
 """Tests of real processes that are killed, frozen, wiped or shut down under load."""
 
+import json
 import shutil
 import signal
+import subprocess
 import sys
 import threading
 import time
 import unittest
 
-from fleet import TEAM_TOKEN, ZONES, Fleet, holds, quotes
+from fleet import PROGRAM, TEAM_TOKEN, ZONES, Fleet, holds, quotes
 
 
 class FleetTest(unittest.TestCase):
@@ -185,6 +187,25 @@
         self.assertEqual(self.fleet.processes["fortaleza-agent-1"].wait(20), 0)
         self.check_no_duplicate_starts()
 
+    def run_program(self, *arguments):
+        """Runs a verb of the command line. Returns its exit code, output and error output."""
+        ended = subprocess.run([PROGRAM, *arguments], capture_output=True, text=True, timeout=30,
+                               check=False)
+        return ended.returncode, ended.stdout, ended.stderr
+
+    def test_command_line_waits_and_checks_its_options(self):
+        """Guards against options that the usage text names and the program ignores."""
+        status, answer = self.fleet.submit("recife", "waited", quotes(2, 800), wait_ms=0)
+        self.assertEqual(status, 202)
+        entry = f"http://127.0.0.1:{ZONES['recife'] + 2}"
+        code, output, _ = self.run_program("job", answer["job"], "--wait", "10s", "--entry", entry,
+                                           "--token", TEAM_TOKEN)
+        self.assertEqual((code, json.loads(output)["state"]), (0, "complete"))
+        code, _, error = self.run_program("job", answer["job"], "--wait", "soon", "--entry", entry)
+        self.assertEqual((code, "--wait must be" in error), (2, True))
+        code, _, error = self.run_program("run", "--log-level", "loud")
+        self.assertEqual((code, "--log-level must be" in error), (2, True))
+
     def test_deeply_nested_requests(self):
         """Guards against one request that ends a process, at one entry or agent after another."""
         nested = b"[" * 200_000 + b"]" * 200_000
