Send the routing document only to entries that lack it

Cause: each view carries the whole document.

Change: control::view_sender tracks the view that each entry acts on and the document that was last sent to it, and leaves the text out where the entry has it. An entry keeps its text for the same version and ignores a view whose document it lacks; its next renewal brings the document. A new leader assumes that no entry has it.

Test: control/document_test: 35 entries that join with a document of 400 KB get one copy each, where every view sent with the text makes 665 copies (630 views and 35 repeats; worked out). entry/entry_test for the other side.

--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -17,7 +17,8 @@
                            consensus::replicated_log& log)
     : settings(std::move(settings)), sender(sender), log(log),
       leases({this->settings.lease_duration, this->settings.entry_loss_timeout,
-              this->settings.clock_drift_percent})
+              this->settings.clock_drift_percent}),
+      views(sender)
 {
     log.take_snapshot = [this] { return this->state.snapshot(); };
     log.committed.connect(sigc::mem_fun(*this, &control_core::on_committed));
@@ -77,6 +78,7 @@
         return this->sender.send(peer, protocol::not_leader {this->log.group(), 0});
     if (!this->authoritative(now))
         return;
+    this->views.record_applied(renewal.entry, renewal.applied_view);
     if (!this->state.entries().live(renewal.entry))
         return this->join_if_allowed(peer, renewal, now);
     if (!this->leases.record_renewal(renewal.entry, renewal.entry_clock, renewal.settled_view))
@@ -104,7 +106,7 @@
         return this->propose_join(renewal, now);
     if (past->replaced)
         log_record(log_event::join_refused).with("entry", renewal.entry.name);
-    this->sender.send(peer, protocol::view_update {this->state.current_view()});
+    this->views.send(renewal.entry, peer, this->state.current_view(), now);
 }
 
 void control_core::propose_join(protocol::renew_lease const& renewal, steady_time now)
@@ -122,7 +124,7 @@
 {
     auto const view = this->state.view();
     if (renewal.applied_view < view)
-        return this->sender.send(peer, protocol::view_update {this->state.current_view()});
+        return this->views.send(renewal.entry, peer, this->state.current_view(), now);
     // A later leader committed a view that this member does not have; this member will step down.
     if (renewal.applied_view > view)
         return;
@@ -148,6 +150,7 @@
     this->pending_takeovers.clear();
     this->claim_expiry_pending = false;
     this->seen_takeovers.clear();
+    this->views.reset();
     if (!leading) {
         log_record(log_event::leadership_lost).with("leader", this->log.leader());
         return this->redirect_all();
@@ -161,7 +164,7 @@
     this->leases.reset(live, now);
     this->next_notice_time = now;
     this->next_takeover_check_time = now;
-    this->push_view();
+    this->views.send_to_all(this->state.current_view(), now);
     for (auto const& [origin, body] : std::exchange(this->waiting_requests, {}))
         this->serve(origin, body, now);
 }
@@ -216,7 +219,7 @@
     if (this->state.view() == view_before)
         return;
     log_record(log_event::view_committed).with("view", this->state.view());
-    this->push_view();
+    this->views.send_to_all(this->state.current_view(), now);
     this->advance_view_in_force(now);
 }
 
@@ -238,6 +241,7 @@
                               protocol::control_result const& /*result*/, steady_time /*now*/)
 {
     this->pending_removals.erase(request.entry);
+    this->views.forget(request.entry);
     this->seen_takeovers.erase(request.entry);
     this->leases.update_live(this->state.entries().list());
     log_record(log_event::entry_removed)
@@ -285,13 +289,6 @@
 
 // --- views ---
 
-void control_core::push_view()
-{
-    protocol::view_update const update {this->state.current_view()};
-    for (auto const& entry : update.current.entries)
-        this->sender.send(entry.id.name, update);
-}
-
 void control_core::advance_view_in_force(steady_time now)
 {
     auto const highest = this->leases.view_in_force(this->state.view(), now);
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -17,6 +17,7 @@
 #include "consensus/replicated_log.h"
 #include "control/lease_table.h"
 #include "control/request_table.h"
+#include "control/view_sender.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 #include "state/control_state.h"
@@ -101,7 +102,6 @@
     /// Redirects every request that has not been answered yet.
     void redirect_all();
 
-    void push_view();
     void advance_view_in_force(steady_time now);
     void remove_lost_entries(steady_time now);
     void take_over_orphaned_jobs(steady_time now);
@@ -122,6 +122,7 @@
     state::control_state state;
     lease_table leases;
     request_table requests;
+    view_sender views;
 
     /// Result of a command that was committed before `replicated_log::propose` returned its
     /// position.
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -58,7 +58,16 @@
 {
     if (update.current.number <= this->current.number)
         return;
+    // Control leaves the text out when this entry has the document. If it has not, the link was
+    // replaced meanwhile; the next renewal asks for the view again.
+    auto const& routing = update.current.routing;
+    bool const text_omitted = routing.version != 0 && routing.text.empty();
+    if (text_omitted && routing.version != this->current.routing.version)
+        return;
+    auto known_text = text_omitted ? std::move(this->current.routing.text) : std::string();
     this->current = update.current;
+    if (text_omitted)
+        this->current.routing.text = std::move(known_text);
     auto const was_in_view
         = std::exchange(this->in_view, this->find_live_entry(this->settings.id) != nullptr);
     if (was_in_view && !this->in_view)
--- a/tests/control/document_test.cpp
+++ b/tests/control/document_test.cpp
@@ -2,9 +2,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
 #include <vector>
 
 #include "control/local_requests.h"
+#include "control/view_sender.h"
+#include "protocol/codec.h"
 #include "state/control_state.h"
 
 namespace {
@@ -19,6 +22,19 @@
         state.apply({milliseconds(1), protocol::put_document {{version, text}}}));
 }
 
+constexpr std::size_t document_bytes = 400'000;
+
+/// Records the views that were sent, and their size on the wire.
+struct view_recorder : protocol::message_sender {
+    void send(std::string const& peer, protocol::message const& body) override
+    {
+        this->bytes += protocol::encode(body).size();
+        this->last[peer] = std::get<protocol::view_update>(body).current;
+    }
+    std::size_t bytes = 0;
+    std::map<std::string, protocol::view> last;
+};
+
 struct counting_sender : protocol::message_sender {
     void send(std::string const& /*peer*/, protocol::message const& /*body*/) override
     {
@@ -70,6 +86,78 @@
     }
 }
 
+// Guards against control members that exceed the memory of their VM, and links of entries that are
+// busy for seconds, when many entries join while the document is large.
+SCENARIO("views are sent to entries that have the document or lack it", "[control][document]")
+{
+    view_recorder links;
+    control::view_sender views(links);
+    base::steady_time now {std::chrono::hours(1)};
+    protocol::view current;
+    current.number = 10;
+    current.routing = {7, std::string(document_bytes, 'x')};
+
+    GIVEN("thirty-five entries that join one after another")
+    {
+        constexpr std::uint64_t entries = 35;
+        for (std::uint64_t index = 0; index < entries; ++index) {
+            ++current.number;
+            current.entries.push_back({{"entry." + std::to_string(index), 1}, "z", "a:1", "a:2"});
+            views.send_to_all(current, now);
+            // A renewal that was sent before the view arrived.
+            views.record_applied(current.entries.back().id, 0);
+            views.send(current.entries.back().id, current.entries.back().id.name, current, now);
+            now += milliseconds(20);
+        }
+        THEN("each gets the document once, and every view")
+        {
+            CHECK(links.bytes < (entries + 1) * document_bytes);
+            for (auto const& [peer, view] : links.last) {
+                CHECK(view.number == current.number);
+                CHECK(view.routing.version == 7);
+            }
+        }
+        WHEN("a new document is stored")
+        {
+            for (auto const& entry : current.entries)
+                views.record_applied(entry.id, current.number);
+            ++current.number;
+            current.routing = {8, std::string(document_bytes, 'y')};
+            links.bytes = 0;
+            views.send_to_all(current, now);
+            THEN("all entries get it")
+            {
+                CHECK(links.bytes > entries * document_bytes);
+                CHECK(links.last.at("entry.3").routing.text == current.routing.text);
+            }
+        }
+    }
+    GIVEN("an entry whose link broke while the document was on its way")
+    {
+        protocol::process_id const entry {"entry.a", 1};
+        views.send(entry, entry.name, current, now);
+        now += milliseconds(1100);
+        views.record_applied(entry, 3);
+        views.send(entry, entry.name, current, now);
+        THEN("it is sent again")
+        {
+            CHECK(links.last.at("entry.a").routing.text == current.routing.text);
+        }
+    }
+    GIVEN("a member that has just become the leader")
+    {
+        protocol::process_id const entry {"entry.a", 1};
+        views.record_applied(entry, 9);
+        views.reset();
+        views.record_applied(entry, 9);
+        views.send(entry, entry.name, current, now);
+        THEN("an entry that acts on an older view gets the document")
+        {
+            CHECK(links.last.at("entry.a").routing.text == current.routing.text);
+        }
+    }
+}
+
 SCENARIO("a member serves requests of its own process", "[control][local]")
 {
     GIVEN("a pending local request")
--- a/tests/entry/entry_test.cpp
+++ b/tests/entry/entry_test.cpp
@@ -413,6 +413,41 @@
     }
 }
 
+// Guards against an entry that loses its routes, or takes them for those of another version, when
+// control leaves out a document that the entry has.
+SCENARIO("an entry gets views without the text of the document", "[entry]")
+{
+    simulated_fleet fleet(1);
+    auto& core = fleet.add_entry("entry.a", "recife");
+    fleet.control.view.routing = {7, "seven"};
+    fleet.control.new_view(fleet);
+    fleet.run(milliseconds(500));
+    REQUIRE(core.applied_view().routing.text == "seven");
+    auto next = core.applied_view();
+    ++next.number;
+    next.routing.text.clear();
+
+    WHEN("the version is the one that it has")
+    {
+        core.receive("control.a", protocol::view_update {next}, fleet.now);
+        THEN("it acts on the view and keeps the text")
+        {
+            CHECK(core.applied_view().number == next.number);
+            CHECK(core.applied_view().routing.text == "seven");
+        }
+    }
+    WHEN("the version is another one")
+    {
+        next.routing.version = 8;
+        core.receive("control.a", protocol::view_update {next}, fleet.now);
+        THEN("it keeps acting on the view before")
+        {
+            CHECK(core.applied_view().number == next.number - 1);
+            CHECK(core.applied_view().routing.version == 7);
+        }
+    }
+}
+
 SCENARIO("an entry shuts down", "[entry]")
 {
     GIVEN("an entry with a running job")
