--- a/src/control/view_sender.h
+++ b/src/control/view_sender.h
@@ -15,6 +15,7 @@
 
 namespace greengagehead::control {
 
+/// Owned by the leader's control_core; the other members forget what it holds.
 class view_sender {
 public:
     explicit view_sender(protocol::message_sender& sender);
@@ -23,6 +24,7 @@
     void reset();
     /// Records the view that an entry acts on, as named in its renewal.
     void record_applied(protocol::process_id const& entry, protocol::view_number view);
+    /// Removes an entry that has left.
     void forget(protocol::process_id const& entry);
 
     /// Sends `current` to the entry `peer`, without the text of the document if the entry has it.
