review: scripts that cannot run end with 2, and start as the deploy file says

Programs start in the repository root. Ports are probed on loopback addresses only. Case 4 keeps its late answers with TROUBLE=0.

--- a/review/2/run.py
+++ b/review/2/run.py
@@ -20,7 +20,8 @@
     await asyncio.sleep(2)
     if trouble:
         worker = system.workers[system.names("agent")[0]]
-        odd = {**worker.beat(), "seq": 1, "service": "pool-7", "born": int(time.time() * 1000)}
+        odd = {**worker.beat(), "seq": 1, "service": "pool-7", "address": "127.71.9.9:8080",
+               "machine": "m-other", "born": int(time.time() * 1000)}
         status, _, _ = await http.call(worker.control, "POST", "/Instances.Heartbeat/i-00c0ffee",
                                        odd)
         record("heartbeat-of-another-writer", agent=worker.name, service=odd["service"],
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -27,20 +27,21 @@
     await asyncio.sleep(2)
     random_numbers = random.Random(28)
     agents = system.names("agent")
-    for number in range(CRASHES if trouble else 0):
+    for number in range(CRASHES):
         if check.found:
             break
         worker = system.workers[agents[number % len(agents)]]
-        worker.crash()
+        if trouble:
+            worker.crash()
         await asyncio.sleep(DOWN_S)
+        # Answers are as late without the crash.
         worker.answer_delay = lambda: random_numbers.uniform(0, LATEST_ANSWER_S)
-        worker.register_s = REGISTER_S
-        await worker.start(f"i-{0x100 + number:08x}")
+        if trouble:
+            worker.register_s = REGISTER_S
+            await worker.start(f"i-{0x100 + number:08x}")
         await asyncio.sleep(WARM_UP_S)
         worker.answer_delay = lambda: 0.0
         await asyncio.sleep(1.0)
-    if not trouble:
-        await asyncio.sleep(20)
     await load.stop()
     return bool(check.found)
 
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -27,7 +27,10 @@
 SERVICE = "huvo11a"
 HOST = "nony24.example"
 PREFIX = "/lohu930/"
-GRACE_S = 6
+LONGEST_PLAY_S = 100
+# run.sh turns this into 1; Python itself ends with 1 on an error.
+EXIT_BROKEN = 10
+EXIT_CANNOT_RUN = 2
 
 
 def render(text, fields):
@@ -54,6 +57,15 @@
     return re.sub(r"\{\{([\w.]+)\}\}", lambda found: value_of(found.group(1), None), text)
 
 
+def is_free(address, port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((address, port))
+        except OSError:
+            return False
+    return True
+
+
 class Record:
     """The file record.txt: one line an event, with seconds since the start of the script."""
 
@@ -93,7 +105,9 @@
             self.roles = tomllib.load(file)["roles"]
         self.machines = {}
         self.workers = {}
-        self.ports = self.free_ports(self.PORTS)
+        self.ports = self.free_ports(self.PORTS, ["127.0.0.1", *(
+            f"127.71.{index}.{host}" for index in range(len(zones))
+            for host in (2, 3, *range(10, 10 + agents[index])))])
         self.version = 0
         seeds = []
         for index, zone in enumerate(zones):
@@ -106,16 +120,12 @@
                          f"127.71.{index}.{10 + number}", seeds)
 
     @staticmethod
-    def free_ports(count):
-        """Ports that are free on every loopback address now, below those of outgoing connections."""
+    def free_ports(count, addresses):
+        """Ports that are free on these addresses now, below those of outgoing connections."""
         ports = []
         for port in random.sample(range(20_000, 32_000), 12_000):
-            with socket.socket() as probe:
-                try:
-                    probe.bind(("0.0.0.0", port))
-                except OSError:
-                    continue
-            ports.append(port)
+            if all(is_free(address, port) for address in addresses):
+                ports.append(port)
             if len(ports) == count:
                 return ports
         raise CannotRun("no free ports")
@@ -147,7 +157,7 @@
         command = command.replace("/etc/greengagehead/local.toml", str(settings)).split()
         log = open(f"{self.folder.name}/{name}.log", "ab")
         machine.process = subprocess.Popen(
-            [str(ROOT / command[0]), *command[1:]], cwd=self.folder.name, stdout=log, stderr=log,
+            command, cwd=ROOT, stdout=log, stderr=log,
             env={"PATH": os.environ.get("PATH", ""), "GREENGAGEHEAD_BOOT": str(settings)})
         log.close()
         self.record("process-start", name=name, pid=machine.process.pid)
@@ -340,14 +350,20 @@
 
 
 def main(folder, case, **fleet_options):
-    """Runs `case(fleet, record, trouble)`, which returns True if the rule was broken."""
+    """Runs `case(fleet, record, trouble)`, which returns True if the rule was broken.
+
+    Ends with EXIT_BROKEN only then, so that no error of the script can pass for a broken rule.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
 
     async def play():
+        running = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, running.cancel)
         fleet = Fleet(record, **fleet_options)
         try:
-            async with asyncio.timeout(100):
+            async with asyncio.timeout(LONGEST_PLAY_S):
                 await fleet.begin()
                 return await case(fleet, record, trouble)
         finally:
@@ -355,13 +371,13 @@
 
     if not (ROOT / "target/greengagehead").exists():
         print("target/greengagehead is missing: run the build of the deploy file", file=sys.stderr)
-        sys.exit(2)
+        sys.exit(EXIT_CANNOT_RUN)
     try:
         broken = asyncio.run(play())
-    except (CannotRun, TimeoutError) as reason:
-        record("cannot-run", reason=reason)
-        print(f"cannot run: {reason}", file=sys.stderr)
-        sys.exit(2)
+    except (CannotRun, TimeoutError, asyncio.CancelledError, KeyboardInterrupt) as reason:
+        record("cannot-run", reason=repr(reason))
+        print(f"cannot run: {reason!r}", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_RUN)
     record("result", trouble=trouble, broken=broken)
     print("the rule was broken" if broken else "the rule held")
-    sys.exit(1 if broken else 0)
+    sys.exit(EXIT_BROKEN if broken else 0)
--- a/review/lib/worker.py
+++ b/review/lib/worker.py
@@ -123,6 +123,10 @@
         reply.body["clock_ms"] = self.clock()
         reply.body["born"] = self.born
         reply.delay_s = self.answer_delay()
+        if reply.status != 200:
+            self.record("worker-answer", worker=self.name, id=self.id, path=path,
+                        status=reply.status, reason=reply.body.get("reason", ""),
+                        late_ms=int(reply.delay_s * 1000))
         return reply
 
     async def answer(self, method, path, headers, body):
