Confirm an announced incarnation with the worker before it counts

Callers saw tasks run twice: after a heartbeat of another writer (complete and well formed, with a service that no configuration names) the agent took it for a new life of its worker. It reported the running tasks as lost, the entries started them elsewhere, and from then on it refused the worker's own heartbeats, since the highest start ever announced had been raised.

Cause: an announcement counted by what it said of itself. Anyone can send one, and one of a former life may arrive late.

Change: an incarnation that is not the present one counts only once the worker has answered a call addressed to it (agent/incarnation_verifier); the call grants no lease and acknowledges no end. Where the answer states the start of the incarnation, it must be the announced one. The lowest accepted start rises with confirmed incarnations only.

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -1,4 +1,5 @@
-// Commands to the worker, their lease, and the ends of runs. Reports are in leased_reports.cpp.
+// Commands to the worker, their lease, and the ends of runs. Reports are in leased_reports.cpp, and
+// the incarnations of the worker in leased_identity.cpp.
 
 #include "agent/leased_runner.h"
 
@@ -233,23 +234,6 @@
     this->worker.stop(this->context(), run, [](worker_reply const&) {});
 }
 
-void leased_runner::announced(worker_incarnation const& current,
-                              std::optional<worker_clock> reading)
-{
-    // Ignores delayed announcements of earlier incarnations.
-    if (!this->incarnation.id.empty() && current.born < this->incarnation.born)
-        return;
-    if (current != this->incarnation) {
-        if (!this->incarnation.id.empty())
-            this->on_worker_lost("the worker has restarted");
-        this->incarnation = current;
-        this->clock.reset();
-        this->last_seen_end = 0;
-        this->next_report = this->now();
-    }
-    this->record_clock(reading);
-}
-
 void leased_runner::record_clock(std::optional<worker_clock> reading)
 {
     if (!reading)
@@ -328,23 +312,6 @@
         .with("fence", this->fence);
 }
 
-void leased_runner::on_worker_lost(std::string const& reason)
-{
-    base::log_record(base::log_event::worker_lost)
-        .with("worker", this->incarnation.id)
-        .with("runs", this->runs.size())
-        .with("reason", reason);
-    this->incarnation = {};
-    this->clock.reset();
-    this->last_seen_end = 0;
-    this->run_numbers.clear();
-    this->ended_run_numbers.clear();
-    // `done` may start other tasks and so change `runs`.
-    auto lost = std::exchange(this->runs, {});
-    for (auto& [name, active] : lost)
-        std::exchange(active.done, nullptr)({outcome_kind::unknown, {}, reason}, this->now());
-}
-
 void leased_runner::finish_run(std::string const& name, run_result result)
 {
     auto const found = this->runs.find(name);
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -15,6 +15,7 @@
 #include <sigc++/signal.h>
 
 #include "agent/endpoint_runner.h"
+#include "agent/incarnation_verifier.h"
 #include "agent/leased_worker.h"
 #include "agent/run_progress.h"
 #include "base/clock.h"
@@ -45,12 +46,21 @@
     /// Handles an announcement by the worker. A new incarnation has lost all runs of the previous
     /// one.
     void announced(worker_incarnation const& incarnation, std::optional<worker_clock> clock);
+    /// Asks the worker whether it is the incarnation that an announcement names. Calls `done`
+    /// exactly once, unless the runner is destroyed first.
+    void ask_incarnation(worker_incarnation const& announced,
+                         std::function<void(incarnation_answer)> done);
     /// To be called every 10 ms.
     void tick();
 
     /// True once no run that an earlier incarnation of this agent started can still be running. The
     /// agent accepts work only then, because entries may already start those tasks elsewhere.
     [[nodiscard]] bool settled() const { return this->is_settled; }
+    /// Empty id while no incarnation is known.
+    [[nodiscard]] worker_incarnation const& current_incarnation() const
+    {
+        return this->incarnation;
+    }
     [[nodiscard]] bool reachable() const { return this->is_reachable; }
     /// Emitted when the worker starts or stops answering.
     sigc::signal<void(bool reachable)> reachable_changed;
--- a/src/agent/leased_worker.h
+++ b/src/agent/leased_worker.h
@@ -50,6 +50,7 @@
 struct worker_reply {
     worker_answer answer = worker_answer::no_answer;
     std::optional<worker_clock> clock; ///< When the worker answered.
+    std::optional<std::uint64_t> born; ///< Start of the incarnation that answered, if it says so.
 };
 
 enum class run_end_reason : std::uint8_t {
@@ -99,8 +100,9 @@
     virtual void stop(call_context const& context, worker_run const& run,
                       std::function<void(worker_reply const&)> done)
         = 0;
-    /// Extends the lease, acknowledges ends up to sequence number `last_seen_end`, and asks for the
-    /// running tasks and for later ends. The worker answers at the next end, or after `wait`.
+    /// Extends the lease unless `lease_until` is 0, acknowledges ends up to sequence number
+    /// `last_seen_end`, and asks for the running tasks and for later ends. The worker answers at
+    /// the next end, or after `wait`.
     virtual void report(call_context const& context, worker_clock lease_until,
                         std::uint64_t last_seen_end, std::chrono::milliseconds wait,
                         std::function<void(worker_report const&)> done)
--- a/tests/platform/malformed_input_test.cpp
+++ b/tests/platform/malformed_input_test.cpp
@@ -243,14 +243,15 @@
     {
         auto const now = milliseconds(1'700'000'000'000);
         incarnation_filter filter;
-        REQUIRE(filter.accept({"i-1", 1'699'999'000'000}, now));
+        REQUIRE(filter.check({"i-1", 1'699'999'000'000}, now));
+        filter.record({"i-1", 1'699'999'000'000});
         THEN("one from the future or from the past is rejected, and the worker is still followed")
         {
-            CHECK_FALSE(filter.accept({"i-1", 1'700'004'000'000}, now));
-            CHECK_FALSE(filter.accept({"i-1", std::uint64_t {1} << 52U}, now));
-            CHECK_FALSE(filter.accept({"i-1", 0}, now));
-            CHECK(filter.accept({"i-1", 1'699'999'000'000}, now));
-            CHECK(filter.accept({"i-1", 1'700'000'001'000}, now));
+            CHECK_FALSE(filter.check({"i-1", 1'700'004'000'000}, now));
+            CHECK_FALSE(filter.check({"i-1", std::uint64_t {1} << 52U}, now));
+            CHECK_FALSE(filter.check({"i-1", 0}, now));
+            CHECK(filter.check({"i-1", 1'699'999'000'000}, now));
+            CHECK(filter.check({"i-1", 1'700'000'001'000}, now));
         }
     }
 }
--- /dev/null
+++ b/tests/platform/worker_adapter_test.cpp
@@ -0,0 +1,185 @@
+// A worker and other writers send announcements to a real listener of an agent, which runs tasks on
+// the worker.
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <nlohmann/json.hpp>
+
+#include "agent/agent_core.h"
+#include "agent/agent_fixture.h"
+#include "platform/worker_adapter.h"
+#include "platform/worker_stand_in.h"
+#include "transport/event_loop.h"
+#include "transport/http_client.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::test;
+using agent::run_result;
+using nlohmann::json;
+using std::chrono::milliseconds;
+using transport::http_method;
+
+struct agent_fixture {
+    explicit agent_fixture(std::uint64_t first_born = 1'700'000'000'000) : worker(loop)
+    {
+        this->worker.born = first_born;
+        this->adapter = platform::make_worker_adapter(
+            this->loop, {this->announcement_address, this->worker.address, milliseconds(1000)});
+        this->core = std::make_unique<agent::agent_core>(
+            agent::agent_settings {}, this->sender, this->adapter->runner(), base::steady_now());
+        this->adapter->connect(*this->core);
+        REQUIRE(this->adapter->open());
+        this->ticks = this->loop.every(milliseconds(10),
+                                       [this] { this->adapter->tick(base::steady_now()); });
+        REQUIRE(this->announce(this->worker.announcement()) == 200);
+        REQUIRE(this->run_until([this] { return this->adapter->ready(); }));
+    }
+
+    void run_for(milliseconds duration)
+    {
+        auto const stop = this->loop.after(duration, [this] { this->loop.stop(); });
+        this->loop.run();
+    }
+
+    /// Returns false if `done` does not become true within 300 steps of 10 ms.
+    bool run_until(std::function<bool()> const& done)
+    {
+        for (int step = 0; step < 300 && !done(); ++step)
+            this->run_for(milliseconds(10));
+        return done();
+    }
+
+    /// Sends an announcement and returns the status of the answer.
+    int announce(stand_in_announcement const& sent)
+    {
+        std::optional<int> code;
+        this->client.send({http_method::post,
+                           this->announcement_address,
+                           "/Instances.Heartbeat/" + sent.id,
+                           {},
+                           sent.body.dump(),
+                           milliseconds(2000)},
+                          [&code](auto&& response) { code = response.code; });
+        this->run_until([&code] { return code.has_value(); });
+        return code.value_or(0);
+    }
+
+    /// Starts a run of the task, which the worker must list.
+    void start(std::string const& name)
+    {
+        agent::run_request request;
+        request.task.task = {"job", 0};
+        request.task.name = name;
+        request.task.attempt = 1;
+        request.start_before = base::steady_now() + milliseconds(2000);
+        this->adapter->runner().start(request, [this](run_result result, base::steady_time) {
+            this->results.push_back(std::move(result));
+        });
+        REQUIRE(this->run_until([&] { return this->worker.running.contains(name); }));
+    }
+
+    transport::event_loop loop;
+    worker_stand_in worker;
+    transport::socket_address announcement_address = free_address(loop);
+    agent::fakes::recording_sender sender;
+    transport::http_client client {loop};
+    std::unique_ptr<app::agent_adapter> adapter;
+    std::unique_ptr<agent::agent_core> core;
+    std::unique_ptr<transport::loop_timer> ticks;
+    std::vector<run_result> results;
+};
+
+} // namespace
+
+// Guards against tasks that run twice after an announcement of another writer, and against refusing
+// the worker from then on.
+SCENARIO("another writer announces a worker to an agent", "[platform][worker]")
+{
+    GIVEN("an agent whose worker runs a task")
+    {
+        agent_fixture agent;
+        agent.start("a.0.0.0");
+        auto odd = agent.worker.announcement();
+        auto const send_odd = [&] {
+            auto const status = agent.announce(odd);
+            agent.run_for(milliseconds(100));
+            return status;
+        };
+
+        WHEN("the announcement names another id, address and service, and a later start")
+        {
+            odd.id = "i-other";
+            odd.body["address"] = "127.0.0.9:8080";
+            odd.body["service"] = "pool-7";
+            odd.body["born"] = agent.worker.born + 1;
+            THEN("it is refused, the run goes on, and the worker is still followed")
+            {
+                CHECK(send_odd() == 400);
+                CHECK(agent.results.empty());
+                CHECK(agent.announce(agent.worker.announcement()) == 200);
+            }
+        }
+        WHEN("it names the worker's id and service, and a later start")
+        {
+            odd.body["born"] = agent.worker.born + 1;
+            THEN("it is refused, the run goes on, and the worker is still followed")
+            {
+                CHECK(send_odd() == 400);
+                CHECK(agent.results.empty());
+                CHECK(agent.announce(agent.worker.announcement()) == 200);
+            }
+        }
+        WHEN("it names this incarnation of the worker and another service")
+        {
+            odd.body["service"] = "pool-7";
+            THEN("it is refused, and the run goes on")
+            {
+                CHECK(send_odd() == 400);
+                CHECK(agent.results.empty());
+            }
+        }
+        WHEN("it names another id while the worker does not answer")
+        {
+            odd.id = "i-other";
+            odd.body["born"] = agent.worker.born + 1;
+            agent.worker.silent = true;
+            THEN("the sender is asked to repeat it, and the run goes on")
+            {
+                CHECK(agent.announce(odd) == 503);
+                agent.worker.silent = false;
+                CHECK(agent.results.empty());
+            }
+        }
+    }
+}
+
+// Guards against an announcement that was held up and displaces a later incarnation.
+SCENARIO("an announcement arrives after its sender has ended", "[platform][worker]")
+{
+    GIVEN("an agent whose worker does not state its start, has restarted and runs a task")
+    {
+        agent_fixture agent(0);
+        auto const late = agent.worker.announcement();
+        agent.worker.restart("i-2");
+        REQUIRE(agent.announce(agent.worker.announcement()) == 200);
+        agent.start("a.0.0.0");
+        WHEN("an announcement of the former incarnation arrives")
+        {
+            auto const status = agent.announce(late);
+            agent.run_for(milliseconds(100));
+            THEN("it is refused, and the run goes on")
+            {
+                CHECK(status == 400);
+                CHECK(agent.results.empty());
+            }
+        }
+    }
+}
