Look for each run at the new incarnation of a worker that kept its id

Callers saw tasks run twice after a worker crashed and returned under its id: the agent did not read `born` in lists of runs and went on as if the worker had only been silent. It started tasks; the first heartbeat of the new life made it report these as lost with the old one, although they ran, and the entries started them elsewhere.

Cause: a reply was taken for one of the life that had announced itself, and a new life for the end of every run that was ever sent to this id.

Change: each reply carries the start of the incarnation that answered, and is compared with the one that was called and with the present one. A higher start under the same id makes each run unconfirmed: it goes on if the new life lists it; otherwise it is stopped there, and reported unknown only when the stop is confirmed and the run still not listed. The fencing token rises, so that commands to the old life that arrive late are refused; ends are acknowledged from zero; no start is sent until the new life has announced itself. Replies belong to a run by a serial number, since task and run number may come again.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -33,9 +33,8 @@
                          done = std::move(done)](worker_report const& report) {
                             if (weak.expired())
                                 return;
-                            if (report.reply.answer == worker_answer::stale_fence
-                                && sent == this->fence)
-                                this->raise_fence();
+                            if (report.reply.answer == worker_answer::stale_fence)
+                                this->on_stale_fence(sent);
                             done(judge(announced, report.reply));
                         });
 }
@@ -44,17 +43,72 @@
                               std::optional<worker_clock> reading)
 {
     // Ignores delayed announcements of earlier incarnations.
-    if (!this->incarnation.id.empty() && current.born < this->incarnation.born)
+    bool const same_id = current.id == this->incarnation.id;
+    if (same_id && current.born < this->incarnation.born)
         return;
+    if (same_id && current.born > this->incarnation.born)
+        this->on_restarted(current.born);
     if (current != this->incarnation) {
         if (!this->incarnation.id.empty())
             this->on_worker_lost("the worker has restarted");
         this->incarnation = current;
-        this->clock.reset();
-        this->last_seen_end = 0;
         this->next_report = this->now();
     }
     this->record_clock(reading);
+    this->update_availability(this->is_reachable, true);
+}
+
+bool leased_runner::is_current(worker_incarnation const& addressed, worker_reply const& reply)
+{
+    if (reply.answer == worker_answer::wrong_incarnation) {
+        if (!addressed.id.empty())
+            this->on_worker_lost("the worker has restarted");
+        return false;
+    }
+    if (addressed.id != this->incarnation.id)
+        return false;
+    if (this->incarnation.born != 0 && reply.born.value_or(0) > this->incarnation.born)
+        this->on_restarted(*reply.born);
+    return reply.born.value_or(addressed.born) == this->incarnation.born;
+}
+
+void leased_runner::on_restarted(std::uint64_t born)
+{
+    base::log_record(base::log_event::worker_restarted)
+        .with("worker", this->incarnation.id)
+        .with("born", born)
+        .with("runs", this->runs.size());
+    this->incarnation.born = born;
+    this->clock.reset();
+    this->last_seen_end = 0;
+    this->renewal_in_flight = 0;
+    this->ended_run_numbers.clear();
+    // Commands that were sent to the previous incarnation may still arrive. The new one refuses
+    // them once it has seen a higher token.
+    ++this->fence;
+    for (auto& [name, active] : this->runs) {
+        active.worker_restarted = true;
+        active.stop_sent = false;
+        active.stop_confirmed = false;
+        active.missing_reports = 0;
+        active.progress = {};
+        if (active.state != phase::starting || active.in_flight == 0)
+            active.state = phase::unconfirmed;
+        active.expected_after_report = this->reports_sent;
+        if (active.stop_requested)
+            this->send_stop(active);
+    }
+    this->send_report(report_kind::probe);
+    this->update_availability(this->is_reachable, false);
+}
+
+void leased_runner::update_availability(bool reachable, bool announced)
+{
+    bool const before = this->available();
+    this->is_reachable = reachable;
+    this->is_announced = announced;
+    if (this->available() != before)
+        this->availability_changed.emit(!before);
 }
 
 void leased_runner::on_worker_lost(std::string const& reason)
@@ -73,6 +127,7 @@
     auto lost = std::exchange(this->runs, {});
     for (auto& [name, active] : lost)
         std::exchange(active.done, nullptr)({outcome_kind::unknown, {}, reason}, this->now());
+    this->update_availability(this->is_reachable, false);
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -26,8 +26,9 @@
 {
     auto const time = this->now();
     this->next_probe = time + probe_interval;
-    this->renewal_in_flight |= kind == report_kind::renewal;
     auto const number = ++this->reports_sent;
+    if (kind == report_kind::renewal)
+        this->renewal_in_flight = number;
     bool const long_poll = kind == report_kind::renewal && !this->runs.empty() && this->is_settled;
     auto const wait = long_poll ? this->limits.max_report_wait : milliseconds(0);
     auto const lease_until = this->lease_end();
@@ -36,29 +37,27 @@
     // The end of a lease is absolute, so a command that is carried out late does not extend it.
     if (!this->runs.empty())
         this->leases_expire_at = std::max(this->leases_expire_at, time + max_duration);
+    auto const context = this->context();
     this->worker.report(
-        this->context(), lease_until, this->last_seen_end, wait,
-        [this, weak = std::weak_ptr(this->alive), number, kind](worker_report const& report) {
-            if (!weak.expired())
-                this->on_report(number, kind, report);
+        context, lease_until, this->last_seen_end, wait,
+        [this, weak = std::weak_ptr(this->alive), context, number](worker_report const& report) {
+            if (weak.expired())
+                return;
+            if (number == this->renewal_in_flight)
+                this->renewal_in_flight = 0;
+            this->process_report(number, context, report);
         });
 }
 
-void leased_runner::on_report(std::uint64_t number, report_kind kind, worker_report const& report)
-{
-    if (kind == report_kind::renewal)
-        this->renewal_in_flight = false;
-    this->process_report(number, report);
-}
-
-void leased_runner::process_report(std::uint64_t number, worker_report const& report)
+void leased_runner::process_report(std::uint64_t number, call_context const& context,
+                                   worker_report const& report)
 {
     this->next_report = this->now() + (this->runs.empty() ? idle_report_interval : report_delay);
-    if (report.reply.answer == worker_answer::wrong_incarnation)
-        return this->on_worker_lost("the worker has restarted");
+    if (!this->is_current(context.incarnation, report.reply))
+        return;
     if (report.reply.answer == worker_answer::stale_fence) {
         this->next_report = this->now();
-        return this->raise_fence();
+        return this->on_stale_fence(context.fence);
     }
     if (report.reply.answer != worker_answer::accepted) {
         this->next_report = this->now() + refused_report_interval;
@@ -124,6 +123,7 @@
                            [&sent_run](auto const& row) { return row.run == sent_run; });
         if (listed != report.running.end()) {
             active.missing_reports = 0;
+            active.worker_restarted = false;
             // The start was carried out although its answer was lost.
             if (active.state == phase::unconfirmed && !active.stop_sent)
                 active.state = phase::running;
@@ -140,7 +140,7 @@
             ended_names.push_back(name);
     }
     for (auto const& name : ended_names)
-        this->finish_run(name, {outcome_kind::cancelled, {}, "the worker no longer lists the run"});
+        this->finish_missing_run(name);
 }
 
 void leased_runner::check_progress(active_run& active, std::uint32_t percent, worker_clock time)
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -63,7 +63,7 @@
 void leased_runner::start(run_request const& request, callback done)
 {
     auto const name = name_of(request.task);
-    if (this->incarnation.id.empty() || !this->is_settled || this->runs.contains(name)
+    if (!this->is_announced || !this->is_settled || this->runs.contains(name)
         || this->now() >= request.start_before) {
         auto const* const reason = this->runs.contains(name)
             ? "another run of the task has not ended yet"
@@ -71,6 +71,7 @@
         return done({outcome_kind::not_run, {}, reason}, this->now());
     }
     auto& active = this->runs[name];
+    active.serial = ++this->last_serial;
     active.task = request.task;
     active.done = std::move(done);
     auto& number = this->run_numbers[name];
@@ -85,30 +86,41 @@
     ++active.unanswered;
     ++active.in_flight;
     active.next_start_attempt = this->now() + start_resend_interval;
-    auto const lease_until = this->lease_end();
-    this->worker.start(this->context(), active.run, active.task, lease_until,
-                       [this, weak = std::weak_ptr(this->alive), name = active.run.task,
-                        number = active.run.number](worker_reply const& reply) {
+    auto const context = this->context();
+    this->worker.start(context, active.run, active.task, this->lease_end(),
+                       [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
+                        serial = active.serial](worker_reply const& reply) {
                            if (!weak.expired())
-                               this->on_started(name, number, reply);
+                               this->on_started(name, serial, context, reply);
                        });
 }
 
-void leased_runner::on_started(std::string const& name, std::uint64_t number,
-                               worker_reply const& reply)
+leased_runner::active_run* leased_runner::find_run(std::string const& name, std::uint64_t serial)
 {
-    this->record_clock(reply.clock);
     auto const found = this->runs.find(name);
-    if (found == this->runs.end() || found->second.run.number != number)
+    return found != this->runs.end() && found->second.serial == serial ? &found->second : nullptr;
+}
+
+void leased_runner::on_started(std::string const& name, std::uint64_t serial,
+                               call_context const& context, worker_reply const& reply)
+{
+    bool const current = this->is_current(context.incarnation, reply);
+    if (current)
+        this->record_clock(reply.clock);
+    auto* const found = this->find_run(name, serial);
+    if (found == nullptr)
         return;
-    auto& active = found->second;
+    auto& active = *found;
     --active.in_flight;
-    active.unanswered -= reply.answer == worker_answer::no_answer ? 0 : 1;
-    if (reply.answer == worker_answer::wrong_incarnation)
-        return this->on_worker_lost("the worker has restarted");
+    // An answer about an earlier incarnation does not tell what the present one does with the
+    // command.
+    bool const answered = current && reply.answer != worker_answer::no_answer;
+    active.unanswered -= answered ? 1 : 0;
     // Another attempt has already been answered.
     if (active.state != phase::starting)
         return;
+    if (!answered)
+        return this->on_start_unanswered(active);
     switch (reply.answer) {
     case worker_answer::accepted:
         return this->on_accepted(active);
@@ -122,18 +134,11 @@
         this->run_numbers[name] = active.run.number;
         return this->send_start(active);
     case worker_answer::stale_fence:
-        this->raise_fence();
-        if (active.start_attempts >= max_start_attempts)
+        this->on_stale_fence(context.fence);
+        if (active.start_attempts >= max_start_attempts || !this->is_announced)
             break;
         return this->send_start(active);
     case worker_answer::no_answer:
-        base::log_record(base::log_event::start_unanswered)
-            .with("task", name)
-            .with("run", active.run.number)
-            .with("worker", this->incarnation.id);
-        if (active.in_flight == 0)
-            this->on_unconfirmed(active);
-        return;
     case worker_answer::wrong_incarnation:
     case worker_answer::command_expired:
     case worker_answer::no_capacity:
@@ -156,6 +161,16 @@
                       "the worker refused the start: " + std::string(text_of(reply.answer))});
 }
 
+void leased_runner::on_start_unanswered(active_run& active)
+{
+    base::log_record(base::log_event::start_unanswered)
+        .with("task", active.run.task)
+        .with("run", active.run.number)
+        .with("worker", this->incarnation.id);
+    if (active.in_flight == 0)
+        this->on_unconfirmed(active);
+}
+
 void leased_runner::on_accepted(active_run& active)
 {
     this->record_contact();
@@ -165,7 +180,7 @@
     active.expected_after_report = this->reports_sent;
     if (active.stop_requested)
         this->send_stop(active);
-    if (!this->renewal_in_flight)
+    if (this->renewal_in_flight == 0)
         this->next_report = std::min(this->next_report, this->now() + report_delay);
 }
 
@@ -195,34 +210,38 @@
 {
     active.stop_sent = true;
     active.next_stop = this->now() + stop_resend_interval;
-    this->worker.stop(this->context(), active.run,
-                      [this, weak = std::weak_ptr(this->alive), name = active.run.task,
-                       number = active.run.number](worker_reply const& reply) {
-                          if (weak.expired())
-                              return;
-                          this->record_clock(reply.clock);
-                          if (reply.answer == worker_answer::wrong_incarnation)
-                              return this->on_worker_lost("the worker has restarted");
-                          if (reply.answer == worker_answer::stale_fence)
-                              return this->raise_fence();
-                          auto const found = this->runs.find(name);
-                          if (reply.answer != worker_answer::accepted || found == this->runs.end()
-                              || found->second.run.number != number)
-                              return;
-                          this->record_contact();
-                          auto& stopped = found->second;
-                          stopped.stop_confirmed = true;
-                          // From now on the worker refuses the start, so a single report that does
-                          // not list the run proves that it has ended.
-                          if (stopped.state == phase::unconfirmed) {
-                              stopped.expected_after_report = this->reports_sent;
-                              stopped.missing_reports = missing_reports_until_ended - 1;
-                          }
-                          if (!this->renewal_in_flight)
-                              this->next_report = this->now();
+    auto const context = this->context();
+    this->worker.stop(context, active.run,
+                      [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
+                       serial = active.serial](worker_reply const& reply) {
+                          if (!weak.expired())
+                              this->on_stopped(name, serial, context, reply);
                       });
 }
 
+void leased_runner::on_stopped(std::string const& name, std::uint64_t serial,
+                               call_context const& context, worker_reply const& reply)
+{
+    if (!this->is_current(context.incarnation, reply))
+        return;
+    this->record_clock(reply.clock);
+    if (reply.answer == worker_answer::stale_fence)
+        return this->on_stale_fence(context.fence);
+    auto* const stopped = this->find_run(name, serial);
+    if (reply.answer != worker_answer::accepted || stopped == nullptr)
+        return;
+    this->record_contact();
+    stopped->stop_confirmed = true;
+    // From now on the worker refuses the start, so a single report that does not list the run
+    // proves that it has ended.
+    if (stopped->state == phase::unconfirmed) {
+        stopped->expected_after_report = this->reports_sent;
+        stopped->missing_reports = missing_reports_until_ended - 1;
+    }
+    if (this->renewal_in_flight == 0)
+        this->next_report = this->now();
+}
+
 void leased_runner::stop_foreign(worker_run const& run)
 {
     base::log_record(base::log_event::foreign_run_stopped)
@@ -257,8 +276,7 @@
 void leased_runner::record_contact()
 {
     this->last_contact = this->now();
-    if (!std::exchange(this->is_reachable, true))
-        this->reachable_changed.emit(true);
+    this->update_availability(true, this->is_announced);
 }
 
 void leased_runner::tick()
@@ -268,15 +286,14 @@
         this->is_settled = true;
         base::log_record(base::log_event::worker_settled).with("reason", "leases have lapsed");
     }
-    if (!this->renewal_in_flight && time >= this->next_report)
+    if (this->renewal_in_flight == 0 && time >= this->next_report)
         this->send_report(report_kind::renewal);
     if (this->is_reachable && !this->runs.empty() && time >= this->next_probe)
         this->send_report(report_kind::probe);
     this->resend_commands(time);
     if (this->is_reachable && time - this->last_contact > unreachable_timeout) {
-        this->is_reachable = false;
         base::log_record(base::log_event::worker_unreachable).with("worker", this->incarnation.id);
-        this->reachable_changed.emit(false);
+        this->update_availability(false, this->is_announced);
     }
     // An unreachable worker ends all runs when their leases expire, and refuses late starts.
     if (!this->is_reachable && !this->runs.empty() && time >= this->leases_expire_at) {
@@ -298,12 +315,19 @@
         if (stopping && time >= active.next_stop)
             this->send_stop(active);
         bool const starting = active.state == phase::starting && !active.stop_requested;
-        if (starting && this->is_reachable && time >= active.next_start_attempt
+        if (starting && this->available() && time >= active.next_start_attempt
             && active.start_attempts < max_unanswered_starts)
             this->send_start(active);
     }
 }
 
+void leased_runner::on_stale_fence(std::uint64_t sent)
+{
+    // A call with a former token does not tell whether the present one is too low.
+    if (sent == this->fence)
+        this->raise_fence();
+}
+
 void leased_runner::raise_fence()
 {
     this->fence += fence_step;
@@ -324,4 +348,14 @@
     done(std::move(result), this->now());
 }
 
+void leased_runner::finish_missing_run(std::string const& name)
+{
+    bool const restarted = this->runs.at(name).worker_restarted;
+    // The incarnation that has ended may have run the task without listing its end.
+    this->finish_run(
+        name,
+        restarted ? run_result {outcome_kind::unknown, {}, "the worker has restarted"}
+                  : run_result {outcome_kind::cancelled, {}, "the worker no longer lists the run"});
+}
+
 } // namespace greengagehead::agent
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -43,8 +43,9 @@
     void start(run_request const& request, callback done) override;
     void stop(std::string const& url, protocol::task_ref const& task) override;
 
-    /// Handles an announcement by the worker. A new incarnation has lost all runs of the previous
-    /// one.
+    /// Handles an announcement by the worker. A new incarnation has lost the runs of the previous
+    /// one. Under the same id, it may have accepted starts that were sent to the previous one, so
+    /// each run ends only when the worker has confirmed that it does not run.
     void announced(worker_incarnation const& incarnation, std::optional<worker_clock> clock);
     /// Asks the worker whether it is the incarnation that an announcement names. Calls `done`
     /// exactly once, unless the runner is destroyed first.
@@ -61,9 +62,10 @@
     {
         return this->incarnation;
     }
-    [[nodiscard]] bool reachable() const { return this->is_reachable; }
-    /// Emitted when the worker starts or stops answering.
-    sigc::signal<void(bool reachable)> reachable_changed;
+    /// Whether the worker answers and its present incarnation has announced itself. The capacity of
+    /// an incarnation is unknown until then.
+    [[nodiscard]] bool available() const { return this->is_reachable && this->is_announced; }
+    sigc::signal<void(bool available)> availability_changed;
     /// Emitted at most once per run, when it has stalled or is far slower than expected.
     /// `remaining` is the estimated time until its end.
     sigc::signal<void(protocol::attempt_ref const& run, std::chrono::milliseconds remaining)>
@@ -78,10 +80,14 @@
     struct active_run {
         protocol::task_start task;
         worker_run run;
+        /// Distinguishes this run from earlier and later ones of the same task and number.
+        std::uint64_t serial = 0;
         phase state = phase::starting;
         bool stop_requested = false;
         bool stop_sent = false;
         bool stop_confirmed = false;
+        /// The worker has restarted since the start was sent, and has not listed the run since.
+        bool worker_restarted = false;
         std::uint32_t start_attempts = 0;
         std::uint32_t unanswered = 0; ///< Start attempts in flight or with a lost answer.
         std::uint32_t in_flight = 0; ///< Start attempts in flight.
@@ -102,10 +108,9 @@
     /// A report that was in flight during the start of a run may not list it.
     static constexpr std::uint32_t missing_reports_until_ended = 3;
 
-    [[nodiscard]] leased_worker::call_context context() const
-    {
-        return {this->fence, this->incarnation};
-    }
+    using call_context = leased_worker::call_context;
+
+    [[nodiscard]] call_context context() const { return {this->fence, this->incarnation}; }
     [[nodiscard]] worker_clock lease_end() const;
     void record_clock(std::optional<worker_clock> reading);
     void record_contact();
@@ -114,21 +119,36 @@
     /// The start may still be carried out, so the next report decides: a run that it does not list
     /// is stopped.
     void on_unconfirmed(active_run& active);
-    void on_started(std::string const& name, std::uint64_t number, worker_reply const& reply);
+    /// Null if the run has ended.
+    active_run* find_run(std::string const& name, std::uint64_t serial);
+    void on_started(std::string const& name, std::uint64_t serial, call_context const& context,
+                    worker_reply const& reply);
+    void on_start_unanswered(active_run& active);
     void send_stop(active_run& active);
+    void on_stopped(std::string const& name, std::uint64_t serial, call_context const& context,
+                    worker_reply const& reply);
     /// Stops a run that this incarnation of the agent did not start.
     void stop_foreign(worker_run const& run);
     enum class report_kind : std::uint8_t { renewal, probe };
     void send_report(report_kind kind);
-    void on_report(std::uint64_t number, report_kind kind, worker_report const& report);
-    void process_report(std::uint64_t number, worker_report const& report);
+    void process_report(std::uint64_t number, call_context const& context,
+                        worker_report const& report);
     void resend_commands(base::steady_time time);
     void on_ended(ended_run const& ended);
     void reconcile_runs(std::uint64_t number, worker_report const& report);
     void check_progress(active_run& active, std::uint32_t percent, worker_clock time);
     void raise_fence();
+    /// Raises the token if the worker refused the one that the runner uses now.
+    void on_stale_fence(std::uint64_t sent);
+    /// Whether an answer is about the present incarnation of the worker.
+    /// @param addressed the incarnation that was called.
+    bool is_current(worker_incarnation const& addressed, worker_reply const& reply);
+    void on_restarted(std::uint64_t born);
     void on_worker_lost(std::string const& reason);
+    void update_availability(bool reachable, bool announced);
     void finish_run(std::string const& name, run_result result);
+    /// Ends a run that the worker does not list although it should.
+    void finish_missing_run(std::string const& name);
     [[nodiscard]] static std::string name_of(protocol::task_start const& task);
 
     leased_worker& worker;
@@ -138,6 +158,7 @@
     base::steady_time created;
 
     worker_incarnation incarnation; ///< Empty id until the worker has announced itself.
+    bool is_announced = false; ///< The present incarnation has announced itself.
     std::optional<worker_clock> clock; ///< Last reading in this incarnation.
     base::steady_time clock_read_at;
     base::steady_time last_contact;
@@ -148,13 +169,14 @@
     bool is_settled = false;
 
     run_list runs;
+    std::uint64_t last_serial = 0; ///< Of a run.
     std::map<std::string, std::uint64_t> run_numbers; ///< Highest run number used, by task.
     /// Highest run number with a reported end, by task. Reports may arrive out of order, so that an
     /// older one may still list the run as running.
     std::map<std::string, std::uint64_t> ended_run_numbers;
     std::uint64_t last_seen_end = 0;
     std::uint64_t reports_sent = 0;
-    bool renewal_in_flight = false;
+    std::uint64_t renewal_in_flight = 0; ///< Number of the report; 0 while none is in flight.
     base::steady_time next_report;
     base::steady_time next_probe;
     std::shared_ptr<bool> alive; // Callbacks of the worker hold weak references to it.
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -81,6 +81,7 @@
     announcement_rejected = 4016,
     run_lagging = 4017,
     report_rejected = 4018,
+    worker_restarted = 4019,
 };
 
 struct event_description {
