Match a 421 of the worker with the incarnation that was called

Callers saw tasks run twice: a call to the old life of a worker was answered 421 by the new one, and the answer arrived after the first heartbeat of the new life. The agent took it for a statement on the new life and reported the tasks that it had started there as lost.

Cause: the callbacks of start, stop and report did not compare the incarnation that was called with the present one.

Change: a 421 ends the present incarnation only if that was the one called.

The three sections of leased_runner_test 'a call to the previous incarnation of a worker is refused late' on a start, a stop and a report failed on the commit before (two checks each); a late answer to a start of the same task and number was matched by the serial number there already.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -61,7 +61,8 @@
 bool leased_runner::is_current(worker_incarnation const& addressed, worker_reply const& reply)
 {
     if (reply.answer == worker_answer::wrong_incarnation) {
-        if (!addressed.id.empty())
+        // A call to an earlier incarnation tells nothing about the present one.
+        if (!addressed.id.empty() && addressed == this->incarnation)
             this->on_worker_lost("the worker has restarted");
         return false;
     }
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -606,3 +606,72 @@
         }
     }
 }
+
+// Guards against tasks that are started elsewhere while the new incarnation runs them.
+SCENARIO("a call to the previous incarnation of a worker is refused late", "[agent][leased]")
+{
+    GIVEN("a start, a stop and a report in flight when the worker restarts under another id")
+    {
+        runner_fixture fixture;
+        fixture.start("a.0.0.0");
+        fixture.worker.starts.front().done(fixture.reply(worker_answer::accepted));
+        fixture.runner.stop("", {"job", 0});
+        fixture.start("b.0.0.0");
+        fixture.advance(milliseconds(40));
+        auto const start = fixture.worker.starts.back();
+        auto const stop = fixture.worker.stops.back();
+        auto const report = fixture.worker.reports.back();
+        fixture.runner.announced({"i-2", 6}, worker_clock(0));
+        REQUIRE(fixture.results.size() == 2);
+        fixture.start("b.0.0.0");
+        fixture.worker.starts.back().done(fixture.reply(worker_answer::accepted));
+
+        auto const refused = fixture.reply(worker_answer::wrong_incarnation);
+        auto const check_run_goes_on = [&fixture] {
+            CHECK(fixture.results.size() == 2);
+            CHECK(fixture.runner.current_incarnation().id == "i-2");
+        };
+        WHEN("the start is refused for its incarnation")
+        {
+            start.done(refused);
+            THEN("the run on the new incarnation goes on")
+            {
+                check_run_goes_on();
+            }
+        }
+        WHEN("the stop is refused for its incarnation")
+        {
+            stop.done(refused);
+            THEN("the run on the new incarnation goes on")
+            {
+                check_run_goes_on();
+            }
+        }
+        WHEN("the report is refused for its incarnation")
+        {
+            report.done({refused, {}, {}});
+            THEN("the run on the new incarnation goes on")
+            {
+                check_run_goes_on();
+            }
+        }
+        // Guards against an answer that is taken for one about a later run of the same number.
+        WHEN("the start is answered for lack of capacity")
+        {
+            start.done(fixture.reply(worker_answer::no_capacity));
+            THEN("the run on the new incarnation goes on")
+            {
+                check_run_goes_on();
+            }
+        }
+        WHEN("a call to the new incarnation is refused for its incarnation")
+        {
+            fixture.advance(milliseconds(40));
+            fixture.worker.reports.back().done({refused, {}, {}});
+            THEN("its run is lost with it")
+            {
+                CHECK(fixture.results.size() == 3);
+            }
+        }
+    }
+}
