Start no task of an ephemeral job whose callers have left

Callers saw tasks run twice: an entry that woke from a freeze of under two seconds read requests whose callers had given up, closed their connections and handed the jobs in at another entry, and started their tasks beside those runs.

Cause: a closed connection was noticed by an event of its own, which comes behind the request, and behind everything else that waits in the sockets. Only a reset was looked for when a request was read.

Change: http_exchange::client_left looks at the connection itself (an orderly close too, also behind data that was not read). A job whose caller has left is refused; and before each start of an ephemeral task the entry looks again at all callers of its job, so that what waited in the queue, a retry after the pause, and a close or reset between the two looks are covered as well.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -136,7 +136,9 @@
         auto* job = this->components.jobs.find(taken->task.job);
         if (job != nullptr && job->phase == job_phase::running) {
             job->tasks[taken->task.index].queued = false;
-            if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
+            if (this->callers_left(*job, now))
+                this->abandon(*job, now);
+            else if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
                 this->enqueue(*job, taken->task.index, true);
                 this->classes[taken->placement_class].blocked_generation = this->generation + 1;
             }
@@ -145,6 +147,21 @@
     }
 }
 
+bool dispatcher::callers_left(job& job, base::steady_time now)
+{
+    // One look covers all tasks of the job that start in the same step.
+    if (std::exchange(job.callers_seen_at, now) == now)
+        return false;
+    auto const has_left = [](waiter const& caller) { return caller.has_left && caller.has_left(); };
+    return !job.waiters.empty() && std::all_of(job.waiters.begin(), job.waiters.end(), has_left);
+}
+
+void dispatcher::abandon(job& job, base::steady_time now)
+{
+    base::log_record(base::log_event::job_abandoned).with("job", job.id);
+    this->components.lifecycle.cancel(job, now);
+}
+
 void dispatcher::refuse_overdue(base::steady_time now)
 {
     for (auto const& task : this->components.ephemeral_queue.overdue(now)) {
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -259,11 +259,13 @@
 entry_core::~entry_core() = default;
 
 void entry_core::submit(protocol::job_request request, milliseconds wait,
-                        std::function<void(submit_reply const&)> reply, base::steady_time now)
+                        std::function<void(submit_reply const&)> reply, base::steady_time now,
+                        std::function<bool()> caller_left)
 {
     waiter caller;
     caller.wait_until = now + wait;
     caller.on_submit = std::move(reply);
+    caller.has_left = std::move(caller_left);
     this->pimpl->lifecycle.submit(std::move(request), std::move(caller), now);
     this->pimpl->place_and_send(now);
 }
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -97,8 +97,11 @@
     entry_core& operator=(entry_core const&) = delete;
 
     /// Calls `reply` once: with the final answer, or after `wait` with the current state.
+    /// @param caller_left asked before tasks of an ephemeral job start: whether the caller no
+    /// longer waits. Such a caller may have sent the job to another entry. May be empty.
     void submit(protocol::job_request request, std::chrono::milliseconds wait,
-                std::function<void(submit_reply const&)> reply, base::steady_time now);
+                std::function<void(submit_reply const&)> reply, base::steady_time now,
+                std::function<bool()> caller_left = {});
     /// Answer or decisions of a job of any entry. An empty `answer` means that the job is not
     /// known.
     void query(std::string const& job, bool explain, std::chrono::milliseconds wait,
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -102,6 +102,7 @@
     protocol::job_answer answer;
 
     std::vector<waiter> waiters;
+    base::steady_time callers_seen_at; ///< When at least one caller was last known to wait.
     decision_log decisions;
 
     /// Whether no attempt of any task has been made.
--- a/src/entry/waiter.h
+++ b/src/entry/waiter.h
@@ -17,6 +17,8 @@
     bool explain = false;
     std::function<void(submit_reply const&)> on_submit;
     std::function<void(protocol::job_reply const&)> on_query;
+    /// Whether the caller no longer waits, although no event has told so yet; may be empty.
+    std::function<bool()> has_left;
 };
 
 /// Passes on an answer, whatever its state.
--- a/src/transport/close_watch.cpp
+++ b/src/transport/close_watch.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include <event2/event.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include "transport/event_loop.h"
@@ -43,6 +44,16 @@
     return peek(event_get_fd(this->read_event)) < 0 && !is_transient(errno);
 }
 
+bool close_watch::closed() const
+{
+    auto const size = peek(event_get_fd(this->read_event));
+    if (size > 0) {
+        pollfd watched {event_get_fd(this->read_event), POLLRDHUP, 0};
+        return poll(&watched, 1, 0) > 0;
+    }
+    return size == 0 || !is_transient(errno);
+}
+
 ssize_t close_watch::peek(int descriptor)
 {
     char next = 0;
--- a/src/transport/close_watch.h
+++ b/src/transport/close_watch.h
@@ -28,6 +28,9 @@
     /// Whether the kernel has already seen a reset or another error on the connection, so that
     /// nothing can be sent on it any more.
     [[nodiscard]] bool reset() const;
+    /// Whether the kernel has already seen that the peer closed the connection, in whichever way.
+    /// Data that was not read yet does not hide it.
+    [[nodiscard]] bool closed() const;
     /// Starts watching. Stops when the peer closes the socket or sends data; call again to resume.
     void arm();
 
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -89,6 +89,11 @@
              {}});
 }
 
+bool http_exchange::client_left() const
+{
+    return this->pending_request == nullptr || this->watch.closed();
+}
+
 void http_exchange::respond(http_response const& response)
 {
     if (this->pending_request == nullptr)
@@ -169,8 +174,8 @@
 void http_server::accept_request(evhttp_request* request)
 {
     auto& connection = this->find_or_add_connection(evhttp_request_get_connection(request));
-    auto exchange
-        = std::make_shared<http_exchange>(request, this->connection_close, connection.writing);
+    auto exchange = std::make_shared<http_exchange>(request, *connection.watch,
+                                                    this->connection_close, connection.writing);
     connection.exchange = exchange;
     connection.watch->arm();
     // A request that was sent before the connection was reset can still be read, but its client may
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -45,12 +45,15 @@
 /// last reference without a reply sends status 500.
 class http_exchange {
 public:
-    /// Both flags must stay valid until the reply is written or the connection is closed.
+    /// The watch and both flags must stay valid until the reply is written or the connection is
+    /// closed.
     /// @param close_flag read when the reply is sent: whether the reply asks the client to close
     /// the connection.
     /// @param writing_flag true from `respond` until the whole reply is written.
-    http_exchange(evhttp_request* request, bool const& close_flag, bool& writing_flag)
-        : pending_request(request), connection_close(close_flag), writing(writing_flag)
+    http_exchange(evhttp_request* request, close_watch const& connection_watch,
+                  bool const& close_flag, bool& writing_flag)
+        : pending_request(request), watch(connection_watch), connection_close(close_flag),
+          writing(writing_flag)
     {
     }
     ~http_exchange();
@@ -64,6 +67,9 @@
     void respond(http_response const& response);
     /// False once the reply is sent or the client has closed the connection.
     [[nodiscard]] bool open() const { return this->pending_request != nullptr; }
+    /// Whether the client has closed the connection, although no event has told so yet. After a
+    /// pause of this process, closes wait behind the requests that were sent before them.
+    [[nodiscard]] bool client_left() const;
     /// Sets the function to call when the client closes the connection before the reply is sent.
     void on_disconnected(std::function<void()> action)
     {
@@ -74,6 +80,7 @@
     friend class http_server;
 
     evhttp_request* pending_request; // Owned by evhttp; null once replied or closed.
+    close_watch const& watch; // Member of the connection, valid while `pending_request` is set.
     bool const& connection_close; // Member of the server.
     bool& writing; // Member of the connection, valid while `pending_request` is set.
     std::function<void()> disconnect_callback;
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -332,3 +332,76 @@
         }
     }
 }
+
+// Guards against tasks that run twice at the same time: after a pause of the entry, a caller may
+// have sent the job to another entry before the event of its closed connection is handled.
+SCENARIO("the caller of an ephemeral job leaves unnoticed", "[entry][ephemeral]")
+{
+    GIVEN("a job that waits for a free endpoint")
+    {
+        ephemeral_fleet fleet;
+        bool left = false;
+        std::vector<std::shared_ptr<simulated_fleet::submission>> others;
+        for (auto& [name, agent] : fleet.agents)
+            agent.run_time = milliseconds(400);
+        for (auto const* name : {"s1", "s2"})
+            others.push_back(fleet.submit("entry.a", make_ephemeral(name, 4)));
+        auto const job = fleet.submit("entry.a", make_ephemeral("s3", 2), milliseconds(10'000),
+                                      [&left] { return left; });
+        fleet.run(milliseconds(100));
+        REQUIRE(fleet.runs.size() == 8);
+        REQUIRE(job->replies.empty());
+
+        WHEN("the caller has left when an endpoint becomes free")
+        {
+            left = true;
+            fleet.run(milliseconds(1000));
+            THEN("none of its tasks starts")
+            {
+                CHECK(fleet.runs.size() == 8);
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::cancelled);
+            }
+        }
+        WHEN("the caller still waits")
+        {
+            fleet.run(milliseconds(1000));
+            THEN("the job is served")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+            }
+        }
+        WHEN("one of two callers has left")
+        {
+            left = true;
+            auto const second = fleet.submit("entry.a", make_ephemeral("s3", 2));
+            fleet.run(milliseconds(1000));
+            THEN("the job is served")
+            {
+                REQUIRE(second->replies.size() == 1);
+                CHECK(second->replies.front().answer.state == job_state::complete);
+            }
+        }
+    }
+    GIVEN("a job whose run has ended without a result")
+    {
+        ephemeral_fleet fleet;
+        bool left = false;
+        for (auto& [name, agent] : fleet.agents)
+            agent.result = outcome_kind::failed;
+        auto const job = fleet.submit("entry.a", make_ephemeral("s1", 1, 3), milliseconds(10'000),
+                                      [&left] { return left; });
+        fleet.run(milliseconds(10));
+        REQUIRE(fleet.runs.begin()->second == 1);
+        WHEN("the caller has left in the meantime")
+        {
+            left = true;
+            fleet.run(milliseconds(1000));
+            THEN("the task is not started again")
+            {
+                CHECK(fleet.runs.begin()->second == 1);
+            }
+        }
+    }
+}
--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -419,7 +419,7 @@
 
 std::shared_ptr<simulated_fleet::submission>
 simulated_fleet::submit(std::string const& at, protocol::job_request const& request,
-                        milliseconds wait)
+                        milliseconds wait, std::function<bool()> caller_left)
 {
     auto recorded = std::make_shared<submission>();
     this->entries.at(at)->submit(
@@ -429,7 +429,7 @@
             recorded->replies.push_back(reply);
             this->check_reply(request, reply);
         },
-        this->now);
+        this->now, std::move(caller_left));
     return recorded;
 }
 
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -113,7 +113,8 @@
         std::vector<entry::submit_reply> replies;
     };
     std::shared_ptr<submission> submit(std::string const& at, protocol::job_request const& request,
-                                       milliseconds wait = milliseconds(10'000));
+                                       milliseconds wait = milliseconds(10'000),
+                                       std::function<bool()> caller_left = {});
     void check_reply(protocol::job_request const& request, entry::submit_reply const& reply);
 
     steady_time now;
--- a/tests/platform/entry_adapter_test.cpp
+++ b/tests/platform/entry_adapter_test.cpp
@@ -4,6 +4,11 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <string>
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "entry/simulated_fleet.h"
 #include "platform/entry_adapter.h"
@@ -89,6 +94,20 @@
         return answer;
     }
 
+    /// Sends a job and closes the connection while the entry reads nothing.
+    /// @param following bytes that are sent behind the job.
+    void post_and_close(std::string const& path, std::string const& following)
+    {
+        auto const target = transport::to_sockaddr(this->settings.caller_address);
+        int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(connect(socket, reinterpret_cast<sockaddr const*>(&target), sizeof target) == 0);
+        std::string const body = job_text;
+        auto const sent = "POST " + path + " HTTP/1.1\r\nHost: a.example\r\nContent-Length: "
+            + std::to_string(body.size()) + "\r\n\r\n" + body + following;
+        REQUIRE(send(socket, sent.data(), sent.size(), 0) == static_cast<ssize_t>(sent.size()));
+        close(socket);
+    }
+
     int ready_code()
     {
         std::optional<int> code;
@@ -200,6 +219,32 @@
     }
 }
 
+// Guards against tasks that run twice: an entry that wakes from a pause reads requests whose
+// callers have closed their connections since and sent the jobs to another entry.
+SCENARIO("a caller leaves before the entry reads its request", "[platform][entry]")
+{
+    for (auto const* following : {"", "GET /q/ HTTP/1.1\r\nHost: a.example\r\n\r\n"}) {
+        GIVEN("an entry that is paused while a caller sends a job and closes its connection"
+              + std::string(*following != 0 ? ", with a request behind the job" : ""))
+        {
+            entry_fixture entry;
+            entry.configure();
+            entry.post_and_close("/q/0123456789abcdef", following);
+            WHEN("the entry goes on")
+            {
+                entry.run_for(milliseconds(300));
+                THEN("no task starts, and later callers are served")
+                {
+                    CHECK(entry.fleet.runs.empty());
+                    auto const served = entry.post("/q/0123456789abcdef");
+                    REQUIRE(entry.run_until([&] { return served->has_value(); }));
+                    CHECK((*served)->code == 200);
+                }
+            }
+        }
+    }
+}
+
 SCENARIO("an entry of the platform shuts down", "[platform][entry]")
 {
     GIVEN("a job that runs")
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -303,6 +304,59 @@
     }
 }
 
+// Guards against work for clients that have left: after a pause of the process, a request is read
+// before the event of its closed connection.
+SCENARIO("a handler asks whether the client has left", "[transport]")
+{
+    GIVEN("a request that the server has not read yet")
+    {
+        event_loop loop;
+        std::optional<bool> left;
+        http_server server(loop, {}, [&left](http_request&, auto const& exchange) {
+            left = exchange->client_left();
+            exchange->respond({});
+        });
+        auto const target = to_sockaddr(server.listen({"127.0.0.1", 0}).value());
+        int const socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(connect(socket, reinterpret_cast<sockaddr const*>(&target), sizeof target) == 0);
+        std::string_view const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        auto const send_request = [&] {
+            REQUIRE(send(socket, request.data(), request.size(), 0)
+                    == static_cast<ssize_t>(request.size()));
+        };
+        send_request();
+
+        WHEN("the connection is open")
+        {
+            run_for(loop, milliseconds(100));
+            THEN("it has not left")
+            {
+                CHECK(left == false);
+            }
+            close(socket);
+        }
+        WHEN("the client has closed the connection")
+        {
+            close(socket);
+            run_for(loop, milliseconds(100));
+            THEN("it has left")
+            {
+                CHECK(left == true);
+            }
+        }
+        WHEN("the client has sent more data and closed the connection")
+        {
+            send_request();
+            close(socket);
+            run_for(loop, milliseconds(100));
+            THEN("it has left")
+            {
+                CHECK(left == true);
+            }
+        }
+    }
+}
+
 SCENARIO("a client reads its reply slowly", "[transport]")
 {
     GIVEN("a reply that is larger than the socket buffers")
