Let a worker's reports count before its first announcement, and refuse starts while runs are lost

Since replies are compared with the present incarnation, an agent that starts ignored reports that state `born` until the worker had announced itself, and so took work only after 1.02 s or the next heartbeat. And while the runs of a lost worker were reported, the runner still counted as announced: a start asked for at that moment was sent addressed to no incarnation.

Change: while no incarnation is known, whichever answers is the present one; a lost worker is unavailable before its runs are reported. A report that waited at the lost incarnation no longer delays the next one.

Evidence: one section each of leased_runner_test failed first (not settled; a sixth start where five were expected).

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -68,6 +68,9 @@
     }
     if (addressed.id != this->incarnation.id)
         return false;
+    // While no incarnation is known, whichever answers is the present one.
+    if (addressed.id.empty())
+        return true;
     if (this->incarnation.born != 0 && reply.born.value_or(0) > this->incarnation.born)
         this->on_restarted(*reply.born);
     return reply.born.value_or(addressed.born) == this->incarnation.born;
@@ -122,13 +125,14 @@
     this->incarnation = {};
     this->clock.reset();
     this->last_seen_end = 0;
+    this->renewal_in_flight = 0;
     this->run_numbers.clear();
     this->ended_run_numbers.clear();
-    // `done` may start other tasks and so change `runs`.
     auto lost = std::exchange(this->runs, {});
+    // Before the results: `done` may ask for other starts, which must be refused.
+    this->update_availability(this->is_reachable, false);
     for (auto& [name, active] : lost)
         std::exchange(active.done, nullptr)({outcome_kind::unknown, {}, reason}, this->now());
-    this->update_availability(this->is_reachable, false);
 }
 
 } // namespace greengagehead::agent
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -84,6 +84,8 @@
         request.start_before = this->now + milliseconds(1000);
         this->runner.start(request, [this](run_result result, base::steady_time) {
             this->results.push_back(std::move(result));
+            if (auto const next = std::exchange(this->start_when_lost, {}); !next.empty())
+                this->start(next);
         });
     }
     [[nodiscard]] worker_reply reply(worker_answer answer) const
@@ -109,6 +111,7 @@
     leased_runner runner;
     std::vector<run_result> results;
     std::uint32_t percent = 0; ///< Progress of the runs that `answer_report` lists.
+    std::string start_when_lost; ///< Task to start during the next result.
     std::optional<std::uint64_t> stated_born; ///< In the answers of `answer_report`.
 };
 
@@ -456,14 +459,20 @@
             CHECK(worker.stops.front().run == worker_run {"old.0.0.0", 3});
             CHECK_FALSE(runner.settled());
         }
-        WHEN("the worker no longer lists any run")
-        {
-            now += milliseconds(10);
-            runner.tick();
-            worker.reports.back().done({{worker_answer::accepted, worker_clock(60), {}}, {}, {}});
-            THEN("the agent accepts work")
-            {
-                CHECK(runner.settled());
+        // Guards against an agent that waits for an announcement, or for the end of all leases,
+        // although the worker lists nothing.
+        for (auto const& born : {std::optional<std::uint64_t>(), std::optional<std::uint64_t>(5)}) {
+            WHEN(std::string("the worker no longer lists any run")
+                 + (born ? ", and states its start" : ""))
+            {
+                now += milliseconds(10);
+                runner.tick();
+                worker.reports.back().done(
+                    {{worker_answer::accepted, worker_clock(60), born}, {}, {}});
+                THEN("the agent accepts work")
+                {
+                    CHECK(runner.settled());
+                }
             }
         }
         WHEN("the worker does not answer until its leases have expired")
@@ -667,10 +676,18 @@
         WHEN("a call to the new incarnation is refused for its incarnation")
         {
             fixture.advance(milliseconds(40));
+            auto const starts = fixture.worker.starts.size();
+            fixture.start_when_lost = "c.0.0.0";
             fixture.worker.reports.back().done({refused, {}, {}});
             THEN("its run is lost with it")
             {
-                CHECK(fixture.results.size() == 3);
+                REQUIRE(fixture.results.size() >= 3);
+                CHECK(fixture.results[2].kind == outcome_kind::unknown);
+            }
+            // Guards against a start that is addressed to no incarnation in particular.
+            THEN("a task that is to start at that moment is not sent")
+            {
+                CHECK(fixture.worker.starts.size() == starts);
             }
         }
     }
