Match an outcome with the agent that the attempt was sent to

Callers saw a task run twice: an agent that woke from a freeze of 6.8 s reported its run of an earlier submission; the job had been handed in again to the same entry, and its run elsewhere was taken for the one that had ended.

Cause: outcomes were matched by job, task, epoch and attempt number, and the attempts of each submission of an ephemeral job are numbered from 1.

Change: an outcome counts only for an attempt at the incarnation that reports it.

Without the comparison, entry/ephemeral_test 'an agent reports the outcome of an earlier submission' failed in both sections (two runs; a job that was answered by another agent's result).

--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -63,7 +63,7 @@
     for (auto& outcome : batch.outcomes) {
         auto* job = this->components.jobs.find(outcome.task.job);
         auto const used = job != nullptr
-            && (this->apply(*job, outcome, now)
+            && (this->apply(*job, batch.agent, outcome, now)
                 || this->components.takeovers.adopt_outcome(*job, batch.agent, outcome, now));
         if (!used)
             ++this->components.counters.wasted_outcomes;
@@ -82,7 +82,7 @@
         reported.emplace(outcome.task.job, outcome.task.index, outcome.attempt);
         auto* job = this->components.jobs.find(outcome.task.job);
         if (job != nullptr && outcome.kind != outcome_kind::running)
-            this->apply(*job, outcome, now);
+            this->apply(*job, report.agent, outcome, now);
     }
     for (auto const& id : original_query.jobs) {
         auto* job = this->components.jobs.find(id);
@@ -99,7 +99,8 @@
     }
 }
 
-bool attempt_tracker::apply(job& job, protocol::task_outcome& outcome, base::steady_time now)
+bool attempt_tracker::apply(job& job, protocol::process_id const& agent,
+                            protocol::task_outcome& outcome, base::steady_time now)
 {
     auto const index = outcome.task.index;
     if ((job.phase != job_phase::running && job.phase != job_phase::stopping)
@@ -107,7 +108,7 @@
         return false;
     auto& task = job.tasks[index];
     auto const* open = task.find(outcome.attempt, outcome.epoch);
-    if (open == nullptr)
+    if (open == nullptr || this->components.agents.at(open->agent).id != agent)
         return false;
     auto const endpoint = open->endpoint;
     this->record_run(job, index, outcome, now);
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -208,7 +208,7 @@
     auto& task = job.tasks[index];
     if (!this->adopted_attempts[job.id].emplace(index, outcome.attempt, outcome.epoch).second)
         return outcome.kind != protocol::outcome_kind::running
-            && this->components.attempts.apply(job, outcome, now);
+            && this->components.attempts.apply(job, agent, outcome, now);
     job.record_decision({now, decision_kind::recovered, static_cast<std::int32_t>(index),
                          outcome.attempt, outcome.endpoint,
                          "the agent knows an attempt of the former owner", 0});
@@ -224,7 +224,7 @@
     ++job.awaited;
     this->components.endpoints.record_start(adopted.endpoint);
     if (outcome.kind != protocol::outcome_kind::running)
-        return this->components.attempts.apply(job, outcome, now);
+        return this->components.attempts.apply(job, agent, outcome, now);
     if (job.content != nullptr)
         this->components.monitor.schedule_check(job, index, adopted);
     return true;
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -405,3 +405,44 @@
         }
     }
 }
+
+// Guards against a task that is started again beside its run: an agent that wakes from a pause
+// reports its run of an earlier submission of the same job, whose attempts have the same numbers.
+SCENARIO("an agent reports the outcome of an earlier submission", "[entry][ephemeral]")
+{
+    GIVEN("a job that runs")
+    {
+        ephemeral_fleet fleet;
+        for (auto& [name, agent] : fleet.agents)
+            agent.run_time = milliseconds(500);
+        auto const job = fleet.submit("entry.a", make_ephemeral("s1", 1));
+        REQUIRE(fleet.run_until([&] { return fleet.runs.size() == 1; }));
+        auto const& first = fleet.agents.at("agent.1");
+        auto const& second = fleet.agents.at("agent.2");
+        auto const& other = first.records.empty() ? first : second;
+        protocol::task_outcome late;
+        late.task = {fleet.runs.begin()->first.first, 0};
+        late.endpoint = "endpoint";
+
+        for (auto const kind : {outcome_kind::cancelled, outcome_kind::succeeded}) {
+            WHEN("another agent reports an outcome of the same attempt number: "
+                 + std::to_string(static_cast<int>(kind)))
+            {
+                late.kind = kind;
+                late.result = "1";
+                fleet.post(other.id.name, "entry.a",
+                           protocol::outcome_batch {other.id, 99, {late}, {}});
+                fleet.run(milliseconds(300));
+                THEN("the run goes on, and its own outcome is used")
+                {
+                    CHECK(job->replies.empty());
+                    CHECK(fleet.runs.begin()->second == 1);
+                    fleet.run(milliseconds(500));
+                    REQUIRE(job->replies.size() == 1);
+                    CHECK(job->replies.front().answer.state == job_state::complete);
+                    CHECK(fleet.runs.begin()->second == 1);
+                }
+            }
+        }
+    }
+}
