--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -82,6 +82,20 @@
                 CHECK_FALSE(read_routing(document.dump()));
             }
         }
+        // Guards against a document that drops all routes because they could not be read.
+        for (auto const* key : {"routes", "services"}) {
+            for (auto const* other : {"{}", "null"}) {
+                WHEN(std::string(key) + " is " + other + " in place of a list")
+                {
+                    document["routes"] = json::array();
+                    document[key] = json::parse(other);
+                    THEN("it is refused")
+                    {
+                        CHECK_FALSE(read_routing(document.dump()));
+                    }
+                }
+            }
+        }
         WHEN("a field is of another type or missing")
         {
             document["routes"][0]["service"] = 5;
