--- a/tests/platform/entry_adapter_test.cpp
+++ b/tests/platform/entry_adapter_test.cpp
@@ -12,6 +12,7 @@
 
 #include "entry/simulated_fleet.h"
 #include "platform/entry_adapter.h"
+#include "platform/free_address.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
 
@@ -29,13 +30,6 @@
 constexpr auto job_text = R"({"spec":"text","best_effort":true,
     "steps":[{"count":2,"cpu":10,"mem_mb":1,"estimate_ms":1500}]})";
 
-/// Returns an address whose port was free a moment ago.
-transport::socket_address free_address(transport::event_loop& loop)
-{
-    transport::http_server probe(loop, {}, [](auto&, auto const&) {});
-    return probe.listen({"127.0.0.1", 0}).value();
-}
-
 struct entry_fixture {
     // The simulated control acts at multiples of 200 ms, so the clock starts at a whole second.
     entry_fixture()
--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -13,6 +13,7 @@
 
 #include "agent/agent_core.h"
 #include "agent/agent_fixture.h"
+#include "platform/free_address.h"
 #include "platform/worker_adapter.h"
 #include "platform/worker_stand_in.h"
 #include "transport/event_loop.h"
--- a/tests/platform/worker_stand_in.h
+++ b/tests/platform/worker_stand_in.h
@@ -16,13 +16,6 @@
 
 namespace greengagehead::test {
 
-/// Returns an address whose port was free a moment ago.
-inline transport::socket_address free_address(transport::event_loop& loop)
-{
-    transport::http_server probe(loop, {}, [](auto&, auto const&) {});
-    return probe.listen({"127.0.0.1", 0}).value();
-}
-
 struct stand_in_announcement {
     std::string id;
     nlohmann::json body;
