--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -140,10 +140,14 @@
     void raise_fence();
     /// Raises the token if the worker refused the one that the runner uses now.
     void on_stale_fence(std::uint64_t sent);
-    /// Whether an answer is about the present incarnation of the worker.
+    /// Whether an answer is about the present incarnation of the worker. First acts on what the
+    /// answer tells about incarnations: the present one has ended, or a later one has answered.
     /// @param addressed the incarnation that was called.
     bool is_current(worker_incarnation const& addressed, worker_reply const& reply);
+    /// The worker has restarted under its id. Each run is unconfirmed until the new incarnation
+    /// lists it or has confirmed that it refuses it.
     void on_restarted(std::uint64_t born);
+    /// The present incarnation has ended, and with it every run.
     void on_worker_lost(std::string const& reason);
     void update_availability(bool reachable, bool announced);
     void finish_run(std::string const& name, run_result result);
