--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -64,6 +64,7 @@
     job_abandoned = 3023,
     control_lost = 3024,
     control_regained = 3025,
+    run_given_up = 3026,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -141,6 +141,7 @@
                          open.number, open.endpoint, reason, 0});
     base::log_record(base::log_event::task_stalled)
         .with("job", job.id)
+        .with("submission", job.submission)
         .with("task", index)
         .with("attempt", open.number)
         .with("endpoint", open.endpoint)
@@ -252,6 +253,13 @@
     this->components.attempts.close(job, task, open, task.expected);
     job.record_decision({now, decision_kind::endpoint_lost, static_cast<std::int32_t>(index),
                          logged_attempt, endpoint, cause, 0});
+    base::log_record(base::log_event::run_given_up)
+        .with("job", job.id)
+        .with("submission", job.submission)
+        .with("task", index)
+        .with("attempt", logged_attempt)
+        .with("endpoint", endpoint)
+        .with("reason", cause);
     this->components.attempts.on_unknown(job, index, endpoint, cause, now);
     this->components.lifecycle.end_if_stopped(job, now);
 }
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -125,6 +125,7 @@
          0});
     base::log_record(base::log_event::task_finished)
         .with("job", job.id)
+        .with("submission", job.submission)
         .with("task", index)
         .with("attempt", outcome.attempt)
         .with("endpoint", endpoint)
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -158,7 +158,9 @@
 
 void dispatcher::abandon(job& job, base::steady_time now)
 {
-    base::log_record(base::log_event::job_abandoned).with("job", job.id);
+    base::log_record(base::log_event::job_abandoned)
+        .with("job", job.id)
+        .with("submission", job.submission);
     this->components.lifecycle.cancel(job, now);
 }
 
@@ -265,6 +267,7 @@
                          choice.reason, choice.candidates});
     base::log_record(base::log_event::task_placed)
         .with("job", job.id)
+        .with("submission", job.submission)
         .with("task", index)
         .with("attempt", added.number)
         .with("endpoint", choice.endpoint)
