--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -183,6 +183,7 @@
         return;
     auto& added = this->records[id];
     added.owner = peer;
+    added.name = task.name;
     added.outcome.task = task.task;
     added.outcome.attempt = task.attempt;
     added.outcome.epoch = task.epoch;
@@ -213,6 +214,9 @@
     if (task.ephemeral && fleet.concurrent_runs(task.task) > 1)
         fleet.violations.push_back("two runs of an ephemeral task at the same time: "
                                    + description);
+    if (!task.name.empty() && fleet.concurrent_runs(task.name) > 1)
+        fleet.violations.push_back("two runs of " + task.name + " at the same time: "
+                                   + description);
     if (!task.idempotent && !task.ephemeral && runs > 1)
         fleet.violations.push_back("second run of a task that must run once: " + description);
     if (fleet.must_not_run.count(task_id) != 0)
@@ -373,6 +377,16 @@
     return count;
 }
 
+std::size_t simulated_fleet::concurrent_runs(std::string const& name) const
+{
+    std::size_t count = 0;
+    for (auto const& [agent_name, agent] : this->agents) {
+        for (auto const& [key, record] : agent.records)
+            count += record.name == name && record.outcome.kind == outcome_kind::running ? 1 : 0;
+    }
+    return count;
+}
+
 void simulated_fleet::deliver(envelope const& item)
 {
     if (this->isolated.count(item.from) != 0 || this->isolated.count(item.to) != 0)
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -66,6 +66,7 @@
     using key = std::tuple<std::string, std::uint32_t, std::uint32_t, protocol::job_epoch>;
     struct record {
         protocol::task_outcome outcome;
+        std::string name; ///< As in task_start.
         std::string owner;
         steady_time ends;
         bool acknowledged = false;
@@ -105,6 +106,8 @@
     bool run_until(std::function<bool()> const& done, milliseconds limit = milliseconds(5000));
     /// Number of runs of the task that are in progress.
     [[nodiscard]] std::size_t concurrent_runs(protocol::task_ref const& task) const;
+    /// The same for a named task, whichever entries have started it.
+    [[nodiscard]] std::size_t concurrent_runs(std::string const& name) const;
     [[nodiscard]] std::uint32_t random(std::uint32_t bound);
 
     /// Submits a job and records the replies.
