Hold a submission that another entry may still run, and ask that entry

A caller that gets no answer sends its job to another entry 1.3 s later, and the two entries knew nothing of each other. What kept their runs apart was time alone: the first entry had to notice that its caller had left, and its cancellation to arrive, within those 1.3 s.

Cause, and its class: mutual exclusion by an assumed upper bound of delays. It fails when the connection has broken on the caller's side only, and when the cancellation is late at the agent. Runs of up to 3.6 s outlast the 1.3 s.

An entry now announces ephemeral submissions that are unfinished after 400 ms, and those that have ended with a run whose end is not confirmed, to all entries of its view; entries keep links to each other for it. A submission that was announced is held at the second entry, which asks the first one: its job goes on while anybody waits for it, and its answer serves both callers; if it has ended without one, the job starts at the second entry once its runs have ended. A job whose callers have left is told apart from a cancelled one (error code abandoned), so that a caller who comes back to the same entry is not told 410.

--- a/src/api/json_replies.cpp
+++ b/src/api/json_replies.cpp
@@ -187,6 +187,7 @@
     case base::error_code::corrupt:
     case base::error_code::io:
         return 500;
+    case base::error_code::abandoned:
     case base::error_code::unavailable:
     case base::error_code::timeout:
         break;
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -72,6 +72,9 @@
                     &entry::entry_counters::hedges},
     counter_metric {"messages_sent_total", "Messages to other processes.",
                     &entry::entry_counters::messages_sent},
+    counter_metric {"submissions_held_total",
+                    "Submissions that another entry might run when they arrived.",
+                    &entry::entry_counters::submissions_held},
     counter_metric {"wasted_outcomes_total", "Outcomes that added nothing to an answer.",
                     &entry::entry_counters::wasted_outcomes},
 };
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -3,6 +3,7 @@
 #include "app/entry_task.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "app/peer_wiring.h"
 #include "base/random.h"
@@ -55,6 +56,7 @@
     connect_peers(this->hub, settings::role::entry, dialed_entries);
     this->core.control_group_changed.connect(
         [this](auto const& group) { dial_members(this->hub, group); });
+    this->core.view_applied.connect([this](auto const& view) { this->dial_entries(view); });
     if (adapters.entry)
         this->adapter = adapters.entry(this->loop, this->core);
 }
@@ -64,6 +66,28 @@
     this->stop();
 }
 
+void entry_task::dial_entries(protocol::view const& view)
+{
+    auto const self = settings::peer_name(settings::role::entry, this->settings.name);
+    std::set<std::string> configured;
+    for (auto const& peer : this->settings.entries)
+        configured.insert(settings::peer_name(settings::role::entry, peer.name));
+    std::set<std::string> dialed;
+    for (auto const& entry : view.entries) {
+        // As in the constructor, only one entry of each pair dials.
+        if (self >= entry.id.name || entry.link_address.empty()
+            || configured.contains(entry.id.name))
+            continue;
+        dialed.insert(entry.id.name);
+        dial(this->hub, entry.id.name, entry.link_address);
+    }
+    for (auto const& name : this->dialed_entries) {
+        if (!dialed.contains(name))
+            this->hub.stop_reconnecting(name);
+    }
+    this->dialed_entries = std::move(dialed);
+}
+
 base::result<transport::socket_address> entry_task::open_links()
 {
     BOOST_OUTCOME_TRY(address, transport::parse_address(this->settings.entry_listen));
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -3,6 +3,8 @@
 #pragma once
 
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "api/entry_routes.h"
@@ -36,6 +38,9 @@
     [[nodiscard]] bool idle() const override;
 
 private:
+    /// Keeps links to the entries of the view, also to those that no setting names.
+    void dial_entries(protocol::view const& view);
+
     settings::process_settings settings;
     entry::entry_core core;
     api::entry_routes routes;
@@ -45,6 +50,7 @@
     std::unique_ptr<transport::loop_timer> leave_timer;
     // Set at shutdown: expires when all callers still waiting must be answered.
     std::unique_ptr<transport::loop_timer> last_reply_timer;
+    std::set<std::string> dialed_entries; // Peer names of those that `dial_entries` dials.
     bool leave_pending = false; // Invariant: true while leave_timer runs.
 };
 
--- a/src/base/error.cpp
+++ b/src/base/error.cpp
@@ -15,7 +15,7 @@
     std::string_view {"refused"},          std::string_view {"expired"},
     std::string_view {"unauthorized"},     std::string_view {"io"},
     std::string_view {"corrupt"},          std::string_view {"malformed"},
-    std::string_view {"internal"},
+    std::string_view {"internal"},         std::string_view {"abandoned"},
 };
 
 constexpr std::array step_names {
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -25,6 +25,7 @@
     corrupt,
     malformed,
     internal,
+    abandoned, ///< Every caller that waited has left.
 };
 
 /// Step at which an error occurred.
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -62,6 +62,8 @@
     event_description {log_event::control_lost, severity::warning, "control_lost"},
     event_description {log_event::control_regained, severity::info, "control_regained"},
     event_description {log_event::run_given_up, severity::warning, "run_given_up"},
+    event_description {log_event::submission_held, severity::info, "submission_held"},
+    event_description {log_event::submission_released, severity::info, "submission_released"},
     event_description {log_event::endpoint_announced, severity::info, "endpoint_announced"},
     event_description {log_event::endpoint_left, severity::info, "endpoint_left"},
     event_description {log_event::start_refused, severity::info, "start_refused"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -65,6 +65,8 @@
     control_lost = 3024,
     control_regained = 3025,
     run_given_up = 3026,
+    submission_held = 3027,
+    submission_released = 3028,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -23,10 +23,6 @@
 /// An ephemeral task that has been retried this often is not moved to another endpoint.
 constexpr std::uint16_t max_restarts = 2;
 constexpr milliseconds min_stall_margin {1000};
-/// Longest time from an agent's loss until its ephemeral runs for this entry have ended. The agent
-/// stops them itself when it has not heard from the entry for 900 ms. When it is frozen or gone,
-/// the endpoint ends them when its lease of one second lapses, by a clock that may be 2% slow.
-constexpr milliseconds ephemeral_run_limit {2000};
 
 /// A run that takes this long has stalled, even when its agent has not reported that it lags.
 base::steady_time::duration stall_limit(microseconds slow)
@@ -203,7 +199,7 @@
         if (open.superseded || job.content == nullptr)
             return;
         if (job.ephemeral)
-            return this->components.timers.add({now + ephemeral_run_limit,
+            return this->components.timers.add({now + policy::unconfirmed_run_limit,
                                                 timer_kind::lost_attempt_expired, job.number, index,
                                                 open.number});
         // Only the agent knows the outcome of a task that must not run twice.
--- a/src/entry/attempt_tracker.h
+++ b/src/entry/attempt_tracker.h
@@ -44,6 +44,9 @@
     void close(job& job, task& task, attempt const& open, std::chrono::microseconds run_time);
 
 private:
+    /// Notes that a run that was cancelled at the end of its job has ended.
+    void confirm_end(job& job, protocol::process_id const& agent,
+                     protocol::task_outcome const& outcome);
     void record_run(job const& job, std::uint32_t index, protocol::task_outcome const& outcome,
                     base::steady_time now);
     void on_succeeded(job& job, std::uint32_t index, protocol::task_outcome& outcome,
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -137,7 +137,7 @@
         if (job != nullptr && job->phase == job_phase::running) {
             job->tasks[taken->task.index].queued = false;
             if (this->callers_left(*job, now))
-                this->abandon(*job, now);
+                this->components.lifecycle.stop_abandoned(*job, now);
             else if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
                 this->enqueue(*job, taken->task.index, true);
                 this->classes[taken->placement_class].blocked_generation = this->generation + 1;
@@ -156,14 +156,6 @@
     return !job.waiters.empty() && std::all_of(job.waiters.begin(), job.waiters.end(), has_left);
 }
 
-void dispatcher::abandon(job& job, base::steady_time now)
-{
-    base::log_record(base::log_event::job_abandoned)
-        .with("job", job.id)
-        .with("submission", job.submission);
-    this->components.lifecycle.cancel(job, now);
-}
-
 void dispatcher::refuse_overdue(base::steady_time now)
 {
     for (auto const& task : this->components.ephemeral_queue.overdue(now)) {
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -55,7 +55,6 @@
     void place_ephemeral(base::steady_time now);
     /// Whether every caller of an ephemeral job has left, so that it may run elsewhere soon.
     bool callers_left(job& job, base::steady_time now);
-    void abandon(job& job, base::steady_time now);
     /// Refuses ephemeral jobs that have not started and can no longer meet their target.
     void refuse_overdue(base::steady_time now);
     void place(policy::queued_task const& taken, base::steady_time now);
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -18,6 +18,7 @@
 #include "entry/job_table.h"
 #include "entry/lease_manager.h"
 #include "entry/remote_jobs.h"
+#include "entry/resubmissions.h"
 #include "entry/takeover.h"
 #include "entry/team_table.h"
 #include "entry/timer_queue.h"
@@ -78,6 +79,7 @@
     attempt_monitor monitor;
     job_lifecycle lifecycle;
     remote_jobs remote;
+    resubmissions resubmitted;
     takeover takeovers;
 };
 
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -55,7 +55,7 @@
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
       placement(policy_of(this->settings)), jobs(finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
-      monitor(*this), lifecycle(*this), remote(*this), takeovers(*this)
+      monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this), takeovers(*this)
 {
 }
 
@@ -171,6 +171,13 @@
         case timer_kind::lost_attempt_expired:
             this->monitor.on_lost_attempt_expired(*due, now);
             break;
+        case timer_kind::announcement:
+            if (auto const* job = this->jobs.find(due->job))
+                this->resubmitted.announce(*job);
+            break;
+        case timer_kind::held_submission:
+            this->resubmitted.on_timer(due->job, now);
+            break;
         case timer_kind::attachment:
             this->remote.on_timer(due->job, now);
             break;
@@ -224,7 +231,8 @@
             } else if constexpr (std::is_same_v<type, protocol::job_query>) {
                 this->remote.on_query(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_reply>) {
-                this->remote.on_reply(peer, message, now);
+                if (!this->resubmitted.on_reply(peer, message, now))
+                    this->remote.on_reply(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_cancel>) {
                 if (auto* job = this->jobs.find(message.job))
                     this->lifecycle.cancel(*job, now);
@@ -239,6 +247,8 @@
                 this->on_report(message, now);
             } else if constexpr (std::is_same_v<type, protocol::lagging_run>) {
                 this->monitor.on_lagging(message, now);
+            } else if constexpr (std::is_same_v<type, protocol::submissions_running>) {
+                this->resubmitted.on_announcement(peer, message, now);
             }
         },
         body);
@@ -301,6 +311,13 @@
     this->pimpl->place_and_send(now);
 }
 
+void entry_core::abandon(std::string const& job, base::steady_time now)
+{
+    if (auto* existing = this->pimpl->jobs.find(job))
+        this->pimpl->lifecycle.stop_abandoned(*existing, now);
+    this->pimpl->place_and_send(now);
+}
+
 void entry_core::control(protocol::control_request_body body, milliseconds timeout,
                          std::function<void(protocol::control_result const&)> reply,
                          base::steady_time now)
@@ -331,6 +348,7 @@
     this->pimpl->control.tick(now);
     this->pimpl->check_agents(now);
     this->pimpl->run_timers(now);
+    this->pimpl->resubmitted.tick(now);
     this->pimpl->takeovers.tick(now);
     // An excluded endpoint becomes usable again after a time, without any message.
     this->pimpl->dispatch.capacity_changed();
@@ -347,6 +365,7 @@
 {
     this->pimpl->agents.on_up(peer, now);
     this->pimpl->control.on_peer_up(peer);
+    this->pimpl->resubmitted.peer_up(peer, now);
     if (!this->pimpl->leases.valid(now))
         this->pimpl->leases.renew_soon();
     if (auto const* agent = this->pimpl->agents.find(peer))
@@ -358,6 +377,7 @@
 {
     this->pimpl->agents.on_down(peer);
     this->pimpl->control.on_peer_down(peer, now);
+    this->pimpl->resubmitted.peer_down(peer, now);
 }
 
 void entry_core::begin_shutdown(base::steady_time now, std::chrono::milliseconds remaining)
@@ -368,13 +388,15 @@
 void entry_core::answer_all_waiters(base::steady_time now)
 {
     this->pimpl->lifecycle.answer_all_waiters(now);
+    this->pimpl->resubmitted.answer_all(now);
     this->pimpl->place_and_send(now);
 }
 
 bool entry_core::idle() const
 {
     return this->pimpl->jobs.unfinished() == 0 && this->pimpl->remote.idle()
-        && this->pimpl->claims.idle() && this->pimpl->control.idle();
+        && this->pimpl->resubmitted.idle() && this->pimpl->claims.idle()
+        && this->pimpl->control.idle();
 }
 
 bool entry_core::has_endpoints() const
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -85,6 +85,7 @@
     std::uint64_t refused_starts = 0; ///< Starts that an agent did not admit.
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
+    std::uint64_t submissions_held = 0; ///< Sent here while another entry might run them.
     std::uint64_t messages_sent = 0;
     std::uint64_t wasted_outcomes = 0; ///< Outcomes that contributed nothing to an answer.
 };
@@ -109,6 +110,9 @@
     /// Cancels a job; replies with its answer once it is final, or after two seconds.
     void cancel(std::string const& job, std::function<void(protocol::job_reply const&)> reply,
                 base::steady_time now);
+    /// Stops an ephemeral job, unless somebody still waits for it. To be called when every caller
+    /// that has submitted it here has left.
+    void abandon(std::string const& job, base::steady_time now);
     /// Sends an operator's request to the control leader, following leader hints and resending
     /// under the same request id. Replies with `error_code::timeout` when no answer came within
     /// `timeout`; the change may then be in force, or come into force later.
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -33,6 +33,13 @@
     bool superseded = false;
 };
 
+/// A run that was cancelled when its job ended, and whose end the agent has not confirmed.
+struct unconfirmed_run {
+    std::uint32_t index = 0; ///< Task index.
+    std::uint32_t attempt = 1;
+    agent_slot agent = 0;
+};
+
 struct task {
     protocol::task_state state = protocol::task_state::waiting;
     bool queued = false; ///< In a queue of the dispatcher.
@@ -97,6 +104,9 @@
     std::size_t awaited = 0; ///< Attempts of all tasks whose outcome is awaited.
     std::uint32_t refused_starts = 0; ///< Attempts that an agent did not admit; logged at the end.
 
+    std::vector<unconfirmed_run> unconfirmed; ///< Of a final ephemeral job.
+    base::steady_time runs_end_by; ///< When the `unconfirmed` runs have ended at the latest.
+
     protocol::job_state final_state = protocol::job_state::running;
     std::optional<base::error> failure;
     protocol::job_answer answer;
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -56,6 +56,30 @@
     this->stop(job, job_state::cancelled, std::move(failure), now);
 }
 
+void job_lifecycle::stop_abandoned(job& job, base::steady_time now)
+{
+    auto const submitted_here = [](waiter const& caller) { return bool(caller.on_submit); };
+    if (!job.ephemeral || job.phase != job_phase::running
+        || !std::all_of(job.waiters.begin(), job.waiters.end(), submitted_here))
+        return;
+    base::log_record(base::log_event::job_abandoned)
+        .with("job", job.id)
+        .with("submission", job.submission);
+    job.record_decision({now, decision_kind::cancelled, -1, 0, {}, "every caller has left", 0});
+    this->stop(job, job_state::cancelled,
+               {base::error_code::abandoned, base::error_step::run, {}, "every caller has left"},
+               now);
+}
+
+void job_lifecycle::extend_deadline(job& job, base::steady_time time)
+{
+    if (job.phase != job_phase::running || time <= job.deadline)
+        return;
+    job.deadline = time;
+    this->add_timer(job, timer_kind::job_deadline, time);
+    this->components.resubmitted.announce(job);
+}
+
 void job_lifecycle::on_timer(timer const& due, base::steady_time now)
 {
     auto* job = this->components.jobs.find(due.job);
@@ -63,7 +87,9 @@
         return;
     switch (due.kind) {
     case timer_kind::job_deadline:
-        return this->on_deadline(*job, now);
+        if (now >= job->deadline)
+            this->on_deadline(*job, now);
+        return;
     case timer_kind::claim_retry:
         if (!job->claim_committed)
             this->send_claim(*job, now);
@@ -227,6 +253,8 @@
     if (job.final_state == job_state::refused)
         job.answer.retry_after = refused_retry_after;
     job.phase = job_phase::publishing;
+    if (job.ephemeral)
+        this->record_unconfirmed_runs(job, now);
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
         auto& task = job.tasks[i];
         this->components.dispatch.withdraw(job, i);
@@ -242,6 +270,18 @@
                     now + this->components.settings.copy_timeout);
 }
 
+void job_lifecycle::record_unconfirmed_runs(job& job, base::steady_time now)
+{
+    for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
+        for (auto const& open : job.tasks[i].attempts)
+            job.unconfirmed.push_back({i, open.number, open.agent});
+    }
+    if (job.unconfirmed.empty())
+        return;
+    job.runs_end_by = now + policy::unconfirmed_run_limit;
+    this->components.resubmitted.announce(job);
+}
+
 void job_lifecycle::adopt_answer(job& job, protocol::job_answer const& answer,
                                  base::steady_time now)
 {
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -66,7 +66,10 @@
     auto const id = this->job_id_for(request);
     // The id of an ephemeral submission identifies it; a digest would not be used.
     auto digest = request.ephemeral ? std::string() : content_digest(request);
-    if (auto* resubmitted = this->components.jobs.find(id)) {
+    auto* const resubmitted = this->components.jobs.find(id);
+    bool const abandoned = resubmitted != nullptr && resubmitted->failure
+        && resubmitted->failure->code == base::error_code::abandoned;
+    if (resubmitted != nullptr && !abandoned) {
         if (resubmitted->digest == digest || resubmitted->digest.empty())
             return this->attach(*resubmitted, std::move(caller), now);
         auto answer = answer_for(id, request.team, request.submission);
@@ -78,6 +81,11 @@
     if (deadline.count() == 0)
         deadline = team.deadline.count() != 0 ? team.deadline
                                               : this->components.settings.default_deadline;
+    if (request.ephemeral) {
+        request.deadline = deadline;
+        if (this->components.resubmitted.take(request, caller, abandoned, now))
+            return;
+    }
     auto refusal = this->check_admission(request, deadline, now);
     auto const target = this->make_target_request(request, deadline, now);
     if (!refusal && request.ephemeral)
@@ -112,6 +120,7 @@
     if (added.ephemeral) {
         added.claim_committed = true;
         added.copy_settled = true;
+        this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
         return this->start_if_ready(added, now);
     }
     this->add_timer(added, timer_kind::claim_timeout, added.claim_deadline);
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -29,6 +29,11 @@
 
     void submit(protocol::job_request request, waiter caller, base::steady_time now);
     void cancel(job& job, base::steady_time now);
+    /// Stops an ephemeral job that every caller at this entry has left, unless another entry or a
+    /// query waits for it.
+    void stop_abandoned(job& job, base::steady_time now);
+    /// Moves the deadline of a running job to `time` if that is later.
+    void extend_deadline(job& job, base::steady_time time);
     /// Adds a waiter, or answers it at once when the job is final.
     void attach(job& job, waiter caller, base::steady_time now);
 
@@ -86,6 +91,7 @@
     void abandon(job& job, protocol::job_state state, base::error failure, base::steady_time now);
     void stop(job& job, protocol::job_state state, base::error failure, base::steady_time now);
     void finalize(job& job, base::steady_time now);
+    void record_unconfirmed_runs(job& job, base::steady_time now);
     void publish(job& job, base::steady_time now);
     void on_deadline(job& job, base::steady_time now);
     void answer_waiters(job& job);
--- a/src/entry/remote_jobs.h
+++ b/src/entry/remote_jobs.h
@@ -34,6 +34,8 @@
                            std::function<void(bool unknown_everywhere)> done,
                            base::steady_time now);
 
+    /// Id for a query that another component sends.
+    [[nodiscard]] std::uint64_t allocate_id() { return ++this->last_id; }
     void on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
     /// Answers a peer's query about a job.
     void on_query(std::string const& peer, protocol::job_query const& query, base::steady_time now);
--- /dev/null
+++ b/src/entry/resubmissions.h
@@ -0,0 +1,93 @@
+// Ephemeral submissions that callers send to more than one entry: each entry announces what it has
+// in progress, and holds a submission that another entry may still run.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "entry/waiter.h"
+#include "policy/remote_submissions.h"
+#include "protocol/job.h"
+#include "protocol/message.h"
+
+namespace greengagehead::entry {
+
+struct entry_components;
+struct job;
+
+class resubmissions {
+public:
+    explicit resubmissions(entry_components& components);
+
+    // --- announcements of this entry's own jobs ---
+
+    /// The job has reached `policy::announcement_age`, or its deadline has moved, or it has ended
+    /// with runs whose end is not confirmed.
+    void announce(job const& job);
+    /// Sends what `announce` has collected, and drops what has expired.
+    void tick(base::steady_time now);
+    /// Announces everything that is in progress to an entry that has connected.
+    void peer_up(std::string const& peer, base::steady_time now);
+    void peer_down(std::string const& peer, base::steady_time now);
+    void on_announcement(std::string const& peer, protocol::submissions_running const& message,
+                         base::steady_time now);
+
+    // --- submissions that were sent elsewhere before ---
+
+    /// Takes the submission over when another entry may still run it.
+    /// Returns false, and leaves the arguments as they are, when it can be admitted here.
+    /// @param abandoned_here whether a job of this entry with the submission has been abandoned.
+    /// The submission then waits for the end of its runs.
+    bool take(protocol::job_request& request, waiter& caller, bool abandoned_here,
+              base::steady_time now);
+    /// Returns false when the reply is not for this component.
+    bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
+    void on_timer(std::uint64_t id, base::steady_time now);
+    /// Answers all callers that wait here that the state of their job is not known.
+    void answer_all(base::steady_time now);
+    [[nodiscard]] bool idle() const { return this->held.empty(); }
+
+private:
+    struct held_submission {
+        std::uint64_t id = 0;
+        std::string key;
+        protocol::job_request request;
+        waiter caller;
+        base::steady_time deadline;
+        protocol::process_id asked; ///< Entry that was asked last; empty name if none was.
+        std::string asked_job; ///< Id of the job there.
+        base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
+    };
+
+    // These may end the hold, after which `item` no longer exists.
+    /// Asks the entry that may run the job, or waits for its runs to end, or admits the job here.
+    void proceed(held_submission& item, base::steady_time now);
+    void ask(held_submission& item, protocol::process_id const& entry, base::steady_time now);
+    void on_state(held_submission& item, protocol::job_answer const* state, base::steady_time now);
+    void start_here(held_submission& item, base::steady_time now);
+    void give_up(held_submission& item, std::string const& reason);
+    void finish(held_submission& item, protocol::job_answer const& answer);
+
+    /// Ends the hold and returns the submission.
+    held_submission release(held_submission& item, std::string_view outcome);
+    void wait_until(held_submission& item, base::steady_time time);
+    /// Job of this entry with this submission that all callers have left; null if there is none.
+    [[nodiscard]] job* find_abandoned(protocol::job_request const& request) const;
+    [[nodiscard]] protocol::submissions_running describe(std::vector<std::uint64_t> const& numbers,
+                                                         base::steady_time now) const;
+
+    entry_components& components;
+    policy::remote_submissions known;
+    std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
+    base::steady_time next_announcement;
+    base::steady_time next_expiry;
+    std::unordered_map<std::uint64_t, held_submission> held; ///< By id.
+};
+
+} // namespace greengagehead::entry
--- /dev/null
+++ b/src/policy/remote_submissions.h
@@ -0,0 +1,75 @@
+// What an entry knows of ephemeral submissions that run at other entries, and what it does
+// when one of them is sent to it again.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "protocol/identity.h"
+#include "protocol/job.h"
+
+namespace greengagehead::policy {
+
+/// An entry announces a submission to the other entries when it has been unfinished for this long.
+/// Callers send a job again no earlier than after 1.3 s; most jobs have ended before this age.
+constexpr std::chrono::milliseconds announcement_age {400};
+/// Longest time from the end of a job, or from the closing of the link to its entry, until its
+/// runs have ended: agents stop the runs of an entry whose link is down after 300 ms, and workers
+/// end those of a frozen agent within 1.02 s.
+constexpr std::chrono::milliseconds longest_run_end {1200};
+/// Longest time from the cancellation of a run until it has ended, whether that is confirmed or
+/// not: its agent stops it when the entry's messages are older than 900 ms, and when the agent
+/// itself is frozen or gone, the worker ends it within 1.02 s.
+constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
+/// A submission that may still run at another entry.
+struct remote_submission {
+    protocol::process_id entry;
+    bool connected = true; ///< False when the link to the entry has closed since.
+    base::steady_time ends_by; ///< Its runs have ended by then.
+};
+
+/// Submissions are identified by a key that is the same at every entry.
+class remote_submissions {
+public:
+    using steady_time = base::steady_time;
+
+    /// The entry has announced that it runs the submission for at most `remaining`.
+    void record(protocol::process_id const& entry, std::string const& key,
+                std::chrono::milliseconds remaining, steady_time now);
+    /// The entry has stated that it does not know the submission, or that all its runs have ended.
+    void record_ended(protocol::process_id const& entry, std::string const& key);
+    /// The link to the entry has closed. It announces its submissions again if it still runs.
+    void record_disconnected(std::string const& entry_name, steady_time now);
+
+    /// The entry that may still run the submission; empty if there is none.
+    [[nodiscard]] std::optional<remote_submission> find(std::string const& key,
+                                                        steady_time now) const;
+    /// Whether `find` is certain to find nothing, whatever the key.
+    [[nodiscard]] bool empty() const { return this->running.empty(); }
+    /// Drops what has expired.
+    void expire(steady_time now);
+
+private:
+    /// By key. A submission runs at two other entries only when one of them did not know of the
+    /// other.
+    std::unordered_map<std::string, std::vector<remote_submission>> running;
+};
+
+/// What follows from the state of a submission at the entry that it was sent to first.
+enum class resubmission_step : std::uint8_t {
+    ask_again, ///< The job, or a run of it, is in progress there.
+    answer, ///< The job has ended there with an answer that serves the second caller too.
+    start_here, ///< No task runs there any more and none will.
+};
+
+/// @param state answer of the entry that the job was sent to first; null when it does not know the
+/// job.
+[[nodiscard]] resubmission_step next_step(protocol::job_answer const* state);
+
+} // namespace greengagehead::policy
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -292,6 +292,12 @@
 template <> struct field_list<job_cancel> {
     static auto of(auto& m) { return std::tie(m.job); }
 };
+template <> struct field_list<submissions_running::submission> {
+    static auto of(auto& m) { return std::tie(m.key, m.remaining); }
+};
+template <> struct field_list<submissions_running> {
+    static auto of(auto& m) { return std::tie(m.entry, m.submissions); }
+};
 template <> struct field_list<lease_stamp> {
     static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at, m.leased); }
 };
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -148,6 +148,17 @@
     std::string job;
 };
 
+/// Tells the other entries which unfinished ephemeral submissions the sender has. They do not start
+/// a submission that is sent again to them, and pass on its cancellation.
+struct submissions_running {
+    struct submission {
+        std::string key; ///< The same at every entry.
+        std::chrono::milliseconds remaining {0}; ///< Time left until the deadline of the job.
+    };
+    process_id entry;
+    std::vector<submission> submissions;
+};
+
 // --- entry and agent ---
 
 /// Permission to start tasks. Its expiry is given in the clock of the agent that receives it.
@@ -305,6 +316,6 @@
                    control_reply, takeover_notice, job_copy, job_copy_ack, job_finished_copy,
                    job_finished_ack, job_query, job_reply, job_cancel, start_batch, lease_update,
                    cancel_batch, outcome_query, outcome_batch, outcome_ack, outcome_report,
-                   agent_report, directory_request, directory, lagging_run>;
+                   agent_report, directory_request, directory, lagging_run, submissions_running>;
 
 } // namespace greengagehead::protocol
--- a/tests/entry/resubmission_test.cpp
+++ b/tests/entry/resubmission_test.cpp
@@ -37,11 +37,39 @@
         for (auto& [name, agent] : this->agents)
             agent.run_time = time;
     }
+    std::size_t running()
+    {
+        return this->agents.at("agent.1").running() + this->agents.at("agent.2").running();
+    }
+    /// Tells the entry that all callers of the submission have closed their connections.
+    void leave(std::string const& at, std::string const& submission)
+    {
+        auto& entry = *this->entries.at(at);
+        entry.abandon(entry.ephemeral_id("recife", submission), this->now);
+    }
+    /// Messages of this type are late by `time`.
+    template <typename Message> void delay(milliseconds time)
+    {
+        this->extra_delay = [time](auto const&, auto const&, protocol::message const& body) {
+            return std::holds_alternative<Message>(body) ? time : milliseconds(0);
+        };
+    }
+    void close_link(std::string const& a, std::string const& b)
+    {
+        this->entries.at(a)->peer_down(b, this->now);
+        this->entries.at(b)->peer_down(a, this->now);
+    }
 };
 
+job_state state_of(simulated_fleet::submission const& submission)
+{
+    REQUIRE(submission.replies.size() == 1);
+    return submission.replies.front().answer.state;
+}
+
 } // namespace
 
-SCENARIO("a job is sent to a second entry while the first one runs it", "[entry][resubmission][known-red]")
+SCENARIO("a job is sent to a second entry while the first one runs it", "[entry][resubmission]")
 {
     GIVEN("a job whose runs outlast the callers' delay, and whose caller has left unnoticed")
     {
@@ -58,8 +86,124 @@
             THEN("no task runs twice at the same time, and the caller is answered")
             {
                 CHECK(fleet.violations.empty());
-                REQUIRE(second->replies.size() == 1);
-                CHECK(second->replies.front().answer.state == job_state::complete);
+                CHECK(state_of(*second) == job_state::complete);
+            }
+        }
+        WHEN("the first entry notices afterwards that its caller has left")
+        {
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(300));
+            fleet.leave("entry.a", "s1");
+            fleet.run(milliseconds(4000));
+            // Guards against a stopped job that a caller at another entry waits for.
+            THEN("the runs go on for the second caller")
+            {
+                CHECK(fleet.violations.empty());
+                CHECK(state_of(*second) == job_state::complete);
+                CHECK(fleet.runs.size() == 2);
+            }
+        }
+        WHEN("the deadline of the first submission passes before the runs end")
+        {
+            fleet.set_run_time(milliseconds(5000));
+            fleet.submit("entry.a", make_submission("s2", 1));
+            fleet.run(milliseconds(3000));
+            auto const second = fleet.submit("entry.b", make_submission("s2", 1));
+            fleet.run(milliseconds(4000));
+            // Guards against work that is thrown away although its caller waits at another entry.
+            THEN("the runs go on for the second caller")
+            {
+                CHECK(fleet.violations.empty());
+                CHECK(state_of(*second) == job_state::complete);
+            }
+        }
+        WHEN("the link between the entries closes while the second one waits")
+        {
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(100));
+            fleet.isolated.insert("entry.a");
+            for (auto& [name, agent] : fleet.agents)
+                agent.records.clear();
+            fleet.close_link("entry.a", "entry.b");
+            fleet.run(milliseconds(4500));
+            // Guards against a caller that waits for an entry that is gone.
+            THEN("the job runs there once the runs of the first entry have ended")
+            {
+                CHECK(fleet.violations.empty());
+                CHECK(state_of(*second) == job_state::complete);
+            }
+        }
+        WHEN("the second caller leaves before the first entry has answered")
+        {
+            bool left = false;
+            fleet.isolated.insert("entry.a");
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2),
+                                             milliseconds(10'000), [&left] { return left; });
+            left = true;
+            fleet.run(milliseconds(2000));
+            // Guards against runs that nobody waits for.
+            THEN("nothing starts at the second entry")
+            {
+                CHECK(second->replies.size() == 1);
+                CHECK(fleet.runs.size() == 2);
+                CHECK(fleet.entries.at("entry.b")->idle());
+            }
+        }
+    }
+    GIVEN("a job that has just been abandoned, and whose cancellation is late at its agents")
+    {
+        two_entries fleet;
+        fleet.set_run_time(milliseconds(2500));
+        fleet.submit("entry.a", make_submission("s1", 2));
+        fleet.run(milliseconds(100));
+        fleet.delay<protocol::cancel_batch>(milliseconds(1500));
+        fleet.leave("entry.a", "s1");
+
+        WHEN("the job arrives at the other entry")
+        {
+            fleet.run(resend_delay);
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(4500));
+            // Guards against trust in a cancellation that has only been sent.
+            THEN("it starts when the first runs have ended")
+            {
+                CHECK(fleet.violations.empty());
+                CHECK(state_of(*second) == job_state::complete);
+            }
+        }
+        WHEN("the job arrives at the same entry again")
+        {
+            fleet.run(resend_delay);
+            auto const second = fleet.submit("entry.a", make_submission("s1", 2));
+            fleet.run(milliseconds(4500));
+            // Guards against a caller that is told of a cancellation that nobody has asked for.
+            THEN("it starts when the first runs have ended")
+            {
+                CHECK(fleet.violations.empty());
+                CHECK(state_of(*second) == job_state::complete);
+            }
+        }
+    }
+    GIVEN("an entry that connects when the job has been announced already")
+    {
+        two_entries fleet;
+        fleet.isolated.insert("entry.b");
+        fleet.set_run_time(milliseconds(2500));
+        fleet.submit("entry.a", make_submission("s1", 1));
+        fleet.run(milliseconds(1000));
+        fleet.isolated.clear();
+        fleet.entries.at("entry.a")->peer_up("entry.b", fleet.now);
+
+        WHEN("the job arrives there")
+        {
+            fleet.run(milliseconds(300));
+            auto const second = fleet.submit("entry.b", make_submission("s1", 1));
+            fleet.run(milliseconds(3000));
+            // Guards against an announcement that was lost with a link.
+            THEN("no task runs twice at the same time")
+            {
+                CHECK(fleet.violations.empty());
+                CHECK(state_of(*second) == job_state::complete);
             }
         }
     }
--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -215,8 +215,8 @@
         fleet.violations.push_back("two runs of an ephemeral task at the same time: "
                                    + description);
     if (!task.name.empty() && fleet.concurrent_runs(task.name) > 1)
-        fleet.violations.push_back("two runs of " + task.name + " at the same time: "
-                                   + description);
+        fleet.violations.push_back("two runs of " + task.name
+                                   + " at the same time: " + description);
     if (!task.idempotent && !task.ephemeral && runs > 1)
         fleet.violations.push_back("second run of a task that must run once: " + description);
     if (fleet.must_not_run.count(task_id) != 0)
@@ -360,7 +360,9 @@
         = [this](double share) { return share > 0 && this->random(10'000) < share * 10'000; };
     auto const copies = draw(this->loss_rate) ? 0 : (draw(this->duplicate_rate) ? 2 : 1);
     for (int i = 0; i < copies; ++i) {
-        auto const delay = milliseconds(1 + this->random(this->max_delay_ms));
+        auto delay = milliseconds(1 + this->random(this->max_delay_ms));
+        if (this->extra_delay)
+            delay += this->extra_delay(from, to, body);
         this->in_flight.emplace(this->now + delay, envelope {from, to, body});
     }
 }
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -129,6 +129,10 @@
     double loss_rate = 0;
     double duplicate_rate = 0;
     std::uint32_t max_delay_ms = 1;
+    /// Additional delay of a message; may be empty.
+    std::function<milliseconds(std::string const& from, std::string const& to,
+                               protocol::message const&)>
+        extra_delay;
 
     /// Number of runs per task, counted by the agents.
     std::map<task_key, std::uint32_t> runs;
--- /dev/null
+++ b/tests/policy/remote_submissions_test.cpp
@@ -0,0 +1,119 @@
+// What an entry keeps of other entries' announcements, and what it does with a resubmission.
+
+#include <catch2/catch.hpp>
+
+#include "policy/remote_submissions.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace std::chrono_literals;
+using policy::next_step;
+using policy::resubmission_step;
+using protocol::job_state;
+using protocol::task_state;
+
+protocol::job_answer make_answer(job_state state, std::vector<task_state> const& tasks)
+{
+    protocol::job_answer answer;
+    answer.state = state;
+    for (auto const task : tasks)
+        answer.tasks.push_back({static_cast<std::uint32_t>(answer.tasks.size()), task, {}});
+    return answer;
+}
+
+} // namespace
+
+SCENARIO("another entry announces a submission", "[policy][resubmission]")
+{
+    GIVEN("a submission with one second left")
+    {
+        protocol::process_id const entry {"entry.a", 7};
+        base::steady_time const now {1000s};
+        policy::remote_submissions known;
+        known.record(entry, "key", 1s, now);
+
+        WHEN("its deadline has passed and its runs may still be stopping")
+        {
+            // Guards against runs that end later than their job.
+            THEN("it is still known")
+            {
+                REQUIRE(known.find("key", now + 1s + policy::longest_run_end - 1ms));
+                CHECK(known.find("key", now)->entry == entry);
+                CHECK_FALSE(known.find("key", now + 1s + policy::longest_run_end));
+            }
+        }
+        WHEN("the link to the entry closes")
+        {
+            known.record_disconnected("entry.a", now);
+            // Guards against callers that wait for the deadline of a job whose entry is gone.
+            THEN("it is known until the runs of a lost entry have ended")
+            {
+                REQUIRE(known.find("key", now));
+                CHECK_FALSE(known.find("key", now)->connected);
+                CHECK_FALSE(known.find("key", now + policy::longest_run_end));
+            }
+            AND_WHEN("the entry announces it again")
+            {
+                known.record(entry, "key", 1s, now + 500ms);
+                THEN("it is connected")
+                {
+                    CHECK(known.find("key", now + 500ms)->connected);
+                }
+            }
+        }
+        WHEN("another incarnation of the entry says that it does not know the job")
+        {
+            known.record_ended({"entry.a", 8}, "key");
+            // Guards against a statement that is about another incarnation.
+            THEN("the submission is still known")
+            {
+                CHECK(known.find("key", now));
+            }
+        }
+        WHEN("it is forgotten")
+        {
+            known.expire(now + 10s);
+            THEN("nothing is kept")
+            {
+                CHECK(known.empty());
+            }
+        }
+    }
+}
+
+SCENARIO("a caller sends a job to a second entry", "[policy][resubmission]")
+{
+    GIVEN("the state of the job at the first entry")
+    {
+        THEN("a job in progress serves both callers")
+        {
+            CHECK(next_step(nullptr) == resubmission_step::start_here);
+            auto const running = make_answer(job_state::running, {task_state::starting});
+            CHECK(next_step(&running) == resubmission_step::ask_again);
+        }
+        THEN("a final answer serves both callers")
+        {
+            auto const complete = make_answer(job_state::complete, {task_state::succeeded});
+            auto const failed
+                = make_answer(job_state::failed, {task_state::failed, task_state::cancelled});
+            auto const cancelled = make_answer(job_state::cancelled, {task_state::cancelled});
+            CHECK(next_step(&complete) == resubmission_step::answer);
+            CHECK(next_step(&failed) == resubmission_step::answer);
+            CHECK(next_step(&cancelled) == resubmission_step::answer);
+        }
+        // Guards against a second run beside one that was only asked to stop.
+        THEN("a job that has ended is started elsewhere once its runs have ended")
+        {
+            auto abandoned = make_answer(job_state::cancelled,
+                                         {task_state::cancelled, task_state::may_have_run});
+            abandoned.failure
+                = base::error {base::error_code::abandoned, base::error_step::run, {}, {}};
+            CHECK(next_step(&abandoned) == resubmission_step::ask_again);
+            abandoned.tasks.back().state = task_state::cancelled;
+            CHECK(next_step(&abandoned) == resubmission_step::start_here);
+            auto const refused = make_answer(job_state::refused, {task_state::not_run});
+            CHECK(next_step(&refused) == resubmission_step::start_here);
+        }
+    }
+}
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -83,3 +83,41 @@
     rc::prop("arbitrary bytes are refused or decoded without a crash",
              [](std::string const& bytes) { (void)decode_message(bytes); });
 }
+
+SCENARIO("an entry announces its submissions to entries of another version")
+{
+    GIVEN("an announcement")
+    {
+        submissions_running const announced {{"entry.recife-1", 7},
+                                             {{"00ff", std::chrono::milliseconds(900)}}};
+        auto const bytes = encode(message(announced));
+
+        WHEN("a process of this version decodes it")
+        {
+            auto const decoded = decode_message(bytes);
+            THEN("every field has its original value")
+            {
+                REQUIRE(decoded);
+                auto const& body = std::get<submissions_running>(decoded.value());
+                CHECK(body.entry == announced.entry);
+                REQUIRE(body.submissions.size() == 1);
+                CHECK(body.submissions[0].key == "00ff");
+                CHECK(body.submissions[0].remaining == std::chrono::milliseconds(900));
+            }
+        }
+        WHEN("the kind of the message is not known to the receiver")
+        {
+            // Array of the version and the body, which is an array of the kind and the fields.
+            auto unknown = bytes;
+            auto const kind = unknown.find(static_cast<char>(0x82), 1) + 1;
+            REQUIRE(unknown.substr(kind, 2)
+                    == std::string({0x18, static_cast<char>(message(announced).index())}));
+            unknown[kind + 1] = 99;
+            // Guards against a newer process that ends an older one during a rolling upgrade.
+            THEN("decoding returns an error and does not throw")
+            {
+                CHECK_FALSE(decode_message(unknown));
+            }
+        }
+    }
+}
