Cancel a job at whichever entry runs it

Cause: an entry knew only of its own jobs.

A cancellation is now passed on to the entry that has announced the job; it is kept for 5 s, in which the job is refused here and stopped as soon as an entry announces it, so that it also holds when it overtakes the submission or comes between two of them.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -318,6 +318,18 @@
     this->pimpl->place_and_send(now);
 }
 
+bool entry_core::cancel_ephemeral(std::string const& team, std::string const& submission,
+                                  base::steady_time now)
+{
+    auto* const existing = this->pimpl->jobs.find(this->ephemeral_id(team, submission));
+    bool const running_here = existing != nullptr && !existing->is_final();
+    if (running_here)
+        this->pimpl->lifecycle.cancel(*existing, now);
+    bool const known_elsewhere = this->pimpl->resubmitted.cancel(team, submission, now);
+    this->pimpl->place_and_send(now);
+    return running_here || known_elsewhere;
+}
+
 void entry_core::control(protocol::control_request_body body, milliseconds timeout,
                          std::function<void(protocol::control_result const&)> reply,
                          base::steady_time now)
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -113,6 +113,10 @@
     /// Stops an ephemeral job, unless somebody still waits for it. To be called when every caller
     /// that has submitted it here has left.
     void abandon(std::string const& job, base::steady_time now);
+    /// Cancels an ephemeral submission, whichever entries run it now or are sent it within
+    /// `policy::cancellation_memory`. Returns whether this entry knows it.
+    bool cancel_ephemeral(std::string const& team, std::string const& submission,
+                          base::steady_time now);
     /// Sends an operator's request to the control leader, following leader hints and resending
     /// under the same request id. Replies with `error_code::timeout` when no answer came within
     /// `timeout`; the change may then be in force, or come into force later.
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -44,6 +44,14 @@
     return answer;
 }
 
+protocol::job_answer cancelled_answer(protocol::job_request const& request)
+{
+    auto answer = answer_for(request, protocol::job_state::cancelled);
+    answer.failure
+        = base::error {base::error_code::refused, base::error_step::admission, {}, "cancelled"};
+    return answer;
+}
+
 } // namespace
 
 resubmissions::resubmissions(entry_components& shared) : components(shared) { }
@@ -128,6 +136,8 @@
     for (auto const& item : message.submissions) {
         this->known.record(message.entry, item.key,
                            std::clamp(item.remaining, milliseconds(0), max_remaining), now);
+        if (auto const* const cancelled = this->known.cancelled(item.key, now))
+            this->send_cancel(*cancelled, message.entry);
     }
 }
 
@@ -137,6 +147,10 @@
     if (this->known.empty() && !abandoned_here)
         return false;
     auto const key = key_of(request);
+    if (this->known.cancelled(key, now) != nullptr) {
+        deliver(caller, cancelled_answer(request), {});
+        return true;
+    }
     auto const elsewhere = this->known.find(key, now);
     if (!elsewhere && !abandoned_here)
         return false;
@@ -267,6 +281,33 @@
         this->proceed(found->second, now);
 }
 
+bool resubmissions::cancel(std::string const& team, std::string const& submission,
+                           base::steady_time now)
+{
+    auto const key = job_id_of(team, submission);
+    this->known.record_cancelled(key, {team, submission}, now);
+    auto const elsewhere = this->known.find(key, now);
+    if (elsewhere)
+        this->send_cancel({team, submission}, elsewhere->entry);
+    std::vector<std::uint64_t> affected;
+    for (auto const& [id, item] : this->held) {
+        if (item.key == key)
+            affected.push_back(id);
+    }
+    for (auto const id : affected) {
+        auto& item = this->held.at(id);
+        this->finish(item, cancelled_answer(item.request));
+    }
+    return elsewhere.has_value() || !affected.empty();
+}
+
+void resubmissions::send_cancel(policy::submission_name const& name,
+                                protocol::process_id const& entry)
+{
+    this->components.sender.send(
+        entry.name, protocol::job_cancel {ephemeral_job_id(name.team, name.submission, entry)});
+}
+
 job* resubmissions::find_abandoned(protocol::job_request const& request) const
 {
     auto* const job = this->components.jobs.find(
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -40,7 +40,7 @@
 
     // --- submissions that were sent elsewhere before ---
 
-    /// Takes the submission over when another entry may still run it.
+    /// Takes the submission over when it was cancelled, or when another entry may still run it.
     /// Returns false, and leaves the arguments as they are, when it can be admitted here.
     /// @param abandoned_here whether a job of this entry with the submission has been abandoned.
     /// The submission then waits for the end of its runs.
@@ -49,6 +49,9 @@
     /// Returns false when the reply is not for this component.
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
+    /// Stops the submission at the entry that has announced it, and at those that announce it
+    /// later. Returns whether it is known here.
+    bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
     /// Answers all callers that wait here that the state of their job is not known.
     void answer_all(base::steady_time now);
     [[nodiscard]] bool idle() const { return this->held.empty(); }
@@ -81,6 +84,7 @@
     [[nodiscard]] job* find_abandoned(protocol::job_request const& request) const;
     [[nodiscard]] protocol::submissions_running describe(std::vector<std::uint64_t> const& numbers,
                                                          base::steady_time now) const;
+    void send_cancel(policy::submission_name const& name, protocol::process_id const& entry);
 
     entry_components& components;
     policy::remote_submissions known;
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -63,6 +63,12 @@
     }
 }
 
+void remote_submissions::record_cancelled(std::string const& key, submission_name name,
+                                          steady_time now)
+{
+    this->cancellations[key] = {std::move(name), now + cancellation_memory};
+}
+
 std::optional<remote_submission> remote_submissions::find(std::string const& key,
                                                           steady_time now) const
 {
@@ -74,11 +80,21 @@
     return current == found->second.end() ? std::nullopt : std::optional(*current);
 }
 
+submission_name const* remote_submissions::cancelled(std::string const& key, steady_time now) const
+{
+    auto const found = this->cancellations.find(key);
+    if (found == this->cancellations.end() || found->second.kept_until <= now)
+        return nullptr;
+    return &found->second.name;
+}
+
 void remote_submissions::expire(steady_time now)
 {
     for (auto& [key, entries] : this->running)
         std::erase_if(entries, [now](auto const& entry) { return entry.ends_by <= now; });
     std::erase_if(this->running, [](auto const& item) { return item.second.empty(); });
+    std::erase_if(this->cancellations,
+                  [now](auto const& item) { return item.second.kept_until <= now; });
 }
 
 resubmission_step next_step(protocol::job_answer const* state)
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -1,5 +1,5 @@
-// What an entry knows of ephemeral submissions that run at other entries, and what it does
-// when one of them is sent to it again.
+// What an entry knows of ephemeral submissions that run at other entries, and of cancelled ones;
+// and what it does when one of them is sent to it again.
 
 #pragma once
 
@@ -27,6 +27,15 @@
 /// not: its agent stops it when the entry's messages are older than 900 ms, and when the agent
 /// itself is frozen or gone, the worker ends it within 1.02 s.
 constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
+/// How long a cancelled submission is refused, and stopped at entries that announce it.
+constexpr std::chrono::milliseconds cancellation_memory {5000};
+
+/// What callers call a submission.
+struct submission_name {
+    std::string team;
+    std::string submission;
+};
+
 /// A submission that may still run at another entry.
 struct remote_submission {
     protocol::process_id entry;
@@ -46,12 +55,20 @@
     void record_ended(protocol::process_id const& entry, std::string const& key);
     /// The link to the entry has closed. It announces its submissions again if it still runs.
     void record_disconnected(std::string const& entry_name, steady_time now);
+    /// A caller has cancelled the submission.
+    void record_cancelled(std::string const& key, submission_name name, steady_time now);
 
     /// The entry that may still run the submission; empty if there is none.
     [[nodiscard]] std::optional<remote_submission> find(std::string const& key,
                                                         steady_time now) const;
-    /// Whether `find` is certain to find nothing, whatever the key.
-    [[nodiscard]] bool empty() const { return this->running.empty(); }
+    /// Name of the submission if it was cancelled a short time ago, else null. Valid until the next
+    /// change.
+    [[nodiscard]] submission_name const* cancelled(std::string const& key, steady_time now) const;
+    /// Whether `find` and `cancelled` are certain to find nothing, whatever the key.
+    [[nodiscard]] bool empty() const
+    {
+        return this->running.empty() && this->cancellations.empty();
+    }
     /// Drops what has expired.
     void expire(steady_time now);
 
@@ -59,6 +76,11 @@
     /// By key. A submission runs at two other entries only when one of them did not know of the
     /// other.
     std::unordered_map<std::string, std::vector<remote_submission>> running;
+    struct cancellation {
+        submission_name name;
+        steady_time kept_until;
+    };
+    std::unordered_map<std::string, cancellation> cancellations; ///< By key.
 };
 
 /// What follows from the state of a submission at the entry that it was sent to first.
--- a/tests/entry/resubmission_test.cpp
+++ b/tests/entry/resubmission_test.cpp
@@ -47,6 +47,10 @@
         auto& entry = *this->entries.at(at);
         entry.abandon(entry.ephemeral_id("recife", submission), this->now);
     }
+    bool cancel(std::string const& at, std::string const& submission)
+    {
+        return this->entries.at(at)->cancel_ephemeral("recife", submission, this->now);
+    }
     /// Messages of this type are late by `time`.
     template <typename Message> void delay(milliseconds time)
     {
@@ -208,3 +212,79 @@
         }
     }
 }
+
+SCENARIO("a job is cancelled at an entry that does not run it", "[entry][resubmission]")
+{
+    GIVEN("a job that runs at one of two entries")
+    {
+        two_entries fleet;
+        fleet.set_run_time(milliseconds(4000));
+        auto const job = fleet.submit("entry.a", make_submission("s1", 2));
+        REQUIRE(fleet.run_until([&] { return fleet.running() == 2; }));
+
+        WHEN("it is cancelled at the other entry before it has been announced")
+        {
+            CHECK_FALSE(fleet.cancel("entry.b", "s1"));
+            fleet.run(milliseconds(1000));
+            // Guards against a job that goes on after its cancellation was acknowledged.
+            THEN("it is stopped")
+            {
+                CHECK(fleet.running() == 0);
+                CHECK(state_of(*job) == job_state::cancelled);
+            }
+        }
+        WHEN("it is cancelled at the other entry after it has been announced")
+        {
+            fleet.run(milliseconds(1000));
+            CHECK(fleet.cancel("entry.b", "s1"));
+            fleet.run(milliseconds(100));
+            THEN("it is stopped at once")
+            {
+                CHECK(fleet.running() == 0);
+                CHECK(state_of(*job) == job_state::cancelled);
+            }
+        }
+        WHEN("it is cancelled at the other entry while a second caller waits there")
+        {
+            fleet.run(milliseconds(1000));
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(100));
+            CHECK(fleet.cancel("entry.b", "s1"));
+            fleet.run(milliseconds(500));
+            THEN("both callers are told, and nothing runs")
+            {
+                CHECK(fleet.running() == 0);
+                CHECK(state_of(*job) == job_state::cancelled);
+                CHECK(state_of(*second) == job_state::cancelled);
+            }
+        }
+    }
+    GIVEN("a job that is cancelled before it arrives")
+    {
+        two_entries fleet;
+        fleet.cancel("entry.b", "s1");
+
+        WHEN("it arrives at the same entry")
+        {
+            auto const job = fleet.submit("entry.b", make_submission("s1", 1));
+            fleet.run(milliseconds(500));
+            // Guards against a cancellation that overtakes its submission and is forgotten.
+            THEN("none of its tasks starts")
+            {
+                CHECK(fleet.runs.empty());
+                CHECK(state_of(*job) == job_state::cancelled);
+            }
+        }
+        WHEN("it arrives at the other entry")
+        {
+            fleet.set_run_time(milliseconds(4000));
+            auto const job = fleet.submit("entry.a", make_submission("s1", 1));
+            fleet.run(milliseconds(1000));
+            THEN("it is stopped")
+            {
+                CHECK(fleet.running() == 0);
+                CHECK(state_of(*job) == job_state::cancelled);
+            }
+        }
+    }
+}
