Count a message of an entry until its stamp expires, not from its arrival

The agent counted every start batch and lease update at its arrival, also one that was sent seconds before: on a slow link, or after a pause of the agent, runs went on while their cancellation was still on its way behind older messages.

An entry is alive until the latest of its stamps expires, at most for 900 ms after an arrival. A stamp that has expired on arrival, or that was made with another clock, has no effect. An incarnation that was replaced stays so while its last messages may be on their way: a late one made the present incarnation count as lost, and the former one as alive.

--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -34,8 +34,9 @@
     /// Upper bound of the time that a lease has left (the lease duration of control). A stamp that
     /// expires later was made with another clock.
     std::chrono::milliseconds max_lease {1500};
-    /// An entry that has sent no message for this long counts as lost, and its ephemeral tasks are
-    /// stopped. Callers resubmit a job of a lost entry elsewhere no earlier than after 1.3 s.
+    /// An entry without a message for this long, or whose last stamp has expired, counts as lost,
+    /// and its ephemeral tasks are stopped. Callers resubmit a job of a lost entry elsewhere no
+    /// earlier than after 1.3 s.
     std::chrono::milliseconds entry_timeout {900};
     /// The same for an entry whose link is down. Shorter, because a link is usually restored
     /// sooner.
--- a/src/agent/agent_core_impl.cpp
+++ b/src/agent/agent_core_impl.cpp
@@ -47,7 +47,8 @@
                 this->settings.max_outcome_bytes}),
       cancellations(this->settings.refusal_retention),
       endpoints(this->settings.announcement_interval, this->settings.queue),
-      liveness(this->settings.entry_timeout, this->settings.entry_link_grace),
+      liveness(this->settings.entry_timeout, this->settings.entry_link_grace,
+               this->settings.max_lease),
       admission({this->settings.id, this->settings.zone,
                  // The stamp of an attempt may expire up to one lease after the attempt has ended.
                  this->settings.refusal_retention - this->settings.max_lease},
@@ -89,7 +90,7 @@
 void agent_core::implementation::handle(std::string const& peer, protocol::start_batch const& batch,
                                         base::steady_time now)
 {
-    this->liveness.heard(batch.lease.entry, now);
+    this->liveness.heard(batch.lease, now);
     this->leases.record(batch.lease, now);
     for (auto const& task : batch.starts)
         this->handle_start({peer, batch.lease, batch.agent_incarnation, task, now + task.remaining,
@@ -100,7 +101,7 @@
 void agent_core::implementation::handle(std::string const& /*peer*/,
                                         protocol::lease_update const& update, base::steady_time now)
 {
-    this->liveness.heard(update.lease.entry, now);
+    this->liveness.heard(update.lease, now);
     this->leases.record(update, now);
 }
 
--- a/src/agent/entry_liveness.cpp
+++ b/src/agent/entry_liveness.cpp
@@ -6,9 +6,25 @@
 
 namespace greengagehead::agent {
 
-void entry_liveness::heard(protocol::process_id const& entry, base::steady_time now)
+void entry_liveness::heard(protocol::lease_stamp const& stamp, base::steady_time now)
 {
-    this->entries[entry.name] = {entry.incarnation, now + this->timeout};
+    auto const expires_at = base::from_reading(stamp.expires_at);
+    if (expires_at <= now || expires_at > now + this->max_validity)
+        return;
+    auto const incarnation = stamp.entry.incarnation;
+    auto& entry = this->entries.try_emplace(stamp.entry.name, entry_state {incarnation, {}, {}})
+                      .first->second;
+    std::erase_if(entry.replaced, [now](auto const& former) { return former.until <= now; });
+    if (std::any_of(entry.replaced.begin(), entry.replaced.end(),
+                    [=](auto const& former) { return former.incarnation == incarnation; }))
+        return;
+    if (entry.incarnation != incarnation) {
+        entry.replaced.push_back({entry.incarnation, now + this->max_validity});
+        entry.incarnation = incarnation;
+        entry.lost_at = {};
+    }
+    // Messages may arrive out of order, and a stamp may end early with the lease of its entry.
+    entry.lost_at = std::max(entry.lost_at, std::min(now + this->timeout, expires_at));
 }
 
 void entry_liveness::link_down(std::string const& peer, base::steady_time now)
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -24,8 +24,9 @@
 constexpr std::uint16_t max_restarts = 2;
 constexpr milliseconds min_stall_margin {1000};
 /// Longest time from an agent's loss until its ephemeral runs for this entry have ended. The agent
-/// stops them itself when it has not heard from the entry for 900 ms. When it is frozen or gone,
-/// the endpoint ends them when its lease of one second lapses, by a clock that may be 2% slow.
+/// stops them itself when the last stamp of the entry expires, at most 900 ms after it was sent,
+/// and a silent agent gets none. When it is frozen or gone, the endpoint ends them when its lease
+/// of one second lapses, by a clock that may be 2% slow.
 constexpr milliseconds ephemeral_run_limit {2000};
 
 /// A run that takes this long has stalled, even when its agent has not reported that it lags.
