Reach the run number of any other entry within the attempts of a start

A worker refuses a run number that is not above the last one of the task. The steps by which the runner raised a refused number added up to 240, which is enough only if all run numbers of a task stay small. A number is the attempt number at least, and attempts of ephemeral tasks are to be numbered per entry, so a task that comes from another entry may be millions behind. The steps now grow from 16 to 2^32, so that six attempts pass any 32-bit attempt number.

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -23,11 +23,22 @@
 constexpr std::uint32_t max_unanswered_starts = 3;
 constexpr milliseconds unreachable_timeout {700};
 /// The run numbers and fencing tokens of earlier incarnations of this agent are unknown. When the
-/// worker rejects a number as too low, it is raised in large steps, so that a few attempts suffice.
+/// worker rejects a number as too low, it is raised in growing steps, so that a few attempts
+/// suffice: the last step is 2^32, because a task that comes from another entry may have had any
+/// attempt number as its run number.
 constexpr std::uint32_t max_start_attempts = 6;
-constexpr std::uint64_t run_number_step = 16;
+constexpr std::uint64_t first_run_number_step = 16;
+constexpr std::uint64_t run_number_step_factor = 128;
 constexpr std::uint64_t fence_step = 60'000;
 
+std::uint64_t run_number_step(std::uint32_t start_attempts)
+{
+    auto step = first_run_number_step;
+    for (std::uint32_t attempt = 1; attempt < start_attempts; ++attempt)
+        step *= run_number_step_factor;
+    return step;
+}
+
 std::string_view text_of(worker_answer answer)
 {
     static constexpr std::string_view texts[] = {"accepted",
@@ -130,7 +141,7 @@
             return this->on_accepted(active);
         if (active.start_attempts >= max_start_attempts)
             break;
-        active.run.number += run_number_step * active.start_attempts;
+        active.run.number += run_number_step(active.start_attempts);
         this->run_numbers[name] = active.run.number;
         return this->send_start(active);
     case worker_answer::stale_fence:
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -428,6 +428,30 @@
                 CHECK(fixture.worker.starts.back().run.number > number);
             }
         }
+        // Guards against a task that is refused for good after it was submitted at another entry:
+        // attempts of ephemeral tasks are numbered by entry, so the numbers of two entries differ
+        // by millions.
+        WHEN("the worker has seen a far higher run number of the task")
+        {
+            constexpr std::uint64_t seen = 3'000'000'000;
+            std::size_t answered = 0;
+            while (answered < fixture.worker.starts.size()
+                   && fixture.worker.starts[answered].run.number <= seen) {
+                auto const done = fixture.worker.starts[answered++].done;
+                done(fixture.reply(worker_answer::stale_run));
+            }
+            THEN("one of the next starts has a higher run number, and the run counts as started")
+            {
+                CHECK(fixture.results.empty());
+                REQUIRE(answered < fixture.worker.starts.size());
+                fixture.worker.starts[answered].done(fixture.reply(worker_answer::accepted));
+                fixture.advance(milliseconds(20));
+                fixture.answer_report(
+                    {}, {{1, fixture.worker.starts[answered].run, run_end_reason::done}});
+                REQUIRE(fixture.results.size() == 1);
+                CHECK(fixture.results.front().kind == outcome_kind::succeeded);
+            }
+        }
         WHEN("the worker has no free capacity")
         {
             fixture.worker.starts.front().done(fixture.reply(worker_answer::no_capacity));
