Number the attempts of ephemeral tasks for the life of the entry

An ephemeral submission that comes again to the same entry gets the same job id, and its attempts were numbered from 1 again. A late statement about the earlier submission matched the attempt of the newer one, and an agent that still had the earlier record took the new start for a repeated one. All attempts of ephemeral tasks of an entry now share one counter. Numbers of stored jobs and their ranges per epoch are unchanged.

--- a/src/entry/attempt_tracker.h
+++ b/src/entry/attempt_tracker.h
@@ -26,8 +26,8 @@
     /// Handles the answer to a query that was sent because of a late or lost attempt.
     void on_report(protocol::outcome_report& report, base::steady_time now);
     /// Applies one outcome. Returns false when it contributed nothing to the job's answer.
-    /// @param agent the incarnation that reports it. Attempt numbers begin again when an ephemeral
-    /// job is submitted once more, so an outcome counts only for an attempt at that incarnation.
+    /// @param agent the incarnation that reports it. An outcome counts only for an attempt at that
+    /// incarnation.
     bool apply(job& job, protocol::process_id const& agent, protocol::task_outcome& outcome,
                base::steady_time now);
     /// An attempt has ended without an outcome that says whether the task ran.
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -17,7 +17,7 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
-/// Attempt numbers available to one owner of a job. Owners of different epochs use different
+/// Attempt numbers available to one owner of a stored job. Owners of different epochs use different
 /// ranges, because agents identify attempts to cancel by number alone.
 constexpr std::uint32_t attempts_per_epoch = 1000;
 
@@ -248,9 +248,11 @@
     auto& task = job.tasks[index];
     if (task.last_attempt == 0)
         ++this->components.counters.first_attempts;
+    task.last_attempt
+        = job.ephemeral ? ++this->components.last_ephemeral_attempt : task.last_attempt + 1;
     attempt added;
     added.number
-        = static_cast<std::uint32_t>(job.epoch - 1) * attempts_per_epoch + ++task.last_attempt;
+        = static_cast<std::uint32_t>(job.epoch - 1) * attempts_per_epoch + task.last_attempt;
     added.epoch = job.epoch;
     added.agent = *slot;
     added.endpoint = choice.endpoint;
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -53,6 +54,10 @@
 
     entry_settings settings;
     entry_counters counters;
+    /// Number of the last attempt of any ephemeral task. A job that is submitted again has the same
+    /// id, so numbers are not used twice: a late statement then matches no attempt of the newer
+    /// job.
+    std::uint32_t last_ephemeral_attempt = 0;
     counting_sender sender;
 
     agent_table agents;
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -41,7 +41,7 @@
     std::uint16_t refusals = 0;
     std::uint16_t retries = 0;
     std::uint32_t failures = 0; ///< Runs that ended as failed.
-    std::uint32_t last_attempt = 0;
+    std::uint32_t last_attempt = 0; ///< Number of the last attempt; 0 before the first one.
     std::chrono::microseconds expected {0}; ///< Estimated run time, charged to the team.
     std::vector<attempt> attempts; ///< Attempts without a final outcome.
     std::vector<std::string> tried_endpoints; ///< Endpoints to avoid in the next placement.
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -3,6 +3,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <vector>
+
 #include "entry/simulated_fleet.h"
 
 namespace {
@@ -446,3 +449,135 @@
         }
     }
 }
+
+// Guards against statements about an earlier submission that have an effect on the present one:
+// both have the same job id, and attempts were numbered from 1 for each of them.
+SCENARIO("statements about an earlier submission of a job arrive late", "[entry][ephemeral]")
+{
+    GIVEN("a job that was cancelled and forgotten, was submitted again, and runs at the same agent")
+    {
+        ephemeral_fleet fleet;
+        auto& agent = fleet.agents.at("agent.1");
+        auto& other = fleet.agents.at("agent.2");
+        other.slots = 0;
+        agent.run_time = milliseconds(2000);
+        fleet.run(milliseconds(200));
+        auto request = make_ephemeral("s1", 1);
+        request.tasks.front().expected = milliseconds(100);
+        auto const first = fleet.submit("entry.a", request);
+        REQUIRE(fleet.run_until([&] { return agent.running() == 1; }));
+        auto const former = agent.records.begin()->second.outcome;
+        fleet.entries.at("entry.a")->cancel(
+            former.task.job, [](auto const&) {}, fleet.now);
+        fleet.run(milliseconds(6000));
+        REQUIRE(first->replies.size() == 1);
+        REQUIRE(first->replies.front().answer.state == job_state::cancelled);
+        agent.records.clear();
+        auto const second = fleet.submit("entry.a", request);
+        REQUIRE(fleet.run_until([&] { return agent.running() == 1; }, milliseconds(500)));
+        REQUIRE(fleet.runs.size() == 1);
+        auto const present
+            = std::find_if(agent.records.begin(), agent.records.end(), [](auto const& record) {
+                  return record.second.outcome.kind == outcome_kind::running;
+              })->second.outcome;
+        REQUIRE(present.task == former.task);
+        std::vector<protocol::attempt_ref> cancelled;
+        fleet.on_send = [&cancelled](auto const&, auto const&, auto const& body) {
+            if (auto const* batch = std::get_if<protocol::cancel_batch>(&body))
+                cancelled.insert(cancelled.end(), batch->attempts.begin(), batch->attempts.end());
+        };
+        auto const run_ends_as_usual = [&] {
+            fleet.run(milliseconds(3000));
+            CHECK(fleet.runs.begin()->second == 2);
+            REQUIRE(second->replies.size() == 1);
+            CHECK(second->replies.front().answer.state == job_state::complete);
+            CHECK(fleet.violations.empty());
+        };
+
+        THEN("no attempt number is used twice")
+        {
+            CHECK(present.attempt != former.attempt);
+            run_ends_as_usual();
+            CHECK(cancelled.empty());
+        }
+        for (auto const kind : {outcome_kind::cancelled, outcome_kind::succeeded}) {
+            WHEN("an outcome of the earlier one arrives: " + std::to_string(static_cast<int>(kind)))
+            {
+                auto late = former;
+                late.kind = kind;
+                late.result = "1";
+                fleet.post(agent.id.name, "entry.a",
+                           protocol::outcome_batch {agent.id, 99, {late}, {}});
+                THEN("the run goes on")
+                {
+                    run_ends_as_usual();
+                    CHECK(cancelled.empty());
+                }
+            }
+        }
+        WHEN("the earlier run is reported as lagging")
+        {
+            other.slots = 4;
+            fleet.run(milliseconds(200));
+            fleet.post(agent.id.name, "entry.a",
+                       protocol::lagging_run {
+                           agent.id, {former.task, former.attempt}, milliseconds(10'000)});
+            THEN("the run goes on")
+            {
+                run_ends_as_usual();
+                CHECK(cancelled.empty());
+            }
+        }
+        WHEN("the earlier run is listed as running")
+        {
+            protocol::agent_report report {
+                agent.id,
+                {},
+                agent.zone,
+                {},
+                agent.seen_view,
+                {},
+                {{former.task, former.attempt}, {present.task, present.attempt}}};
+            report.agent_clock = base::to_reading(fleet.now + agent.clock_offset);
+            fleet.entries.at("entry.a")->receive(agent.id.name, report, fleet.now);
+            THEN("it is cancelled, and the present run goes on")
+            {
+                run_ends_as_usual();
+                REQUIRE(cancelled.size() == 1);
+                CHECK(cancelled.front().attempt == former.attempt);
+            }
+        }
+    }
+}
+
+// Guards against a start that the agent takes for a repeated one, so that it answers with the
+// outcome of the earlier submission.
+SCENARIO("an agent still has the record of an earlier submission", "[entry][ephemeral]")
+{
+    GIVEN("a job that was cancelled, and that its entry has forgotten")
+    {
+        ephemeral_fleet fleet;
+        auto& agent = fleet.agents.at("agent.1");
+        fleet.agents.at("agent.2").slots = 0;
+        fleet.run(milliseconds(200));
+        agent.run_time = milliseconds(1000);
+        auto const first = fleet.submit("entry.a", make_ephemeral("s1", 1));
+        REQUIRE(fleet.run_until([&] { return agent.running() == 1; }));
+        fleet.entries.at("entry.a")->cancel(
+            agent.records.begin()->second.outcome.task.job, [](auto const&) {}, fleet.now);
+        fleet.run(milliseconds(6000));
+        REQUIRE(first->replies.size() == 1);
+
+        WHEN("it is submitted again")
+        {
+            auto const second = fleet.submit("entry.a", make_ephemeral("s1", 1));
+            fleet.run(milliseconds(1200));
+            THEN("it runs once more")
+            {
+                CHECK(fleet.runs.begin()->second == 2);
+                REQUIRE(second->replies.size() == 1);
+                CHECK(second->replies.front().answer.state == job_state::complete);
+            }
+        }
+    }
+}
