Notice a client that leaves behind bytes that are not read yet

A watch stopped as soon as its client had sent more bytes behind the request, because a read event would have fired again and again. The end of the connection was then not noticed until the reply, so a job went on for a caller that had left. The bytes stay in the buffer of the socket, so a second request of a client that stays is read after the reply as before. As before, a client that shuts down its sending side while its request waits counts as gone; this now also holds when it has sent more bytes before.

Not mended: a FIN behind bytes that do not fit into the buffer does not arrive.

--- a/src/transport/close_watch.h
+++ b/src/transport/close_watch.h
@@ -12,8 +12,10 @@
 
 class event_loop;
 
-/// Only peeks at the socket, so its later reader still gets every byte. A peer that shut down only
-/// its sending side counts as closed too.
+/// Only peeks at the socket, so its later reader still gets every byte, and unread bytes take no
+/// memory but the socket's buffer. A peer that shut down only its sending side counts as closed
+/// too. Limit: a peer that has filled the buffer and then closes is noticed only if it resets the
+/// connection, because its FIN waits behind the bytes that do not fit.
 class close_watch {
 public:
     /// @param on_closed runs on the thread of `loop` and may destroy the watch.
@@ -31,16 +33,20 @@
     /// Whether the kernel has already seen that the peer closed the connection, in whichever way.
     /// Data that was not read yet does not hide it.
     [[nodiscard]] bool closed() const;
-    /// Starts watching. Stops when the peer closes the socket or sends data; call again to resume.
+    /// Starts watching. Stops when the peer has closed the socket; call again to resume.
     void arm();
 
 private:
     /// Result of `recv` for the next byte, which stays in the socket.
     static ssize_t peek(int descriptor);
     static void on_readable(int descriptor, short what, void* self);
+    static void on_unread_check(int descriptor, short what, void* self);
+    void watch_unread();
 
     std::function<void()> closed_callback;
     event* read_event;
+    /// Pending while data is unread: the read event would fire at once, so it is not armed then.
+    event* unread_check_event;
 };
 
 } // namespace greengagehead::transport
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -357,6 +357,130 @@
     }
 }
 
+// Guards against work for a client that has left: bytes that it sent behind its request, which are
+// not read before the reply, hid the end of its connection.
+SCENARIO("a client sends more bytes while its request waits", "[transport]")
+{
+    GIVEN("a request whose handler replies later")
+    {
+        event_loop loop;
+        std::vector<std::shared_ptr<http_exchange>> pending;
+        int disconnected = 0;
+        http_server server(loop, {}, [&](http_request&, auto const& exchange) {
+            pending.push_back(exchange);
+            exchange->on_disconnected([&disconnected] { ++disconnected; });
+        });
+        auto const target = to_sockaddr(server.listen({"127.0.0.1", 0}).value());
+        int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(connect(socket, reinterpret_cast<sockaddr const*>(&target), sizeof target) == 0);
+        std::string_view const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        auto const send_request = [&] {
+            REQUIRE(send(socket, request.data(), request.size(), 0)
+                    == static_cast<ssize_t>(request.size()));
+        };
+        auto const close_client = [&](bool reset) {
+            linger const on_close {reset ? 1 : 0, 0};
+            REQUIRE(setsockopt(socket, SOL_SOCKET, SO_LINGER, &on_close, sizeof on_close) == 0);
+            close(std::exchange(socket, -1));
+        };
+        auto const wait_until = [&loop](auto const& done) {
+            for (int step = 0; step < 200 && !done(); ++step)
+                run_for(loop, milliseconds(10));
+            return done();
+        };
+        send_request();
+        REQUIRE(wait_until([&] { return pending.size() == 1; }));
+
+        for (bool const reset : {false, true}) {
+            std::string const way = reset ? "resets" : "closes";
+            WHEN("it sends a second request and " + way + " the connection")
+            {
+                send_request();
+                run_for(loop, milliseconds(50));
+                REQUIRE(disconnected == 0);
+                close_client(reset);
+                THEN("the handler is told, and the second request is not handled")
+                {
+                    CHECK(wait_until([&] { return disconnected == 1; }));
+                    CHECK(pending.size() == 1);
+                    CHECK(server.open_exchanges() == 0);
+                }
+            }
+            WHEN("it sends a second request, " + way + " the connection, and both arrive at once")
+            {
+                send_request();
+                close_client(reset);
+                THEN("the handler is told")
+                {
+                    CHECK(wait_until([&] { return disconnected == 1; }));
+                    CHECK(pending.size() == 1);
+                }
+            }
+        }
+        WHEN("it sends as many bytes as the sockets take, and resets the connection")
+        {
+            std::string const bytes(1UL << 16U, 'x');
+            std::size_t taken = 0;
+            ssize_t sent = 0;
+            // The loop runs between the writes, so a server that reads ahead takes all of them.
+            for (int step = 0; step < 2000 && sent >= 0; ++step) {
+                sent = send(socket, bytes.data(), bytes.size(), MSG_DONTWAIT);
+                taken += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+                run_for(loop, milliseconds(1));
+            }
+            THEN("the unread bytes are bounded, and the handler is told")
+            {
+                CHECK(sent < 0);
+                CHECK(taken < 64UL << 20U);
+                CHECK(disconnected == 0);
+                close_client(true);
+                CHECK(wait_until([&] { return disconnected == 1; }));
+            }
+        }
+        // Guards against bytes of a caller that stays being lost or taken for a close.
+        WHEN("it sends a second request in two pieces and stays")
+        {
+            auto const half = request.size() / 2;
+            REQUIRE(send(socket, request.data(), half, 0) == static_cast<ssize_t>(half));
+            run_for(loop, milliseconds(400));
+            REQUIRE(send(socket, request.data() + half, request.size() - half, 0)
+                    == static_cast<ssize_t>(request.size() - half));
+            run_for(loop, milliseconds(400));
+            THEN("both requests are handled and answered in order")
+            {
+                CHECK(disconnected == 0);
+                REQUIRE(pending.size() == 1);
+                pending.front()->respond({200, "first", "text/plain", {}});
+                REQUIRE(wait_until([&] { return pending.size() == 2; }));
+                pending.back()->respond({200, "second", "text/plain", {}});
+                run_for(loop, milliseconds(100));
+                std::string replies(4096, ' ');
+                auto const size = recv(socket, replies.data(), replies.size(), MSG_DONTWAIT);
+                REQUIRE(size > 0);
+                replies.resize(static_cast<std::size_t>(size));
+                CHECK(replies.find("first") < replies.find("second"));
+                CHECK(replies.find("second") != std::string::npos);
+                CHECK(disconnected == 0);
+            }
+            AND_WHEN("it closes the connection while the second one waits")
+            {
+                pending.front()->respond({200, "first", "text/plain", {}});
+                REQUIRE(wait_until([&] { return pending.size() == 2; }));
+                run_for(loop, milliseconds(200));
+                close_client(false);
+                THEN("the handler of the second one is told")
+                {
+                    CHECK(wait_until([&] { return disconnected == 1; }));
+                }
+            }
+        }
+        pending.clear();
+        run_for(loop, milliseconds(10));
+        if (socket >= 0)
+            close(socket);
+    }
+}
+
 SCENARIO("a client reads its reply slowly", "[transport]")
 {
     GIVEN("a reply that is larger than the socket buffers")
