Match lag notices and listed runs with the agent that reports them

A lag notice was matched by task and attempt only, and a run in the list of an agent counted as known when any agent had an attempt of that number. So a notice of another agent, or of another incarnation, moved a run that it was not about, and a run at the wrong agent was not cancelled. Both are now matched with the incarnation that reports, as outcomes are.

--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -115,7 +115,8 @@
         || index >= job->tasks.size())
         return;
     auto const* const open = job->tasks[index].find(notice.run.attempt, job->epoch);
-    if (open == nullptr || !this->may_restart_elsewhere(*job, index, *open, now))
+    if (open == nullptr || this->components.agents.at(open->agent).id != notice.agent
+        || !this->may_restart_elsewhere(*job, index, *open, now))
         return;
     // A slow run is kept rather than queued again, unless it cannot end before the deadline.
     bool const in_time = now + notice.remaining < job->deadline;
@@ -271,8 +272,8 @@
         auto const known = job != nullptr && reported.task.index < job->tasks.size()
             && std::any_of(job->tasks[reported.task.index].attempts.begin(),
                            job->tasks[reported.task.index].attempts.end(),
-                           [&reported](auto const& open) {
-                               return open.number == reported.attempt;
+                           [&reported, slot](auto const& open) {
+                               return open.number == reported.attempt && open.agent == slot;
                            });
         if (!known)
             this->components.outbox.add_cancel(slot, reported);
--- a/src/entry/attempt_monitor.h
+++ b/src/entry/attempt_monitor.h
@@ -38,10 +38,11 @@
     /// A newer incarnation of the agent has reported, so the outcomes of the previous one's runs
     /// are lost.
     void on_agent_replaced(agent_slot agent, base::steady_time now);
-    /// The agent has reported that a run is behind and could end sooner on another endpoint.
+    /// The agent has reported that a run is behind and could end sooner on another endpoint. Has no
+    /// effect on a run of another agent or incarnation.
     void on_lagging(protocol::lagging_run const& notice, base::steady_time now);
-    /// Cancels reported ephemeral runs that match no attempt of this entry, for example because a
-    /// cancellation was lost with its connection.
+    /// Cancels reported ephemeral runs that match no attempt of this entry at the agent in `slot`,
+    /// for example because a cancellation was lost with its connection.
     void cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot);
 
 private:
--- a/tests/entry/ephemeral_test.cpp
+++ b/tests/entry/ephemeral_test.cpp
@@ -581,3 +581,96 @@
         }
     }
 }
+
+// Guards against statements of an agent that have an effect on a run of another agent.
+SCENARIO("an agent makes a statement about a run that it does not have", "[entry][ephemeral]")
+{
+    GIVEN("a task that runs at one of two agents")
+    {
+        ephemeral_fleet fleet;
+        for (auto& [name, agent] : fleet.agents)
+            agent.run_time = milliseconds(1500);
+        auto request = make_ephemeral("s1", 1);
+        request.tasks.front().expected = milliseconds(100);
+        auto const job = fleet.submit("entry.a", request);
+        REQUIRE(fleet.run_until([&] { return fleet.runs.size() == 1; }));
+        bool const at_first = !fleet.agents.at("agent.1").records.empty();
+        auto& runner = fleet.agents.at(at_first ? "agent.1" : "agent.2");
+        auto& other = fleet.agents.at(at_first ? "agent.2" : "agent.1");
+        auto const& outcome = runner.records.begin()->second.outcome;
+        protocol::attempt_ref const run {outcome.task, outcome.attempt};
+        std::vector<std::string> cancelled_at;
+        fleet.on_send = [&cancelled_at](auto const&, auto const& to, auto const& body) {
+            if (std::holds_alternative<protocol::cancel_batch>(body))
+                cancelled_at.push_back(to);
+        };
+        auto const report_of = [&fleet, &run](fake_agent const& agent) {
+            protocol::agent_report report {agent.id,        {}, agent.zone, {},
+                                           agent.seen_view, {}, {run}};
+            report.agent_clock = base::to_reading(fleet.now + agent.clock_offset);
+            return report;
+        };
+        auto const run_ends_as_usual = [&] {
+            fleet.run(milliseconds(2500));
+            CHECK(fleet.runs.begin()->second == 1);
+            REQUIRE(job->replies.size() == 1);
+            CHECK(job->replies.front().answer.state == job_state::complete);
+        };
+        // The tests below would prove nothing if a notice had no effect in any case.
+        WHEN("its own agent reports twice that it lags")
+        {
+            protocol::lagging_run const notice {runner.id, run, milliseconds(10'000)};
+            fleet.post(runner.id.name, "entry.a", notice);
+            fleet.post(runner.id.name, "entry.a", notice);
+            other.run_time = milliseconds(50);
+            fleet.run(milliseconds(300));
+            THEN("it is moved once")
+            {
+                CHECK(fleet.runs.begin()->second == 2);
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+                CHECK(fleet.violations.empty());
+            }
+        }
+        WHEN("the other agent reports that it lags")
+        {
+            fleet.post(other.id.name, "entry.a",
+                       protocol::lagging_run {other.id, run, milliseconds(10'000)});
+            THEN("the run goes on")
+            {
+                run_ends_as_usual();
+                CHECK(cancelled_at.empty());
+            }
+        }
+        WHEN("another incarnation of its agent reports that it lags")
+        {
+            auto former = runner.id;
+            --former.incarnation;
+            fleet.post(runner.id.name, "entry.a",
+                       protocol::lagging_run {former, run, milliseconds(10'000)});
+            THEN("the run goes on")
+            {
+                run_ends_as_usual();
+                CHECK(cancelled_at.empty());
+            }
+        }
+        WHEN("the other agent lists it")
+        {
+            fleet.entries.at("entry.a")->receive(other.id.name, report_of(other), fleet.now);
+            THEN("it is cancelled there, and the run at its own agent goes on")
+            {
+                run_ends_as_usual();
+                CHECK(cancelled_at == std::vector {other.id.name});
+            }
+        }
+        WHEN("its own agent lists it")
+        {
+            fleet.entries.at("entry.a")->receive(runner.id.name, report_of(runner), fleet.now);
+            THEN("the run goes on")
+            {
+                run_ends_as_usual();
+                CHECK(cancelled_at.empty());
+            }
+        }
+    }
+}
