Prove what late deregistrations, refused tokens and foreign cancels do

The table of design.md 3.8 said "not proved" for the deregistration of a worker and named no test for the refusal of a former token. Tests now show the rows: a late or repeated deregistration of the same id keeps the run, and the worker is offered again after its next announcement; only a refusal of the present token raises it; and an agent ignores a cancel of another attempt or entry.

--- a/tests/agent/ephemeral_test.cpp
+++ b/tests/agent/ephemeral_test.cpp
@@ -87,6 +87,62 @@
     }
 }
 
+// Guards against a cancellation that ends a run which it is not about.
+SCENARIO("a cancellation of another attempt arrives", "[agent][ephemeral]")
+{
+    GIVEN("an attempt of a job that was submitted before, with lower attempt numbers")
+    {
+        agent_fixture fixture;
+        auto present = ephemeral_start(0);
+        present.attempt = 7;
+        auto const cancel = [&fixture](std::string const& entry, std::uint32_t attempt) {
+            fixture.core.receive(entry, protocol::cancel_batch {{{{job_id, 0}, attempt}}},
+                                 fixture.now);
+        };
+        WHEN("the cancellation of an earlier attempt arrives before the start")
+        {
+            cancel("entry.a", 3);
+            fixture.start(present);
+            THEN("the task starts")
+            {
+                CHECK(fixture.runner.runs.size() == 1);
+                CHECK(fixture.runner.stopped.empty());
+            }
+        }
+        WHEN("the cancellation of an earlier attempt arrives after the start")
+        {
+            fixture.start(present);
+            cancel("entry.a", 3);
+            THEN("the run goes on")
+            {
+                CHECK(fixture.runner.runs.size() == 1);
+                CHECK(fixture.runner.stopped.empty());
+            }
+        }
+        WHEN("another entry cancels an attempt of the same number")
+        {
+            fixture.start(present);
+            cancel("entry.b", 7);
+            THEN("the run goes on")
+            {
+                CHECK(fixture.runner.stopped.empty());
+            }
+        }
+        WHEN("the attempt itself is cancelled twice")
+        {
+            fixture.start(present);
+            cancel("entry.a", 7);
+            fixture.runner.end(0, {outcome_kind::cancelled, {}, {}}, fixture.now);
+            cancel("entry.a", 7);
+            THEN("it is stopped once")
+            {
+                CHECK(fixture.runner.stopped.size() == 1);
+                CHECK(fixture.last_outcome().kind == outcome_kind::cancelled);
+            }
+        }
+    }
+}
+
 SCENARIO("an entry without a lease sends starts", "[agent][ephemeral]")
 {
     GIVEN("a stamp that only bounds the delay")
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -464,6 +464,63 @@
     }
 }
 
+// Guards against a token that is raised once for each call in flight: it would run ahead of the
+// clock that gives the next incarnation of the agent its first token.
+SCENARIO("a worker refuses calls with a former fencing token", "[agent][leased]")
+{
+    GIVEN("a report and two starts in flight, the first of which is refused for its token")
+    {
+        runner_fixture fixture;
+        fixture.start("a.0.0.0");
+        fixture.worker.starts.front().done(fixture.reply(worker_answer::accepted));
+        fixture.advance(milliseconds(10));
+        fixture.start("a.0.0.1");
+        fixture.start("a.0.0.2");
+        auto const former = fixture.worker.starts[2].context.fence;
+        REQUIRE(fixture.worker.starts[1].context.fence == former);
+        REQUIRE(fixture.worker.reports.back().context.fence == former);
+        auto const refuse_start = [&fixture](std::size_t position) {
+            auto const done = fixture.worker.starts.at(position).done;
+            done(fixture.reply(worker_answer::stale_fence));
+        };
+        refuse_start(1);
+        REQUIRE(fixture.worker.starts.size() == 4);
+        auto const present = fixture.worker.starts[3].context.fence;
+        REQUIRE(present > former);
+
+        WHEN("the second one is refused for the same token")
+        {
+            refuse_start(2);
+            THEN("it is sent again with the present token")
+            {
+                REQUIRE(fixture.worker.starts.size() == 5);
+                CHECK(fixture.worker.starts[4].run.task == "a.0.0.2");
+                CHECK(fixture.worker.starts[4].context.fence == present);
+            }
+        }
+        WHEN("the present token is refused too")
+        {
+            refuse_start(3);
+            THEN("it is raised again")
+            {
+                REQUIRE(fixture.worker.starts.size() == 5);
+                CHECK(fixture.worker.starts[4].context.fence > present);
+            }
+        }
+        WHEN("a report with the former token is refused late")
+        {
+            auto const done = fixture.worker.reports.back().done;
+            REQUIRE(done);
+            done({fixture.reply(worker_answer::stale_fence), {}, {}});
+            fixture.advance(milliseconds(10));
+            THEN("the next report has the present token")
+            {
+                CHECK(fixture.worker.reports.back().context.fence == present);
+            }
+        }
+    }
+}
+
 SCENARIO("an agent starts while its worker already runs a task", "[agent][leased]")
 {
     GIVEN("a worker with a run that an earlier incarnation of the agent started")
--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -73,6 +73,32 @@
         return code.value_or(0);
     }
 
+    /// Sends a deregistration and returns the status of the answer.
+    int deregister(std::string const& id)
+    {
+        std::optional<int> code;
+        this->client.send({http_method::post,
+                           this->announcement_address,
+                           "/Instances.Deregister/" + id,
+                           {},
+                           "{}",
+                           milliseconds(2000)},
+                          [&code](auto&& response) { code = response.code; });
+        this->run_until([&code] { return code.has_value(); });
+        return code.value_or(0);
+    }
+
+    /// Names of the endpoints that the agent offers to entries.
+    std::vector<std::string> offered()
+    {
+        this->core->peer_up("entry.a", base::steady_now());
+        auto const report = this->sender.to<protocol::agent_report>("entry.a").back();
+        std::vector<std::string> names;
+        for (auto const& endpoint : report.endpoints)
+            names.push_back(endpoint.name);
+        return names;
+    }
+
     /// Starts a run of the task, which the worker must list.
     void start(std::string const& name)
     {
@@ -206,3 +232,51 @@
         }
     }
 }
+
+// Guards against a worker that gets no work for good, or loses its run, after a deregistration that
+// was held up: it names only the id, which the next incarnation may have too.
+SCENARIO("a deregistration arrives late", "[platform][worker]")
+{
+    GIVEN("a worker that has restarted under its id, has announced itself and runs a task")
+    {
+        agent_fixture agent;
+        agent.worker.restart("i-1");
+        REQUIRE(agent.announce(agent.worker.announcement()) == 200);
+        agent.start("a.0.0.0");
+        REQUIRE(agent.offered().size() == 1);
+
+        WHEN("a deregistration of another id arrives")
+        {
+            CHECK(agent.deregister("i-0") == 200);
+            agent.run_for(milliseconds(100));
+            THEN("the worker is still offered, and the run goes on")
+            {
+                CHECK(agent.offered().size() == 1);
+                CHECK(agent.results.empty());
+            }
+        }
+        WHEN("the deregistration of the former incarnation arrives, twice")
+        {
+            CHECK(agent.deregister("i-1") == 200);
+            CHECK(agent.deregister("i-1") == 200);
+            agent.run_for(milliseconds(100));
+            THEN("the worker is not offered, and the run goes on")
+            {
+                CHECK(agent.offered().empty());
+                CHECK(agent.results.empty());
+                CHECK(agent.worker.running.contains("a.0.0.0"));
+            }
+            AND_WHEN("the worker announces itself again")
+            {
+                CHECK(agent.announce(agent.worker.announcement()) == 200);
+                agent.run_for(milliseconds(100));
+                THEN("it is offered, and the run goes on")
+                {
+                    CHECK(agent.offered().size() == 1);
+                    CHECK(agent.results.empty());
+                    CHECK(agent.worker.running.contains("a.0.0.0"));
+                }
+            }
+        }
+    }
+}
