--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -428,6 +428,30 @@
                 CHECK(fixture.worker.starts.back().run.number > number);
             }
         }
+        // Guards against a task that is refused for good after it was submitted at another entry:
+        // attempts of ephemeral tasks are numbered by entry, so the numbers of two entries differ
+        // by millions.
+        WHEN("the worker has seen a far higher run number of the task")
+        {
+            constexpr std::uint64_t seen = 3'000'000'000;
+            std::size_t answered = 0;
+            while (answered < fixture.worker.starts.size()
+                   && fixture.worker.starts[answered].run.number <= seen) {
+                auto const done = fixture.worker.starts[answered++].done;
+                done(fixture.reply(worker_answer::stale_run));
+            }
+            THEN("one of the next starts has a higher run number, and the run counts as started")
+            {
+                CHECK(fixture.results.empty());
+                REQUIRE(answered < fixture.worker.starts.size());
+                fixture.worker.starts[answered].done(fixture.reply(worker_answer::accepted));
+                fixture.advance(milliseconds(20));
+                fixture.answer_report(
+                    {}, {{1, fixture.worker.starts[answered].run, run_end_reason::done}});
+                REQUIRE(fixture.results.size() == 1);
+                CHECK(fixture.results.front().kind == outcome_kind::succeeded);
+            }
+        }
         WHEN("the worker has no free capacity")
         {
             fixture.worker.starts.front().done(fixture.reply(worker_answer::no_capacity));
@@ -440,6 +464,63 @@
     }
 }
 
+// Guards against a token that is raised once for each call in flight: it would run ahead of the
+// clock that gives the next incarnation of the agent its first token.
+SCENARIO("a worker refuses calls with a former fencing token", "[agent][leased]")
+{
+    GIVEN("a report and two starts in flight, the first of which is refused for its token")
+    {
+        runner_fixture fixture;
+        fixture.start("a.0.0.0");
+        fixture.worker.starts.front().done(fixture.reply(worker_answer::accepted));
+        fixture.advance(milliseconds(10));
+        fixture.start("a.0.0.1");
+        fixture.start("a.0.0.2");
+        auto const former = fixture.worker.starts[2].context.fence;
+        REQUIRE(fixture.worker.starts[1].context.fence == former);
+        REQUIRE(fixture.worker.reports.back().context.fence == former);
+        auto const refuse_start = [&fixture](std::size_t position) {
+            auto const done = fixture.worker.starts.at(position).done;
+            done(fixture.reply(worker_answer::stale_fence));
+        };
+        refuse_start(1);
+        REQUIRE(fixture.worker.starts.size() == 4);
+        auto const present = fixture.worker.starts[3].context.fence;
+        REQUIRE(present > former);
+
+        WHEN("the second one is refused for the same token")
+        {
+            refuse_start(2);
+            THEN("it is sent again with the present token")
+            {
+                REQUIRE(fixture.worker.starts.size() == 5);
+                CHECK(fixture.worker.starts[4].run.task == "a.0.0.2");
+                CHECK(fixture.worker.starts[4].context.fence == present);
+            }
+        }
+        WHEN("the present token is refused too")
+        {
+            refuse_start(3);
+            THEN("it is raised again")
+            {
+                REQUIRE(fixture.worker.starts.size() == 5);
+                CHECK(fixture.worker.starts[4].context.fence > present);
+            }
+        }
+        WHEN("a report with the former token is refused late")
+        {
+            auto const done = fixture.worker.reports.back().done;
+            REQUIRE(done);
+            done({fixture.reply(worker_answer::stale_fence), {}, {}});
+            fixture.advance(milliseconds(10));
+            THEN("the next report has the present token")
+            {
+                CHECK(fixture.worker.reports.back().context.fence == present);
+            }
+        }
+    }
+}
+
 SCENARIO("an agent starts while its worker already runs a task", "[agent][leased]")
 {
     GIVEN("a worker with a run that an earlier incarnation of the agent started")
