--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -24,8 +24,8 @@
 /// end those of a frozen agent within 1.02 s.
 constexpr std::chrono::milliseconds longest_run_end {1200};
 /// Longest time from the cancellation of a run until it has ended, whether that is confirmed or
-/// not: its agent stops it when the entry's messages are older than 900 ms, and when the agent
-/// itself is frozen or gone, the worker ends it within 1.02 s.
+/// not: its agent stops it when the last stamp of the entry expires, at most 900 ms after it was
+/// sent, and when the agent itself is frozen or gone, the worker ends it within 1.02 s.
 constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
 /// How long a cancelled submission is refused, and stopped at entries that announce it.
 constexpr std::chrono::milliseconds cancellation_memory {5000};
