--- a/tests/fleet/worker_identity_test.py
+++ b/tests/fleet/worker_identity_test.py
@@ -1,12 +1,14 @@
 """Real processes while other writers announce workers, workers restart, and processes pause.
 
 Guards against tasks that run twice at the same time because a statement (announcement, answer, closed
-connection) was taken for one about what bears the same name now. The stand-ins for workers, callers
-and the operator are those of the review. A run is repeated with its seed; times differ between runs.
+connection) was taken for one about what bears the same name now, and against log lines that are not
+valid JSON because they quote other writers. The stand-ins for workers, callers and the operator are
+those of the review. A run is repeated with its seed; times differ between runs.
 """
 
 import argparse
 import asyncio
+import json
 import os
 import pathlib
 import random
@@ -245,6 +247,18 @@
     return findings
 
 
+def invalid_log_lines(folder):
+    """Findings for log lines that a strict reader of JSON refuses."""
+    findings = []
+    for log in sorted(folder.glob("*.log")):
+        for number, line in enumerate(log.read_bytes().splitlines(), 1):
+            try:
+                json.loads(line.decode("utf-8"))
+            except ValueError as error:
+                findings.append(f"{log}:{number} is not valid JSON: {error}")
+    return findings
+
+
 async def run(options):
     options.keep.mkdir(parents=True, exist_ok=True)
     os.environ["KEEP_LOGS"] = str(options.keep)
@@ -254,9 +268,10 @@
         words = role["run"].split()
         role["run"] = " ".join([str(options.program.resolve()), *words[1:]])
     try:
-        return await play(system, record, options)
+        findings = await play(system, record, options)
     finally:
         system.stop()
+    return findings + invalid_log_lines(options.keep)
 
 
 def main():
