Drop log lines that standard output does not take, and count them

A standard output that was closed at the start had its descriptor taken by the event loop.

log_output writes whole lines without waiting: a socket with MSG_DONTWAIT, a pipe through an open file description of its own with O_NONBLOCK, or where that cannot be opened after poll() in pieces of at most PIPE_BUF. Files and terminals get plain writes. This is one system call a line as before, changes nothing for other holders of the descriptor, and keeps each line readable as soon as it is logged. A line that is not taken (full pipe, full disk, no reader) is dropped; event 1006 before the next line tells how many were, and /metrics counts them in log_lines_dropped_total. What is missing of a line that was written in part goes before everything else. From process_stopped on, lines wait for the reader, 250 ms in all. Closed standard descriptors are opened on /dev/null before anything else.

--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -10,6 +10,7 @@
 #include <nlohmann/json.hpp>
 
 #include "api/json_replies.h"
+#include "base/log_sink.h"
 #include "entry/entry_core.h"
 
 namespace greengagehead::api {
@@ -85,6 +86,14 @@
     text += " " + std::to_string(value) + "\n";
 }
 
+void append_counter(std::string& text, std::string_view name, std::string_view help,
+                    std::uint64_t value)
+{
+    text.append("# HELP greengagehead_").append(name).append(" ").append(help);
+    text.append("\n# TYPE greengagehead_").append(name).append(" counter\n");
+    append_sample(text, name, "", value);
+}
+
 void append_gauges(std::string& text, entry::entry_status const& status)
 {
     text += "# TYPE greengagehead_lease_valid gauge\n";
@@ -153,12 +162,11 @@
 {
     std::string text;
     auto const& counters = context.core.counters();
-    for (auto const& metric : counter_metrics) {
-        text.append("# HELP greengagehead_").append(metric.name).append(" ");
-        text.append(metric.help).append("\n# TYPE greengagehead_").append(metric.name);
-        text += " counter\n";
-        append_sample(text, metric.name, "", counters.*(metric.value));
-    }
+    for (auto const& metric : counter_metrics)
+        append_counter(text, metric.name, metric.help, counters.*(metric.value));
+    append_counter(text, "log_lines_dropped_total",
+                   "Log lines of this process that standard output did not take.",
+                   base::dropped_log_lines());
     append_gauges(text, context.core.status(base::steady_now()));
     context.metrics.append_to(text);
     call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -13,6 +13,7 @@
 #include "app/control_task.h"
 #include "app/entry_task.h"
 #include "base/log_record.h"
+#include "base/log_sink.h"
 #include "transport/event_loop.h"
 
 namespace greengagehead::app {
@@ -197,6 +198,7 @@
         roles.shut_down(main_loop, [&main_loop] { main_loop.stop(); });
     });
     main_loop.run();
+    base::begin_last_lines();
     base::log_record(base::log_event::process_stopped).with("process", name);
     return boost::outcome_v2::success();
 }
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -15,6 +15,7 @@
     event_description {log_event::process_stopped, severity::info, "process_stopped"},
     event_description {log_event::settings_reloaded, severity::info, "settings_reloaded"},
     event_description {log_event::settings_rejected, severity::error, "settings_rejected"},
+    event_description {log_event::log_lines_dropped, severity::warning, "log_lines_dropped"},
     event_description {log_event::listening, severity::info, "listening"},
     event_description {log_event::peer_connected, severity::info, "peer_connected"},
     event_description {log_event::peer_disconnected, severity::warning, "peer_disconnected"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -18,6 +18,7 @@
     process_stopped = 1003,
     settings_reloaded = 1004,
     settings_rejected = 1005,
+    log_lines_dropped = 1006,
     listening = 1010,
     peer_connected = 1011,
     peer_disconnected = 1012,
--- a/src/base/log_record.cpp
+++ b/src/base/log_record.cpp
@@ -116,15 +116,8 @@
 log_record::log_record(log_event event)
     : description(describe(event)), enabled(log_enabled(this->description.level))
 {
-    if (!this->enabled)
-        return;
-    if (log_format() == log_style::json) {
-        this->line = "\"event\":" + std::to_string(static_cast<int>(event)) + ",\"name\":\"";
-        this->line.append(this->description.name).append("\"");
-        return;
-    }
-    this->line = "event=" + std::to_string(static_cast<int>(event)) + " name=";
-    this->line += this->description.name;
+    if (this->enabled)
+        this->line = format_event(this->description);
 }
 
 log_record::~log_record()
