Ignore further SIGTERMs while a process stops

A SIGTERM late in a shutdown met the default action and ended the process by the signal.

Only a second SIGINT ends the process at once now. The threads of the roles end and SIGTERM is blocked before its handler is removed.

The process that log_output_test.py starts moved to single_process.py.

--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -166,6 +166,15 @@
     std::vector<event*> events;
 };
 
+/// Blocks a signal on this thread for the rest of the process.
+void block_signal(int number)
+{
+    sigset_t blocked {};
+    sigemptyset(&blocked);
+    sigaddset(&blocked, number);
+    pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+}
+
 } // namespace
 
 base::result<void> run_process(settings::process_settings settings, adapter_set adapters,
@@ -179,27 +188,39 @@
         .with("process", settings.name)
         .with("zone", settings.zone)
         .with("data", settings.data_folder);
-    role_set roles(std::move(settings), std::move(adapters));
-    BOOST_OUTCOME_TRYV(roles.open());
+    auto roles = std::make_unique<role_set>(std::move(settings), std::move(adapters));
+    BOOST_OUTCOME_TRYV(roles->open());
 
     bool stopping = false;
+    bool interrupted = false;
     std::unique_ptr<transport::loop_timer> limit_timer;
     signal_watch const reload_signals(main_loop, {SIGHUP}, [&] {
         auto const new_settings = reload ? reload() : std::nullopt;
         if (new_settings)
-            roles.apply(*new_settings);
+            roles->apply(*new_settings);
     });
-    signal_watch const stop_signals(main_loop, {SIGTERM, SIGINT}, [&] {
+    auto const begin_stop = [&] {
         if (stopping)
-            return main_loop.stop();
+            return;
         stopping = true;
         base::log_record(base::log_event::process_stopping).with("process", name);
         limit_timer = main_loop.after(shutdown_limit, [&main_loop] { main_loop.stop(); });
-        roles.shut_down(main_loop, [&main_loop] { main_loop.stop(); });
+        roles->shut_down(main_loop, [&main_loop] { main_loop.stop(); });
+    };
+    signal_watch const terminate_signals(main_loop, {SIGTERM}, begin_stop);
+    signal_watch const interrupt_signals(main_loop, {SIGINT}, [&] {
+        if (interrupted)
+            return main_loop.stop();
+        interrupted = true;
+        begin_stop();
     });
     main_loop.run();
     base::begin_last_lines();
     base::log_record(base::log_event::process_stopped).with("process", name);
+    // The end of the watch restores the default action of SIGTERM. The threads of the roles end
+    // before, because a signal that one thread blocks is delivered to another.
+    roles.reset();
+    block_signal(SIGTERM);
     return boost::outcome_v2::success();
 }
 
--- a/src/app/process.h
+++ b/src/app/process.h
@@ -14,7 +14,8 @@
 /// Reads the settings again. Returns nothing when they are invalid.
 using settings_source = std::function<std::optional<settings::process_settings>()>;
 
-/// Runs the roles until SIGTERM or SIGINT; a second signal ends the process at once.
+/// Runs the roles until SIGTERM or SIGINT. A second SIGINT ends them at once; further SIGTERMs have
+/// no effect, because supervisors repeat them while callers wait, and are blocked afterwards.
 /// Returns when all work in progress is finished or the shutdown limit has passed. Errors:
 /// `error_step::listen`, `error_step::recover`.
 /// @param reload called on SIGHUP; when empty, the signal is ignored.
--- a/tests/fleet/log_output_test.py
+++ b/tests/fleet/log_output_test.py
@@ -4,24 +4,17 @@
 gaps in the log that its reader cannot see. Ports are free ones.
 """
 
-import argparse
-import json
 import os
-import pathlib
 import re
 import signal
-import socket
 import statistics
 import subprocess
-import sys
-import tempfile
 import threading
 import time
 import unittest
-import urllib.error
-import urllib.request
 
-from fleet import PROGRAM, STAND_IN
+import single_process
+from single_process import Process
 
 UNREAD_S = 20
 # Requests by which a process has reached its usual times and memory.
@@ -31,84 +24,6 @@
 MEMORY_MARGIN_KB = 8 * 1024
 # The log waits 250 ms at the end of the process; see last_lines_limit.
 END_LIMIT_S = 5
-program = PROGRAM
-
-
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-class Process:
-    """A process with all roles, and a stand-in endpoint."""
-
-    def __init__(self, stdout, **options):
-        self.folder = tempfile.TemporaryDirectory()
-        self.http_port = free_port()
-        announce_port = free_port()
-        self.data = pathlib.Path(self.folder.name) / "data"
-        self.process = subprocess.Popen(
-            [program, "run", "--data", self.data, "--http", f"127.0.0.1:{self.http_port}",
-             "--announce", f"127.0.0.1:{announce_port}"],
-            stdout=stdout, stderr=subprocess.DEVNULL, cwd=self.folder.name, **options)
-        self.endpoint = subprocess.Popen(
-            [STAND_IN, "--name", "endpoint", "--announce", f"http://127.0.0.1:{announce_port}",
-             "--kinds", "quote", "--run-ms", "1"], stdout=subprocess.DEVNULL)
-        self.requests = 0
-
-    def stop(self):
-        for process in (self.process, self.endpoint):
-            if process.poll() is None:
-                process.kill()
-            process.wait()
-        self.folder.cleanup()
-
-    def get(self, path):
-        """Returns the body of the answer, or None."""
-        try:
-            with urllib.request.urlopen(f"http://127.0.0.1:{self.http_port}{path}",
-                                        timeout=5) as reply:
-                return reply.read()
-        except OSError:
-            return None
-
-    def wait_until_ready(self):
-        begin = time.monotonic()
-        while time.monotonic() - begin < 15:
-            status = self.get("/v1/status")
-            if status is not None:
-                body = json.loads(status)
-                if body["entry"]["lease_valid"] and body["entry"]["endpoints"]:
-                    return
-            time.sleep(0.05)
-        raise AssertionError("the process is not ready within 15 s")
-
-    def submit(self):
-        """Returns status and state of the answer, and its time in seconds."""
-        self.requests += 1
-        body = {"submission": f"job-{self.requests}", "team": "hospital", "deadline_ms": 5000,
-                "tasks": [{"kind": "quote", "idempotent": True, "payload": {"run_ms": 1}}]}
-        request = urllib.request.Request(f"http://127.0.0.1:{self.http_port}/v1/jobs?wait=5000",
-                                         data=json.dumps(body).encode())
-        begin = time.monotonic()
-        try:
-            with urllib.request.urlopen(request, timeout=6) as reply:
-                answer = (reply.status, json.load(reply).get("state"))
-        except urllib.error.HTTPError as error:
-            answer = (error.code, None)
-        except OSError as error:
-            answer = (0, repr(error))
-        return answer, time.monotonic() - begin
-
-    def memory_kb(self):
-        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
-        return int(re.search(r"VmRSS:\s+(\d+)", status).group(1))
-
-    def dropped_lines(self):
-        metrics = self.get("/metrics").decode()
-        return int(re.search(r"^greengagehead_log_lines_dropped_total (\d+)$", metrics,
-                             re.M).group(1))
 
 
 class Drain:
@@ -243,11 +158,4 @@
 
 
 if __name__ == "__main__":
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--program", type=pathlib.Path, default=PROGRAM)
-    known, rest = parser.parse_known_args()
-    program = known.program.resolve()
-    result = unittest.main(argv=[sys.argv[0], *rest], verbosity=2, exit=False).result
-    failed = len(result.failures) + len(result.errors)
-    print(f"log output: {result.testsRun - failed} passed, {failed} failed")
-    sys.exit(1 if failed else 0)
+    single_process.main("log output")
