Give each incarnation of an entry its own request and query ids

The ids of requests to control and of queries to agents began at 1 in each incarnation of an entry, and answers are sent to the name of the entry. So an answer to a request of a former incarnation could be taken for that to a request of the present one: a granted claim of another job let a job start that control had not granted. The ids of an incarnation now follow its number shifted by 32 bits, so the ranges of two incarnations differ except with a chance of 2^-32.

Not changed: ids of queries to other entries (remote_jobs) still begin at 1.

--- a/src/entry/agent_outbox.cpp
+++ b/src/entry/agent_outbox.cpp
@@ -17,7 +17,8 @@
 
 agent_outbox::agent_outbox(protocol::message_sender& output, lease_manager& lease_source,
                            agent_table& records)
-    : sender(output), leases(lease_source), agents(records)
+    : sender(output), leases(lease_source), agents(records),
+      last_query_id(protocol::request_number_base(lease_source.self().incarnation))
 {
 }
 
--- a/src/entry/agent_outbox.h
+++ b/src/entry/agent_outbox.h
@@ -46,7 +46,7 @@
     std::unordered_map<agent_slot, std::vector<protocol::attempt_ref>> cancels;
     std::unordered_map<agent_slot, std::unordered_map<std::string, protocol::job_epoch>> queries;
     std::unordered_map<std::uint64_t, sent_query> sent_queries;
-    std::uint64_t last_query_id = 0;
+    std::uint64_t last_query_id;
 };
 
 } // namespace greengagehead::entry
--- a/src/entry/control_client.cpp
+++ b/src/entry/control_client.cpp
@@ -20,7 +20,8 @@
 
 control_client::control_client(protocol::process_id self_id, std::vector<std::string> members,
                                protocol::message_sender& out)
-    : self(std::move(self_id)), controls(std::move(members)), sender(out)
+    : self(std::move(self_id)), controls(std::move(members)), sender(out),
+      last_request_id(protocol::request_number_base(this->self.incarnation))
 {
     if (!this->controls.all().empty())
         this->target_member = this->controls.all().front();
--- a/src/entry/control_client.h
+++ b/src/entry/control_client.h
@@ -70,7 +70,7 @@
     protocol::message_sender& sender;
     std::string target_member;
     std::string known_leader;
-    std::uint64_t last_request_id = 0;
+    std::uint64_t last_request_id;
     base::steady_time last_switch;
     control_outage_logger outage_log;
     std::map<std::uint64_t, pending_request> pending_requests;
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -34,6 +34,11 @@
 {
 }
 
+protocol::process_id const& lease_manager::self() const
+{
+    return this->settings.id;
+}
+
 void lease_manager::on_grant(std::string const& peer, protocol::grant_lease const& grant,
                              base::steady_time now)
 {
--- a/src/entry/lease_manager.h
+++ b/src/entry/lease_manager.h
@@ -48,6 +48,8 @@
     [[nodiscard]] std::optional<protocol::lease_stamp> unleased_stamp(agent_record const& agent,
                                                                       base::steady_time now) const;
 
+    /// The entry that holds the lease.
+    [[nodiscard]] protocol::process_id const& self() const;
     [[nodiscard]] protocol::view const& applied() const { return this->current; }
     [[nodiscard]] protocol::view_number settled() const { return this->settled_view; }
     [[nodiscard]] protocol::live_entry const* find_live_entry(protocol::process_id const& id) const;
--- a/src/protocol/identity.h
+++ b/src/protocol/identity.h
@@ -14,6 +14,14 @@
 /// Random number chosen at process start; tells a restarted process from its predecessor.
 using incarnation_number = std::uint64_t;
 
+/// The numbers of an incarnation's requests follow this one. Answers reach a process by its name,
+/// so incarnations must not use the same numbers: a late answer to a former one would be taken for
+/// that to another request. The ranges of two incarnations are equal with a probability of 2^-32.
+[[nodiscard]] constexpr std::uint64_t request_number_base(incarnation_number incarnation)
+{
+    return incarnation << 32U;
+}
+
 /// Counts the owners of a job. A higher epoch fences every lower one.
 using job_epoch = std::uint64_t;
 
