Let a waiting ephemeral task start as long as its entry counts as alive

A task that waits at an agent starts under the latest leased stamp of its entry. While the entry has no lease, only the stamp of the start message was left: after 900 ms in the queue the runner refused the task as too late, although the agent heard the entry throughout, and the entry had to place it again.

The start of an ephemeral task is permitted until the entry would count as lost. Stored tasks still need an unexpired lease.

--- a/src/agent/agent_core_impl.cpp
+++ b/src/agent/agent_core_impl.cpp
@@ -290,6 +290,11 @@
         auto const renewed = this->leases.latest(request.stamp.entry);
         if (renewed && renewed->expires_at > request.stamp.expires_at)
             request.stamp = *renewed;
+        // An ephemeral task needs no lease: it may start as long as its entry counts as alive.
+        if (request.task.ephemeral)
+            request.stamp.expires_at
+                = std::max(request.stamp.expires_at,
+                           base::to_reading(this->liveness.alive_until(request.stamp.entry)));
         auto const refused = this->admission.refuse(request, admission_stage::start, now);
         if (refused)
             this->refuse(*key, *refused, now);
--- a/src/agent/endpoint_runner.h
+++ b/src/agent/endpoint_runner.h
@@ -16,8 +16,9 @@
     std::string url; ///< Base URL from the endpoint's announcement.
     protocol::task_start task;
     std::chrono::milliseconds timeout {0}; ///< The task timeout or the remaining time, if shorter.
-    /// End of the lease or the deadline, whichever is earlier. The runner checks it right before it
-    /// sends the request, and answers `not_run` if it has passed.
+    /// End of the lease (of an ephemeral task: when its entry would count as lost) or the deadline,
+    /// whichever is earlier. The runner checks it right before it sends the request, and answers
+    /// `not_run` if it has passed.
     base::steady_time start_before;
 };
 
--- a/src/agent/entry_liveness.cpp
+++ b/src/agent/entry_liveness.cpp
@@ -35,10 +35,16 @@
 }
 
 bool entry_liveness::lost(protocol::process_id const& entry, base::steady_time now) const
+{
+    return this->alive_until(entry) <= now;
+}
+
+base::steady_time entry_liveness::alive_until(protocol::process_id const& entry) const
 {
     auto const found = this->entries.find(entry.name);
-    return found == this->entries.end() || found->second.incarnation != entry.incarnation
-        || found->second.lost_at <= now;
+    if (found == this->entries.end() || found->second.incarnation != entry.incarnation)
+        return base::steady_time::min();
+    return found->second.lost_at;
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/entry_liveness.h
+++ b/src/agent/entry_liveness.h
@@ -33,6 +33,9 @@
     /// Also true for an entry that has never sent a message, and for an incarnation that is not the
     /// last one heard.
     [[nodiscard]] bool lost(protocol::process_id const& entry, base::steady_time now) const;
+    /// When the entry is lost unless another message arrives. In the past for an entry of which
+    /// `lost` is true.
+    [[nodiscard]] base::steady_time alive_until(protocol::process_id const& entry) const;
 
 private:
     /// A former incarnation. Its last messages may still be on their way.
--- a/tests/agent/entry_liveness_test.cpp
+++ b/tests/agent/entry_liveness_test.cpp
@@ -40,9 +40,10 @@
     }
     /// Delivers now a start of an ephemeral task that the entry sent `delay` ago.
     void deliver_start(protocol::process_id const& entry, std::uint32_t index,
-                       milliseconds delay = milliseconds(0))
+                       milliseconds delay = milliseconds(0), bool leased = true)
     {
         auto message = this->batch(entry, {ephemeral_start(index)});
+        message.lease.leased = leased;
         message.lease.expires_at = base::to_reading(this->now - delay + stamp_validity);
         this->core.receive(entry.name, message, this->now);
     }
@@ -277,4 +278,29 @@
             }
         }
     }
+    GIVEN("an ephemeral task that waits for a slot")
+    {
+        liveness_fixture fixture;
+        for (std::uint32_t index = 0; index < 3; ++index)
+            fixture.deliver_start(fixture.entry_a, index, milliseconds(0), false);
+        REQUIRE(fixture.runner.runs.size() == 2);
+
+        WHEN("a slot becomes free after the stamp of the start has expired")
+        {
+            for (int i = 0; i < 6; ++i) {
+                fixture.advance(update_interval);
+                fixture.deliver_update(fixture.entry_a, milliseconds(0), false);
+            }
+            fixture.advance(milliseconds(100));
+            fixture.succeed(0);
+            // Guards against a start that the runner of the endpoint refuses as too late although
+            // the entry has been there throughout.
+            THEN("it starts, as long as the entry counts as alive")
+            {
+                REQUIRE(fixture.runner.runs.size() == 3);
+                CHECK(fixture.runner.runs[2].request.start_before
+                      == fixture.now + stamp_validity - milliseconds(100));
+            }
+        }
+    }
 }
