--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -24,7 +24,10 @@
 
 } // namespace
 
-remote_jobs::remote_jobs(entry_components& shared) : components(shared) { }
+remote_jobs::remote_jobs(entry_components& shared)
+    : components(shared), last_id(protocol::request_number_base(shared.settings.id.incarnation))
+{
+}
 
 void remote_jobs::attach(std::string const& job, std::optional<protocol::job_claim> claim,
                          waiter caller, bool cancel, base::steady_time now)
--- a/src/entry/remote_jobs.h
+++ b/src/entry/remote_jobs.h
@@ -78,7 +78,7 @@
     void finish(attachment& attached, protocol::job_answer const& answer);
 
     entry_components& components;
-    std::uint64_t last_id = 0;
+    std::uint64_t last_id;
     std::unordered_map<std::uint64_t, attachment> attachments;
     std::unordered_map<std::uint64_t, poll> entry_polls;
 };
