Count the limit of a lost agent's runs from its latest loss

What callers could see: a task ran twice at once. An agent that was lost, heard again for a moment and lost again within 2 s had its runs given up by the timer of the first loss, while the last stamp sent to it was still valid.

--- a/src/entry/agent_table.h
+++ b/src/entry/agent_table.h
@@ -26,6 +26,7 @@
     bool replaced = false; ///< A newer incarnation of the same agent has reported.
     bool silent = false; ///< No report within the silence limit; gets no new work.
     bool lost = false; ///< Silent, and every stamp issued to it has expired.
+    base::steady_time lost_since; ///< Of the last loss.
     base::steady_time last_report;
     base::clock_reading clock {0}; ///< Reading of the agent's own clock in its last report.
     protocol::view_number seen_view = 0;
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -234,8 +234,11 @@
         return;
     auto& task = job->tasks[due.index];
     auto* open = task.find(due.attempt, job->epoch);
-    // An agent that has returned is queried for the outcome instead.
-    if (open == nullptr || !this->components.agents.at(open->agent).lost)
+    if (open == nullptr)
+        return;
+    // An agent that has returned is queried for the outcome instead. Each loss has its own timer.
+    auto const& agent = this->components.agents.at(open->agent);
+    if (!agent.lost || now < agent.lost_since + policy::unconfirmed_run_limit)
         return;
     this->close_as_unknown(*job, due.index, *open, due.attempt, "the agent was lost", now);
 }
