--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -104,17 +104,10 @@
 {
     if (outcome.kind == outcome_kind::running)
         return;
-    auto const confirmed = std::erase_if(job.unconfirmed, [&](auto const& run) {
+    std::erase_if(job.unconfirmed, [&](auto const& run) {
         return run.index == outcome.task.index && run.attempt == outcome.attempt
             && this->components.agents.at(run.agent).id == agent;
     });
-    if (confirmed == 0 || outcome.task.index >= job.answer.tasks.size())
-        return;
-    auto& state = job.answer.tasks[outcome.task.index].state;
-    if (state == task_state::may_have_run)
-        state = task_state::cancelled;
-    if (job.unconfirmed.empty())
-        job.runs_end_by = {};
 }
 
 bool attempt_tracker::apply(job& job, protocol::process_id const& agent,
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -149,6 +149,8 @@
 
 bool dispatcher::callers_left(job& job, base::steady_time now)
 {
+    if (now < job.wanted_until)
+        return false;
     // One look covers all tasks of the job that start in the same step.
     if (std::exchange(job.callers_seen_at, now) == now)
         return false;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -107,7 +107,7 @@
         this->control_group_changed.emit(this->control.group());
 }
 
-void entry_core::impl::on_view(base::steady_time /*now*/)
+void entry_core::impl::on_view(base::steady_time now)
 {
     auto const& view = this->leases.applied();
     this->view_applied.emit(view);
@@ -118,6 +118,7 @@
     for (auto const& item : view.entries)
         entry_names.push_back(item.id.name);
     this->endpoints.set_entries(std::move(entry_names), this->settings.id.name);
+    this->resubmitted.on_view(now);
     this->dispatch.capacity_changed();
 }
 
@@ -323,8 +324,8 @@
 {
     auto* const existing = this->pimpl->jobs.find(this->ephemeral_id(team, submission));
     bool const running_here = existing != nullptr && !existing->is_final();
-    if (running_here)
-        this->pimpl->lifecycle.cancel(*existing, now);
+    if (existing != nullptr)
+        this->pimpl->lifecycle.cancel_submission(*existing, now);
     bool const known_elsewhere = this->pimpl->resubmitted.cancel(team, submission, now);
     this->pimpl->place_and_send(now);
     return running_here || known_elsewhere;
--- a/src/entry/job.cpp
+++ b/src/entry/job.cpp
@@ -83,6 +83,18 @@
     return answer_of(job, false);
 }
 
+protocol::job_answer settled_answer(job const& job, base::steady_time now)
+{
+    auto answer = job.answer;
+    if (!job.unconfirmed.empty() && now < job.runs_end_by)
+        return answer;
+    for (auto& task : answer.tasks) {
+        if (task.state == protocol::task_state::may_have_run)
+            task.state = protocol::task_state::cancelled;
+    }
+    return answer;
+}
+
 protocol::job_answer make_answer(job& job)
 {
     auto answer = answer_of(job, true);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -112,6 +112,7 @@
     protocol::job_answer answer;
 
     std::vector<waiter> waiters;
+    base::steady_time wanted_until; ///< Another entry that waits for the job asks again by then.
     base::steady_time callers_seen_at; ///< When at least one caller was last known to wait.
     decision_log decisions;
 
@@ -130,6 +131,9 @@
 /// Final answer; contains results only when the final state is complete.
 [[nodiscard]] protocol::job_answer make_answer(job& job);
 
+/// The final answer as it is at `now`: runs that have surely ended count as cancelled.
+[[nodiscard]] protocol::job_answer settled_answer(job const& job, base::steady_time now);
+
 /// Answer of a job that is not final: state running, without results.
 [[nodiscard]] protocol::job_answer current_answer(job const& job);
 
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -25,6 +25,11 @@
 /// A submission that is resent to the same entry within this time gets the same answer.
 constexpr milliseconds ephemeral_retention {5000};
 
+bool still_waits(waiter const& caller)
+{
+    return caller.has_left && !caller.has_left();
+}
+
 } // namespace
 
 void job_lifecycle::attach(job& job, waiter caller, base::steady_time now)
@@ -56,11 +61,27 @@
     this->stop(job, job_state::cancelled, std::move(failure), now);
 }
 
+void job_lifecycle::cancel_submission(job& job, base::steady_time now)
+{
+    if (job.failure && job.failure->code == base::error_code::abandoned) {
+        job.failure->code = base::error_code::refused;
+        job.answer.failure = job.failure;
+    }
+    this->cancel(job, now);
+}
+
 void job_lifecycle::stop_abandoned(job& job, base::steady_time now)
 {
-    auto const submitted_here = [](waiter const& caller) { return bool(caller.on_submit); };
-    if (!job.ephemeral || job.phase != job_phase::running
-        || !std::all_of(job.waiters.begin(), job.waiters.end(), submitted_here))
+    if (!job.ephemeral || job.phase != job_phase::running)
+        return;
+    if (now < job.wanted_until)
+        return this->add_timer(job, timer_kind::abandoned_check, job.wanted_until);
+    this->stop_superseded(job, now);
+}
+
+void job_lifecycle::stop_superseded(job& job, base::steady_time now)
+{
+    if (job.phase != job_phase::running)
         return;
     base::log_record(base::log_event::job_abandoned)
         .with("job", job.id)
@@ -86,6 +107,10 @@
     if (job == nullptr)
         return;
     switch (due.kind) {
+    case timer_kind::abandoned_check:
+        if (!std::any_of(job->waiters.begin(), job->waiters.end(), still_waits))
+            this->stop_abandoned(*job, now);
+        return;
     case timer_kind::job_deadline:
         if (now >= job->deadline)
             this->on_deadline(*job, now);
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -29,9 +29,13 @@
 
     void submit(protocol::job_request request, waiter caller, base::steady_time now);
     void cancel(job& job, base::steady_time now);
-    /// Stops an ephemeral job that every caller at this entry has left, unless another entry or a
-    /// query waits for it.
+    /// Cancels an ephemeral job. One that was abandoned before counts as cancelled from now on.
+    void cancel_submission(job& job, base::steady_time now);
+    /// Stops an ephemeral job that every caller at this entry has left, once no other entry waits
+    /// for it.
     void stop_abandoned(job& job, base::steady_time now);
+    /// Stops an ephemeral job that another entry has started for a later submission.
+    void stop_superseded(job& job, base::steady_time now);
     /// Moves the deadline of a running job to `time` if that is later.
     void extend_deadline(job& job, base::steady_time time);
     /// Adds a waiter, or answers it at once when the job is final.
--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -284,9 +284,16 @@
         caller.wait_until = now + std::min(query.wait, max_query_wait);
         caller.explain = query.explain;
         caller.on_query = reply;
+        if (job->ephemeral && job->is_final()) {
+            protocol::job_reply ended;
+            ended.answer = settled_answer(*job, now);
+            return reply(ended);
+        }
         // A caller that waits at the other entry needs the answer after the deadline of the first.
-        if (job->ephemeral)
-            this->components.lifecycle.extend_deadline(*job, caller.wait_until);
+        if (job->ephemeral) {
+            job->wanted_until = caller.wait_until + answer_timeout;
+            this->components.lifecycle.extend_deadline(*job, job->wanted_until);
+        }
         return this->components.lifecycle.attach(*job, std::move(caller), now);
     }
     protocol::job_reply answer;
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -25,8 +25,8 @@
 constexpr milliseconds answer_timeout {500};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
-/// A longer remaining time in an announcement counts as this.
-constexpr milliseconds max_remaining {std::chrono::hours(24)};
+/// Names of entries as peers begin so.
+constexpr std::string_view entry_peer_prefix = "entry.";
 
 std::string key_of(protocol::job_request const& request)
 {
@@ -66,62 +66,101 @@
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
+        std::erase_if(this->announced, [this](auto const& item) {
+            return this->components.jobs.find(item.second) == nullptr;
+        });
     }
     if (this->unannounced.empty() || now < this->next_announcement)
         return;
     this->next_announcement = now + announcement_interval;
-    auto const message = this->describe(std::exchange(this->unannounced, {}), now);
+    this->send_to_all(this->describe_jobs(std::exchange(this->unannounced, {}), now));
+}
+
+void resubmissions::send_to_all(protocol::submissions_running const& message)
+{
     if (message.submissions.empty())
         return;
-    for (auto const& entry : this->components.leases.applied().entries) {
-        if (entry.id != this->components.settings.id)
-            this->components.sender.send(entry.id.name, message);
-    }
+    // An entry may serve callers without being in the view, and be in it without a link.
+    auto receivers = this->linked;
+    for (auto const& entry : this->components.leases.applied().entries)
+        receivers.insert(entry.id.name);
+    receivers.erase(this->components.settings.id.name);
+    for (auto const& receiver : receivers)
+        this->components.sender.send(receiver, message);
 }
 
-protocol::submissions_running resubmissions::describe(std::vector<std::uint64_t> const& numbers,
-                                                      base::steady_time now) const
+protocol::submissions_running
+resubmissions::describe_jobs(std::vector<std::uint64_t> const& numbers, base::steady_time now)
 {
-    protocol::submissions_running message {this->components.settings.id, {}};
+    protocol::submissions_running message {this->components.settings.id, {}, false};
     for (auto const number : numbers) {
         auto const* const job = this->components.jobs.find(number);
         if (job == nullptr)
             continue;
         auto const end = job->is_final() ? job->runs_end_by : job->deadline;
-        auto const remaining = std::chrono::ceil<milliseconds>(end - now);
-        if (remaining <= milliseconds(0))
+        if (end <= now)
             continue;
-        message.submissions.push_back({job_id_of(job->team, job->submission), remaining});
+        auto const key = job_id_of(job->team, job->submission);
+        message.submissions.push_back({key, std::chrono::floor<milliseconds>(now - job->submitted),
+                                       std::chrono::ceil<milliseconds>(end - now), false});
+        this->announced[key] = number;
     }
     return message;
 }
 
-void resubmissions::peer_up(std::string const& peer, base::steady_time now)
+protocol::submissions_running::submission resubmissions::describe_hold(held_submission const& item,
+                                                                       base::steady_time now)
+{
+    return {item.key, std::chrono::floor<milliseconds>(now - item.submitted),
+            std::max(std::chrono::ceil<milliseconds>(item.deadline - now), milliseconds(1)), true};
+}
+
+protocol::submissions_running resubmissions::describe_all(base::steady_time now)
 {
-    auto const& entries = this->components.leases.applied().entries;
-    bool const is_entry = std::any_of(entries.begin(), entries.end(),
-                                      [&peer](auto const& entry) { return entry.id.name == peer; });
-    if (!is_entry)
-        return;
     std::vector<std::uint64_t> numbers;
     for (auto const& [number, job] : this->components.jobs.all()) {
         if (job->ephemeral && now - job->submitted >= policy::announcement_age)
             numbers.push_back(number);
     }
-    auto const message = this->describe(numbers, now);
-    if (!message.submissions.empty())
-        this->components.sender.send(peer, message);
+    auto message = this->describe_jobs(numbers, now);
+    for (auto const& [id, item] : this->held)
+        message.submissions.push_back(resubmissions::describe_hold(item, now));
+    return message;
+}
+
+void resubmissions::peer_up(std::string const& peer, base::steady_time now)
+{
+    if (!peer.starts_with(entry_peer_prefix))
+        return;
+    this->linked.insert(peer);
+    auto message = this->describe_all(now);
+    message.asks_for_all = true;
+    this->components.sender.send(peer, message);
 }
 
 void resubmissions::peer_down(std::string const& peer, base::steady_time now)
 {
-    this->known.record_disconnected(peer, now);
-    std::vector<std::uint64_t> affected;
-    for (auto const& [id, item] : this->held) {
-        if (item.asked.name == peer)
-            affected.push_back(id);
-    }
-    for (auto const id : affected) {
+    if (this->linked.erase(peer) == 0)
+        return;
+    this->known.record_disconnected(peer);
+    this->on_view(now);
+}
+
+void resubmissions::on_view(base::steady_time now)
+{
+    std::vector<protocol::process_id> present;
+    for (auto const& entry : this->components.leases.applied().entries)
+        present.push_back(entry.id);
+    this->known.record_view(present, now);
+    this->proceed_all(now);
+}
+
+void resubmissions::proceed_all(base::steady_time now)
+{
+    std::vector<std::uint64_t> ids;
+    for (auto const& [id, item] : this->held)
+        ids.push_back(id);
+    for (auto const id : ids) {
         if (auto const found = this->held.find(id); found != this->held.end())
             this->proceed(found->second, now);
     }
@@ -134,11 +173,30 @@
     if (message.entry.name != peer)
         return;
     for (auto const& item : message.submissions) {
-        this->known.record(message.entry, item.key,
-                           std::clamp(item.remaining, milliseconds(0), max_remaining), now);
+        this->known.record(message.entry, item, now);
         if (auto const* const cancelled = this->known.cancelled(item.key, now))
             this->send_cancel(*cancelled, message.entry);
+        else
+            this->stop_superseded(item, peer, now);
     }
+    if (!message.asks_for_all)
+        return;
+    auto const answer = this->describe_all(now);
+    if (!answer.submissions.empty())
+        this->components.sender.send(peer, answer);
+}
+
+void resubmissions::stop_superseded(protocol::submissions_running::submission const& announced,
+                                    std::string const& peer, base::steady_time now)
+{
+    auto const found = this->announced.find(announced.key);
+    auto* const job
+        = found == this->announced.end() ? nullptr : this->components.jobs.find(found->second);
+    auto const& self = this->components.settings.id.name;
+    if (job == nullptr || announced.held || announced.remaining <= milliseconds(0)
+        || !policy::is_later(now - announced.age, peer, job->submitted, self))
+        return;
+    this->components.lifecycle.stop_superseded(*job, now);
 }
 
 bool resubmissions::take(protocol::job_request& request, waiter& caller, bool abandoned_here,
@@ -159,6 +217,7 @@
     auto& item = this->held[id];
     item.id = id;
     item.key = key;
+    item.submitted = now;
     item.deadline = now + request.deadline;
     item.request = std::move(request);
     item.caller = std::move(caller);
@@ -166,12 +225,17 @@
         .with("submission", item.request.submission)
         .with("team", item.request.team)
         .with("entry", elsewhere ? elsewhere->entry.name : this->components.settings.id.name);
+    // Another entry that holds it since earlier must not start it at the same time as this one.
+    this->send_to_all(
+        {this->components.settings.id, {resubmissions::describe_hold(item, now)}, false});
     this->proceed(item, now);
     return true;
 }
 
 void resubmissions::proceed(held_submission& item, base::steady_time now)
 {
+    if (this->closing)
+        return this->give_up(item, "the entry is shutting down");
     if (item.caller.has_left && item.caller.has_left())
         return this->give_up(item, "the caller has left");
     if (now >= item.deadline)
@@ -179,18 +243,25 @@
     if (auto const* const abandoned = this->find_abandoned(item.request)) {
         if (!abandoned->is_final())
             return this->wait_until(item, now + repeat_delay);
-        return this->on_state(item, &abandoned->answer, now);
+        auto const state = settled_answer(*abandoned, now);
+        return this->on_state(item, &state, now);
     }
     auto const elsewhere = this->known.find(item.key, now);
+    if (!elsewhere && this->must_wait_for_newer(item, now))
+        return this->wait_until(item, now + repeat_delay);
     if (!elsewhere)
         return this->start_here(item, now);
     if (elsewhere->connected)
         return this->ask(item, elsewhere->entry, now);
-    if (elsewhere->ends_by >= item.deadline)
-        return this->give_up(item, "the job may run at an entry that has been lost");
     this->wait_until(item, elsewhere->ends_by);
 }
 
+bool resubmissions::must_wait_for_newer(held_submission const& item, base::steady_time now) const
+{
+    return this->known.has_newer_holder(item.key, item.submitted, this->components.settings.id.name,
+                                        now);
+}
+
 void resubmissions::ask(held_submission& item, protocol::process_id const& entry,
                         base::steady_time now)
 {
@@ -226,23 +297,47 @@
         return this->finish(item, *state);
     case resubmission_step::start_here:
         this->known.record_ended(item.asked, item.key);
+        item.asked = {};
+        // Somebody else may run or start it by now.
+        if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now))
+            return this->wait_until(item, now + repeat_delay);
         return this->start_here(item, now);
     }
 }
 
 void resubmissions::start_here(held_submission& item, base::steady_time now)
 {
+    if (item.caller.has_left && item.caller.has_left())
+        return this->give_up(item, "the caller has left");
+    if (now >= item.deadline)
+        return this->give_up(item, "the deadline has passed");
     auto released = this->release(item, "admitted");
     // Its answer serves nobody, and the submission gets a job of its own.
     if (auto* const abandoned = this->find_abandoned(released.request))
         this->components.lifecycle.drop(*abandoned);
+    auto const id = ephemeral_job_id(released.request.team, released.request.submission,
+                                     this->components.settings.id);
     released.request.deadline = std::chrono::ceil<milliseconds>(released.deadline - now);
     this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now);
+    // A third entry may get the submission before the job has reached the age of announcements.
+    auto const* const started = this->components.jobs.find(id);
+    if (started != nullptr && !started->is_final())
+        return this->send_to_all(this->describe_jobs({started->number}, now));
+    this->announce_end(released.key);
+}
+
+void resubmissions::announce_end(std::string const& key)
+{
+    protocol::submissions_running::submission ended;
+    ended.key = key;
+    ended.held = true;
+    this->send_to_all({this->components.settings.id, {ended}, false});
 }
 
 void resubmissions::give_up(held_submission& item, std::string const& reason)
 {
     auto const released = this->release(item, reason);
+    this->announce_end(released.key);
     deliver_unknown(
         released.caller, answer_for(released.request, protocol::job_state::running),
         {base::error_code::unavailable, base::error_step::admission, released.asked.name, reason});
@@ -253,6 +348,7 @@
     // `answer` may belong to a job that ends with the hold.
     auto const final_answer = answer;
     auto const released = this->release(item, protocol::to_string(answer.state));
+    this->announce_end(released.key);
     deliver(released.caller, final_answer, {});
 }
 
@@ -319,6 +415,7 @@
 
 void resubmissions::answer_all(base::steady_time /*now*/)
 {
+    this->closing = true;
     while (!this->held.empty())
         this->give_up(this->held.begin()->second, "the entry is shutting down");
 }
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -32,9 +33,11 @@
     void announce(job const& job);
     /// Sends what `announce` has collected, and drops what has expired.
     void tick(base::steady_time now);
-    /// Announces everything that is in progress to an entry that has connected.
+    /// Exchanges with an entry that has connected what is in progress.
     void peer_up(std::string const& peer, base::steady_time now);
     void peer_down(std::string const& peer, base::steady_time now);
+    /// A newer view has been applied.
+    void on_view(base::steady_time now);
     void on_announcement(std::string const& peer, protocol::submissions_running const& message,
                          base::steady_time now);
 
@@ -62,12 +65,14 @@
         std::string key;
         protocol::job_request request;
         waiter caller;
+        base::steady_time submitted;
         base::steady_time deadline;
         protocol::process_id asked; ///< Entry that was asked last; empty name if none was.
         std::string asked_job; ///< Id of the job there.
         base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
     };
 
+    void proceed_all(base::steady_time now);
     // These may end the hold, after which `item` no longer exists.
     /// Asks the entry that may run the job, or waits for its runs to end, or admits the job here.
     void proceed(held_submission& item, base::steady_time now);
@@ -80,15 +85,31 @@
     /// Ends the hold and returns the submission.
     held_submission release(held_submission& item, std::string_view outcome);
     void wait_until(held_submission& item, base::steady_time time);
+    [[nodiscard]] bool must_wait_for_newer(held_submission const& item,
+                                           base::steady_time now) const;
     /// Job of this entry with this submission that all callers have left; null if there is none.
     [[nodiscard]] job* find_abandoned(protocol::job_request const& request) const;
-    [[nodiscard]] protocol::submissions_running describe(std::vector<std::uint64_t> const& numbers,
-                                                         base::steady_time now) const;
+    /// Announcement of the jobs with these local numbers.
+    [[nodiscard]] protocol::submissions_running
+    describe_jobs(std::vector<std::uint64_t> const& numbers, base::steady_time now);
+    /// Announcement of everything that is in progress.
+    [[nodiscard]] protocol::submissions_running describe_all(base::steady_time now);
+    [[nodiscard]] static protocol::submissions_running::submission
+    describe_hold(held_submission const& item, base::steady_time now);
+    /// Tells the other entries that this one holds the submission no longer and has not started it.
+    void announce_end(std::string const& key);
+    void send_to_all(protocol::submissions_running const& message);
+    /// Stops the job of this entry that another one runs too since its caller went there.
+    void stop_superseded(protocol::submissions_running::submission const& announced,
+                         std::string const& peer, base::steady_time now);
     void send_cancel(policy::submission_name const& name, protocol::process_id const& entry);
 
     entry_components& components;
     policy::remote_submissions known;
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
+    std::unordered_map<std::string, std::uint64_t> announced; ///< Local numbers of jobs, by key.
+    std::set<std::string> linked; ///< Other entries with a link.
+    bool closing = false; ///< The process ends: nothing is held any more.
     base::steady_time next_announcement;
     base::steady_time next_expiry;
     std::unordered_map<std::uint64_t, held_submission> held; ///< By id.
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+using std::chrono::milliseconds;
+
+/// A longer time in an announcement counts as this.
+constexpr milliseconds max_stated_time {std::chrono::hours(24)};
+
 bool may_still_run(protocol::task_answer const& task)
 {
     return task.state == protocol::task_state::starting
@@ -28,17 +33,31 @@
 
 } // namespace
 
-void remote_submissions::record(protocol::process_id const& entry, std::string const& key,
-                                std::chrono::milliseconds remaining, steady_time now)
+bool is_later(base::steady_time first, std::string const& first_entry, base::steady_time second,
+              std::string const& second_entry)
+{
+    if (std::chrono::abs(first - second) < submission_time_error)
+        return first_entry > second_entry;
+    return first > second;
+}
+
+void remote_submissions::record(protocol::process_id const& entry,
+                                protocol::submissions_running::submission const& announced,
+                                steady_time now)
 {
-    remote_submission const announced {entry, true, now + remaining + longest_run_end};
-    auto& entries = this->running[key];
+    auto const age = std::clamp(announced.age, milliseconds(0), max_stated_time);
+    auto const remaining = std::clamp(announced.remaining, milliseconds(0), max_stated_time);
+    if (remaining == milliseconds(0))
+        return this->record_ended(entry, announced.key);
+    auto const ends_by = now + remaining + longest_run_end;
+    remote_submission const item {entry, true, announced.held, now - age, ends_by};
+    auto& entries = this->running[announced.key];
     auto const known = std::find_if(entries.begin(), entries.end(),
-                                    [&entry](auto const& item) { return item.entry == entry; });
+                                    [&entry](auto const& other) { return other.entry == entry; });
     if (known == entries.end())
-        entries.push_back(announced);
+        entries.push_back(item);
     else
-        *known = announced;
+        *known = item;
 }
 
 void remote_submissions::record_ended(protocol::process_id const& entry, std::string const& key)
@@ -51,14 +70,26 @@
         this->running.erase(found);
 }
 
-void remote_submissions::record_disconnected(std::string const& entry_name, steady_time now)
+void remote_submissions::record_disconnected(std::string const& entry_name)
 {
+    for (auto& [key, entries] : this->running) {
+        for (auto& item : entries)
+            item.connected = item.connected && item.entry.name != entry_name;
+    }
+}
+
+void remote_submissions::record_view(std::vector<protocol::process_id> const& view_entries,
+                                     steady_time now)
+{
+    auto const has_ended = [&view_entries](remote_submission const& item) {
+        return !item.connected
+            && std::find(view_entries.begin(), view_entries.end(), item.entry)
+            == view_entries.end();
+    };
     for (auto& [key, entries] : this->running) {
         for (auto& item : entries) {
-            if (item.entry.name != entry_name)
-                continue;
-            item.connected = false;
-            item.ends_by = std::min(item.ends_by, now + longest_run_end);
+            if (has_ended(item))
+                item.ends_by = std::min(item.ends_by, now + longest_run_end);
         }
     }
 }
@@ -75,11 +106,24 @@
     auto const found = this->running.find(key);
     if (found == this->running.end())
         return std::nullopt;
-    auto const current = std::find_if(found->second.begin(), found->second.end(),
-                                      [now](auto const& item) { return item.ends_by > now; });
+    auto const current
+        = std::find_if(found->second.begin(), found->second.end(),
+                       [now](auto const& item) { return !item.held && item.ends_by > now; });
     return current == found->second.end() ? std::nullopt : std::optional(*current);
 }
 
+bool remote_submissions::has_newer_holder(std::string const& key, steady_time submitted,
+                                          std::string const& self, steady_time now) const
+{
+    auto const found = this->running.find(key);
+    if (found == this->running.end())
+        return false;
+    return std::any_of(found->second.begin(), found->second.end(), [&](auto const& item) {
+        return item.held && item.connected && item.ends_by > now
+            && is_later(item.submitted, item.entry.name, submitted, self);
+    });
+}
+
 submission_name const* remote_submissions::cancelled(std::string const& key, steady_time now) const
 {
     auto const found = this->cancellations.find(key);
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -13,20 +13,24 @@
 #include "base/clock.h"
 #include "protocol/identity.h"
 #include "protocol/job.h"
+#include "protocol/message.h"
 
 namespace greengagehead::policy {
 
 /// An entry announces a submission to the other entries when it has been unfinished for this long.
 /// Callers send a job again no earlier than after 1.3 s; most jobs have ended before this age.
 constexpr std::chrono::milliseconds announcement_age {400};
-/// Longest time from the end of a job, or from the closing of the link to its entry, until its
-/// runs have ended: agents stop the runs of an entry whose link is down after 300 ms, and workers
-/// end those of a frozen agent within 1.02 s.
-constexpr std::chrono::milliseconds longest_run_end {1200};
+/// Longest time from the deadline of a job, or from the end of its entry, until its runs have
+/// ended: agents stop the runs of an entry whose link is down after 300 ms, and workers end those
+/// of a frozen agent within 1.02 s.
+constexpr std::chrono::milliseconds longest_run_end {1400};
 /// Longest time from the cancellation of a run until it has ended, whether that is confirmed or
 /// not: its agent stops it when the last stamp of the entry expires, at most 900 ms after it was
 /// sent, and when the agent itself is frozen or gone, the worker ends it within 1.02 s.
 constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
+/// Times of submissions that differ by less are not told apart: one of them is estimated from a
+/// message of unknown delay.
+constexpr std::chrono::milliseconds submission_time_error {500};
 /// How long a cancelled submission is refused, and stopped at entries that announce it.
 constexpr std::chrono::milliseconds cancellation_memory {5000};
 
@@ -40,27 +44,42 @@
 struct remote_submission {
     protocol::process_id entry;
     bool connected = true; ///< False when the link to the entry has closed since.
+    bool held = false; ///< The entry has started nothing of it, and may start it later.
+    base::steady_time submitted; ///< When it arrived there.
     base::steady_time ends_by; ///< Its runs have ended by then.
 };
 
+/// Whether the first of two submissions of one job, at two entries, is the later one. Entry names
+/// decide when the times differ by less than any caller waits, so that both entries agree.
+[[nodiscard]] bool is_later(base::steady_time first, std::string const& first_entry,
+                            base::steady_time second, std::string const& second_entry);
+
 /// Submissions are identified by a key that is the same at every entry.
 class remote_submissions {
 public:
     using steady_time = base::steady_time;
 
-    /// The entry has announced that it runs the submission for at most `remaining`.
-    void record(protocol::process_id const& entry, std::string const& key,
-                std::chrono::milliseconds remaining, steady_time now);
+    /// The entry has announced that it runs or holds the submission for at most `remaining`.
+    void record(protocol::process_id const& entry,
+                protocol::submissions_running::submission const& announced, steady_time now);
     /// The entry has stated that it does not know the submission, or that all its runs have ended.
     void record_ended(protocol::process_id const& entry, std::string const& key);
-    /// The link to the entry has closed. It announces its submissions again if it still runs.
-    void record_disconnected(std::string const& entry_name, steady_time now);
+    /// The link to the entry has closed. Its runs may go on, because agents may still hear it.
+    void record_disconnected(std::string const& entry_name);
+    /// The entries of the present view. An incarnation that is neither in the view nor connected
+    /// has ended.
+    void record_view(std::vector<protocol::process_id> const& entries, steady_time now);
     /// A caller has cancelled the submission.
     void record_cancelled(std::string const& key, submission_name name, steady_time now);
 
     /// The entry that may still run the submission; empty if there is none.
     [[nodiscard]] std::optional<remote_submission> find(std::string const& key,
                                                         steady_time now) const;
+    /// Whether another entry holds the submission that it got after `submitted`. A caller sends a
+    /// job to one entry after the other, so that entry is the one to start it.
+    /// @param self decides between submissions of the same time.
+    [[nodiscard]] bool has_newer_holder(std::string const& key, steady_time submitted,
+                                        std::string const& self, steady_time now) const;
     /// Name of the submission if it was cancelled a short time ago, else null. Valid until the next
     /// change.
     [[nodiscard]] submission_name const* cancelled(std::string const& key, steady_time now) const;
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -293,10 +293,10 @@
     static auto of(auto& m) { return std::tie(m.job); }
 };
 template <> struct field_list<submissions_running::submission> {
-    static auto of(auto& m) { return std::tie(m.key, m.remaining); }
+    static auto of(auto& m) { return std::tie(m.key, m.age, m.remaining, m.held); }
 };
 template <> struct field_list<submissions_running> {
-    static auto of(auto& m) { return std::tie(m.entry, m.submissions); }
+    static auto of(auto& m) { return std::tie(m.entry, m.submissions, m.asks_for_all); }
 };
 template <> struct field_list<lease_stamp> {
     static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at, m.leased); }
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -153,10 +153,15 @@
 struct submissions_running {
     struct submission {
         std::string key; ///< The same at every entry.
-        std::chrono::milliseconds remaining {0}; ///< Time left until the deadline of the job.
+        std::chrono::milliseconds age {0}; ///< Time since it arrived at the sender.
+        /// Time until its runs are to end; 0 when the sender has none and will start none.
+        std::chrono::milliseconds remaining {0};
+        /// The sender has started nothing of it, and waits for the end of its runs elsewhere.
+        bool held = false;
     };
     process_id entry;
     std::vector<submission> submissions;
+    bool asks_for_all = false; ///< The sender has just connected and needs all of the receiver.
 };
 
 // --- entry and agent ---
--- a/tests/entry/resubmission_test.cpp
+++ b/tests/entry/resubmission_test.cpp
@@ -129,7 +129,8 @@
             for (auto& [name, agent] : fleet.agents)
                 agent.records.clear();
             fleet.close_link("entry.a", "entry.b");
-            fleet.run(milliseconds(4500));
+            fleet.set_run_time(milliseconds(100));
+            fleet.run(milliseconds(4800));
             // Guards against a caller that waits for an entry that is gone.
             THEN("the job runs there once the runs of the first entry have ended")
             {
--- a/tests/policy/remote_submissions_test.cpp
+++ b/tests/policy/remote_submissions_test.cpp
@@ -31,7 +31,8 @@
         protocol::process_id const entry {"entry.a", 7};
         base::steady_time const now {1000s};
         policy::remote_submissions known;
-        known.record(entry, "key", 1s, now);
+        protocol::submissions_running::submission const announced {"key", 400ms, 1s, false};
+        known.record(entry, announced, now);
 
         WHEN("its deadline has passed and its runs may still be stopping")
         {
@@ -45,23 +46,54 @@
         }
         WHEN("the link to the entry closes")
         {
-            known.record_disconnected("entry.a", now);
-            // Guards against callers that wait for the deadline of a job whose entry is gone.
-            THEN("it is known until the runs of a lost entry have ended")
+            known.record_disconnected("entry.a");
+            known.record_view({entry}, now);
+            // Guards against a closed link that is taken for the end of the entry's runs.
+            THEN("it is known for as long as before")
             {
-                REQUIRE(known.find("key", now));
-                CHECK_FALSE(known.find("key", now)->connected);
-                CHECK_FALSE(known.find("key", now + policy::longest_run_end));
+                REQUIRE(known.find("key", now + 1s));
+                CHECK_FALSE(known.find("key", now + 1s)->connected);
+            }
+            AND_WHEN("the entry leaves the view")
+            {
+                known.record_view({{"entry.a", 8}}, now - 500ms);
+                // Guards against callers that wait for the deadline of a job whose entry is gone.
+                THEN("it is known until the runs of a lost entry have ended")
+                {
+                    CHECK(known.find("key", now - 500ms + policy::longest_run_end - 1ms));
+                    CHECK_FALSE(known.find("key", now - 500ms + policy::longest_run_end));
+                }
             }
             AND_WHEN("the entry announces it again")
             {
-                known.record(entry, "key", 1s, now + 500ms);
+                known.record(entry, announced, now + 500ms);
                 THEN("it is connected")
                 {
                     CHECK(known.find("key", now + 500ms)->connected);
                 }
             }
         }
+        WHEN("the entry only holds it")
+        {
+            known.record(entry, {"key", 0ms, 1s, true}, now);
+            // Guards against holders that ask each other, and against two that start together.
+            THEN("it runs nowhere, and the later holder starts it")
+            {
+                CHECK_FALSE(known.find("key", now));
+                CHECK(known.has_newer_holder("key", now - 1s, "entry.b", now));
+                CHECK_FALSE(known.has_newer_holder("key", now + 1s, "entry.b", now));
+                CHECK_FALSE(known.has_newer_holder("key", now, "entry.b", now));
+                CHECK(known.has_newer_holder("key", now, "entry.0", now));
+            }
+            AND_WHEN("it gives the submission up")
+            {
+                known.record(entry, {"key", 0ms, 0ms, true}, now);
+                THEN("it is forgotten")
+                {
+                    CHECK_FALSE(known.has_newer_holder("key", now - 1s, "entry.b", now));
+                }
+            }
+        }
         WHEN("another incarnation of the entry says that it does not know the job")
         {
             known.record_ended({"entry.a", 8}, "key");
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -88,8 +88,10 @@
 {
     GIVEN("an announcement")
     {
-        submissions_running const announced {{"entry.recife-1", 7},
-                                             {{"00ff", std::chrono::milliseconds(900)}}};
+        submissions_running const announced {
+            {"entry.recife-1", 7},
+            {{"00ff", std::chrono::milliseconds(400), std::chrono::milliseconds(900), true}},
+            true};
         auto const bytes = encode(message(announced));
 
         WHEN("a process of this version decodes it")
@@ -102,7 +104,10 @@
                 CHECK(body.entry == announced.entry);
                 REQUIRE(body.submissions.size() == 1);
                 CHECK(body.submissions[0].key == "00ff");
+                CHECK(body.submissions[0].age == std::chrono::milliseconds(400));
                 CHECK(body.submissions[0].remaining == std::chrono::milliseconds(900));
+                CHECK(body.submissions[0].held);
+                CHECK(body.asks_for_all);
             }
         }
         WHEN("the kind of the message is not known to the receiver")
