Let simulated agents admit ephemeral tasks of entries with an older view

The simulated agent refused every start below the highest view that it had seen. A real agent checks the view for stored jobs only (agent/start_admission.cpp), so the simulation hid what an entry that is not in the view may start.

--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -191,8 +191,10 @@
     added.outcome.kind = outcome_kind::not_run;
     added.outcome.message = "not admitted";
     auto const clock = base::to_reading(fleet.now + this->clock_offset);
-    if (batch.lease.view < this->seen_view || batch.lease.expires_at <= clock
-        || task.epoch < this->fences[task.task.job] || this->running() >= this->slots)
+    // As at a real agent, ephemeral tasks need no current view.
+    bool const superseded = !task.ephemeral && batch.lease.view < this->seen_view;
+    if (superseded || batch.lease.expires_at <= clock || task.epoch < this->fences[task.task.job]
+        || this->running() >= this->slots)
         return;
     for (auto const& [other, record] : this->records) {
         if (!task.idempotent && !task.ephemeral && other != id && record.outcome.task == task.task
