Show that a run is stopped although a second caller waits for it

A query of another entry moves the deadline of an ephemeral job to the end of the query's wait. The next query is sent 50 ms after the answer to it, when the deadline has passed, so a job outlasts its first deadline by one query at most. Callers get 504 and the work is lost.

--- a/tests/entry/resubmission_review_test.cpp
+++ b/tests/entry/resubmission_review_test.cpp
@@ -694,3 +694,30 @@
         }
     }
 }
+
+SCENARIO("a second caller waits for longer than one query after the first deadline",
+         "[entry][resubmission][known-red]")
+{
+    GIVEN("a job whose runs take longer than its first caller waits")
+    {
+        three_entries fleet;
+        fleet.set_run_time(milliseconds(3500));
+        auto request = make_submission("s1", 1);
+        request.deadline = milliseconds(1500);
+        fleet.submit("entry.a", request, milliseconds(2500));
+        fleet.run(resend_delay);
+
+        WHEN("the second caller waits until the run ends")
+        {
+            request.deadline = milliseconds(4000);
+            auto const second = fleet.submit("entry.b", request);
+            fleet.run(milliseconds(4000));
+            // Guards against a deadline that moves to the end of one query, before the next one.
+            THEN("the run goes on for the second caller")
+            {
+                CHECK(is_complete(*second));
+                CHECK(fleet.runs.size() == 1);
+            }
+        }
+    }
+}
