--- a/src/base/log_record.h
+++ b/src/base/log_record.h
@@ -23,6 +23,8 @@
     log_record(log_record&&) = delete;
     log_record& operator=(log_record&&) = delete;
 
+    /// @param value any bytes: what is not valid UTF-8 is replaced by U+FFFD, control characters of
+    /// quoted values by spaces, and a long value is cut.
     log_record& with(std::string_view key, std::string_view value);
     log_record& with(std::string_view key, std::chrono::microseconds value);
 
