--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -18,6 +19,7 @@
 #include "entry/job_table.h"
 #include "entry/lease_manager.h"
 #include "entry/remote_jobs.h"
+#include "entry/resubmissions.h"
 #include "entry/takeover.h"
 #include "entry/team_table.h"
 #include "entry/timer_queue.h"
@@ -53,6 +55,10 @@
 
     entry_settings settings;
     entry_counters counters;
+    /// Number of the last attempt of any ephemeral task. A job that is submitted again has the same
+    /// id, so numbers are not used twice: a late statement then matches no attempt of the newer
+    /// job.
+    std::uint32_t last_ephemeral_attempt = 0;
     counting_sender sender;
 
     agent_table agents;
@@ -78,6 +84,7 @@
     attempt_monitor monitor;
     job_lifecycle lifecycle;
     remote_jobs remote;
+    resubmissions resubmitted;
     takeover takeovers;
 };
 
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -33,6 +33,13 @@
     bool superseded = false;
 };
 
+/// A run that was cancelled when its job ended, and whose end the agent has not confirmed.
+struct unconfirmed_run {
+    std::uint32_t index = 0; ///< Task index.
+    std::uint32_t attempt = 1;
+    agent_slot agent = 0;
+};
+
 struct task {
     protocol::task_state state = protocol::task_state::waiting;
     bool queued = false; ///< In a queue of the dispatcher.
@@ -41,7 +48,7 @@
     std::uint16_t refusals = 0;
     std::uint16_t retries = 0;
     std::uint32_t failures = 0; ///< Runs that ended as failed.
-    std::uint32_t last_attempt = 0;
+    std::uint32_t last_attempt = 0; ///< Number of the last attempt; 0 before the first one.
     std::chrono::microseconds expected {0}; ///< Estimated run time, charged to the team.
     std::vector<attempt> attempts; ///< Attempts without a final outcome.
     std::vector<std::string> tried_endpoints; ///< Endpoints to avoid in the next placement.
@@ -97,6 +104,9 @@
     std::size_t awaited = 0; ///< Attempts of all tasks whose outcome is awaited.
     std::uint32_t refused_starts = 0; ///< Attempts that an agent did not admit; logged at the end.
 
+    std::vector<unconfirmed_run> unconfirmed; ///< Of a final ephemeral job.
+    base::steady_time runs_end_by; ///< When the `unconfirmed` runs have ended at the latest.
+
     protocol::job_state final_state = protocol::job_state::running;
     std::optional<base::error> failure;
     protocol::job_answer answer;
