--- a/tests/fleet/forwarded_fleet.py
+++ b/tests/fleet/forwarded_fleet.py
@@ -1,8 +1,9 @@
-"""The review's fleet with forwarders before the entries: one for callers, and links of the agents.
+"""The review's fleet with forwarders before the entries, for callers, agents and other entries.
 
-An agent learns the addresses of entries and control members from the control members that it
-reaches at the port `control.link_port` of its settings. That port leads to a forwarder, which puts
-its own port in the place of the real one in all that control members tell the agent.
+Agents and entries learn the addresses of entries and control members from the control members that
+they reach at the port `control.link_port` of their settings. That port, another one for each of
+them, leads to a forwarder, which puts it in the place of the real port in all that control members
+tell.
 """
 
 import pathlib
@@ -17,6 +18,7 @@
 
 # Ports that the review's fleet uses on all machines, before one for each machine.
 COMMON_PORTS = 5
+LINK_PORT_SETTING = "link_port = {{internal_ports.0}}"
 
 
 def split(address):
@@ -33,8 +35,10 @@
         self.control_forwarders = []
         # Forwarder for callers, by entry.
         self.balancers = self.make_balancers()
-        # Forwarders by agent, then by entry.
-        self.links = {agent: self.make_links(agent) for agent in self.names("agent")}
+        self.use_own_template_for_entries()
+        # Forwarders by the agent or entry that opens the link, then by the entry that accepts it.
+        self.links = {name: self.make_links(name)
+                      for role in ("agent", "entry") for name in self.names(role)}
 
     def make_balancers(self):
         port = next(self.spare_ports)
@@ -42,14 +46,27 @@
         return {entry: Forwarder((self.machines[entry].ip, port), split(front))
                 for entry, front in fronts.items()}
 
-    def make_links(self, agent):
+    def use_own_template_for_entries(self):
+        """The deploy file has one port for the links that an entry accepts and opens."""
+        text = (ROOT / self.roles["entry"]["template"]).read_text()
+        if text.count(LINK_PORT_SETTING) != 1:
+            raise fleet.CannotRun("the template of entries has another form")
+        template = pathlib.Path(self.folder.name) / "entry.template"
+        template.write_text(text.replace(LINK_PORT_SETTING, "link_port = {{opened_link_port}}"))
+        self.roles["entry"]["template"] = str(template)
+
+    def make_links(self, name):
+        machine = self.machines[name]
         port = next(self.spare_ports)
-        self.machines[agent].fields["internal_ports"][0] = port
+        if machine.role == "entry":
+            machine.fields["opened_link_port"] = port
+        else:
+            machine.fields["internal_ports"][0] = port
         for control in self.names("control"):
             self.control_forwarders.append(self.make_control_forwarder(control, port))
         return {entry: Forwarder((self.machines[entry].ip, port),
                                  (self.machines[entry].ip, self.link_port))
-                for entry in self.names("entry")}
+                for entry in self.names("entry") if entry != name}
 
     def make_control_forwarder(self, control, port):
         def make_rewrite():
@@ -75,8 +92,8 @@
         for forwarder in self.forwarders():
             await forwarder.open()
         await super().begin()
-        for agent, links in self.links.items():
-            if not all(link.connections for link in links.values()):
+        for agent in self.names("agent"):
+            if not all(link.connections for link in self.links[agent].values()):
                 raise fleet.CannotRun(f"{agent} does not reach the entries through the forwarders")
 
     def stop(self):
--- a/tests/fleet/resubmission_test.py
+++ b/tests/fleet/resubmission_test.py
@@ -11,6 +11,7 @@
 import collections
 import contextlib
 import dataclasses
+import functools
 import json
 import math
 import os
@@ -232,6 +233,10 @@
         self.busy = set()
         self.played = collections.Counter()
         self.cancelled_jobs = 0
+        # Number of troubles in progress in which the entry's balancer cuts off callers.
+        self.cutting_off = collections.Counter()
+        for entry, balancer in system.balancers.items():
+            balancer.on_accept = functools.partial(self.cut_off_later, entry)
 
     async def play(self, kind):
         self.played[kind] += 1
@@ -253,15 +258,20 @@
 
     async def caller_side_break(self):
         """The balancer at some entries cuts off callers, without a sign to the entry."""
-        entries = self.system.names("entry")
-        for entry in self.random.sample(entries, self.random.randint(1, 2)):
-            self.system.balancers[entry].on_accept = self.cut_off_later
-        await asyncio.sleep(self.random.uniform(1.5, 3))
-        for entry in entries:
-            self.system.balancers[entry].on_accept = None
-
-    def cut_off_later(self, connection):
-        if self.random.random() < CUT_OFF_SHARE:
+        with self.callers_cut_off():
+            await asyncio.sleep(self.random.uniform(1.5, 3))
+
+    @contextlib.contextmanager
+    def callers_cut_off(self):
+        entries = self.random.sample(self.system.names("entry"), self.random.randint(1, 2))
+        self.cutting_off.update(entries)
+        try:
+            yield
+        finally:
+            self.cutting_off.subtract(entries)
+
+    def cut_off_later(self, entry, connection):
+        if self.cutting_off[entry] > 0 and self.random.random() < CUT_OFF_SHARE:
             # Early ones are the likeliest: they leave the most time to the run that goes on.
             delay_s = self.random.triangular(*CUT_OFF_S, CUT_OFF_S[0])
             asyncio.get_running_loop().call_later(delay_s, connection.cut_off_caller)
@@ -332,6 +342,27 @@
             await self.hold([gate for link in self.links(agents)
                              for gate in (link.to_caller, link.to_target)])
 
+    # --- links of entries to each other, while callers are cut off ---
+
+    def entry_gates(self):
+        """Gates of both directions between some pairs of entries."""
+        entries = self.system.names("entry")
+        chosen = self.random.sample(entries, self.random.randint(2, len(entries)))
+        return [gate for opener in chosen for entry in chosen if opener != entry
+                for gate in (self.system.links[opener][entry].to_target,
+                             self.system.links[opener][entry].to_caller)]
+
+    async def entry_link_slow(self):
+        with self.callers_cut_off():
+            gates = self.entry_gates()
+            self.delay(gates, self.random.uniform(0.2, 2.5))
+            await asyncio.sleep(self.random.uniform(1.5, 4))
+            self.delay(gates, 0.0)
+
+    async def entry_link_stopped(self):
+        with self.callers_cut_off():
+            await self.hold(self.entry_gates())
+
     # --- entries, one at a time ---
 
     @contextlib.asynccontextmanager
@@ -358,7 +389,7 @@
 
 
 KINDS = ("caller_side_break", "give_up", "slow_link", "one_way_link", "stopped_link",
-         "entry_freeze", "entry_kill", "delete_elsewhere")
+         "entry_link_slow", "entry_link_stopped", "entry_freeze", "entry_kill", "delete_elsewhere")
 TRACKS = 2
 
 
