Cut the links between entries while callers are cut off

An entry takes a closed link to another entry for its end (docs/design.md 3.4.1), though that entry may run on behind a cut. The kind entry_link_cut resets the links between some pairs of entries and refuses new ones for 0.1 to 2.5 s while the balancer cuts callers off.

--- a/tests/fleet/forwarder.py
+++ b/tests/fleet/forwarder.py
@@ -101,6 +101,9 @@
         self.connecting = None
 
     def start_connecting(self):
+        if self.forwarder.refusing:
+            self.abort()
+            return
         self.connecting = asyncio.get_running_loop().create_task(self.connect())
 
     async def connect(self):
@@ -167,6 +170,8 @@
         self.to_caller = Gate()
         self.connections = set()
         self.server = None
+        # Whether new connections are reset.
+        self.refusing = False
         # Called with each new connection.
         self.on_accept = None
 
@@ -184,9 +189,20 @@
         """Connections whose first bytes contain the text."""
         return [each for each in self.connections if text.encode() in each.head]
 
+    def refuse(self):
+        """Resets all connections, and new ones until `accept_again`."""
+        self.refusing = True
+        self.abort_connections()
+
+    def accept_again(self):
+        self.refusing = False
+
     def close(self):
         if self.server is not None:
             self.server.close()
+        self.abort_connections()
+
+    def abort_connections(self):
         for connection in list(self.connections):
             connection.abort()
 
--- a/tests/fleet/resubmission_test.py
+++ b/tests/fleet/resubmission_test.py
@@ -344,13 +344,15 @@
 
     # --- links of entries to each other, while callers are cut off ---
 
-    def entry_gates(self):
-        """Gates of both directions between some pairs of entries."""
+    def entry_links(self):
+        """Links between some pairs of entries."""
         entries = self.system.names("entry")
         chosen = self.random.sample(entries, self.random.randint(2, len(entries)))
-        return [gate for opener in chosen for entry in chosen if opener != entry
-                for gate in (self.system.links[opener][entry].to_target,
-                             self.system.links[opener][entry].to_caller)]
+        return [self.system.links[opener][entry] for opener in chosen for entry in chosen
+                if opener != entry]
+
+    def entry_gates(self):
+        return [gate for link in self.entry_links() for gate in (link.to_target, link.to_caller)]
 
     async def entry_link_slow(self):
         with self.callers_cut_off():
@@ -363,6 +365,16 @@
         with self.callers_cut_off():
             await self.hold(self.entry_gates())
 
+    async def entry_link_cut(self):
+        with self.callers_cut_off():
+            links = self.entry_links()
+            for link in links:
+                link.refuse()
+            await asyncio.sleep(self.random.uniform(0.1, 2.5))
+            for link in links:
+                link.accept_again()
+            await asyncio.sleep(0.5)
+
     # --- entries, one at a time ---
 
     @contextlib.asynccontextmanager
@@ -389,7 +401,8 @@
 
 
 KINDS = ("caller_side_break", "give_up", "slow_link", "one_way_link", "stopped_link",
-         "entry_link_slow", "entry_link_stopped", "entry_freeze", "entry_kill", "delete_elsewhere")
+         "entry_link_slow", "entry_link_stopped", "entry_link_cut", "entry_freeze", "entry_kill",
+         "delete_elsewhere")
 TRACKS = 2
 
 
