Let a caller give up while its job is held at the second entry

If the first is frozen, the caller can leave before the answer arrives; the job was then admitted all the same, just before the caller came to a third entry, which could not know of it yet. The kind give_up_while_held plays that: the first entry is frozen for 1.3 to 1.5 s, and the second request is given up after 0.2 to 0.3 s.

--- a/tests/fleet/resubmission_test.py
+++ b/tests/fleet/resubmission_test.py
@@ -52,6 +52,8 @@
 CANCELLED_RUN_MS = (4000, 6000)
 CANCELLED_DEADLINE_S = 20.0
 MAX_TRACES = 5
+# Run time of jobs that a caller gives up while they are held.
+HELD_RUN_MS = 2500
 NO_ANSWER = (0, -1, 502, 504)
 CANCELLED = (200, 204, 410)
 
@@ -233,6 +235,7 @@
         self.busy = set()
         self.played = collections.Counter()
         self.cancelled_jobs = 0
+        self.held_jobs = 0
         # Number of troubles in progress in which the entry's balancer cuts off callers.
         self.cutting_off = collections.Counter()
         for entry, balancer in system.balancers.items():
@@ -392,6 +395,31 @@
                 self.system.signal(entry, signal.SIGCONT)
                 await asyncio.sleep(RESEND_S)
 
+    async def give_up_while_held(self):
+        """A caller gives up at the second entry, which waits for word of the first, frozen one."""
+        self.held_jobs += 1
+        path = f"{ORDER_CONFIRM.path_prefix}ee{self.held_jobs:014x}"
+        async with self.one_entry() as first:
+            second, third = (name for name in self.system.names("entry") if name != first)
+            await self.submit_held(first, path, self.random.uniform(0.6, 0.8))
+            await asyncio.sleep(RESEND_S - 0.05)
+            self.system.signal(first, signal.SIGSTOP)
+            await asyncio.sleep(0.05)
+            wait_s = self.random.uniform(0.2, 0.3)
+            await self.submit_held(second, path, wait_s)
+            freeze_s = self.random.uniform(1.3, 1.5)
+            await asyncio.sleep(freeze_s - wait_s - 0.05)
+            self.system.signal(first, signal.SIGCONT)
+            # The caller comes back RESEND_S after it has given up.
+            await asyncio.sleep(RESEND_S - (freeze_s - wait_s - 0.05))
+            await self.submit_held(third, path, PATIENT_DEADLINE_S)
+
+    async def submit_held(self, entry, path, wait_s):
+        status = await self.callers.submit(entry, path, fleet.job(4, HELD_RUN_MS), wait_s,
+                                           PATIENT_DEADLINE_S)
+        if status in NO_ANSWER:
+            self.callers.unanswered[path.rsplit("/", 1)[1]].append("gave up")
+
     async def entry_kill(self):
         async with self.one_entry() as entry:
             self.system.kill(entry)
@@ -401,8 +429,8 @@
 
 
 KINDS = ("caller_side_break", "give_up", "slow_link", "one_way_link", "stopped_link",
-         "entry_link_slow", "entry_link_stopped", "entry_link_cut", "entry_freeze", "entry_kill",
-         "delete_elsewhere")
+         "entry_link_slow", "entry_link_stopped", "entry_link_cut", "entry_freeze",
+         "give_up_while_held", "entry_kill", "delete_elsewhere")
 TRACKS = 2
 
 
