--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -31,8 +31,8 @@
         this->renewal_in_flight = number;
     bool const long_poll = kind == report_kind::renewal && !this->runs.empty() && this->is_settled;
     auto const wait = long_poll ? this->limits.max_report_wait : milliseconds(0);
-    // Until then the worker may run tasks of a former incarnation of this agent, which entries start
-    // elsewhere: their lease must lapse.
+    // Until then the worker may run tasks of a former incarnation of this agent, which entries
+    // start elsewhere: their lease must lapse.
     auto const lease_until = this->is_settled ? this->lease_end() : worker_clock(0);
     auto const max_duration
         = this->limits.max_lease * (100 + this->limits.clock_drift_percent) / 100;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -401,7 +401,7 @@
 void entry_core::answer_all_waiters(base::steady_time now)
 {
     this->pimpl->lifecycle.answer_all_waiters(now);
-    this->pimpl->resubmitted.answer_all(now);
+    this->pimpl->resubmitted.answer_all();
     this->pimpl->place_and_send(now);
 }
 
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -412,7 +412,7 @@
     return abandoned ? job : nullptr;
 }
 
-void resubmissions::answer_all(base::steady_time /*now*/)
+void resubmissions::answer_all()
 {
     this->closing = true;
     while (!this->held.empty())
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -56,7 +56,7 @@
     /// later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
     /// Answers all callers that wait here that the state of their job is not known.
-    void answer_all(base::steady_time now);
+    void answer_all();
     [[nodiscard]] bool idle() const { return this->held.empty(); }
 
 private:
