--- a/tests/entry/resubmission_review_test.cpp
+++ b/tests/entry/resubmission_review_test.cpp
@@ -10,7 +10,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "entry/simulated_fleet.h"
+#include "entry/resubmission_fixture.h"
 
 namespace {
 
@@ -18,60 +18,12 @@
 using namespace greengagehead::test;
 using protocol::job_state;
 
-/// Callers send a job again this long after they have got no answer.
-constexpr milliseconds resend_delay {1300};
 /// Longer than any test.
 constexpr milliseconds never {std::chrono::hours(1)};
 
-protocol::job_request make_submission(std::string const& submission, std::size_t tasks)
-{
-    auto request = make_job(submission, tasks, false);
-    request.ephemeral = true;
-    for (std::size_t i = 0; i < tasks; ++i)
-        request.tasks[i].name = submission + ".0.0." + std::to_string(i);
-    return request;
-}
+struct three_entries : linked_fleet {
+    three_entries() : linked_fleet({"entry.a", "entry.b", "entry.c"}) { }
 
-struct three_entries : simulated_fleet {
-    three_entries() : simulated_fleet(1)
-    {
-        this->add_entry("entry.a", "recife");
-        this->add_entry("entry.b", "fortaleza");
-        this->add_entry("entry.c", "salvador");
-        this->connect_entries();
-        this->add_agent("agent.1", "recife");
-        this->add_agent("agent.2", "fortaleza");
-        this->run(milliseconds(500));
-    }
-    /// The links between the entries are up, as in a fleet that has run for a while.
-    void connect_entries()
-    {
-        for (auto const& [name, core] : this->entries) {
-            for (auto const& [other, other_core] : this->entries) {
-                if (name != other)
-                    core->peer_up(other, this->now);
-            }
-        }
-    }
-    void set_run_time(milliseconds time)
-    {
-        for (auto& [name, agent] : this->agents)
-            agent.run_time = time;
-    }
-    std::size_t running()
-    {
-        return this->agents.at("agent.1").running() + this->agents.at("agent.2").running();
-    }
-    /// Tells the entry that all callers of the submission have closed their connections.
-    void leave(std::string const& at, std::string const& submission)
-    {
-        auto& entry = *this->entries.at(at);
-        entry.abandon(entry.ephemeral_id("recife", submission), this->now);
-    }
-    bool cancel(std::string const& at, std::string const& submission)
-    {
-        return this->entries.at(at)->cancel_ephemeral("recife", submission, this->now);
-    }
     /// Messages between the two processes are late by `time`, in both directions.
     void delay_between(std::string const& a, std::string const& b, milliseconds time)
     {
@@ -79,17 +31,6 @@
             return (from == a && to == b) || (from == b && to == a) ? time : milliseconds(0);
         };
     }
-    template <typename Message> void delay(milliseconds time)
-    {
-        this->extra_delay = [time](auto const&, auto const&, protocol::message const& body) {
-            return std::holds_alternative<Message>(body) ? time : milliseconds(0);
-        };
-    }
-    void close_link(std::string const& a, std::string const& b)
-    {
-        this->entries.at(a)->peer_down(b, this->now);
-        this->entries.at(b)->peer_down(a, this->now);
-    }
     /// The entry and its runs end, and all others notice.
     void lose_entry(std::string const& name)
     {
--- a/tests/entry/resubmission_test.cpp
+++ b/tests/entry/resubmission_test.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "entry/simulated_fleet.h"
+#include "entry/resubmission_fixture.h"
 
 namespace {
 
@@ -11,58 +11,8 @@
 using namespace greengagehead::test;
 using protocol::job_state;
 
-/// Callers send a job again this long after they have got no answer.
-constexpr milliseconds resend_delay {1300};
-
-protocol::job_request make_submission(std::string const& submission, std::size_t tasks)
-{
-    auto request = make_job(submission, tasks, false);
-    request.ephemeral = true;
-    for (std::size_t i = 0; i < tasks; ++i)
-        request.tasks[i].name = submission + ".0.0." + std::to_string(i);
-    return request;
-}
-
-struct two_entries : simulated_fleet {
-    two_entries() : simulated_fleet(1)
-    {
-        this->add_entry("entry.a", "recife");
-        this->add_entry("entry.b", "fortaleza");
-        this->add_agent("agent.1", "recife");
-        this->add_agent("agent.2", "fortaleza");
-        this->run(milliseconds(500));
-    }
-    void set_run_time(milliseconds time)
-    {
-        for (auto& [name, agent] : this->agents)
-            agent.run_time = time;
-    }
-    std::size_t running()
-    {
-        return this->agents.at("agent.1").running() + this->agents.at("agent.2").running();
-    }
-    /// Tells the entry that all callers of the submission have closed their connections.
-    void leave(std::string const& at, std::string const& submission)
-    {
-        auto& entry = *this->entries.at(at);
-        entry.abandon(entry.ephemeral_id("recife", submission), this->now);
-    }
-    bool cancel(std::string const& at, std::string const& submission)
-    {
-        return this->entries.at(at)->cancel_ephemeral("recife", submission, this->now);
-    }
-    /// Messages of this type are late by `time`.
-    template <typename Message> void delay(milliseconds time)
-    {
-        this->extra_delay = [time](auto const&, auto const&, protocol::message const& body) {
-            return std::holds_alternative<Message>(body) ? time : milliseconds(0);
-        };
-    }
-    void close_link(std::string const& a, std::string const& b)
-    {
-        this->entries.at(a)->peer_down(b, this->now);
-        this->entries.at(b)->peer_down(a, this->now);
-    }
+struct two_entries : linked_fleet {
+    two_entries() : linked_fleet({"entry.a", "entry.b"}) { }
 };
 
 job_state state_of(simulated_fleet::submission const& submission)
