Measure the end after a second SIGINT at the caller, not at the removal of the process

The test measured that, which no program can shorten.

The bound is unchanged and now applies to the end of the caller's connection, which is what the test guards (a process that waits for the job). The end of the process is still awaited, and its last log line is now checked too.

--- a/tests/fleet/signal_test.py
+++ b/tests/fleet/signal_test.py
@@ -69,9 +69,12 @@
         self.start()
         begin = time.monotonic()
         answer = self.answer_during(signal.SIGINT, signal.SIGINT)
+        self.assertLess(time.monotonic() - begin, RUN_MS / 1000)
         self.assertNotEqual(answer, (200, "complete"))
+        # The kernel may take seconds to remove an ended process when many processes end.
         self.process.process.wait(END_LIMIT_S)
-        self.assertLess(time.monotonic() - begin, RUN_MS / 1000)
+        lines = self.process.process.stdout.read().decode()
+        self.assertEqual(lines.count(" name=process_stopped "), 1)
 
 
 if __name__ == "__main__":
