Log the loss of an entry at its agents, and runs that go on although they were stopped

Change: 4020 entry_lost with the number of runs, 4021 stop_unconfirmed once for a run whose stop is not confirmed for 300 ms. No decision changes. agent_test passes.

--- a/src/agent/agent_core_impl.cpp
+++ b/src/agent/agent_core_impl.cpp
@@ -3,6 +3,9 @@
 #include "agent/agent_core_impl.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <map>
+#include <string>
 #include <utility>
 #include <variant>
 
@@ -422,14 +425,18 @@
 
 void agent_core::implementation::stop_orphaned_runs(base::steady_time now)
 {
+    std::map<std::string, std::size_t> stopped_runs; // By entry.
     for (auto const& key : this->endpoints.unfinished()) {
         auto const* const record = this->outcomes.find(key);
         if (record == nullptr || !record->details || !record->details->bound_entry
             || record->details->stop_requested
             || !this->liveness.lost(*record->details->bound_entry, now))
             continue;
+        ++stopped_runs[record->details->bound_entry->name];
         this->cancel(key, now);
     }
+    for (auto const& [entry, runs] : stopped_runs)
+        base::log_record(base::log_event::entry_lost).with("entry", entry).with("runs", runs);
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -19,6 +19,8 @@
 /// A worker on the same VM answers within a few milliseconds. Commands are resent with the same run
 /// number, so resending has no effect if the first one was carried out.
 constexpr milliseconds stop_resend_interval {30};
+/// A run that has not ended this long after its first stop is logged.
+constexpr milliseconds long_stop {300};
 constexpr milliseconds start_resend_interval {20};
 constexpr std::uint32_t max_unanswered_starts = 3;
 constexpr milliseconds unreachable_timeout {700};
@@ -219,7 +221,8 @@
 
 void leased_runner::send_stop(active_run& active)
 {
-    active.stop_sent = true;
+    if (!std::exchange(active.stop_sent, true))
+        active.first_stop = this->now();
     active.next_stop = this->now() + stop_resend_interval;
     auto const context = this->context();
     this->worker.stop(context, active.run,
@@ -325,6 +328,7 @@
         bool const stopping = active.stop_sent && !active.stop_confirmed;
         if (stopping && time >= active.next_stop)
             this->send_stop(active);
+        log_stop_delay(active, time);
         bool const starting = active.state == phase::starting && !active.stop_requested;
         if (starting && this->available() && time >= active.next_start_attempt
             && active.start_attempts < max_unanswered_starts)
@@ -332,6 +336,17 @@
     }
 }
 
+void leased_runner::log_stop_delay(active_run& active, base::steady_time time)
+{
+    if (!active.stop_sent || active.stop_delay_logged || time - active.first_stop < long_stop)
+        return;
+    active.stop_delay_logged = true;
+    base::log_record(base::log_event::stop_unconfirmed)
+        .with("task", active.run.task)
+        .with("run", active.run.number)
+        .with("ms", std::chrono::duration_cast<milliseconds>(time - active.first_stop).count());
+}
+
 void leased_runner::on_stale_fence(std::uint64_t sent)
 {
     // A call with a former token does not tell whether the present one is too low.
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -86,6 +86,8 @@
         bool stop_requested = false;
         bool stop_sent = false;
         bool stop_confirmed = false;
+        base::steady_time first_stop; ///< When `stop_sent` was set.
+        bool stop_delay_logged = false;
         /// The worker has restarted since the start was sent, and has not listed the run since.
         bool worker_restarted = false;
         std::uint32_t start_attempts = 0;
@@ -134,6 +136,8 @@
     void process_report(std::uint64_t number, call_context const& context,
                         worker_report const& report);
     void resend_commands(base::steady_time time);
+    /// Logs a run that goes on long after it should have been stopped.
+    static void log_stop_delay(active_run& active, base::steady_time time);
     void on_ended(ended_run const& ended);
     void reconcile_runs(std::uint64_t number, worker_report const& report);
     void check_progress(active_run& active, std::uint32_t percent, worker_clock time);
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -86,6 +86,8 @@
     run_lagging = 4017,
     report_rejected = 4018,
     worker_restarted = 4019,
+    entry_lost = 4020,
+    stop_unconfirmed = 4021,
 };
 
 struct event_description {
