Give up the runs of a worker that refuses connections once their leases have expired

Callers saw: a task on a worker that had ended, and was not replaced, was answered only by the deadline of its job. Cause: each renewal to a silent worker counted as a lease that it may have been granted, also one that was never sent because the connection was refused, so the time after which its runs have ended moved on for ever. Change: a command that was not sent grants nothing. A start without an answer is kept apart: the next life of the worker, whose clock starts anew, may carry it out later, so such a run is given up only when the worker is heard again, or 30 s after the start was sent.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -84,7 +84,7 @@
         .with("runs", this->runs.size());
     this->incarnation.born = born;
     this->clock.reset();
-    this->granted_end = worker_clock(0);
+    this->granted.end = worker_clock(0);
     this->foreign_since.reset();
     this->last_seen_end = 0;
     this->renewal_in_flight = 0;
@@ -126,7 +126,7 @@
         .with("reason", reason);
     this->incarnation = {};
     this->clock.reset();
-    this->granted_end = worker_clock(0);
+    this->granted.end = worker_clock(0);
     this->foreign_since.reset();
     this->last_seen_end = 0;
     this->renewal_in_flight = 0;
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -36,21 +36,24 @@
     // a lease cannot be told.
     bool const extends = this->is_settled && this->clock;
     auto const lease_until = extends ? this->lease_end() : worker_clock(0);
+    auto const before = this->granted;
     // The end of a lease is absolute, so a command that is carried out late does not extend it.
     if (extends) {
         this->log_withheld_lease();
         this->record_grant(lease_until);
     }
     auto const context = this->context();
-    this->worker.report(
-        context, lease_until, this->last_seen_end, wait,
-        [this, weak = std::weak_ptr(this->alive), context, number](worker_report const& report) {
-            if (weak.expired())
-                return;
-            if (number == this->renewal_in_flight)
-                this->renewal_in_flight = 0;
-            this->process_report(number, context, report);
-        });
+    this->worker.report(context, lease_until, this->last_seen_end, wait,
+                        [this, weak = std::weak_ptr(this->alive), context, number, before,
+                         after = this->granted](worker_report const& report) {
+                            if (weak.expired())
+                                return;
+                            if (report.reply.answer == worker_answer::not_sent)
+                                this->revoke_grant(before, after);
+                            if (number == this->renewal_in_flight)
+                                this->renewal_in_flight = 0;
+                            this->process_report(number, context, report);
+                        });
 }
 
 void leased_runner::log_withheld_lease()
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -23,6 +23,8 @@
 constexpr milliseconds long_stop {300};
 constexpr milliseconds start_resend_interval {20};
 constexpr std::uint32_t max_unanswered_starts = 3;
+/// An order without an answer may be carried out this long after it was sent.
+constexpr std::chrono::seconds longest_order_delay {30};
 constexpr milliseconds unreachable_timeout {700};
 /// Leases are this long where the permissions of the runs allow it. A run of which the entry has
 /// renewed the permission within its update interval (300 ms) then fits into the lease of others.
@@ -70,9 +72,12 @@
 leased_runner::leased_runner(leased_worker& target, lease_limits worker_limits,
                              std::uint64_t initial_fence, clock_source time_source)
     : worker(target), limits(worker_limits), fence(initial_fence), now(std::move(time_source)),
-      created(this->now()), last_contact(this->created),
-      leases_expire_at(this->created
-                       + worker_limits.max_lease * (100 + worker_limits.clock_drift_percent) / 100),
+      created(this->now()),
+      last_contact(this->created), granted {worker_clock(0),
+                                            this->created
+                                                + worker_limits.max_lease
+                                                    * (100 + worker_limits.clock_drift_percent)
+                                                    / 100},
       alive(std::make_shared<bool>(true))
 {
 }
@@ -109,7 +114,7 @@
     if (this->lease_limit() < time + shortest_lease)
         return "the worker's lease is not extended, because another run must end";
     if (request.permitted_until
-        && this->leases_expire_at > request.permitted_until() + stop_allowance)
+        && this->granted.expire_at > request.permitted_until() + stop_allowance)
         return "the worker's lease ends later than the run may";
     return {};
 }
@@ -119,15 +124,20 @@
     ++active.start_attempts;
     ++active.unanswered;
     ++active.in_flight;
-    active.next_start_attempt = this->now() + start_resend_interval;
+    active.last_start_attempt = this->now();
+    active.next_start_attempt = active.last_start_attempt + start_resend_interval;
     auto const context = this->context();
     auto const lease_until = this->lease_end();
-    this->record_grant(lease_until);
+    auto const before = this->record_grant(lease_until);
     this->worker.start(context, active.run, active.task, lease_until,
                        [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
-                        serial = active.serial](worker_reply const& reply) {
-                           if (!weak.expired())
-                               this->on_started(name, serial, context, reply);
+                        serial = active.serial, before,
+                        after = this->granted](worker_reply const& reply) {
+                           if (weak.expired())
+                               return;
+                           if (reply.answer == worker_answer::not_sent)
+                               this->revoke_grant(before, after);
+                           this->on_started(name, serial, context, reply);
                        });
 }
 
@@ -327,15 +337,16 @@
         return this->limits.max_lease;
     auto const latest = time + std::min(lease_duration, this->limits.max_lease);
     auto const end = std::clamp(this->lease_limit(), time, latest);
-    return std::max(this->granted_end,
+    return std::max(this->granted.end,
                     this->worker_time(time) + std::chrono::duration_cast<worker_clock>(end - time));
 }
 
-void leased_runner::record_grant(worker_clock end)
+leased_runner::lease_grants leased_runner::record_grant(worker_clock end)
 {
-    if (end <= this->granted_end)
-        return;
-    this->granted_end = end;
+    auto const before = this->granted;
+    if (end <= before.end)
+        return before;
+    this->granted.end = end;
     auto const time = this->now();
     auto const longest = this->clock
         ? std::min(end - this->worker_time(time), this->limits.max_lease)
@@ -344,7 +355,14 @@
     auto const since_reading
         = this->clock ? time - this->clock_read_at : base::steady_time::duration(0);
     auto const drift = (since_reading + longest) * this->limits.clock_drift_percent / 100;
-    this->leases_expire_at = std::max(this->leases_expire_at, time + longest + drift);
+    this->granted.expire_at = std::max(before.expire_at, time + longest + drift);
+    return before;
+}
+
+void leased_runner::revoke_grant(lease_grants const& before, lease_grants const& after)
+{
+    if (this->granted == after)
+        this->granted = before;
 }
 
 void leased_runner::record_contact()
@@ -356,7 +374,7 @@
 void leased_runner::tick()
 {
     auto const time = this->now();
-    if (!this->is_settled && time >= this->leases_expire_at) {
+    if (!this->is_settled && time >= this->granted.expire_at) {
         this->is_settled = true;
         base::log_record(base::log_event::worker_settled).with("reason", "leases have lapsed");
     }
@@ -369,17 +387,24 @@
         base::log_record(base::log_event::worker_unreachable).with("worker", this->incarnation.id);
         this->update_availability(false, this->is_announced);
     }
-    // An unreachable worker ends all runs when their leases expire, and refuses late starts.
-    if (!this->is_reachable && !this->runs.empty() && time >= this->leases_expire_at) {
-        auto const names = [this] {
-            std::vector<std::string> run_names;
-            for (auto const& [name, active] : this->runs)
-                run_names.push_back(name);
-            return run_names;
-        }();
-        for (auto const& name : names)
-            this->finish_run(name, {outcome_kind::unknown, {}, "the worker does not answer"});
+    if (!this->is_reachable && time >= this->granted.expire_at)
+        this->finish_expired_runs(time);
+}
+
+bool leased_runner::may_start_late(active_run const& active, base::steady_time time)
+{
+    return active.unanswered > 0 && time < active.last_start_attempt + longest_order_delay;
+}
+
+void leased_runner::finish_expired_runs(base::steady_time time)
+{
+    std::vector<std::string> names;
+    for (auto const& [name, active] : this->runs) {
+        if (!may_start_late(active, time))
+            names.push_back(name);
     }
+    for (auto const& name : names)
+        this->finish_run(name, {outcome_kind::unknown, {}, "the worker does not answer"});
 }
 
 void leased_runner::resend_commands(base::steady_time time)
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -94,6 +94,7 @@
         std::uint32_t start_attempts = 0;
         std::uint32_t unanswered = 0; ///< Start attempts in flight or with a lost answer.
         std::uint32_t in_flight = 0; ///< Start attempts in flight.
+        base::steady_time last_start_attempt;
         base::steady_time next_start_attempt;
         /// Number of a report. Those requested later must list the run.
         std::uint64_t expected_after_report = 0;
@@ -104,6 +105,16 @@
         base::steady_time next_stop;
         callback done;
     };
+    struct lease_grants {
+        /// Latest end of a lease that a command to this incarnation has named. The worker never
+        /// shortens a lease, so naming it again extends nothing.
+        worker_clock end {0};
+        /// Latest possible end of all granted leases, on the agent's clock, allowing for the drift
+        /// of the worker's clock.
+        base::steady_time expire_at;
+
+        bool operator==(lease_grants const&) const = default;
+    };
     using run_list = std::map<std::string, active_run>; // By the worker's name of the task.
     /// `run_numbers` and `ended_run_numbers` are cleared when they exceed this size.
     static constexpr std::size_t max_tracked_tasks = 20'000;
@@ -122,8 +133,11 @@
     /// End of the lease that a command may grant now: never later than `lease_limit`, unless the
     /// worker has been granted it before.
     [[nodiscard]] worker_clock lease_end() const;
-    /// A command that grants a lease up to `end` is sent.
-    void record_grant(worker_clock end);
+    /// A command that grants a lease up to `end` is sent. Returns the grants before it.
+    lease_grants record_grant(worker_clock end);
+    /// A command did not reach the worker, and granted nothing. Has no effect if another command
+    /// has granted a lease meanwhile.
+    void revoke_grant(lease_grants const& before, lease_grants const& after);
     /// Why a run cannot start now; empty if it can.
     [[nodiscard]] std::string_view reason_not_to_start(run_request const& request,
                                                        std::string const& name) const;
@@ -132,6 +146,11 @@
     void record_contact();
     void send_start(active_run& active);
     void on_accepted(active_run& active);
+    /// Whether a command that the worker has not answered may still be carried out by its next
+    /// life, which does not know that the lease in the command has ended.
+    [[nodiscard]] static bool may_start_late(active_run const& active, base::steady_time time);
+    /// An unreachable worker ends all runs when their leases expire.
+    void finish_expired_runs(base::steady_time time);
     /// The start may still be carried out, so the next report decides: a run that it does not list
     /// is stopped.
     void on_unconfirmed(active_run& active);
@@ -184,12 +203,7 @@
     std::optional<worker_clock> clock; ///< Last reading in this incarnation.
     base::steady_time clock_read_at;
     base::steady_time last_contact;
-    /// Latest end of a lease that a command to this incarnation has named. The worker never
-    /// shortens a lease, so naming it again extends nothing.
-    worker_clock granted_end {0};
-    /// Latest possible end of all granted leases, on the agent's clock, allowing for the drift of
-    /// the worker's clock.
-    base::steady_time leases_expire_at;
+    lease_grants granted;
     /// Since when the worker has listed runs that this agent does not know. They must end, so the
     /// lease is not extended for them.
     std::optional<base::steady_time> foreign_since;
--- /dev/null
+++ b/tests/agent/reborn_worker_test.cpp
@@ -0,0 +1,128 @@
+// A worker that starts again under its id, and orders that were meant for its former life.
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/leased_runner.h"
+#include "agent/simulated_worker.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::agent;
+using namespace greengagehead::agent::fakes;
+using protocol::outcome_kind;
+using std::chrono::milliseconds;
+
+struct reborn_worker_fixture {
+    reborn_worker_fixture() : runner(worker, {}, 100, [this] { return this->now; })
+    {
+        this->runner.announced({"i-1", 5}, this->worker.clock);
+        this->advance(milliseconds(50));
+    }
+
+    void start(std::string const& name)
+    {
+        run_request request;
+        request.task.task = {"job", 0};
+        request.task.name = name;
+        request.start_before = this->now + milliseconds(1000);
+        this->runner.start(request, [this](run_result result, base::steady_time) {
+            this->results.push_back(std::move(result));
+        });
+    }
+    void advance(milliseconds duration)
+    {
+        constexpr milliseconds step {10};
+        for (auto const end = this->now + duration; this->now < end;) {
+            this->now += step;
+            this->worker.advance(step);
+            this->runner.tick();
+        }
+    }
+
+    base::steady_time now {std::chrono::hours(1)};
+    simulated_worker worker;
+    leased_runner runner;
+    std::vector<run_result> results;
+};
+
+} // namespace
+
+SCENARIO("the next life of a worker carries out a start of the one before", "[agent][leased]")
+{
+    GIVEN("a worker that has ended before it answered a start")
+    {
+        reborn_worker_fixture fixture;
+        fixture.worker.lost_starts = true;
+        fixture.start("a.0.0.0");
+        fixture.worker.crash();
+        fixture.advance(milliseconds(2500));
+
+        WHEN("it starts again under its id, and the start arrives there first")
+        {
+            fixture.worker.restart(6);
+            fixture.worker.carry_out_lost_orders();
+            REQUIRE(fixture.worker.runs("a.0.0.0"));
+            THEN("the run was not given up before")
+            {
+                CHECK(fixture.results.empty());
+            }
+            AND_WHEN("the worker answers again")
+            {
+                fixture.worker.lost_starts = false;
+                while (fixture.worker.runs("a.0.0.0")) {
+                    REQUIRE(fixture.results.empty());
+                    fixture.advance(milliseconds(10));
+                }
+                fixture.advance(milliseconds(50));
+                THEN("the run is given up once it has ended there")
+                {
+                    CHECK(fixture.results.size() == 1);
+                }
+            }
+        }
+        WHEN("it starts again under its id, and the start arrives after the first call")
+        {
+            fixture.worker.restart(6);
+            fixture.worker.lost_starts = false;
+            fixture.advance(milliseconds(500));
+            fixture.worker.carry_out_lost_orders();
+            THEN("the run does not start, and its outcome is unknown")
+            {
+                CHECK_FALSE(fixture.worker.runs("a.0.0.0"));
+                REQUIRE(fixture.results.size() == 1);
+                CHECK(fixture.results.front().kind == outcome_kind::unknown);
+            }
+        }
+        WHEN("it never starts again")
+        {
+            fixture.advance(milliseconds(60'000));
+            THEN("the run is given up, so that the agent can stop")
+            {
+                CHECK(fixture.results.size() == 1);
+            }
+        }
+    }
+    GIVEN("a worker that has answered the start of a run and has ended")
+    {
+        reborn_worker_fixture fixture;
+        fixture.start("a.0.0.0");
+        fixture.advance(milliseconds(100));
+        fixture.worker.crash();
+        WHEN("its lease has expired")
+        {
+            fixture.advance(milliseconds(2500));
+            // Guards against callers that wait for a run that cannot go on.
+            THEN("the run is given up")
+            {
+                REQUIRE(fixture.results.size() == 1);
+                CHECK(fixture.results.front().kind == outcome_kind::unknown);
+            }
+        }
+    }
+}
--- a/tests/agent/simulated_worker.h
+++ b/tests/agent/simulated_worker.h
@@ -23,33 +23,32 @@
 public:
     /// Longest lease that the worker grants, on its own clock.
     static constexpr worker_clock longest_lease {1000};
+    /// After this time a call without an answer counts as unanswered.
+    static constexpr std::chrono::milliseconds call_timeout {120};
 
     void start(call_context const& context, worker_run const& run,
                protocol::task_start const& /*task*/, worker_clock lease_until,
                std::function<void(worker_reply const&)> done) override
     {
-        this->receive(this->lost_starts, [this, context, run, lease_until, done](bool answered) {
-            auto const answer = this->carry_out_start(context, run, lease_until);
-            if (answered)
-                this->answer([done, reply = this->reply(answer)] { done(reply); });
+        this->receive(this->lost_starts, std::move(done), [this, context, run, lease_until] {
+            return this->carry_out_start(context, run, lease_until);
         });
     }
     void stop(call_context const& context, worker_run const& run,
               std::function<void(worker_reply const&)> done) override
     {
-        this->receive(this->lost_stops, [this, context, run, done](bool answered) {
-            auto const answer = this->carry_out_stop(context, run);
-            if (answered)
-                this->answer([done, reply = this->reply(answer)] { done(reply); });
-        });
+        this->receive(this->lost_stops, std::move(done),
+                      [this, context, run] { return this->carry_out_stop(context, run); });
     }
     void report(call_context const& context, worker_clock lease_until, std::uint64_t last_seen_end,
                 std::chrono::milliseconds /*wait*/,
                 std::function<void(worker_report const&)> done) override
     {
-        if (!this->up)
-            return;
         worker_report report;
+        if (!this->up) {
+            report.reply = {worker_answer::not_sent, {}, {}};
+            return this->answer({}, [done = std::move(done), report] { done(report); });
+        }
         report.reply = this->reply(this->check(context));
         if (report.reply.answer == worker_answer::accepted) {
             if (lease_until > worker_clock(0))
@@ -59,7 +58,7 @@
             std::copy_if(this->ends.begin(), this->ends.end(), std::back_inserter(report.ended),
                          [=](auto const& end) { return end.sequence > last_seen_end; });
         }
-        this->answer([done = std::move(done), report = std::move(report)] { done(report); });
+        this->answer({}, [done = std::move(done), report = std::move(report)] { done(report); });
     }
 
     void advance(std::chrono::milliseconds duration)
@@ -67,10 +66,15 @@
         this->clock += duration;
         if (this->clock >= this->lease_end)
             this->end_all(run_end_reason::lease_expired);
-        for (auto const& deliver : std::exchange(this->answers, {}))
-            deliver();
+        for (auto& pending : std::exchange(this->answers, {})) {
+            pending.delay -= duration;
+            if (pending.delay > std::chrono::milliseconds(0))
+                this->answers.push_back(std::move(pending));
+            else
+                pending.deliver();
+        }
     }
-    /// Ends everything that runs. Calls get no answer until `restart`.
+    /// Ends everything that runs. Connections are refused until `restart`.
     void crash()
     {
         this->up = false;
@@ -92,7 +96,7 @@
     void carry_out_lost_orders()
     {
         for (auto const& order : std::exchange(this->lost, {}))
-            order(false);
+            (void)order();
     }
     [[nodiscard]] bool runs(std::string const& task) const { return this->running.contains(task); }
 
@@ -106,16 +110,29 @@
     std::size_t starts = 0; ///< Runs that have started, in all lives.
 
 private:
-    using order = std::function<void(bool answered)>;
+    using order = std::function<worker_answer()>;
+    struct pending_answer {
+        std::chrono::milliseconds delay;
+        std::function<void()> deliver;
+    };
 
-    void receive(bool is_lost, order received)
+    void receive(bool is_lost, std::function<void(worker_reply const&)> done, order received)
     {
-        if (is_lost || !this->up)
+        if (!this->up)
+            return this->answer({}, [done = std::move(done)] {
+                done({worker_answer::not_sent, {}, {}});
+            });
+        if (is_lost) {
             this->lost.push_back(std::move(received));
-        else
-            received(true);
+            return this->answer(call_timeout, [done = std::move(done)] { done({}); });
+        }
+        auto const answered = this->reply(received());
+        this->answer({}, [done = std::move(done), answered] { done(answered); });
+    }
+    void answer(std::chrono::milliseconds delay, std::function<void()> deliver)
+    {
+        this->answers.push_back({delay, std::move(deliver)});
     }
-    void answer(std::function<void()> deliver) { this->answers.push_back(std::move(deliver)); }
     [[nodiscard]] worker_reply reply(worker_answer answer) const
     {
         return {answer, this->clock, this->born};
@@ -185,7 +202,7 @@
     std::map<std::string, std::uint64_t> barred;
     std::vector<ended_run> ends; ///< Of this life.
     std::vector<order> lost;
-    std::vector<std::function<void()>> answers; ///< Not delivered yet.
+    std::vector<pending_answer> answers; ///< Not delivered yet.
 };
 
 } // namespace greengagehead::agent::fakes
