Raise the fencing token as soon as a worker refuses connections

Cause: the agent raised its token only after the next life had answered, so the first call there carried the token of the former starts, and one that arrived before the second call was accepted; the next life's clock starts anew, so the end of the lease in the start does not stop it. A start that arrives before the first call is still carried out; nothing that the agent sends can prevent that. Result: 'a start that was given up reaches the next life of the worker' failed before and passes; agent_test and platform_test pass.

--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -49,7 +49,7 @@
                             if (weak.expired())
                                 return;
                             if (report.reply.answer == worker_answer::not_sent)
-                                this->revoke_grant(before, after);
+                                this->on_not_sent(before, after);
                             if (number == this->renewal_in_flight)
                                 this->renewal_in_flight = 0;
                             this->process_report(number, context, report);
@@ -76,6 +76,10 @@
         this->next_report = this->now();
         return this->on_stale_fence(context.fence);
     }
+    if (report.reply.answer == worker_answer::not_sent) {
+        this->next_report = this->now() + probe_interval;
+        return;
+    }
     if (report.reply.answer != worker_answer::accepted) {
         this->next_report = this->now() + refused_report_interval;
         return;
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -136,7 +136,7 @@
                            if (weak.expired())
                                return;
                            if (reply.answer == worker_answer::not_sent)
-                               this->revoke_grant(before, after);
+                               this->on_not_sent(before, after);
                            this->on_started(name, serial, context, reply);
                        });
 }
@@ -359,15 +359,20 @@
     return before;
 }
 
-void leased_runner::revoke_grant(lease_grants const& before, lease_grants const& after)
+void leased_runner::on_not_sent(lease_grants const& before, lease_grants const& after)
 {
+    // Another command may have granted a lease meanwhile.
     if (this->granted == after)
         this->granted = before;
+    // The first call that reaches the next life then makes it refuse starts for the former one.
+    if (!std::exchange(this->restart_expected, true))
+        ++this->fence;
 }
 
 void leased_runner::record_contact()
 {
     this->last_contact = this->now();
+    this->restart_expected = false;
     this->update_availability(true, this->is_announced);
 }
 
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -135,9 +135,8 @@
     [[nodiscard]] worker_clock lease_end() const;
     /// A command that grants a lease up to `end` is sent. Returns the grants before it.
     lease_grants record_grant(worker_clock end);
-    /// A command did not reach the worker, and granted nothing. Has no effect if another command
-    /// has granted a lease meanwhile.
-    void revoke_grant(lease_grants const& before, lease_grants const& after);
+    /// A command did not reach the worker, which may be between two lives.
+    void on_not_sent(lease_grants const& before, lease_grants const& after);
     /// Why a run cannot start now; empty if it can.
     [[nodiscard]] std::string_view reason_not_to_start(run_request const& request,
                                                        std::string const& name) const;
@@ -209,6 +208,8 @@
     std::optional<base::steady_time> foreign_since;
     bool lease_withheld = false; ///< The last renewal could not extend the lease.
     bool is_reachable = false;
+    /// The token was raised for the next life of the worker, and no answer has come since.
+    bool restart_expected = false;
     bool is_settled = false;
 
     run_list runs;
--- a/tests/agent/reborn_worker_test.cpp
+++ b/tests/agent/reborn_worker_test.cpp
@@ -126,3 +126,29 @@
         }
     }
 }
+
+SCENARIO("a start that was given up reaches the next life of the worker", "[agent][leased]")
+{
+    GIVEN("a worker that has not carried out a start, and has confirmed that it will not")
+    {
+        reborn_worker_fixture fixture;
+        fixture.worker.lost_starts = true;
+        fixture.start("a.0.0.0");
+        fixture.advance(milliseconds(500));
+        REQUIRE(fixture.results.size() == 1);
+
+        WHEN("it starts again under its id, and the start arrives after its first report")
+        {
+            fixture.worker.crash();
+            fixture.advance(milliseconds(300));
+            fixture.worker.restart(6);
+            while (fixture.worker.reports == 0)
+                fixture.advance(milliseconds(10));
+            fixture.worker.carry_out_lost_orders();
+            THEN("the run does not start")
+            {
+                CHECK_FALSE(fixture.worker.runs("a.0.0.0"));
+            }
+        }
+    }
+}
--- a/tests/agent/simulated_worker.h
+++ b/tests/agent/simulated_worker.h
@@ -44,6 +44,7 @@
                 std::chrono::milliseconds /*wait*/,
                 std::function<void(worker_report const&)> done) override
     {
+        ++this->reports;
         worker_report report;
         if (!this->up) {
             report.reply = {worker_answer::not_sent, {}, {}};
@@ -84,6 +85,7 @@
     void restart(std::uint64_t born_at)
     {
         this->up = true;
+        this->reports = 0;
         this->born = born_at;
         this->clock = worker_clock(0);
         this->lease_end = worker_clock(0);
@@ -108,6 +110,7 @@
     bool lost_starts = false;
     bool lost_stops = false;
     std::size_t starts = 0; ///< Runs that have started, in all lives.
+    std::size_t reports = 0; ///< Calls for a report since this life began.
 
 private:
     using order = std::function<worker_answer()>;
