--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -83,8 +83,7 @@
         .with("born", born)
         .with("runs", this->runs.size());
     this->incarnation.born = born;
-    this->clock.reset();
-    this->granted.end = worker_clock(0);
+    this->lease.reset();
     this->foreign_since.reset();
     this->last_seen_end = 0;
     this->renewal_in_flight = 0;
@@ -125,8 +124,7 @@
         .with("runs", this->runs.size())
         .with("reason", reason);
     this->incarnation = {};
-    this->clock.reset();
-    this->granted.end = worker_clock(0);
+    this->lease.reset();
     this->foreign_since.reset();
     this->last_seen_end = 0;
     this->renewal_in_flight = 0;
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -34,18 +34,18 @@
     // Until then the worker may run tasks of a former incarnation of this agent, which entries
     // start elsewhere: their lease must lapse. Without a reading of the worker's clock, the end of
     // a lease cannot be told.
-    bool const extends = this->is_settled && this->clock;
-    auto const lease_until = extends ? this->lease_end() : worker_clock(0);
-    auto const before = this->granted;
-    // The end of a lease is absolute, so a command that is carried out late does not extend it.
+    bool const extends = this->is_settled && this->lease.clock();
+    auto const lease_until
+        = extends ? this->lease.next_end(this->latest_lease_end(), time) : worker_clock(0);
+    auto const before = this->lease.granted();
     if (extends) {
         this->log_withheld_lease();
-        this->record_grant(lease_until);
+        this->lease.grant(lease_until, time);
     }
     auto const context = this->context();
     this->worker.report(context, lease_until, this->last_seen_end, wait,
                         [this, weak = std::weak_ptr(this->alive), context, number, before,
-                         after = this->granted](worker_report const& report) {
+                         after = this->lease.granted()](worker_report const& report) {
                             if (weak.expired())
                                 return;
                             if (report.reply.answer == worker_answer::not_sent)
@@ -58,7 +58,7 @@
 
 void leased_runner::log_withheld_lease()
 {
-    bool const withheld = this->lease_limit() <= this->now();
+    bool const withheld = this->latest_lease_end() <= this->now();
     if (withheld && !this->lease_withheld)
         base::log_record(base::log_event::lease_withheld)
             .with("worker", this->incarnation.id)
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -26,9 +26,6 @@
 /// An order without an answer may be carried out this long after it was sent.
 constexpr std::chrono::seconds longest_order_delay {30};
 constexpr milliseconds unreachable_timeout {700};
-/// Leases are this long where the permissions of the runs allow it. A run of which the entry has
-/// renewed the permission within its update interval (300 ms) then fits into the lease of others.
-constexpr milliseconds lease_duration {800};
 /// When the permission of a run has ended, orders to stop have this long before the lease ends all
 /// runs of the worker. With the validity of a stamp (900 ms) it must stay below 1.3 s, after which
 /// a caller may hand its job in at another entry.
@@ -72,12 +69,7 @@
 leased_runner::leased_runner(leased_worker& target, lease_limits worker_limits,
                              std::uint64_t initial_fence, clock_source time_source)
     : worker(target), limits(worker_limits), fence(initial_fence), now(std::move(time_source)),
-      created(this->now()),
-      last_contact(this->created), granted {worker_clock(0),
-                                            this->created
-                                                + worker_limits.max_lease
-                                                    * (100 + worker_limits.clock_drift_percent)
-                                                    / 100},
+      created(this->now()), last_contact(this->created), lease(worker_limits, this->created),
       alive(std::make_shared<bool>(true))
 {
 }
@@ -111,10 +103,10 @@
         return "another run of the task has not ended yet";
     if (!this->is_announced || !this->is_settled || time >= request.start_before)
         return "the worker is not ready, or the lease or the deadline has passed";
-    if (this->lease_limit() < time + shortest_lease)
+    if (this->latest_lease_end() < time + shortest_lease)
         return "the worker's lease is not extended, because another run must end";
     if (request.permitted_until
-        && this->granted.expire_at > request.permitted_until() + stop_allowance)
+        && this->lease.granted().expire_at > request.permitted_until() + stop_allowance)
         return "the worker's lease ends later than the run may";
     return {};
 }
@@ -127,12 +119,13 @@
     active.last_start_attempt = this->now();
     active.next_start_attempt = active.last_start_attempt + start_resend_interval;
     auto const context = this->context();
-    auto const lease_until = this->lease_end();
-    auto const before = this->record_grant(lease_until);
+    auto const time = this->now();
+    auto const lease_until = this->lease.next_end(this->latest_lease_end(), time);
+    auto const before = this->lease.grant(lease_until, time);
     this->worker.start(context, active.run, active.task, lease_until,
                        [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
                         serial = active.serial, before,
-                        after = this->granted](worker_reply const& reply) {
+                        after = this->lease.granted()](worker_reply const& reply) {
                            if (weak.expired())
                                return;
                            if (reply.answer == worker_answer::not_sent)
@@ -221,8 +214,8 @@
 {
     this->record_contact();
     active.state = phase::running;
-    if (this->clock)
-        active.progress.start(*this->clock);
+    if (auto const clock = this->lease.clock())
+        active.progress.start(*clock);
     active.expected_after_report = this->reports_sent;
     if (active.stop_requested)
         this->send_stop(active);
@@ -302,68 +295,26 @@
 
 void leased_runner::record_clock(std::optional<worker_clock> reading)
 {
-    if (!reading)
-        return;
-    auto const time = this->now();
-    // Answers may arrive out of order. Within an incarnation the clock never goes back.
-    if (this->clock && *reading < *this->clock)
-        return;
-    this->clock = reading;
-    this->clock_read_at = time;
-}
-
-worker_clock leased_runner::worker_time(base::steady_time time) const
-{
-    return this->clock.value_or(worker_clock(0))
-        + std::chrono::duration_cast<worker_clock>(time - this->clock_read_at);
+    if (reading)
+        this->lease.record_clock(*reading, this->now());
 }
 
-base::steady_time leased_runner::lease_limit() const
+base::steady_time leased_runner::latest_lease_end() const
 {
-    auto limit = base::steady_time::max();
+    auto latest = base::steady_time::max();
     for (auto const& [name, active] : this->runs) {
         if (active.permitted_until)
-            limit = std::min(limit, active.permitted_until() + stop_allowance);
+            latest = std::min(latest, active.permitted_until() + stop_allowance);
     }
     if (this->foreign_since)
-        limit = std::min(limit, *this->foreign_since + stop_allowance);
-    return limit;
-}
-
-worker_clock leased_runner::lease_end() const
-{
-    auto const time = this->now();
-    if (!this->clock)
-        return this->limits.max_lease;
-    auto const latest = time + std::min(lease_duration, this->limits.max_lease);
-    auto const end = std::clamp(this->lease_limit(), time, latest);
-    return std::max(this->granted.end,
-                    this->worker_time(time) + std::chrono::duration_cast<worker_clock>(end - time));
-}
-
-leased_runner::lease_grants leased_runner::record_grant(worker_clock end)
-{
-    auto const before = this->granted;
-    if (end <= before.end)
-        return before;
-    this->granted.end = end;
-    auto const time = this->now();
-    auto const longest = this->clock
-        ? std::min(end - this->worker_time(time), this->limits.max_lease)
-        : this->limits.max_lease;
-    // The worker's clock may have fallen behind since its last reading, and goes on to do so.
-    auto const since_reading
-        = this->clock ? time - this->clock_read_at : base::steady_time::duration(0);
-    auto const drift = (since_reading + longest) * this->limits.clock_drift_percent / 100;
-    this->granted.expire_at = std::max(before.expire_at, time + longest + drift);
-    return before;
+        latest = std::min(latest, *this->foreign_since + stop_allowance);
+    return latest;
 }
 
-void leased_runner::on_not_sent(lease_grants const& before, lease_grants const& after)
+void leased_runner::on_not_sent(worker_lease::grants const& before,
+                                worker_lease::grants const& after)
 {
-    // Another command may have granted a lease meanwhile.
-    if (this->granted == after)
-        this->granted = before;
+    this->lease.withdraw(before, after);
     // The first call that reaches the next life then makes it refuse starts for the former one.
     if (!std::exchange(this->restart_expected, true))
         ++this->fence;
@@ -379,7 +330,7 @@
 void leased_runner::tick()
 {
     auto const time = this->now();
-    if (!this->is_settled && time >= this->granted.expire_at) {
+    if (!this->is_settled && this->lease.expired(time)) {
         this->is_settled = true;
         base::log_record(base::log_event::worker_settled).with("reason", "leases have lapsed");
     }
@@ -392,7 +343,7 @@
         base::log_record(base::log_event::worker_unreachable).with("worker", this->incarnation.id);
         this->update_availability(false, this->is_announced);
     }
-    if (!this->is_reachable && time >= this->granted.expire_at)
+    if (!this->is_reachable && this->lease.expired(time))
         this->finish_expired_runs(time);
 }
 
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -19,19 +19,11 @@
 #include "agent/incarnation_verifier.h"
 #include "agent/leased_worker.h"
 #include "agent/run_progress.h"
+#include "agent/worker_lease.h"
 #include "base/clock.h"
 
 namespace greengagehead::agent {
 
-struct lease_limits {
-    /// Longest lease that the worker grants, on the worker's clock.
-    std::chrono::milliseconds max_lease {1000};
-    /// How much slower than the agent's clock the worker's clock may run.
-    std::uint32_t clock_drift_percent = 2;
-    /// Longest time that the worker may hold back a report while something runs.
-    std::chrono::milliseconds max_report_wait {200};
-};
-
 /// One instance serves the local worker, across its restarts.
 class leased_runner : public endpoint_runner {
 public:
@@ -105,16 +97,6 @@
         base::steady_time next_stop;
         callback done;
     };
-    struct lease_grants {
-        /// Latest end of a lease that a command to this incarnation has named. The worker never
-        /// shortens a lease, so naming it again extends nothing.
-        worker_clock end {0};
-        /// Latest possible end of all granted leases, on the agent's clock, allowing for the drift
-        /// of the worker's clock.
-        base::steady_time expire_at;
-
-        bool operator==(lease_grants const&) const = default;
-    };
     using run_list = std::map<std::string, active_run>; // By the worker's name of the task.
     /// `run_numbers` and `ended_run_numbers` are cleared when they exceed this size.
     static constexpr std::size_t max_tracked_tasks = 20'000;
@@ -126,17 +108,10 @@
     using call_context = leased_worker::call_context;
 
     [[nodiscard]] call_context context() const { return {this->fence, this->incarnation}; }
-    /// Estimate of the worker's clock, at most 2% of the time since its last reading too high.
-    [[nodiscard]] worker_clock worker_time(base::steady_time time) const;
-    /// Latest end of a lease that each run on the worker is permitted to see.
-    [[nodiscard]] base::steady_time lease_limit() const;
-    /// End of the lease that a command may grant now: never later than `lease_limit`, unless the
-    /// worker has been granted it before.
-    [[nodiscard]] worker_clock lease_end() const;
-    /// A command that grants a lease up to `end` is sent. Returns the grants before it.
-    lease_grants record_grant(worker_clock end);
+    /// Latest end of the lease that the permissions of all runs on the worker allow.
+    [[nodiscard]] base::steady_time latest_lease_end() const;
     /// A command did not reach the worker, which may be between two lives.
-    void on_not_sent(lease_grants const& before, lease_grants const& after);
+    void on_not_sent(worker_lease::grants const& before, worker_lease::grants const& after);
     /// Why a run cannot start now; empty if it can.
     [[nodiscard]] std::string_view reason_not_to_start(run_request const& request,
                                                        std::string const& name) const;
@@ -199,10 +174,8 @@
 
     worker_incarnation incarnation; ///< Empty id until the worker has announced itself.
     bool is_announced = false; ///< The present incarnation has announced itself.
-    std::optional<worker_clock> clock; ///< Last reading in this incarnation.
-    base::steady_time clock_read_at;
     base::steady_time last_contact;
-    lease_grants granted;
+    worker_lease lease;
     /// Since when the worker has listed runs that this agent does not know. They must end, so the
     /// lease is not extended for them.
     std::optional<base::steady_time> foreign_since;
--- /dev/null
+++ b/src/agent/worker_lease.h
@@ -0,0 +1,74 @@
+// The lease of a worker: what it has been granted, by its own clock, and when that has certainly
+// ended by the clock of the agent.
+
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "agent/leased_worker.h"
+#include "base/clock.h"
+
+namespace greengagehead::agent {
+
+struct lease_limits {
+    /// Longest lease that the worker grants, on the worker's clock.
+    std::chrono::milliseconds max_lease {1000};
+    /// How much slower than the agent's clock the worker's clock may run.
+    std::uint32_t clock_drift_percent = 2;
+    /// Longest time that the worker may hold back a report while something runs.
+    std::chrono::milliseconds max_report_wait {200};
+};
+
+/// The worker has one lease for all that runs there, and never shortens it. A command names the
+/// absolute end of the lease, so one that is carried out late does not extend it.
+class worker_lease {
+public:
+    struct grants {
+        /// Latest end that a command to this incarnation of the worker has named.
+        worker_clock end {0};
+        /// Latest possible end of all granted leases on the agent's clock, allowing for the drift
+        /// of the worker's clock. Does not go back with a new incarnation.
+        base::steady_time expire_at;
+
+        bool operator==(grants const&) const = default;
+    };
+
+    /// A former incarnation of this agent may have granted the longest lease right before `now`.
+    worker_lease(lease_limits limits, base::steady_time now);
+
+    /// A new incarnation of the worker, or none: nothing is known of its clock and nothing granted.
+    void reset();
+    /// Answers may arrive out of order. Within an incarnation the clock never goes back.
+    void record_clock(worker_clock reading, base::steady_time now);
+    /// Last reading in this incarnation.
+    [[nodiscard]] std::optional<worker_clock> clock() const { return this->last_reading; }
+
+    /// End of the lease that a command may name now, on the worker's clock. Later than `latest`
+    /// only if an earlier command has named it. Without a reading of the clock, the end of the
+    /// longest lease of a worker that has just started.
+    [[nodiscard]] worker_clock next_end(base::steady_time latest, base::steady_time now) const;
+    /// A command that names this end is sent. Returns the grants before it.
+    grants grant(worker_clock end, base::steady_time now);
+    /// A command was not sent after all. Has no effect if another one has granted more meanwhile.
+    void withdraw(grants const& before, grants const& after);
+
+    [[nodiscard]] grants const& granted() const { return this->current; }
+    /// Whether every lease that was granted has certainly ended.
+    [[nodiscard]] bool expired(base::steady_time now) const
+    {
+        return now >= this->current.expire_at;
+    }
+
+private:
+    /// Estimate of the worker's clock, too high by its drift since the last reading at most.
+    [[nodiscard]] worker_clock worker_time(base::steady_time now) const;
+
+    lease_limits limits;
+    std::optional<worker_clock> last_reading;
+    base::steady_time read_at; ///< Of the last reading.
+    grants current;
+};
+
+} // namespace greengagehead::agent
