Bound how long a cancelled run goes on when no order to stop it arrives

Callers would see: a task runs twice. An entry whose callers have left cancels the runs, and tells other entries for 2 s that their end is not confirmed (policy::unconfirmed_run_limit); then one of them starts the job. Change: no command names a lease end later than 1 s after the cancellation reached the agent; with the 900 ms in which a message of the entry counts, the run ends before the 2 s are over. Result: 'a cancelled run goes on because the order to stop it does not arrive' failed before and passes; agent_test passes.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -100,7 +100,7 @@
         if (active.state != phase::starting || active.in_flight == 0)
             active.state = phase::unconfirmed;
         active.expected_after_report = this->reports_sent;
-        if (active.stop_requested)
+        if (active.stop_requested_at)
             this->send_stop(active);
     }
     this->send_report(report_kind::probe);
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -171,7 +171,7 @@
 void leased_runner::check_progress(active_run& active, std::uint32_t percent, worker_clock time)
 {
     active.progress.update(percent, time);
-    if (active.lag_reported || active.stop_requested || active.stop_sent)
+    if (active.lag_reported || active.stop_requested_at || active.stop_sent)
         return;
     auto const remaining = active.progress.lag(active.task.expected, time);
     if (!remaining)
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -30,6 +30,9 @@
 /// runs of the worker. With the validity of a stamp (900 ms) it must stay below 1.3 s, after which
 /// a caller may hand its job in at another entry.
 constexpr milliseconds stop_allowance {300};
+/// The same for a run that a living entry has cancelled. With the validity of a stamp, during which
+/// the cancellation may be on its way, it must stay below `policy::unconfirmed_run_limit`.
+constexpr milliseconds cancelled_stop_allowance {1000};
 /// A start with a shorter lease is refused.
 constexpr milliseconds shortest_lease {200};
 /// The run numbers and fencing tokens of earlier incarnations of this agent are unknown. When the
@@ -217,7 +220,7 @@
     if (auto const clock = this->lease.clock())
         active.progress.start(*clock);
     active.expected_after_report = this->reports_sent;
-    if (active.stop_requested)
+    if (active.stop_requested_at)
         this->send_stop(active);
     if (this->renewal_in_flight == 0)
         this->next_report = std::min(this->next_report, this->now() + report_delay);
@@ -227,7 +230,7 @@
 {
     active.state = phase::unconfirmed;
     active.expected_after_report = this->reports_sent;
-    if (active.stop_requested)
+    if (active.stop_requested_at)
         this->send_stop(active);
     else
         this->send_report(report_kind::probe);
@@ -238,7 +241,8 @@
     for (auto& [name, active] : this->runs) {
         if (active.task.task != task)
             continue;
-        active.stop_requested = true;
+        if (!active.stop_requested_at)
+            active.stop_requested_at = this->now();
         if (active.state == phase::running)
             this->send_stop(active);
         return;
@@ -305,6 +309,8 @@
     for (auto const& [name, active] : this->runs) {
         if (active.permitted_until)
             latest = std::min(latest, active.permitted_until() + stop_allowance);
+        if (active.stop_requested_at)
+            latest = std::min(latest, *active.stop_requested_at + cancelled_stop_allowance);
     }
     if (this->foreign_since)
         latest = std::min(latest, *this->foreign_since + stop_allowance);
@@ -370,7 +376,7 @@
         if (stopping && time >= active.next_stop)
             this->send_stop(active);
         log_stop_delay(active, time);
-        bool const starting = active.state == phase::starting && !active.stop_requested;
+        bool const starting = active.state == phase::starting && !active.stop_requested_at;
         if (starting && this->available() && time >= active.next_start_attempt
             && active.start_attempts < max_unanswered_starts)
             this->send_start(active);
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -76,7 +76,7 @@
         /// Distinguishes this run from earlier and later ones of the same task and number.
         std::uint64_t serial = 0;
         phase state = phase::starting;
-        bool stop_requested = false;
+        std::optional<base::steady_time> stop_requested_at; ///< By the agent core.
         bool stop_sent = false;
         bool stop_confirmed = false;
         base::steady_time first_stop; ///< When `stop_sent` was set.
--- a/tests/agent/orphaned_run_test.cpp
+++ b/tests/agent/orphaned_run_test.cpp
@@ -1,4 +1,4 @@
-// The bound on the end of runs whose entry is lost, while the orders to stop them do not arrive.
+// The bound on the end of runs that must end, while the orders to stop them do not arrive.
 
 #include <catch2/catch.hpp>
 
@@ -8,6 +8,7 @@
 #include "agent/agent_fixture.h"
 #include "agent/leased_runner.h"
 #include "agent/simulated_worker.h"
+#include "policy/remote_submissions.h"
 
 namespace {
 
@@ -84,6 +85,11 @@
             this->core.tick(this->now);
         }
     }
+    void cancel(protocol::process_id const& entry, std::string const& name)
+    {
+        this->core.receive(entry.name, protocol::cancel_batch {{{{entry.name + "-" + name, 0}, 1}}},
+                           this->now);
+    }
     void lose_entry_a()
     {
         this->a_is_lost = true;
@@ -136,6 +142,28 @@
     }
 }
 
+SCENARIO("a cancelled run goes on because the order to stop it does not arrive", "[agent][leased]")
+{
+    GIVEN("a worker with runs of two entries, which no order to stop reaches")
+    {
+        shared_worker_fixture fixture;
+        fixture.start(fixture.entry_a, "a.0.0.0");
+        fixture.start(fixture.entry_b, "b.0.0.0");
+        fixture.advance(milliseconds(1000));
+        fixture.worker.lost_stops = true;
+
+        WHEN("a living entry cancels its run")
+        {
+            fixture.cancel(fixture.entry_a, "a.0.0.0");
+            fixture.advance(policy::unconfirmed_run_limit);
+            THEN("the run has ended when other entries no longer wait for it")
+            {
+                CHECK_FALSE(fixture.worker.runs("a.0.0.0"));
+            }
+        }
+    }
+}
+
 SCENARIO("an entry is lost and its runs are stopped in time", "[agent][leased]")
 {
     GIVEN("a worker with runs of two entries")
