Separate what a simulated worker does from how calls reach it

It follows two more rules of the worker: runs may have an end of their own, and ends that a report acknowledges are forgotten.

--- /dev/null
+++ b/tests/agent/worker_model.h
@@ -0,0 +1,195 @@
+// What a worker does with the commands that reach it: runs, run numbers, fencing token, lease,
+// ends. Knows nothing of lost or late commands.
+
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <iterator>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/leased_worker.h"
+
+namespace greengagehead::agent::fakes {
+
+/// A run on the worker.
+struct model_run {
+    worker_run run;
+    protocol::attempt_ref attempt;
+    worker_clock started {0};
+    std::chrono::milliseconds work {0}; ///< On the worker's clock; 0 for a run without end.
+};
+
+class worker_model {
+public:
+    using call_context = leased_worker::call_context;
+
+    /// Longest lease that the worker grants, on its own clock.
+    static constexpr worker_clock longest_lease {1000};
+
+    worker_answer carry_out_start(call_context const& context, worker_run const& run,
+                                  protocol::task_start const& task, worker_clock lease_until)
+    {
+        if (auto const checked = this->check(context); checked != worker_answer::accepted)
+            return checked;
+        if (lease_until <= this->clock)
+            return worker_answer::command_expired;
+        this->extend(lease_until);
+        auto const present = this->running.find(run.task);
+        if (present != this->running.end() && present->second.run == run)
+            return worker_answer::accepted;
+        auto const highest = this->barred.find(run.task);
+        if (present != this->running.end()
+            || (highest != this->barred.end() && run.number <= highest->second))
+            return worker_answer::stale_run;
+        auto const started
+            = this->running
+                  .insert_or_assign(
+                      run.task,
+                      model_run {run, {task.task, task.attempt}, this->clock, work_of(task)})
+                  .first;
+        ++this->starts;
+        if (this->run_started)
+            this->run_started(started->second);
+        return worker_answer::accepted;
+    }
+    worker_answer carry_out_stop(call_context const& context, worker_run const& run)
+    {
+        if (auto const checked = this->check(context); checked != worker_answer::accepted)
+            return checked;
+        this->bar(run);
+        auto const present = this->running.find(run.task);
+        if (present != this->running.end() && present->second.run.number <= run.number)
+            this->end(present->first, run_end_reason::stopped);
+        return worker_answer::accepted;
+    }
+    /// Checks a report, extends the lease, and forgets the ends that it acknowledges.
+    worker_answer begin_report(call_context const& context, worker_clock lease_until,
+                               std::uint64_t last_seen_end)
+    {
+        if (auto const checked = this->check(context); checked != worker_answer::accepted)
+            return checked;
+        if (lease_until > worker_clock(0))
+            this->extend(lease_until);
+        std::erase_if(this->ends, [=](auto const& end) { return end.sequence <= last_seen_end; });
+        return worker_answer::accepted;
+    }
+    [[nodiscard]] worker_reply reply(worker_answer answer) const
+    {
+        return {answer, this->clock, this->born};
+    }
+    [[nodiscard]] worker_report report(worker_answer answer, std::uint64_t last_seen_end) const
+    {
+        worker_report made {this->reply(answer), {}, {}};
+        if (answer != worker_answer::accepted)
+            return made;
+        for (auto const& [task, present] : this->running)
+            made.running.push_back({present.run, this->percent(present)});
+        std::copy_if(this->ends.begin(), this->ends.end(), std::back_inserter(made.ended),
+                     [=](auto const& end) { return end.sequence > last_seen_end; });
+        return made;
+    }
+
+    /// Ends what ends until `time`, in order.
+    void advance_to(worker_clock time)
+    {
+        this->clock = time;
+        for (bool ended = true; ended;) {
+            ended = false;
+            for (auto const& [task, present] : this->running) {
+                auto const done_at = present.started + present.work;
+                bool const done = present.work != std::chrono::milliseconds(0) && done_at <= time
+                    && done_at <= this->lease_end;
+                if (!done && time < this->lease_end)
+                    continue;
+                this->end(task, done ? run_end_reason::done : run_end_reason::lease_expired);
+                ended = true;
+                break;
+            }
+        }
+    }
+    /// Ends everything that runs, without a trace of it.
+    void crash() { this->running.clear(); }
+    /// Starts a life that knows nothing of the one before.
+    void begin_life(std::uint64_t born_at)
+    {
+        this->born = born_at;
+        this->clock = worker_clock(0);
+        this->lease_end = worker_clock(0);
+        this->fence = 0;
+        this->last_end = 0;
+        this->running.clear();
+        this->barred.clear();
+        this->ends.clear();
+    }
+    [[nodiscard]] bool runs(std::string const& task) const { return this->running.contains(task); }
+    [[nodiscard]] std::map<std::string, model_run> const& present() const { return this->running; }
+    [[nodiscard]] bool ended_after(std::uint64_t last_seen_end) const
+    {
+        return this->last_end > last_seen_end;
+    }
+
+    std::string id = "i-1";
+    std::uint64_t born = 5;
+    worker_clock clock {10'000};
+    worker_clock lease_end {0};
+    std::size_t starts = 0; ///< Runs that have started, in all lives.
+    std::function<void(model_run const&)> run_started;
+    std::function<void(model_run const&, run_end_reason)> run_ended;
+
+private:
+    /// The payload of a task is its work in milliseconds, or "{}" if it has no end.
+    static std::chrono::milliseconds work_of(protocol::task_start const& task)
+    {
+        return std::chrono::milliseconds(
+            task.payload.empty() || task.payload == "{}" ? 0 : std::stoi(task.payload));
+    }
+    [[nodiscard]] std::uint32_t percent(model_run const& present) const
+    {
+        if (present.work == std::chrono::milliseconds(0))
+            return 0;
+        return static_cast<std::uint32_t>((this->clock - present.started) * 100 / present.work);
+    }
+    worker_answer check(call_context const& context)
+    {
+        if (!context.incarnation.id.empty() && context.incarnation.id != this->id)
+            return worker_answer::wrong_incarnation;
+        if (context.fence < this->fence)
+            return worker_answer::stale_fence;
+        this->fence = context.fence;
+        return worker_answer::accepted;
+    }
+    void extend(worker_clock lease_until)
+    {
+        this->lease_end
+            = std::max(this->lease_end, std::min(lease_until, this->clock + longest_lease));
+    }
+    void bar(worker_run const& run)
+    {
+        auto& highest = this->barred[run.task];
+        highest = std::max(highest, run.number);
+    }
+    void end(std::string const& task, run_end_reason reason)
+    {
+        auto const ended = this->running.at(task);
+        this->running.erase(ended.run.task);
+        this->bar(ended.run);
+        this->ends.push_back({++this->last_end, ended.run, reason});
+        if (this->run_ended)
+            this->run_ended(ended, reason);
+    }
+
+    std::uint64_t fence = 0; ///< Highest token that this life has seen.
+    std::map<std::string, model_run> running; ///< By task.
+    /// Highest run number of each task that has ended or was stopped.
+    std::map<std::string, std::uint64_t> barred;
+    std::vector<ended_run> ends; ///< Of this life, not acknowledged yet.
+    std::uint64_t last_end = 0;
+};
+
+} // namespace greengagehead::agent::fakes
