Forget what a worker told before the life that announces itself

An agent that starts asks its worker for reports before the worker has announced itself to it. When the worker restarted under its id in between, the runner kept the number of the last end and the clock of the former life. The first ends of the new life then counted as known: runs that were done got the outcome cancelled ("the worker no longer lists the run") and ran again. The clock lay ahead, so that leases ended later than the agent had counted.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -51,6 +51,8 @@
     if (current != this->incarnation) {
         if (!this->incarnation.id.empty())
             this->on_worker_lost("the worker has restarted");
+        // Answers that came while no incarnation was known may be from an earlier one.
+        this->forget_worker_state();
         this->incarnation = current;
         this->next_report = this->now();
     }
@@ -83,12 +85,7 @@
         .with("born", born)
         .with("runs", this->runs.size());
     this->incarnation.born = born;
-    this->clock.reset();
-    this->granted.end = worker_clock(0);
-    this->foreign_since.reset();
-    this->last_seen_end = 0;
-    this->renewal_in_flight = 0;
-    this->ended_run_numbers.clear();
+    this->forget_worker_state();
     // Commands that were sent to the previous incarnation may still arrive. The new one refuses
     // them once it has seen a higher token.
     ++this->fence;
@@ -108,6 +105,16 @@
     this->update_availability(this->is_reachable, false);
 }
 
+void leased_runner::forget_worker_state()
+{
+    this->clock.reset();
+    this->granted.end = worker_clock(0);
+    this->foreign_since.reset();
+    this->last_seen_end = 0;
+    this->renewal_in_flight = 0;
+    this->ended_run_numbers.clear();
+}
+
 void leased_runner::update_availability(bool reachable, bool announced)
 {
     bool const before = this->available();
@@ -125,13 +132,8 @@
         .with("runs", this->runs.size())
         .with("reason", reason);
     this->incarnation = {};
-    this->clock.reset();
-    this->granted.end = worker_clock(0);
-    this->foreign_since.reset();
-    this->last_seen_end = 0;
-    this->renewal_in_flight = 0;
+    this->forget_worker_state();
     this->run_numbers.clear();
-    this->ended_run_numbers.clear();
     auto lost = std::exchange(this->runs, {});
     // Before the results: `done` may ask for other starts, which must be refused.
     this->update_availability(this->is_reachable, false);
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -183,6 +183,8 @@
     /// The worker has restarted under its id. Each run is unconfirmed until the new incarnation
     /// lists it or has confirmed that it refuses it.
     void on_restarted(std::uint64_t born);
+    /// Forgets what answers of an earlier incarnation have told.
+    void forget_worker_state();
     /// The present incarnation has ended, and with it every run.
     void on_worker_lost(std::string const& reason);
     void update_availability(bool reachable, bool announced);
