Do not send a start again once its time has passed

A start without an answer is sent again under the same run number. The runner checked the permission of the run only for the first attempt. An agent that was paused for seconds therefore sent starts again whose entry it counted as lost, or whose latest start had passed. Without a lease that it could grant, the start named the present time on the worker's clock, which the agent estimates up to 2% of the pause too high: 54 ms after 2.7 s. A worker with a slow clock accepted it, and the task ran beside its run elsewhere until that moment.

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -95,6 +95,7 @@
     auto& active = this->runs[name];
     active.serial = ++this->last_serial;
     active.task = request.task;
+    active.start_before = request.start_before;
     active.permitted_until = request.permitted_until;
     active.done = std::move(done);
     auto& number = this->run_numbers[name];
@@ -119,6 +120,12 @@
     return {};
 }
 
+bool leased_runner::may_start_now(active_run const& active) const
+{
+    auto const time = this->now();
+    return time < active.start_before && this->lease_limit() >= time + shortest_lease;
+}
+
 void leased_runner::send_start(active_run& active)
 {
     ++active.start_attempts;
@@ -174,14 +181,15 @@
         // An unanswered attempt may have run and ended by now. A report will list its end.
         if (active.unanswered > 0)
             return this->on_accepted(active);
-        if (active.start_attempts >= max_start_attempts)
+        if (active.start_attempts >= max_start_attempts || !this->may_start_now(active))
             break;
         active.run.number += run_number_step(active.start_attempts);
         this->run_numbers[name] = active.run.number;
         return this->send_start(active);
     case worker_answer::stale_fence:
         this->on_stale_fence(context.fence);
-        if (active.start_attempts >= max_start_attempts || !this->is_announced)
+        if (active.start_attempts >= max_start_attempts || !this->is_announced
+            || !this->may_start_now(active))
             break;
         return this->send_start(active);
     case worker_answer::no_answer:
@@ -421,7 +429,7 @@
         log_stop_delay(active, time);
         bool const starting = active.state == phase::starting && !active.stop_requested;
         if (starting && this->available() && time >= active.next_start_attempt
-            && active.start_attempts < max_unanswered_starts)
+            && active.start_attempts < max_unanswered_starts && this->may_start_now(active))
             this->send_start(active);
     }
 }
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -99,6 +99,7 @@
         /// Number of a report. Those requested later must list the run.
         std::uint64_t expected_after_report = 0;
         std::uint32_t missing_reports = 0; ///< Consecutive reports that did not list the run.
+        base::steady_time start_before; ///< As in `run_request`.
         std::function<base::steady_time()> permitted_until; ///< As in `run_request`.
         run_progress progress;
         bool lag_reported = false;
@@ -140,6 +141,9 @@
     /// Why a run cannot start now; empty if it can.
     [[nodiscard]] std::string_view reason_not_to_start(run_request const& request,
                                                        std::string const& name) const;
+    /// Whether a start may be sent again. The agent may have been paused since it sent the last
+    /// one.
+    [[nodiscard]] bool may_start_now(active_run const& active) const;
     void log_withheld_lease();
     void record_clock(std::optional<worker_clock> reading);
     void record_contact();
