--- a/tests/agent/simulated_worker.h
+++ b/tests/agent/simulated_worker.h
@@ -101,6 +101,14 @@
             (void)order();
     }
     [[nodiscard]] bool runs(std::string const& task) const { return this->running.contains(task); }
+    /// Ends every other run as done.
+    void finish_all_but(std::string const& task)
+    {
+        for (auto const& [name, number] : std::map(this->running)) {
+            if (name != task)
+                this->end(name, run_end_reason::done);
+        }
+    }
 
     std::string id = "i-1";
     std::uint64_t born = 5;
