--- a/tests/agent/run_bounds_test.cpp
+++ b/tests/agent/run_bounds_test.cpp
@@ -139,7 +139,7 @@
 
 // Guards against a run that never began and keeps the lease of the others from being extended. The
 // lease in its start has ended, so the worker refuses that start without any stop.
-SCENARIO("a start of a lost entry was lost, and so are the orders to stop it",
+SCENARIO("neither the start of a lost entry nor the orders to stop it arrive",
          "[agent][leased][known-red]")
 {
     GIVEN("a worker with a run of another entry")
