Grant leases of 1 s again, by a lower bound of the worker's clock

Callers would see: work that is well is ended and started elsewhere, when an agent is paused for 0.8 s or gets the processor for a part of the time only. Change: leases are as long as the worker allows; the worker's clock counts as 2% slow since its last reading, and a reading counts only when it is above that. A command that was not sent revokes nothing when another one was sent meanwhile. Without a reading of the clock no lease is named. In worker_lease_test and first_announcement_test the expected lengths follow; the latter limits the agent to 0.8 s, so that its check stays as strict.

--- a/src/agent/worker_lease.cpp
+++ b/src/agent/worker_lease.cpp
@@ -6,22 +6,12 @@
 
 namespace greengagehead::agent {
 
-namespace {
-
-using std::chrono::milliseconds;
-
-/// Leases are this long where the permissions of the runs allow it. A run of which the entry has
-/// renewed the permission within its update interval (300 ms) then fits into the lease of others.
-constexpr milliseconds lease_duration {800};
-
-} // namespace
-
 worker_lease::worker_lease(lease_limits worker_limits, base::steady_time now)
-    : limits(worker_limits), current {worker_clock(0),
-                                      now
-                                          + worker_limits.max_lease
-                                              * (100 + worker_limits.clock_drift_percent) / 100}
+    : limits(worker_limits)
 {
+    auto const longest = this->limits.max_lease;
+    this->current.named_until = now + longest;
+    this->current.expire_at = now + longest + longest * this->limits.clock_drift_percent / 100;
 }
 
 void worker_lease::reset()
@@ -32,7 +22,7 @@
 
 void worker_lease::record_clock(worker_clock reading, base::steady_time now)
 {
-    if (this->last_reading && reading < *this->last_reading)
+    if (this->last_reading && reading <= this->worker_time(now))
         return;
     this->last_reading = reading;
     this->read_at = now;
@@ -40,15 +30,17 @@
 
 worker_clock worker_lease::worker_time(base::steady_time now) const
 {
-    return *this->last_reading + std::chrono::duration_cast<worker_clock>(now - this->read_at);
+    auto const passed = now - this->read_at;
+    return *this->last_reading
+        + std::chrono::duration_cast<worker_clock>(passed * (100 - this->limits.clock_drift_percent)
+                                                   / 100);
 }
 
 worker_clock worker_lease::next_end(base::steady_time latest, base::steady_time now) const
 {
     if (!this->last_reading)
-        return this->limits.max_lease;
-    auto const longest = now + std::min(lease_duration, this->limits.max_lease);
-    auto const end = std::clamp(latest, now, longest);
+        return worker_clock(0);
+    auto const end = std::clamp(latest, now, now + this->limits.max_lease);
     return std::max(this->current.end,
                     this->worker_time(now) + std::chrono::duration_cast<worker_clock>(end - now));
 }
@@ -56,17 +48,13 @@
 worker_lease::grants worker_lease::grant(worker_clock end, base::steady_time now)
 {
     auto const before = this->current;
-    if (end <= before.end)
+    ++this->current.commands;
+    if (!this->last_reading || end <= before.end)
         return before;
+    auto const longest = std::min(end - this->worker_time(now), this->limits.max_lease);
+    auto const drift = longest * this->limits.clock_drift_percent / 100;
     this->current.end = end;
-    auto longest = this->limits.max_lease;
-    base::steady_time::duration since_reading {0};
-    if (this->last_reading) {
-        longest = std::min(longest, end - this->worker_time(now));
-        since_reading = now - this->read_at;
-    }
-    // The worker's clock may have fallen behind since its last reading, and goes on to do so.
-    auto const drift = (since_reading + longest) * this->limits.clock_drift_percent / 100;
+    this->current.named_until = std::max(before.named_until, now + longest);
     this->current.expire_at = std::max(before.expire_at, now + longest + drift);
     return before;
 }
--- a/src/agent/worker_lease.h
+++ b/src/agent/worker_lease.h
@@ -28,9 +28,12 @@
     struct grants {
         /// Latest end that a command to this incarnation of the worker has named.
         worker_clock end {0};
+        /// The same on the agent's clock, if the worker's clock keeps pace with it.
+        base::steady_time named_until;
         /// Latest possible end of all granted leases on the agent's clock, allowing for the drift
         /// of the worker's clock. Does not go back with a new incarnation.
         base::steady_time expire_at;
+        std::uint64_t commands = 0; ///< That have named an end.
 
         bool operator==(grants const&) const = default;
     };
@@ -40,18 +43,18 @@
 
     /// A new incarnation of the worker, or none: nothing is known of its clock and nothing granted.
     void reset();
-    /// Answers may arrive out of order. Within an incarnation the clock never goes back.
+    /// A reading that is older than what is known has no effect: answers may arrive out of order,
+    /// and may be read long after they were sent, because the agent was paused.
     void record_clock(worker_clock reading, base::steady_time now);
     /// Last reading in this incarnation.
     [[nodiscard]] std::optional<worker_clock> clock() const { return this->last_reading; }
 
     /// End of the lease that a command may name now, on the worker's clock. Later than `latest`
-    /// only if an earlier command has named it. Without a reading of the clock, the end of the
-    /// longest lease of a worker that has just started.
+    /// only if an earlier command has named it. 0 without a reading of the clock.
     [[nodiscard]] worker_clock next_end(base::steady_time latest, base::steady_time now) const;
     /// A command that names this end is sent. Returns the grants before it.
     grants grant(worker_clock end, base::steady_time now);
-    /// A command was not sent after all. Has no effect if another one has granted more meanwhile.
+    /// A command was not sent after all. Has no effect if another one was sent meanwhile.
     void withdraw(grants const& before, grants const& after);
 
     [[nodiscard]] grants const& granted() const { return this->current; }
@@ -62,7 +65,7 @@
     }
 
 private:
-    /// Estimate of the worker's clock, too high by its drift since the last reading at most.
+    /// Lower bound of the worker's clock, which may have fallen behind since the last reading.
     [[nodiscard]] worker_clock worker_time(base::steady_time now) const;
 
     lease_limits limits;
--- a/tests/agent/first_announcement_test.cpp
+++ b/tests/agent/first_announcement_test.cpp
@@ -18,9 +18,12 @@
 using protocol::outcome_kind;
 using std::chrono::milliseconds;
 
+/// Shorter than the longest lease of the worker.
+constexpr milliseconds longest_lease {800};
+
 /// A runner that has just started. Its worker has ended a run of an earlier agent before.
 struct started_agent_fixture {
-    started_agent_fixture() : runner(worker, {}, 100, [this] { return this->now; })
+    started_agent_fixture() : runner(worker, {longest_lease}, 100, [this] { return this->now; })
     {
         (void)this->worker.carry_out_start({}, {"old.0.0.0", 1}, {},
                                            this->worker.clock + milliseconds(500));
@@ -90,7 +93,7 @@
             THEN("its lease ends as early as the agent has granted it")
             {
                 REQUIRE(fixture.worker.runs("a.0.0.0"));
-                CHECK(fixture.worker.lease_end <= fixture.worker.clock + milliseconds(800));
+                CHECK(fixture.worker.lease_end <= fixture.worker.clock + longest_lease);
             }
         }
     }
--- a/tests/agent/worker_lease_test.cpp
+++ b/tests/agent/worker_lease_test.cpp
@@ -21,15 +21,15 @@
     GIVEN("a worker whose clock has been read")
     {
         base::steady_time now {std::chrono::hours(1)};
-        worker_lease lease({}, now);
+        worker_lease lease({}, now - std::chrono::seconds(10));
         lease.record_clock(worker_clock(10'000), now);
 
         WHEN("every run may go on")
         {
             auto const end = lease.next_end(unlimited, now);
-            THEN("the lease ends after 800 ms of the worker's clock")
+            THEN("the lease ends after 1 s of the worker's clock")
             {
-                CHECK(end == worker_clock(10'800));
+                CHECK(end == worker_clock(11'000));
             }
             AND_WHEN("it is granted")
             {
@@ -58,7 +58,8 @@
                     auto const granted = lease.granted();
                     CHECK(lease.next_end(now + milliseconds(200), now) == worker_clock(10'700));
                     lease.grant(worker_clock(10'700), now + milliseconds(100));
-                    CHECK(lease.granted() == granted);
+                    CHECK(lease.granted().end == granted.end);
+                    CHECK(lease.granted().expire_at == granted.expire_at);
                 }
             }
         }
@@ -71,6 +72,15 @@
                 CHECK(lease.next_end(base::steady_time::min(), now) == worker_clock(10'000));
             }
         }
+        WHEN("the clock has not been read again for 5 s")
+        {
+            now += std::chrono::seconds(5);
+            // Guards against a lease that ends too late because the worker's clock is slow.
+            THEN("the lease ends after 1 s of the slowest clock")
+            {
+                CHECK(lease.next_end(unlimited, now) == worker_clock(10'000 + 4'900 + 1'000));
+            }
+        }
         WHEN("an older reading of the clock arrives late")
         {
             lease.record_clock(worker_clock(9'000), now + milliseconds(100));
@@ -96,6 +106,16 @@
                 CHECK(lease.granted() == before);
             }
         }
+        WHEN("another command with the same end was sent meanwhile")
+        {
+            lease.grant(worker_clock(10'800), now + milliseconds(1));
+            auto const later = lease.granted();
+            lease.withdraw(before, after);
+            THEN("its grant counts")
+            {
+                CHECK(lease.granted() == later);
+            }
+        }
         WHEN("another command with a later end was sent meanwhile")
         {
             lease.grant(worker_clock(10'900), now + milliseconds(100));
