Let the permissions of waiting tasks bound the lease too

Callers would see: many tasks are handed back by an agent in one stroke. Change: a lease is extended only as far as the tasks that wait permit, so that they fit when they start. A start that the worker can no longer carry out in this life, and never listed, no longer withholds the lease while stops are lost. A start is refused as long as the worker's clock is not known.

--- a/src/agent/agent_core_impl.cpp
+++ b/src/agent/agent_core_impl.cpp
@@ -59,6 +59,7 @@
       outcome_delivery(this->settings.id, message_sink, this->outcomes),
       reports(this->settings.id.name, this->settings.report_interval, message_sink)
 {
+    this->runner.waiting_permitted_until = [this] { return this->waiting_permitted_until(); };
     this->outcome_delivery.usage = [this](std::string const& entry) { return this->usage(entry); };
 }
 
@@ -430,6 +431,18 @@
     return runs;
 }
 
+base::steady_time agent_core::implementation::waiting_permitted_until()
+{
+    auto earliest = base::steady_time::max();
+    for (auto const& [endpoint, key] : this->endpoints.waiting()) {
+        auto const* const record = this->outcomes.find(key);
+        if (record != nullptr && record->details && record->details->bound_entry)
+            earliest
+                = std::min(earliest, this->liveness.alive_until(*record->details->bound_entry));
+    }
+    return earliest;
+}
+
 void agent_core::implementation::stop_orphaned_runs(base::steady_time now)
 {
     std::map<std::string, std::size_t> stopped_runs; // By entry.
--- a/src/agent/agent_core_impl.h
+++ b/src/agent/agent_core_impl.h
@@ -30,6 +30,8 @@
     /// reports that are due. Called at the end of the handling of every input.
     void run_due_work(base::steady_time now);
     void peer_up(std::string const& peer, base::steady_time now);
+    /// Earliest time until which the entry of a waiting ephemeral attempt counts as alive.
+    [[nodiscard]] base::steady_time waiting_permitted_until();
     /// Stops the ephemeral attempts of lost entries.
     void stop_orphaned_runs(base::steady_time now);
 
--- a/src/agent/endpoint_runner.h
+++ b/src/agent/endpoint_runner.h
@@ -41,6 +41,10 @@
     endpoint_runner(endpoint_runner const&) = delete;
     endpoint_runner& operator=(endpoint_runner const&) = delete;
 
+    /// Earliest end of the permission of a task that waits at the agent for its start, as
+    /// `run_request::permitted_until`; the latest time if there is none. Set by the agent core.
+    std::function<base::steady_time()> waiting_permitted_until;
+
     /// Sends the request to the endpoint at once. Calls `done` exactly once, later.
     virtual void start(run_request const& request, callback done) = 0;
     /// Asks the endpoint to stop a task. `done` of its start is still called.
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -44,6 +44,12 @@
 constexpr std::uint64_t run_number_step_factor = 128;
 constexpr std::uint64_t fence_step = 60'000;
 
+/// The latest time of the clock stands for "never" and is kept.
+base::steady_time add(base::steady_time time, milliseconds duration)
+{
+    return time == base::steady_time::max() ? time : time + duration;
+}
+
 std::uint64_t run_number_step(std::uint32_t start_attempts)
 {
     auto step = first_run_number_step;
@@ -105,12 +111,13 @@
     auto const time = this->now();
     if (this->runs.contains(name))
         return "another run of the task has not ended yet";
-    if (!this->is_announced || !this->is_settled || time >= request.start_before)
+    if (!this->is_announced || !this->is_settled || !this->lease.clock()
+        || time >= request.start_before)
         return "the worker is not ready, or the lease or the deadline has passed";
     if (this->latest_lease_end() < time + shortest_lease)
         return "the worker's lease is not extended, because another run must end";
     if (request.permitted_until
-        && this->lease.granted().expire_at > request.permitted_until() + stop_allowance)
+        && this->lease.granted().named_until > request.permitted_until() + stop_allowance)
         return "the worker's lease ends later than the run may";
     return {};
 }
@@ -118,7 +125,8 @@
 bool leased_runner::may_start_now(active_run const& active) const
 {
     auto const time = this->now();
-    return time < active.start_before && this->latest_lease_end() >= time + shortest_lease;
+    return this->lease.clock() && time < active.start_before
+        && this->latest_lease_end() >= time + shortest_lease;
 }
 
 void leased_runner::send_start(active_run& active)
@@ -132,6 +140,7 @@
     auto const time = this->now();
     auto const lease_until = this->lease.next_end(this->latest_lease_end(), time);
     auto const before = this->lease.grant(lease_until, time);
+    active.starts_expire_at = this->lease.granted().expire_at;
     this->worker.start(context, active.run, active.task, lease_until,
                        [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
                         serial = active.serial, before,
@@ -314,17 +323,31 @@
 base::steady_time leased_runner::latest_lease_end() const
 {
     auto latest = base::steady_time::max();
-    for (auto const& [name, active] : this->runs) {
-        if (active.permitted_until)
-            latest = std::min(latest, active.permitted_until() + stop_allowance);
-        if (active.stop_requested_at)
-            latest = std::min(latest, *active.stop_requested_at + cancelled_stop_allowance);
-    }
+    // A task that waits fits into the lease when it starts.
+    if (this->waiting_permitted_until)
+        latest = add(this->waiting_permitted_until(), stop_allowance);
+    for (auto const& [name, active] : this->runs)
+        latest = std::min(latest, this->latest_lease_end(active));
     if (this->foreign_since)
         latest = std::min(latest, *this->foreign_since + stop_allowance);
     return latest;
 }
 
+base::steady_time leased_runner::latest_lease_end(active_run const& active) const
+{
+    if (!active.permitted_until)
+        return base::steady_time::max();
+    // A start that was never carried out will not be any more, whether a stop arrives or not.
+    bool const never_started = active.state == phase::unconfirmed && !active.listed
+        && !active.worker_restarted && this->now() >= active.starts_expire_at;
+    if (never_started)
+        return base::steady_time::max();
+    auto const latest = add(active.permitted_until(), stop_allowance);
+    return active.stop_requested_at
+        ? std::min(latest, *active.stop_requested_at + cancelled_stop_allowance)
+        : latest;
+}
+
 void leased_runner::on_not_sent(worker_lease::grants const& before,
                                 worker_lease::grants const& after)
 {
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -79,6 +79,7 @@
         std::optional<base::steady_time> stop_requested_at; ///< By the agent core.
         bool stop_sent = false;
         bool stop_confirmed = false;
+        bool listed = false; ///< In a report of the worker.
         base::steady_time first_stop; ///< When `stop_sent` was set.
         bool stop_delay_logged = false;
         /// The worker has restarted since the start was sent, and has not listed the run since.
@@ -87,6 +88,8 @@
         std::uint32_t unanswered = 0; ///< Start attempts in flight or with a lost answer.
         std::uint32_t in_flight = 0; ///< Start attempts in flight.
         base::steady_time last_start_attempt;
+        /// From then on, this incarnation of the worker refuses the starts that were sent.
+        base::steady_time starts_expire_at;
         base::steady_time next_start_attempt;
         /// Number of a report. Those requested later must list the run.
         std::uint64_t expected_after_report = 0;
@@ -109,10 +112,13 @@
     using call_context = leased_worker::call_context;
 
     [[nodiscard]] call_context context() const { return {this->fence, this->incarnation}; }
-    /// Latest end of the lease that the permissions of all runs on the worker allow.
+    /// Latest end of the lease that the permissions of all runs on the worker, and of the tasks
+    /// that wait for their start, allow.
     [[nodiscard]] base::steady_time latest_lease_end() const;
     /// A command did not reach the worker, which may be between two lives.
     void on_not_sent(worker_lease::grants const& before, worker_lease::grants const& after);
+    /// Latest end of the lease that the permission of this run allows.
+    [[nodiscard]] base::steady_time latest_lease_end(active_run const& active) const;
     /// Why a run cannot start now; empty if it can.
     [[nodiscard]] std::string_view reason_not_to_start(run_request const& request,
                                                        std::string const& name) const;
