--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -42,8 +42,11 @@
         this->log_withheld_lease();
         this->lease.grant(lease_until, time);
     }
+    // An end that was named before extends nothing in this life of the worker, but may in its next
+    // one, whose clock starts anew.
+    auto const named = lease_until > before.end ? lease_until : worker_clock(0);
     auto const context = this->context();
-    this->worker.report(context, lease_until, this->last_seen_end, wait,
+    this->worker.report(context, named, this->last_seen_end, wait,
                         [this, weak = std::weak_ptr(this->alive), context, number, before,
                          after = this->lease.granted()](worker_report const& report) {
                             if (weak.expired())
@@ -148,6 +151,7 @@
                            [&sent_run](auto const& row) { return row.run == sent_run; });
         if (listed != report.running.end()) {
             active.missing_reports = 0;
+            active.listed = true;
             active.worker_restarted = false;
             // The start was carried out although its answer was lost.
             if (active.state == phase::unconfirmed && !active.stop_sent)
