Look at the agents for runs of an entry that has not been heard before starting its submissions

Cause: an entry started a submission when it knew of no announcement, also when the link to another entry was slow or cut, so that its announcements could not have arrived.

Change: entries query each other each 250 ms. While an entry of the view or with a link has not answered a query of the last 700 ms, new submissions are held, and all agents are asked for runs of the job that it would be at that entry. When an agent knows the job, it is fenced with epoch 2, its runs are cancelled, and the submission starts here when no agent lists one in progress. The agents' code is unchanged: fences and queries are those of a takeover.

A first submission is not held while entries answer within 400 ms, and waits for one round trip to the agents after the loss of an entry.

--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -25,6 +25,12 @@
 constexpr milliseconds answer_timeout {500};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
+/// A submission that is held for a shorter time is announced only if another entry may run it, like
+/// one that has just arrived.
+constexpr milliseconds unannounced_hold {50};
+/// Epoch of the jobs of an entry, and that of a query which fences them at an agent.
+constexpr protocol::job_epoch own_epoch = 1;
+constexpr protocol::job_epoch fencing_epoch = 2;
 /// Names of entries as peers begin so.
 constexpr std::string_view entry_peer_prefix = "entry.";
 
@@ -70,6 +76,8 @@
             return this->components.jobs.find(item.second) == nullptr;
         });
     }
+    if (now >= this->next_contact_query)
+        this->query_contacts(now);
     if (this->unannounced.empty() || now < this->next_announcement)
         return;
     this->next_announcement = now + announcement_interval;
@@ -80,13 +88,40 @@
 {
     if (message.submissions.empty())
         return;
+    for (auto const& receiver : this->receivers())
+        this->components.sender.send(receiver, message);
+}
+
+std::set<std::string> resubmissions::receivers() const
+{
     // An entry may serve callers without being in the view, and be in it without a link.
-    auto receivers = this->linked;
+    auto names = this->linked;
     for (auto const& entry : this->components.leases.applied().entries)
-        receivers.insert(entry.id.name);
-    receivers.erase(this->components.settings.id.name);
-    for (auto const& receiver : receivers)
-        this->components.sender.send(receiver, message);
+        names.insert(entry.id.name);
+    names.erase(this->components.settings.id.name);
+    return names;
+}
+
+void resubmissions::query_contacts(base::steady_time now)
+{
+    this->next_contact_query = now + policy::contact_interval;
+    this->update_contacts(now);
+    auto const id = this->components.remote.allocate_id();
+    this->contacts.record_query(id, now);
+    // No job has an empty id, so the answer is sent at once.
+    for (auto const& receiver : this->receivers())
+        this->components.sender.send(receiver,
+                                     protocol::job_query {id, {}, false, milliseconds(0)});
+}
+
+void resubmissions::update_contacts(base::steady_time now)
+{
+    std::vector<protocol::process_id> present;
+    for (auto const& entry : this->components.leases.applied().entries) {
+        if (entry.id != this->components.settings.id)
+            present.push_back(entry.id);
+    }
+    this->contacts.update(present, this->linked, now);
 }
 
 protocol::submissions_running
@@ -136,6 +171,7 @@
     auto message = this->describe_all(now);
     message.asks_for_all = true;
     this->components.sender.send(peer, message);
+    this->query_contacts(now);
 }
 
 void resubmissions::peer_down(std::string const& peer, base::steady_time now)
@@ -153,6 +189,7 @@
     for (auto const& entry : this->components.leases.applied().entries)
         present.push_back(entry.id);
     this->known.record_view(present, now);
+    this->update_contacts(now);
     this->proceed_all(now);
 }
 
@@ -173,6 +210,7 @@
 {
     if (message.entry.name != peer)
         return;
+    this->contacts.record_incarnation(message.entry);
     for (auto const& item : message.submissions) {
         this->known.record(message.entry, item, now);
         if (auto const* const cancelled = this->known.cancelled(item.key, now))
@@ -203,7 +241,9 @@
 bool resubmissions::take(protocol::job_request& request, waiter& caller, bool abandoned_here,
                          base::steady_time now)
 {
-    if (this->known.empty() && !abandoned_here)
+    auto const unheard
+        = this->admitting ? std::vector<protocol::process_id> {} : this->contacts.unheard(now);
+    if (this->known.empty() && unheard.empty() && !abandoned_here)
         return false;
     auto const key = key_of(request);
     if (this->known.cancelled(key, now) != nullptr) {
@@ -211,7 +251,7 @@
         return true;
     }
     auto const elsewhere = this->known.find(key, now);
-    if (!elsewhere && !abandoned_here)
+    if (!elsewhere && unheard.empty() && !abandoned_here)
         return false;
     ++this->components.counters.submissions_held;
     auto const id = this->components.remote.allocate_id();
@@ -222,15 +262,28 @@
     item.deadline = now + request.deadline;
     item.request = std::move(request);
     item.caller = std::move(caller);
+    auto holder = this->components.settings.id.name;
+    if (elsewhere)
+        holder = elsewhere->entry.name;
+    else if (!abandoned_here)
+        holder = unheard.front().name;
     base::log_record(base::log_event::submission_held)
         .with("submission", item.request.submission)
         .with("team", item.request.team)
-        .with("entry", elsewhere ? elsewhere->entry.name : this->components.settings.id.name);
+        .with("entry", holder);
+    if (elsewhere || abandoned_here)
+        this->announce_hold(item, now);
+    this->proceed(item, now);
+    return true;
+}
+
+void resubmissions::announce_hold(held_submission& item, base::steady_time now)
+{
     // Another entry that holds it since earlier must not start it at the same time as this one.
+    if (std::exchange(item.announced, true))
+        return;
     this->send_to_all(
         {this->components.settings.id, {resubmissions::describe_hold(item, now)}, false});
-    this->proceed(item, now);
-    return true;
 }
 
 void resubmissions::proceed(held_submission& item, base::steady_time now)
@@ -249,8 +302,12 @@
         this->components.lifecycle.drop(*abandoned);
     }
     auto const elsewhere = this->known.find(item.key, now);
+    if (elsewhere || now >= item.submitted + unannounced_hold)
+        this->announce_hold(item, now);
     if (!elsewhere && this->must_wait_for_newer(item, now))
         return this->wait_until(item, now + repeat_delay);
+    if (auto const entries = this->possible_runners(item, now); !elsewhere && !entries.empty())
+        return this->search(item, entries, now);
     if (!elsewhere)
         return this->start_here(item, now);
     if (elsewhere->connected)
@@ -258,6 +315,78 @@
     this->wait_until(item, elsewhere->ends_by);
 }
 
+std::vector<protocol::process_id> resubmissions::possible_runners(held_submission const& item,
+                                                                  base::steady_time now) const
+{
+    auto entries = this->contacts.unheard(now);
+    std::erase_if(entries, [&item, now](auto const& entry) {
+        auto const found = item.ruled_out.find(entry);
+        return found != item.ruled_out.end() && now < found->second + policy::contact_limit;
+    });
+    return entries;
+}
+
+void resubmissions::search(held_submission& item, std::vector<protocol::process_id> const& entries,
+                           base::steady_time now)
+{
+    // The ids of an entry's jobs depend on its incarnation, which it states when it is linked.
+    auto const unknown = std::any_of(entries.begin(), entries.end(),
+                                     [](auto const& e) { return e.incarnation == 0; });
+    if (unknown)
+        return this->wait_until(item, now + repeat_delay);
+    if (!item.search)
+        item.search.emplace(entries);
+    switch (item.search->next(now)) {
+    case policy::run_search::step::ask:
+        this->send_search_round(item, now);
+        return this->wait_until(item, now + repeat_delay);
+    case policy::run_search::step::wait:
+        return this->wait_until(item, now + repeat_delay);
+    case policy::run_search::step::ruled_out:
+        for (auto const& entry : item.search->entries())
+            item.ruled_out[entry] = now;
+        item.search.reset();
+        return this->proceed(item, now);
+    }
+}
+
+void resubmissions::send_search_round(held_submission& item, base::steady_time now)
+{
+    std::vector<protocol::process_id> asked;
+    for (auto const& agent : this->components.agents.all()) {
+        if (agent.last_report != base::steady_time {} && !agent.replaced && !agent.silent)
+            asked.push_back(agent.id);
+    }
+    protocol::outcome_query query;
+    query.query_id = this->components.outbox.next_query_id();
+    auto const epoch = item.search->fences() ? fencing_epoch : own_epoch;
+    for (auto const& entry : item.search->entries())
+        query.jobs.push_back(
+            {ephemeral_job_id(item.request.team, item.request.submission, entry), epoch});
+    item.search->begin_round(query.query_id, asked, now);
+    for (auto const& agent : asked)
+        this->components.sender.send(agent.name, query);
+}
+
+bool resubmissions::on_report(protocol::outcome_report const& report, base::steady_time now)
+{
+    auto const found = std::find_if(this->held.begin(), this->held.end(), [&](auto const& entry) {
+        return entry.second.search && entry.second.search->query_id() == report.query_id;
+    });
+    if (found == this->held.end())
+        return false;
+    auto& item = found->second;
+    item.search->record_answer(report.agent, report.outcomes, now);
+    auto const slot = this->components.agents.slot_of(report.agent);
+    for (auto const& outcome : report.outcomes) {
+        if (slot && outcome.kind == protocol::outcome_kind::running)
+            this->components.outbox.add_cancel(*slot, {outcome.task, outcome.attempt});
+    }
+    if (item.search->next(now) != policy::run_search::step::wait)
+        this->proceed(item, now);
+    return true;
+}
+
 bool resubmissions::must_wait_for_newer(held_submission const& item, base::steady_time now) const
 {
     return this->known.has_newer_holder(item.key, item.submitted, this->components.settings.id.name,
@@ -279,6 +408,8 @@
 bool resubmissions::on_reply(std::string const& peer, protocol::job_reply const& reply,
                              base::steady_time now)
 {
+    if (this->contacts.record_answer(peer, reply.query_id))
+        return true;
     auto const found = this->held.find(reply.query_id);
     if (found == this->held.end())
         return false;
@@ -299,9 +430,11 @@
         return this->finish(item, *state);
     case resubmission_step::start_here:
         this->known.record_ended(item.asked, item.key);
+        item.ruled_out[item.asked] = now;
         item.asked = {};
         // Somebody else may run or start it by now.
-        if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now))
+        if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now)
+            || !this->possible_runners(item, now).empty())
             return this->wait_until(item, now + repeat_delay);
         return this->start_here(item, now);
     }
@@ -317,9 +450,13 @@
     auto const id = ephemeral_job_id(released.request.team, released.request.submission,
                                      this->components.settings.id);
     released.request.deadline = std::chrono::ceil<milliseconds>(released.deadline - now);
+    this->admitting = true;
     this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now);
+    this->admitting = false;
     // A third entry may get the submission before the job has reached the age of announcements.
     auto const* const started = this->components.jobs.find(id);
+    if (!released.announced)
+        return;
     if (started != nullptr && !started->is_final())
         return this->send_to_all(this->describe_jobs({started->number}, now));
     this->announce_end(released.key);
@@ -336,7 +473,8 @@
 void resubmissions::give_up(held_submission& item, std::string const& reason)
 {
     auto const released = this->release(item, reason);
-    this->announce_end(released.key);
+    if (released.announced)
+        this->announce_end(released.key);
     deliver_unknown(
         released.caller, answer_for(released.request, protocol::job_state::running),
         {base::error_code::unavailable, base::error_step::admission, released.asked.name, reason});
@@ -347,7 +485,8 @@
     // `answer` may belong to a job that ends with the hold.
     auto const final_answer = answer;
     auto const released = this->release(item, protocol::to_string(answer.state));
-    this->announce_end(released.key);
+    if (released.announced)
+        this->announce_end(released.key);
     deliver(released.caller, final_answer, {});
 }
 
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -51,6 +53,9 @@
               base::steady_time now);
     /// Returns false when the reply is not for this component.
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
+    /// An agent answers what it knows of a submission that is searched. Returns false when the
+    /// report is not for this component.
+    bool on_report(protocol::outcome_report const& report, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
     /// Stops the submission at the entry that has announced it, and at those that announce it
     /// later. Returns whether it is known here.
@@ -70,6 +75,10 @@
         protocol::process_id asked; ///< Entry that was asked last; empty name if none was.
         std::string asked_job; ///< Id of the job there.
         base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
+        bool announced = false; ///< The other entries know that it is held here.
+        std::optional<policy::run_search> search; ///< For runs of unheard entries.
+        /// Entries that do not run it, and when that was known.
+        std::map<protocol::process_id, base::steady_time> ruled_out;
     };
 
     void proceed_all(base::steady_time now);
@@ -78,10 +87,24 @@
     void proceed(held_submission& item, base::steady_time now);
     void ask(held_submission& item, protocol::process_id const& entry, base::steady_time now);
     void on_state(held_submission& item, protocol::job_answer const* state, base::steady_time now);
+    /// Looks at the agents for runs of these entries, of which announcements may be missing.
+    void search(held_submission& item, std::vector<protocol::process_id> const& entries,
+                base::steady_time now);
     void start_here(held_submission& item, base::steady_time now);
     void give_up(held_submission& item, std::string const& reason);
     void finish(held_submission& item, protocol::job_answer const& answer);
 
+    void send_search_round(held_submission& item, base::steady_time now);
+    /// Unheard entries that may run the submission.
+    [[nodiscard]] std::vector<protocol::process_id> possible_runners(held_submission const& item,
+                                                                     base::steady_time now) const;
+    void announce_hold(held_submission& item, base::steady_time now);
+    /// Queries all other entries, so that those that do not answer are noticed.
+    void query_contacts(base::steady_time now);
+    void update_contacts(base::steady_time now);
+    /// Other entries that have a link or are in the view.
+    [[nodiscard]] std::set<std::string> receivers() const;
+
     /// Ends the hold and returns the submission.
     held_submission release(held_submission& item, std::string_view outcome);
     void wait_until(held_submission& item, base::steady_time time);
@@ -106,9 +129,12 @@
 
     entry_components& components;
     policy::remote_submissions known;
+    policy::entry_contacts contacts;
+    base::steady_time next_contact_query;
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
     std::unordered_map<std::string, std::uint64_t> announced; ///< Local numbers of jobs, by key.
     std::set<std::string> linked; ///< Other entries with a link.
+    bool admitting = false; ///< A submission that was held is being admitted.
     bool closing = false; ///< The process ends: nothing is held any more.
     base::steady_time next_announcement;
     base::steady_time next_expiry;
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -34,6 +35,15 @@
 /// How long a cancelled submission is refused, and stopped at entries that announce it.
 constexpr std::chrono::milliseconds cancellation_memory {5000};
 
+/// Callers that get no answer send a job to another entry after this time at the earliest.
+constexpr std::chrono::milliseconds caller_return_delay {1300};
+/// Interval at which an entry queries each other one, to know that it has missed no announcement.
+constexpr std::chrono::milliseconds contact_interval {250};
+/// An entry is unheard when no query that was sent within this time has been answered. A submission
+/// is announced within 510 ms, or 560 ms if it was held; one that returns after 1.3 s is then
+/// known.
+constexpr std::chrono::milliseconds contact_limit {700};
+
 /// What callers call a submission.
 struct submission_name {
     std::string team;
@@ -104,6 +114,86 @@
     std::unordered_map<std::string, cancellation> cancellations; ///< By key.
 };
 
+/// How recently the other entries have answered. Whatever an entry announced before it answered has
+/// arrived before the answer.
+class entry_contacts {
+public:
+    using steady_time = base::steady_time;
+
+    /// Sets the entries of the view and the names of those with a link. Others are forgotten once
+    /// their runs have ended.
+    void update(std::vector<protocol::process_id> const& view_entries,
+                std::set<std::string> const& linked, steady_time now);
+    /// A linked entry has stated its incarnation.
+    void record_incarnation(protocol::process_id const& entry);
+    /// The next query is sent to all entries. Its id tells when it was sent.
+    void record_query(std::uint64_t id, steady_time now);
+    /// Returns false when the id is not that of a query recorded here.
+    bool record_answer(std::string const& entry_name, std::uint64_t id);
+    /// Entries that may run a submission which they have announced in vain. The incarnation of one
+    /// that has a link and has stated nothing yet is 0.
+    [[nodiscard]] std::vector<protocol::process_id> unheard(steady_time now) const;
+
+private:
+    struct contact {
+        protocol::process_id entry;
+        steady_time heard; ///< When the last query that it has answered was sent.
+        std::optional<steady_time> gone_since; ///< It has neither a link nor a place in the view.
+    };
+    struct query {
+        std::uint64_t id = 0;
+        steady_time sent;
+    };
+    [[nodiscard]] contact* latest(std::string const& name);
+    void add(protocol::process_id const& entry);
+
+    std::vector<contact> contacts; ///< Later incarnations of an entry come after earlier ones.
+    std::vector<query> queries; ///< Those whose answer may still count.
+};
+
+/// Search for the runs of one submission that unheard entries may have started. All agents are
+/// asked in rounds. When one of them knows the job, the next rounds fence it, so that none of its
+/// tasks starts any more, and go on until its runs have ended.
+class run_search {
+public:
+    using steady_time = base::steady_time;
+
+    enum class step : std::uint8_t {
+        ask, ///< A round is to be sent to all agents.
+        wait, ///< Answers are on their way.
+        ruled_out, ///< Nothing of the submission runs, or will start, for these entries.
+    };
+
+    explicit run_search(std::vector<protocol::process_id> entries)
+        : searched(std::move(entries)) { }
+
+    void begin_round(std::uint64_t query_id, std::vector<protocol::process_id> const& agents,
+                     steady_time now);
+    void record_answer(protocol::process_id const& agent,
+                       std::vector<protocol::task_outcome> const& outcomes, steady_time now);
+    [[nodiscard]] step next(steady_time now) const;
+
+    [[nodiscard]] std::vector<protocol::process_id> const& entries() const
+    {
+        return this->searched;
+    }
+    [[nodiscard]] std::uint64_t query_id() const { return this->id; }
+    /// Whether the next round fences the jobs.
+    [[nodiscard]] bool fences() const { return this->found; }
+
+private:
+    std::vector<protocol::process_id> searched;
+    std::uint64_t id = 0; ///< Of the last round; 0 before the first one.
+    steady_time round_started;
+    bool round_fences = false;
+    bool found = false; ///< An agent knows the job.
+    std::set<protocol::process_id> awaited; ///< Agents that have not answered in this round.
+    /// Agents that have reported a run in progress, and not its end since.
+    std::set<protocol::process_id> running;
+    /// Until then, runs whose end an agent does not know may go on.
+    steady_time uncertain_until;
+};
+
 /// What follows from the state of a submission at the entry that it was sent to first.
 enum class resubmission_step : std::uint8_t {
     ask_again, ///< The job, or a run of it, is in progress there.
--- /dev/null
+++ b/tests/entry/entry_contact_test.cpp
@@ -0,0 +1,248 @@
+// Ephemeral submissions at an entry that may have missed announcements of another one: it looks at
+// the agents for runs of that entry before it starts anything.
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+#include "entry/resubmission_fixture.h"
+#include "policy/remote_submissions.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::test;
+using protocol::job_state;
+
+/// Longer than any test.
+constexpr milliseconds never {std::chrono::hours(1)};
+/// An entry without an answer for this long is asked for at the agents.
+constexpr milliseconds silence_limit {policy::contact_limit + policy::contact_interval};
+
+struct contact_fleet : linked_fleet {
+    contact_fleet() : linked_fleet({"entry.a", "entry.b"}) { }
+
+    /// Messages between the two entries do not arrive; both go on.
+    void cut_entries()
+    {
+        this->extra_delay = [](auto const& from, auto const& to, auto const& /*body*/) {
+            return from.starts_with("entry.") && to.starts_with("entry.") ? never : milliseconds(0);
+        };
+    }
+    [[nodiscard]] std::uint64_t held(std::string const& entry) const
+    {
+        return this->entries.at(entry)->counters().submissions_held;
+    }
+    std::size_t runs_of(std::string const& submission) const
+    {
+        std::size_t count = 0;
+        for (auto const& [name, agent] : this->agents) {
+            for (auto const& [key, record] : agent.records)
+                count += record.name.starts_with(submission + ".") ? 1 : 0;
+        }
+        return count;
+    }
+};
+
+bool is_complete(simulated_fleet::submission const& submission)
+{
+    return submission.replies.size() == 1
+        && submission.replies.front().answer.state == job_state::complete;
+}
+
+} // namespace
+
+SCENARIO("entries hear each other", "[entry][contact]")
+{
+    GIVEN("two entries whose link is up")
+    {
+        contact_fleet fleet;
+        fleet.set_run_time(milliseconds(500));
+
+        WHEN("jobs arrive at any moment between two queries")
+        {
+            for (int i = 0; i < 20; ++i) {
+                fleet.submit("entry.b", make_submission("s" + std::to_string(i), 1));
+                fleet.run(milliseconds(2));
+                CHECK(fleet.runs_of("s" + std::to_string(i)) == 1);
+                fleet.run(milliseconds(600 + 17 * i));
+            }
+            // Guards against first submissions that wait for other processes.
+            THEN("each one starts at once")
+            {
+                CHECK(fleet.held("entry.b") == 0);
+            }
+        }
+        WHEN("answers take 0.4 s")
+        {
+            fleet.extra_delay = [](auto const& from, auto const& to, auto const& /*body*/) {
+                bool const between = from.starts_with("entry.") && to.starts_with("entry.");
+                return milliseconds(between ? 200 : 0);
+            };
+            fleet.run(milliseconds(1000));
+            fleet.submit("entry.b", make_submission("s1", 1));
+            THEN("they count although newer queries have been sent")
+            {
+                CHECK(fleet.held("entry.b") == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("two entries that both go on do not hear each other", "[entry][contact]")
+{
+    GIVEN("a link between two entries that delivers nothing")
+    {
+        contact_fleet fleet;
+        fleet.set_run_time(milliseconds(2500));
+        fleet.cut_entries();
+        fleet.run(silence_limit + milliseconds(50));
+
+        WHEN("a job arrives that no entry has seen before")
+        {
+            auto const job = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(10));
+            // Guards against callers that wait for an entry that does not answer.
+            THEN("it starts as soon as the agents have answered")
+            {
+                CHECK(fleet.held("entry.b") == 1);
+                CHECK(fleet.running() == 2);
+            }
+        }
+        WHEN("a job arrives that the other entry runs")
+        {
+            fleet.submit("entry.a", make_submission("s1", 2));
+            fleet.run(resend_delay);
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(4000));
+            // Guards against a start without knowledge of the other entry.
+            THEN("it runs here, and no task runs twice at the same time")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+                CHECK(is_complete(*second));
+            }
+        }
+        WHEN("a job arrives of which some tasks still wait at the other entry")
+        {
+            for (auto& [name, agent] : fleet.agents)
+                agent.slots = 1;
+            fleet.run(milliseconds(200));
+            auto request = make_submission("s1", 4);
+            request.deadline = milliseconds(20'000);
+            fleet.submit("entry.a", request, milliseconds(20'000));
+            fleet.run(resend_delay);
+            REQUIRE(fleet.running() == 2);
+            fleet.submit("entry.b", request, milliseconds(20'000));
+            fleet.run(milliseconds(10'000));
+            // Guards against tasks that the other entry starts after the agents have been asked.
+            THEN("no task runs twice at the same time")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+        }
+        WHEN("a job goes from one entry to the other and back")
+        {
+            auto request = make_submission("s1", 2);
+            request.deadline = milliseconds(20'000);
+            fleet.set_run_time(milliseconds(6000));
+            fleet.submit("entry.a", request, milliseconds(20'000));
+            fleet.run(resend_delay);
+            fleet.submit("entry.b", request, milliseconds(20'000));
+            fleet.run(resend_delay);
+            fleet.submit("entry.a", request, milliseconds(20'000));
+            fleet.run(milliseconds(8000));
+            // Guards against a former job that goes on for a later caller.
+            THEN("no task runs twice at the same time")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+        }
+        WHEN("an agent that has stopped its runs late is asked repeatedly")
+        {
+            fleet.submit("entry.a", make_submission("s1", 2));
+            fleet.run(resend_delay);
+            fleet.extra_delay = [](auto const& from, auto const& to,
+                                   protocol::message const& body) {
+                if (from.starts_with("entry.") && to.starts_with("entry."))
+                    return never;
+                return milliseconds(std::holds_alternative<protocol::cancel_batch>(body) ? 900 : 0);
+            };
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(800));
+            CHECK(fleet.running() == 2);
+            fleet.run(milliseconds(4000));
+            // Guards against a start beside runs that were only asked to stop.
+            THEN("the job starts when the runs have ended")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+                CHECK(is_complete(*second));
+            }
+        }
+        WHEN("an agent does not answer and still counts as reachable")
+        {
+            fleet.submit("entry.a", make_submission("s1", 2));
+            fleet.run(resend_delay);
+            fleet.extra_delay
+                = [](auto const& from, auto const& to, protocol::message const& body) {
+                      if (from.starts_with("entry.") && to.starts_with("entry."))
+                          return never;
+                      bool const answer = from == "agent.1"
+                          && std::holds_alternative<protocol::outcome_report>(body);
+                      return answer ? milliseconds(1500) : milliseconds(0);
+                  };
+            fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(4000));
+            // Guards against an agent without an answer that is taken for one without runs.
+            THEN("no task runs twice at the same time")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+        }
+    }
+}
+
+SCENARIO("an entry is lost, and callers send their jobs to another one", "[entry][contact]")
+{
+    GIVEN("an entry that has ended a second ago and is still in the view")
+    {
+        contact_fleet fleet;
+        fleet.set_run_time(milliseconds(300));
+        fleet.run(milliseconds(200));
+        fleet.isolated.insert("entry.a");
+        fleet.close_link("entry.a", "entry.b");
+        fleet.run(milliseconds(1000));
+
+        WHEN("a job arrives at the other entry")
+        {
+            auto const job = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(10));
+            // Guards against seconds without service after the loss of each entry.
+            THEN("it starts as soon as the agents have answered")
+            {
+                CHECK(fleet.running() == 2);
+            }
+        }
+        WHEN("a job arrives, and an agent was lost with the entry")
+        {
+            fleet.isolated.insert("agent.1");
+            fleet.run(milliseconds(1100));
+            auto const job = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(400));
+            THEN("it runs at the agent that is left")
+            {
+                CHECK(is_complete(*job));
+            }
+        }
+        WHEN("a job arrives after the entry has left the view and its runs have ended")
+        {
+            fleet.run(milliseconds(4500));
+            REQUIRE(fleet.control.view.entries.size() == 1);
+            fleet.submit("entry.b", make_submission("s1", 1));
+            THEN("nobody is asked")
+            {
+                CHECK(fleet.held("entry.b") == 0);
+            }
+        }
+    }
+}
--- a/tests/policy/remote_submissions_test.cpp
+++ b/tests/policy/remote_submissions_test.cpp
@@ -154,3 +154,158 @@
         }
     }
 }
+
+SCENARIO("an entry queries another one for contact", "[policy][resubmission]")
+{
+    GIVEN("an entry of the view that has answered a query")
+    {
+        using ids = std::vector<protocol::process_id>;
+        protocol::process_id const entry {"entry.a", 7};
+        base::steady_time const now {1000s};
+        policy::entry_contacts contacts;
+        contacts.update({entry}, {"entry.a"}, now);
+        contacts.record_query(1, now);
+        CHECK(contacts.unheard(now) == ids {entry});
+        REQUIRE(contacts.record_answer("entry.a", 1));
+
+        WHEN("the answer was late")
+        {
+            // Guards against a time of contact that is taken from the arrival of the answer.
+            THEN("contact counts from the sending of the query")
+            {
+                CHECK(contacts.unheard(now + policy::contact_limit).empty());
+                CHECK(contacts.unheard(now + policy::contact_limit + 1ms) == ids {entry});
+            }
+        }
+        WHEN("a reply to something else arrives")
+        {
+            THEN("it is not taken for contact")
+            {
+                CHECK_FALSE(contacts.record_answer("entry.a", 2));
+            }
+        }
+        WHEN("a new incarnation states itself before the view names it")
+        {
+            protocol::process_id const restarted {"entry.a", 8};
+            contacts.record_incarnation(restarted);
+            contacts.record_query(2, now + 1s);
+            CHECK(contacts.record_answer("entry.a", 2));
+            contacts.update({entry}, {"entry.a"}, now + 1s);
+            // Guards against runs of the former incarnation that count as known.
+            THEN("only the new one has been heard")
+            {
+                CHECK(contacts.unheard(now + 1s) == ids {entry});
+            }
+        }
+        WHEN("it has left the view and has no link")
+        {
+            contacts.update({}, {}, now + 1s);
+            contacts.update({}, {}, now + 1s + policy::longest_run_end - 1ms);
+            CHECK(contacts.unheard(now + 3s) == ids {entry});
+            contacts.update({}, {}, now + 1s + policy::longest_run_end);
+            THEN("it is forgotten once its runs have ended")
+            {
+                CHECK(contacts.unheard(now + 3s).empty());
+            }
+        }
+        WHEN("an entry is linked and has not stated its incarnation")
+        {
+            contacts.update({entry}, {"entry.a", "entry.b"}, now);
+            CHECK(contacts.unheard(now) == ids {{"entry.b", 0}});
+            contacts.record_incarnation({"entry.b", 9});
+            // Guards against a second record that is never heard.
+            THEN("the statement completes its record")
+            {
+                CHECK(contacts.unheard(now) == ids {{"entry.b", 9}});
+            }
+        }
+    }
+}
+
+SCENARIO("agents are searched for the runs of an unheard entry", "[policy][resubmission]")
+{
+    GIVEN("a round that two agents are asked in")
+    {
+        using step = policy::run_search::step;
+        protocol::process_id const first {"agent.1", 1};
+        protocol::process_id const second {"agent.2", 1};
+        base::steady_time const now {1000s};
+        policy::run_search search({{"entry.a", 7}});
+        CHECK(search.next(now) == step::ask);
+        search.begin_round(1, {first, second}, now);
+        protocol::task_outcome running;
+        running.kind = protocol::outcome_kind::running;
+        protocol::task_outcome cancelled;
+        cancelled.kind = protocol::outcome_kind::cancelled;
+        protocol::task_outcome unknown;
+        search.record_answer(first, {}, now);
+        CHECK(search.next(now) == step::wait);
+
+        WHEN("no agent knows the job")
+        {
+            search.record_answer(second, {}, now);
+            THEN("nothing of it runs")
+            {
+                CHECK(search.next(now) == step::ruled_out);
+            }
+        }
+        WHEN("one agent does not answer")
+        {
+            // Guards against silence that is taken for an answer.
+            THEN("it is asked again")
+            {
+                CHECK(search.next(now + 250ms) == step::ask);
+            }
+        }
+        WHEN("an agent has stopped a run of it")
+        {
+            search.record_answer(second, {cancelled}, now);
+            // Guards against a task that the other entry starts after the agent was asked.
+            THEN("the job is fenced first")
+            {
+                CHECK(search.next(now) == step::ask);
+                CHECK(search.fences());
+                search.begin_round(2, {first, second}, now);
+                search.record_answer(first, {}, now);
+                search.record_answer(second, {cancelled}, now);
+                CHECK(search.next(now) == step::ruled_out);
+            }
+        }
+        WHEN("an agent with a run becomes silent")
+        {
+            search.record_answer(second, {running}, now);
+            search.begin_round(2, {first}, now);
+            search.record_answer(first, {}, now);
+            // Guards against the loss of an agent that is taken for the end of its runs, which the
+            // other entry may still permit.
+            THEN("its run is waited for")
+            {
+                CHECK(search.next(now) == step::wait);
+                CHECK(search.next(now + 5s) == step::ask);
+            }
+            AND_WHEN("it returns as a new incarnation")
+            {
+                protocol::process_id const restarted {"agent.2", 2};
+                search.begin_round(3, {first, restarted}, now + 1s);
+                search.record_answer(first, {}, now + 1s);
+                search.record_answer(restarted, {}, now + 1s);
+                THEN("the run has ended")
+                {
+                    CHECK(search.next(now + 1s) == step::ruled_out);
+                }
+            }
+        }
+        WHEN("an agent does not know how a run has ended")
+        {
+            search.record_answer(second, {unknown}, now);
+            search.begin_round(2, {first, second}, now);
+            search.record_answer(first, {}, now);
+            search.record_answer(second, {unknown}, now);
+            THEN("the longest time of such a run is waited for")
+            {
+                CHECK(search.next(now + policy::unconfirmed_run_limit - 1ms) == step::ask);
+                CHECK(search.next(now + policy::unconfirmed_run_limit) == step::ruled_out);
+            }
+        }
+    }
+}
