Start no task of an older job while another entry is unheard

Cause: an entry that returned from a cut retried runs that its agents had stopped, and sent lost starts again, before it could hear that another entry had taken the job over. A job of which nothing had started within 1.3 s started at both entries: the agents knew nothing of it. An entry that had started a held submission less than 400 ms before left it out of what it tells an entry that connects.

Entries that connect are told of jobs by the time of their arrival, holds included.

--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -101,6 +101,7 @@
     added.ephemeral = request.ephemeral;
     added.submission = request.submission;
     added.submitted = now;
+    added.arrived = now;
     added.callers_seen_at = now;
     added.deadline = now + deadline;
     added.claim_deadline = std::min(added.deadline, now + this->components.settings.claim_timeout);
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -154,7 +154,7 @@
 {
     std::vector<std::uint64_t> numbers;
     for (auto const& [number, job] : this->components.jobs.all()) {
-        if (job->ephemeral && now - job->submitted >= policy::announcement_age)
+        if (job->ephemeral && now - job->arrived >= policy::announcement_age)
             numbers.push_back(number);
     }
     auto message = this->describe_jobs(numbers, now);
@@ -405,6 +405,12 @@
     this->wait_until(item, now + query_wait + answer_timeout);
 }
 
+bool resubmissions::may_start(job const& job, base::steady_time now) const
+{
+    return !job.ephemeral || now < job.arrived + policy::caller_return_delay
+        || this->contacts.unheard(now).empty();
+}
+
 bool resubmissions::on_reply(std::string const& peer, protocol::job_reply const& reply,
                              base::steady_time now)
 {
@@ -454,7 +460,9 @@
     this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now);
     this->admitting = false;
     // A third entry may get the submission before the job has reached the age of announcements.
-    auto const* const started = this->components.jobs.find(id);
+    auto* const started = this->components.jobs.find(id);
+    if (started != nullptr)
+        started->arrived = released.submitted;
     if (!released.announced)
         return;
     if (started != nullptr && !started->is_final())
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -51,6 +51,10 @@
     /// The submission then waits for the end of its runs.
     bool take(protocol::job_request& request, waiter& caller, bool abandoned_here,
               base::steady_time now);
+    /// Whether a task of a job of this entry may be started. Not when another entry may have
+    /// started the job meanwhile, because its caller may have returned there, and an announcement
+    /// of that may be missing.
+    [[nodiscard]] bool may_start(job const& job, base::steady_time now) const;
     /// Returns false when the reply is not for this component.
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
     /// An agent answers what it knows of a submission that is searched. Returns false when the
