Give up the runs of a replaced agent only when their permission has ended

Cause: when a new incarnation reported under the name of an agent, the entry started all ephemeral tasks of the former one elsewhere at once. That an agent reports only when its worker has nothing of its former life proves this for the same machine. Another machine with the name has a worker of its own, and the former agent may go on with the runs until the stamps that it has been sent expire.

Change: the entry remembers when the last stamp of each incarnation expires, also without a lease, and gives up its ephemeral runs 310 ms later: the worker's lease ends at most 300 ms after the permission, on a clock that may be 2% slow. An agent that takes longer than 1.1 s to return sees no difference.

--- a/src/entry/agent_table.h
+++ b/src/entry/agent_table.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "policy/remote_submissions.h"
 #include "protocol/message.h"
 
 namespace greengagehead::entry {
@@ -37,6 +38,14 @@
         base::steady_time expires_at;
     };
     std::vector<issued_stamp> stamps;
+    /// When the last stamp expires that was sent to the agent, with or without a lease. In the
+    /// entry's clock.
+    base::steady_time permitted_until;
+    /// When the ephemeral runs of this entry have ended at the latest, if no further stamp is sent.
+    [[nodiscard]] base::steady_time runs_end_by() const
+    {
+        return this->permitted_until + policy::longest_run_after_permission;
+    }
 };
 
 /// How a report's sender relates to the incarnations seen before.
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -236,8 +236,11 @@
     auto* open = task.find(due.attempt, job->epoch);
     if (open == nullptr)
         return;
-    // An agent that has returned is queried for the outcome instead. Each loss has its own timer.
     auto const& agent = this->components.agents.at(open->agent);
+    if (agent.replaced && now >= agent.runs_end_by())
+        return this->close_as_unknown(*job, due.index, *open, due.attempt,
+                                      "the agent was restarted", now);
+    // An agent that has returned is queried for the outcome instead. Each loss has its own timer.
     if (!agent.lost || now < agent.lost_since + policy::unconfirmed_run_limit)
         return;
     this->close_as_unknown(*job, due.index, *open, due.attempt, "the agent was lost", now);
@@ -281,7 +284,13 @@
 
 void attempt_monitor::on_agent_replaced(agent_slot agent, base::steady_time now)
 {
+    // Another machine may report under the name of the agent, while the former one and its worker
+    // go on for as long as they are permitted to.
+    auto const ended = this->components.agents.at(agent).runs_end_by();
     this->for_each_attempt(agent, [&](job& job, std::uint32_t index, attempt& open) {
+        if (job.ephemeral && now < ended)
+            return this->components.timers.add(
+                {ended, timer_kind::lost_attempt_expired, job.number, index, open.number});
         this->close_as_unknown(job, index, open, job.tasks[index].last_attempt,
                                "the agent was restarted", now);
     });
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -164,6 +164,7 @@
         return std::nullopt;
     // The expiry allows for clock drift, so the agent's stamp ends before this time.
     auto const end = std::min(this->expires_at, now + stamp_validity);
+    agent.permitted_until = std::max(agent.permitted_until, end);
     auto const same_view
         = std::find_if(agent.stamps.begin(), agent.stamps.end(),
                        [this](auto const& s) { return s.view == this->current.number; });
@@ -175,11 +176,12 @@
                                   reading_of_agent(agent, end)};
 }
 
-std::optional<protocol::lease_stamp> lease_manager::unleased_stamp(agent_record const& agent,
+std::optional<protocol::lease_stamp> lease_manager::unleased_stamp(agent_record& agent,
                                                                    base::steady_time now) const
 {
     if (agent.last_report == base::steady_time {} || agent.replaced)
         return std::nullopt;
+    agent.permitted_until = std::max(agent.permitted_until, now + stamp_validity);
     return protocol::lease_stamp {this->settings.id, this->current.number,
                                   reading_of_agent(agent, now + stamp_validity), false};
 }
--- a/src/entry/lease_manager.h
+++ b/src/entry/lease_manager.h
@@ -47,7 +47,7 @@
 
     /// Stamp for ephemeral tasks while there is no lease, which expires 780 ms after `now` at the
     /// latest; empty without a report of the agent.
-    [[nodiscard]] std::optional<protocol::lease_stamp> unleased_stamp(agent_record const& agent,
+    [[nodiscard]] std::optional<protocol::lease_stamp> unleased_stamp(agent_record& agent,
                                                                       base::steady_time now) const;
 
     /// The entry that holds the lease.
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -29,6 +29,10 @@
 /// not: its agent stops it when the last stamp of the entry expires, at most 780 ms after it was
 /// sent, and when the agent itself is frozen or gone, the worker ends it within 1.02 s.
 constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
+/// Longest time from the expiry of the last stamp of an entry at an agent until the worker has
+/// ended its runs: the agent does not extend the lease beyond 300 ms, and the worker's clock may be
+/// 2% slow.
+constexpr std::chrono::milliseconds longest_run_after_permission {310};
 /// Times of submissions that differ by less are not told apart: one of them is estimated from a
 /// message of unknown delay.
 constexpr std::chrono::milliseconds submission_time_error {500};
--- /dev/null
+++ b/tests/entry/given_up_run_test.cpp
@@ -0,0 +1,181 @@
+// Runs that an entry gives up without their outcome, to start their tasks elsewhere: what must have
+// happened before at the worker.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "entry/resubmission_fixture.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::test;
+using protocol::job_state;
+
+/// Longest time from the end of the permission of a run until its worker has ended it: the lease is
+/// not extended beyond 300 ms after the permission, and the worker's clock may be 2% slow.
+constexpr milliseconds longest_run_after_permission {306};
+/// Longer than any test.
+constexpr milliseconds never {std::chrono::hours(1)};
+
+/// One entry and two agents; records how long the agents are permitted to go on with its runs.
+struct permitted_fleet : linked_fleet {
+    permitted_fleet() : linked_fleet({"entry.a"})
+    {
+        this->on_send = [this](auto const& from, auto const& to, protocol::message const& body) {
+            if (from != "entry.a" || !this->agents.contains(to))
+                return;
+            if (auto const* const batch = std::get_if<protocol::start_batch>(&body))
+                this->permit(to, batch->lease);
+            if (auto const* const update = std::get_if<protocol::lease_update>(&body))
+                this->permit(to, update->lease);
+        };
+        this->run(milliseconds(500));
+    }
+    void permit(std::string const& agent, protocol::lease_stamp const& stamp)
+    {
+        auto& until = this->permitted_until[agent];
+        until = std::max(
+            until, base::from_reading(stamp.expires_at) - this->agents.at(agent).clock_offset);
+    }
+    /// Starts a job with one task. Returns the name of its agent.
+    std::string start_task()
+    {
+        this->set_run_time(milliseconds(10'000));
+        auto request = make_submission("s1", 1);
+        request.deadline = milliseconds(20'000);
+        this->job = this->submit("entry.a", request, milliseconds(20'000));
+        REQUIRE(this->run_until([this] { return this->running() == 1; }));
+        return this->agents.at("agent.1").running() > 0 ? "agent.1" : "agent.2";
+    }
+    /// Waits until another agent runs the task, and returns for how long the permission of the
+    /// first run had ended then.
+    milliseconds time_after_permission(std::string const& first)
+    {
+        REQUIRE(this->run_until(
+            [&] {
+                return std::any_of(this->agents.begin(), this->agents.end(), [&](auto const& item) {
+                    return item.first != first && item.second.running() > 0;
+                });
+            },
+            milliseconds(10'000)));
+        return std::chrono::floor<milliseconds>(this->now - this->permitted_until.at(first));
+    }
+    protocol::agent_report report_of(std::string const& agent)
+    {
+        auto const& source = this->agents.at(agent);
+        protocol::agent_report report {source.id, {}, source.zone, {}, source.seen_view, {}, {}};
+        report.agent_clock = base::to_reading(this->now + source.clock_offset);
+        return report;
+    }
+
+    std::map<std::string, steady_time> permitted_until; ///< By agent, in the time of the fleet.
+    std::shared_ptr<submission> job;
+};
+
+} // namespace
+
+SCENARIO("an entry gives up the runs of an agent", "[entry][given_up]")
+{
+    GIVEN("a task that runs")
+    {
+        permitted_fleet fleet;
+        auto const first = fleet.start_task();
+
+        WHEN("another machine reports under the name of its agent")
+        {
+            auto report = fleet.report_of(first);
+            report.agent.incarnation += 1;
+            fleet.isolated.insert(first);
+            auto const permitted = fleet.permitted_until.at(first);
+            fleet.entries.at("entry.a")->receive(first, report, fleet.now);
+            REQUIRE(fleet.run_until([&] { return fleet.running() == 2; }));
+            // Guards against trust in a new incarnation that has a worker of its own: the former
+            // agent and its worker may go on.
+            THEN("the task starts elsewhere when the run is no longer permitted")
+            {
+                CHECK(fleet.now - permitted >= longest_run_after_permission);
+            }
+        }
+        WHEN("its agent was lost, and its machine reports under another name")
+        {
+            fleet.isolated.insert(first);
+            fleet.run(milliseconds(300));
+            fleet.add_agent("agent.3", "recife").run_time = milliseconds(10'000);
+            // Guards against a new name that is taken for the end of the former agent.
+            THEN("the task starts elsewhere when the run is no longer permitted")
+            {
+                CHECK(fleet.time_after_permission(first) >= longest_run_after_permission);
+            }
+        }
+        WHEN("its agent was lost, and an old report of it arrives over a former link")
+        {
+            auto const late = fleet.report_of(first);
+            fleet.isolated.insert(first);
+            auto const delay = GENERATE(1500, 2500, 3200);
+            fleet.run(milliseconds(delay));
+            fleet.entries.at("entry.a")->receive(first, late, fleet.now);
+            INFO("the report is " << delay << " ms late");
+            // Guards against a limit that is counted from a loss before the last permission.
+            THEN("the task starts elsewhere when the run is no longer permitted")
+            {
+                CHECK(fleet.time_after_permission(first) >= longest_run_after_permission);
+            }
+        }
+        WHEN("control is unreachable, and its agent is lost")
+        {
+            fleet.isolated.insert("control.a");
+            fleet.run(milliseconds(3000));
+            REQUIRE_FALSE(fleet.entries.at("entry.a")->status(fleet.now).lease_valid);
+            fleet.isolated.insert(first);
+            // Guards against permissions without a lease that are not counted.
+            THEN("the task starts elsewhere when the run is no longer permitted")
+            {
+                CHECK(fleet.time_after_permission(first) >= longest_run_after_permission);
+            }
+        }
+        WHEN("the entry is paused and looks at its timers before its messages")
+        {
+            fleet.frozen.insert("entry.a");
+            fleet.run(milliseconds(5000));
+            auto const woken = fleet.now;
+            fleet.entries.at("entry.a")->tick(fleet.now);
+            fleet.thaw("entry.a");
+            fleet.run(milliseconds(4000));
+            // Guards against agents that count as lost because the entry has not read their
+            // reports.
+            THEN("the run goes on")
+            {
+                CHECK(fleet.now > woken);
+                CHECK(fleet.violations == std::vector<std::string> {});
+                CHECK(fleet.running() == 1);
+            }
+        }
+        WHEN("its agent is lost and returns while the entry is paused")
+        {
+            fleet.isolated.insert(first);
+            fleet.run(milliseconds(2500));
+            fleet.frozen.insert("entry.a");
+            fleet.run(milliseconds(3000));
+            auto const permitted = fleet.permitted_until.at(first);
+            fleet.isolated.clear();
+            fleet.run(milliseconds(500));
+            fleet.entries.at("entry.a")->tick(fleet.now);
+            fleet.thaw("entry.a");
+            REQUIRE(fleet.run_until([&fleet] {
+                return fleet.agents.at("agent.1").records.size()
+                    + fleet.agents.at("agent.2").records.size()
+                    == 2;
+            }));
+            // Guards against a limit that a pause lets pass while the agent is permitted to go on.
+            THEN("the task starts again when the run is no longer permitted")
+            {
+                CHECK(fleet.now - permitted >= longest_run_after_permission);
+            }
+        }
+    }
+}
--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -304,8 +304,15 @@
     endpoint.used_slots = this->running();
     protocol::agent_report report {this->id, {}, this->zone, {}, this->seen_view, {endpoint}, {}};
     report.agent_clock = base::to_reading(fleet.now + this->clock_offset);
-    for (auto const& [name, core] : fleet.entries)
+    for (auto const& [name, core] : fleet.entries) {
+        report.ephemeral_runs.clear();
+        for (auto const& [id, record] : this->records) {
+            if (this->lists_runs && record.owner == name
+                && record.outcome.kind == outcome_kind::running)
+                report.ephemeral_runs.push_back({record.outcome.task, record.outcome.attempt});
+        }
         fleet.post(this->id.name, name, report);
+    }
 }
 
 void fake_agent::restart(simulated_fleet& /*fleet*/)
@@ -395,6 +402,8 @@
 {
     if (this->isolated.count(item.from) != 0 || this->isolated.count(item.to) != 0)
         return;
+    if (this->frozen.contains(item.to))
+        return this->unread.push_back(item);
     if (item.to == "control.a")
         return this->control.receive(*this, item.from, item.body);
     if (auto const agent = this->agents.find(item.to); agent != this->agents.end())
@@ -403,6 +412,13 @@
         core->second->receive(item.from, item.body, this->now);
 }
 
+void simulated_fleet::thaw(std::string const& entry)
+{
+    this->frozen.erase(entry);
+    for (auto const& item : std::exchange(this->unread, {}))
+        this->deliver(item);
+}
+
 void simulated_fleet::run(milliseconds time)
 {
     auto const end = this->now + time;
@@ -417,8 +433,10 @@
             this->control.tick(*this);
             for (auto& [name, agent] : this->agents)
                 agent.tick(*this);
-            for (auto& [name, core] : this->entries)
-                core->tick(this->now);
+            for (auto& [name, core] : this->entries) {
+                if (!this->frozen.contains(name))
+                    core->tick(this->now);
+            }
         }
         auto next = std::min(this->next_tick, end);
         if (!this->in_flight.empty())
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -78,6 +78,7 @@
     milliseconds run_time {30};
     protocol::outcome_kind result = protocol::outcome_kind::succeeded;
     protocol::view_number seen_view = 0;
+    bool lists_runs = false; ///< Its reports list the ephemeral runs of the receiver.
     std::map<key, record> records;
     std::map<std::string, protocol::job_epoch> fences;
     std::uint64_t next_batch = 1;
@@ -125,6 +126,9 @@
     std::map<std::string, std::unique_ptr<entry::entry_core>> entries;
     std::map<std::string, fake_agent> agents;
     std::set<std::string> isolated; ///< All messages to and from these processes are lost.
+    std::set<std::string> frozen; ///< Entries that are paused; their messages wait.
+    /// Lets the entry go on, with the messages that have waited.
+    void thaw(std::string const& entry);
     milliseconds claim_timeout {5000};
     double loss_rate = 0;
     double duplicate_rate = 0;
@@ -152,6 +156,7 @@
     std::mt19937_64 generator;
     std::map<std::string, std::unique_ptr<process_sender>> senders;
     std::multimap<steady_time, envelope> in_flight;
+    std::vector<envelope> unread; ///< Messages to entries that are paused.
     steady_time next_tick;
 };
 
