Count a cancelled run as in progress while its agent lists it

Cause: an entry took a cancelled run for ended 2 s after the end of its job, confirmed or not. When the worker does not get or obey the order to stop, the agent goes on to renew its lease, as it hears the entry, so the run goes on. The same submission then started beside it, and after 7 s the job was no longer known at all.

Change: each report that lists the run moves the end to 2.2 s later: an agent is sent stamps until it has been silent for 1.1 s, they last 780 ms, and the run ends 310 ms later. The other entries are told in steps of 500 ms, and the job is kept as long. Without any report the limit is 2.2 s instead of 2 s, for the same sum. static_assert keeps the sums.

Result (simulation): given_up_run_test ran the task twice when it was sent again after 3 s and after 8 s, and does not now; when the run ends, the job is served.

--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -267,18 +267,22 @@
     this->components.lifecycle.end_if_stopped(job, now);
 }
 
-void attempt_monitor::cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot)
+void attempt_monitor::cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot,
+                                          base::steady_time now)
 {
     for (auto const& reported : report.ephemeral_runs) {
-        auto const* job = this->components.jobs.find(reported.task.job);
+        auto* const job = this->components.jobs.find(reported.task.job);
         auto const known = job != nullptr && reported.task.index < job->tasks.size()
             && std::any_of(job->tasks[reported.task.index].attempts.begin(),
                            job->tasks[reported.task.index].attempts.end(),
                            [&reported, slot](auto const& open) {
                                return open.number == reported.attempt && open.agent == slot;
                            });
-        if (!known)
-            this->components.outbox.add_cancel(slot, reported);
+        if (known)
+            continue;
+        this->components.outbox.add_cancel(slot, reported);
+        if (job != nullptr)
+            this->components.lifecycle.on_unconfirmed_run_listed(*job, reported, slot, now);
     }
 }
 
--- a/src/entry/attempt_monitor.h
+++ b/src/entry/attempt_monitor.h
@@ -43,7 +43,8 @@
     void on_lagging(protocol::lagging_run const& notice, base::steady_time now);
     /// Cancels reported ephemeral runs that match no attempt of this entry at the agent in `slot`,
     /// for example because a cancellation was lost with its connection.
-    void cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot);
+    void cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot,
+                             base::steady_time now);
 
 private:
     void add_check_timer(base::steady_time time, job const& job, std::uint32_t index,
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -142,7 +142,7 @@
         this->monitor.on_agent_replaced(*previous, now);
     if (kind == report_kind::returned)
         this->monitor.query_attempts(*this->agents.slot_of(report.agent));
-    this->monitor.cancel_unknown_runs(report, *this->agents.slot_of(report.agent));
+    this->monitor.cancel_unknown_runs(report, *this->agents.slot_of(report.agent), now);
     this->leases.on_report(record, now);
     this->dispatch.capacity_changed();
 }
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -22,6 +22,8 @@
 /// Wait for the outcomes of cancelled tasks, so that the answer can say what has run.
 constexpr milliseconds stop_grace {500};
 constexpr milliseconds refused_retry_after {500};
+/// The end of a run that agents go on to list is moved by steps, and announced at each of them.
+constexpr milliseconds listed_run_extension {500};
 /// A submission that is resent to the same entry within this time gets the same answer.
 constexpr milliseconds ephemeral_retention {5000};
 
@@ -143,6 +145,8 @@
     case timer_kind::waiter:
         return this->answer_expired_waiters(*job, now);
     case timer_kind::answer_expired:
+        if (!job->unconfirmed.empty() && now < job->runs_end_by)
+            return this->add_timer(*job, timer_kind::answer_expired, job->runs_end_by);
         return this->components.jobs.remove(*job);
     default:
         return;
@@ -303,7 +307,21 @@
     }
     if (job.unconfirmed.empty())
         return;
-    job.runs_end_by = now + policy::unconfirmed_run_limit;
+    job.runs_end_by = now + policy::listed_run_limit;
+    this->components.resubmitted.announce(job);
+}
+
+void job_lifecycle::on_unconfirmed_run_listed(job& job, protocol::attempt_ref const& run,
+                                              agent_slot agent, base::steady_time now)
+{
+    auto const unconfirmed
+        = std::any_of(job.unconfirmed.begin(), job.unconfirmed.end(), [&](auto const& item) {
+              return item.index == run.task.index && item.attempt == run.attempt
+                  && item.agent == agent;
+          });
+    if (!unconfirmed || job.runs_end_by >= now + policy::listed_run_limit)
+        return;
+    job.runs_end_by = now + policy::listed_run_limit + listed_run_extension;
     this->components.resubmitted.announce(job);
 }
 
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -9,6 +9,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "entry/agent_table.h"
 #include "entry/waiter.h"
 #include "policy/admission.h"
 #include "policy/target_admission.h"
@@ -54,6 +55,9 @@
     /// Stops a job that can no longer succeed: dequeues its waiting tasks and cancels its running
     /// ones.
     void fail(job& job, base::error failure, base::steady_time now);
+    /// An agent has listed a run of a final ephemeral job: if its end is not confirmed, it goes on.
+    void on_unconfirmed_run_listed(job& job, protocol::attempt_ref const& run, agent_slot agent,
+                                   base::steady_time now);
     /// Ends a stopping job once no outcome is awaited.
     void end_if_stopped(job& job, base::steady_time now);
     /// Creates the task states and estimates from the content.
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -29,6 +29,12 @@
 // An entry that is cut off just before it announces a job has sent its last stamp by then. Its runs
 // are stopped before the caller sends the job to another entry.
 static_assert(policy::announcement_delay + stamp_validity <= policy::caller_return_delay);
+/// An agent gets no more stamps when it has been silent for this long: 1 s, looked at each 100 ms.
+constexpr std::chrono::milliseconds longest_agent_silence {1100};
+static_assert(stamp_validity + policy::longest_run_after_permission
+              <= policy::unconfirmed_run_limit);
+static_assert(longest_agent_silence + stamp_validity + policy::longest_run_after_permission
+              <= policy::listed_run_limit);
 /// A member that leaves renewals unanswered for this long is assumed to be unreachable.
 constexpr std::chrono::milliseconds answer_timeout {250};
 
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -25,14 +25,18 @@
 /// ended: agents stop the runs of an entry whose link is down after 300 ms, and workers end those
 /// of a frozen agent within 1.02 s.
 constexpr std::chrono::milliseconds longest_run_end {1400};
-/// Longest time from the cancellation of a run until it has ended, whether that is confirmed or
-/// not: its agent stops it when the last stamp of the entry expires, at most 780 ms after it was
-/// sent, and when the agent itself is frozen or gone, the worker ends it within 1.02 s.
+/// Longest time from the loss of an agent until its runs have ended: no stamp is sent to it any
+/// more, the last one expires within 780 ms, and the worker ends the runs
+/// `longest_run_after_permission` later, also when the agent is frozen or gone.
 constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
 /// Longest time from the expiry of the last stamp of an entry at an agent until the worker has
 /// ended its runs: the agent does not extend the lease beyond 300 ms, and the worker's clock may be
 /// 2% slow.
 constexpr std::chrono::milliseconds longest_run_after_permission {310};
+/// Longest time from the last report that lists a run until it has ended, although its worker does
+/// not stop it: the entry sends stamps until the agent has been silent for 1.1 s, they last 780 ms,
+/// and the run ends `longest_run_after_permission` later.
+constexpr std::chrono::milliseconds listed_run_limit {2200};
 /// Times of submissions that differ by less are not told apart: one of them is estimated from a
 /// message of unknown delay.
 constexpr std::chrono::milliseconds submission_time_error {500};
--- a/tests/entry/given_up_run_test.cpp
+++ b/tests/entry/given_up_run_test.cpp
@@ -179,3 +179,43 @@
         }
     }
 }
+
+SCENARIO("a run is cancelled and its worker does not stop it", "[entry][given_up]")
+{
+    GIVEN("an abandoned job whose run goes on, while its agent reports it")
+    {
+        permitted_fleet fleet;
+        auto const first = fleet.start_task();
+        auto& agent = fleet.agents.at(first);
+        agent.lists_runs = true;
+        fleet.delay<protocol::cancel_batch>(never);
+        fleet.leave("entry.a", "s1");
+
+        WHEN("the job arrives again after the longest time of an unconfirmed run")
+        {
+            auto const pause = GENERATE(3000, 8000);
+            fleet.run(milliseconds(pause));
+            auto const second = fleet.submit("entry.a", make_submission("s1", 1));
+            fleet.run(milliseconds(1500));
+            // Guards against a limit on runs that the agent still permits, because it hears its
+            // entry.
+            THEN("it does not start beside the run")
+            {
+                INFO("after " << pause << " ms");
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+            AND_WHEN("the run ends")
+            {
+                for (auto& [key, record] : agent.records)
+                    record.ends = fleet.now;
+                fleet.set_run_time(milliseconds(100));
+                fleet.run(milliseconds(3000));
+                THEN("the job is served")
+                {
+                    REQUIRE(second->replies.size() == 1);
+                    CHECK(second->replies.front().answer.state == job_state::complete);
+                }
+            }
+        }
+    }
+}
