--- a/tests/entry/given_up_run_test.cpp
+++ b/tests/entry/given_up_run_test.cpp
@@ -101,6 +101,26 @@
                 CHECK(fleet.now - permitted >= longest_run_after_permission);
             }
         }
+        WHEN("the former agent of a replaced one reports late")
+        {
+            auto const late = fleet.report_of(first);
+            auto report = late;
+            report.agent.incarnation += 1;
+            fleet.isolated.insert(first);
+            auto const permitted = fleet.permitted_until.at(first);
+            fleet.entries.at("entry.a")->receive(first, report, fleet.now);
+            fleet.run(milliseconds(100));
+            fleet.entries.at("entry.a")->receive(first, late, fleet.now);
+            REQUIRE(fleet.run_until([&] { return fleet.running() == 2; }));
+            auto const second_run = fleet.now;
+            fleet.run(milliseconds(3000));
+            // Guards against a replaced incarnation that becomes the present one again.
+            THEN("the task starts elsewhere once")
+            {
+                CHECK(second_run - permitted >= longest_run_after_permission);
+                CHECK(fleet.running() == 2);
+            }
+        }
         WHEN("its agent was lost, and its machine reports under another name")
         {
             fleet.isolated.insert(first);
@@ -115,11 +135,14 @@
         WHEN("its agent was lost, and an old report of it arrives over a former link")
         {
             auto const late = fleet.report_of(first);
+            // Later reports have arrived, or it is the newest one.
+            auto const overtaken = GENERATE(false, true);
+            fleet.run(milliseconds(overtaken ? 300 : 0));
             fleet.isolated.insert(first);
             auto const delay = GENERATE(1500, 2500, 3200);
             fleet.run(milliseconds(delay));
             fleet.entries.at("entry.a")->receive(first, late, fleet.now);
-            INFO("the report is " << delay << " ms late");
+            INFO("the report is " << delay << " ms late, overtaken: " << overtaken);
             // Guards against a limit that is counted from a loss before the last permission.
             THEN("the task starts elsewhere when the run is no longer permitted")
             {
