Finish the search for a fenced job when its entry is heard again

Cause: when the other entry answered while its fenced runs were still being stopped, the held submission was decided by announcements again. If none had arrived, it started beside the runs; if one had, its caller waited for a job whose agents refuse it.

Change: a search that has fenced the job goes on until no agent lists a run of it, and the start here is announced at once, so that the other entry stops the job. Without any agent to ask, the search ends at once.

--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -298,6 +298,9 @@
         // Its answer serves nobody, and the submission gets a job of its own.
         this->components.lifecycle.drop(*abandoned);
     }
+    // A job that is fenced cannot go on at its entry, whether that is heard again or not.
+    if (item.search && item.search->fences())
+        return this->search(item, item.search->entries(), now);
     auto const elsewhere = this->known.find(item.key, now);
     if (elsewhere || now >= item.submitted + policy::unannounced_hold)
         this->announce_hold(item, now);
@@ -333,18 +336,22 @@
         return this->wait_until(item, now + repeat_delay);
     if (!item.search)
         item.search.emplace(entries);
-    switch (item.search->next(now)) {
-    case policy::run_search::step::ask:
+    if (item.search->next(now) == policy::run_search::step::ask)
         this->send_search_round(item, now);
+    // Without agents to ask there is nothing to wait for.
+    if (item.search->next(now) != policy::run_search::step::ruled_out)
         return this->wait_until(item, now + repeat_delay);
-    case policy::run_search::step::wait:
-        return this->wait_until(item, now + repeat_delay);
-    case policy::run_search::step::ruled_out:
-        for (auto const& entry : item.search->entries())
-            item.ruled_out[entry] = now;
-        item.search.reset();
-        return this->proceed(item, now);
+    auto const fenced = item.search->fences();
+    for (auto const& entry : item.search->entries()) {
+        item.ruled_out[entry] = now;
+        if (fenced)
+            this->known.record_ended(entry, item.key);
     }
+    // The entries whose job is fenced stop it when they hear of the start here.
+    if (fenced)
+        this->announce_hold(item, now);
+    item.search.reset();
+    this->proceed(item, now);
 }
 
 void resubmissions::send_search_round(held_submission& item, base::steady_time now)
--- a/tests/entry/entry_contact_test.cpp
+++ b/tests/entry/entry_contact_test.cpp
@@ -182,6 +182,30 @@
                 CHECK(is_complete(*second));
             }
         }
+        WHEN("the two hear each other again while the runs of the first one are stopped")
+        {
+            fleet.submit("entry.a", make_submission("s1", 2));
+            fleet.run(resend_delay);
+            fleet.extra_delay
+                = [](auto const& from, auto const& to, protocol::message const& body) {
+                      if (from.starts_with("entry.") && to.starts_with("entry."))
+                          return never;
+                      auto const cancels = std::holds_alternative<protocol::cancel_batch>(body);
+                      return milliseconds(cancels ? 900 : 0);
+                  };
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(100));
+            fleet.delay<protocol::cancel_batch>(milliseconds(900));
+            fleet.set_run_time(milliseconds(1000));
+            fleet.run(milliseconds(3500));
+            // Guards against a caller that waits for a job whose agents have been told to refuse
+            // it.
+            THEN("the job runs at the second one")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+                CHECK(is_complete(*second));
+            }
+        }
         WHEN("an agent does not answer and still counts as reachable")
         {
             fleet.submit("entry.a", make_submission("s1", 2));
