Wait for answers of the other entries after a pause before the agents are asked

Cause: to an entry that goes on after a pause, all others are unheard. When it read the job of a returned caller before their announcements, it stopped the runs at the agents, although the first entry would have answered at once.

Change: for 100 ms after a gap of more than 300 ms between two ticks no search begins.

Result (simulation): the new case of entry_contact_test ran each task a second time after stopping the first run; now the first runs serve the caller.

--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -25,6 +25,10 @@
 constexpr milliseconds answer_timeout {500};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
+/// An entry that has not been called for this long has been paused.
+constexpr milliseconds longest_tick_gap {300};
+/// After a pause, the other entries have this long to answer before the agents are asked.
+constexpr milliseconds resumption_wait {100};
 /// Epoch of the jobs of an entry, and that of a query which fences them at an agent.
 constexpr protocol::job_epoch own_epoch = 1;
 constexpr protocol::job_epoch fencing_epoch = 2;
@@ -73,6 +77,9 @@
             return this->components.jobs.find(item.second) == nullptr;
         });
     }
+    if (this->last_tick + longest_tick_gap < now)
+        this->resumed = now;
+    this->last_tick = now;
     if (now >= this->next_contact_query)
         this->query_contacts(now);
     if (this->unannounced.empty() || now < this->next_announcement)
@@ -332,7 +339,7 @@
     // The ids of an entry's jobs depend on its incarnation, which it states when it is linked.
     auto const unknown = std::any_of(entries.begin(), entries.end(),
                                      [](auto const& e) { return e.incarnation == 0; });
-    if (unknown)
+    if (unknown || (!item.search && now < this->contact_expected_by(now)))
         return this->wait_until(item, now + repeat_delay);
     if (!item.search)
         item.search.emplace(entries);
@@ -409,6 +416,12 @@
     this->wait_until(item, now + query_wait + answer_timeout);
 }
 
+base::steady_time resubmissions::contact_expected_by(base::steady_time now) const
+{
+    auto const paused = this->last_tick + longest_tick_gap < now;
+    return (paused ? now : this->resumed) + resumption_wait;
+}
+
 bool resubmissions::may_start(job const& job, base::steady_time now) const
 {
     return !job.ephemeral || now < job.arrived + policy::caller_return_delay
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -106,6 +106,9 @@
     [[nodiscard]] std::vector<protocol::process_id> possible_runners(held_submission const& item,
                                                                      base::steady_time now) const;
     void announce_hold(held_submission& item, base::steady_time now);
+    /// Until then, entries may be unheard only because this one has been paused. In the past when
+    /// it has not.
+    [[nodiscard]] base::steady_time contact_expected_by(base::steady_time now) const;
     /// Queries all other entries, so that those that do not answer are noticed.
     void query_contacts(base::steady_time now);
     void update_contacts(base::steady_time now);
@@ -141,6 +144,8 @@
     policy::remote_submissions known;
     policy::entry_contacts contacts;
     base::steady_time next_contact_query;
+    base::steady_time last_tick;
+    base::steady_time resumed; ///< When this entry went on after its last pause.
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
     std::unordered_map<std::string, std::uint64_t> announced; ///< Local numbers of jobs, by key.
     std::set<std::string> linked; ///< Other entries with a link.
--- a/tests/entry/entry_contact_test.cpp
+++ b/tests/entry/entry_contact_test.cpp
@@ -229,6 +229,33 @@
     }
 }
 
+SCENARIO("an entry goes on after a pause", "[entry][contact]")
+{
+    GIVEN("a job that runs elsewhere, and an entry that has been paused")
+    {
+        contact_fleet fleet;
+        fleet.set_run_time(milliseconds(3000));
+        fleet.submit("entry.a", make_submission("s1", 2));
+        fleet.run(milliseconds(300));
+        fleet.frozen.insert("entry.b");
+        fleet.run(resend_delay);
+
+        WHEN("it reads the job of a caller that has returned before its other messages")
+        {
+            auto const second = fleet.submit("entry.b", make_submission("s1", 2));
+            fleet.run(milliseconds(1));
+            fleet.thaw("entry.b");
+            fleet.run(milliseconds(4000));
+            // Guards against work that is stopped although its entry would have answered at once.
+            THEN("the caller gets the result of the first runs")
+            {
+                CHECK(is_complete(*second));
+                CHECK(fleet.runs_of("s1") == 2);
+            }
+        }
+    }
+}
+
 SCENARIO("an entry is lost, and callers send their jobs to another one", "[entry][contact]")
 {
     GIVEN("an entry that has ended a second ago and is still in the view")
