--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -9,6 +9,7 @@
 #include "entry/agent_table.h"
 #include "entry/control_client.h"
 #include "entry/entry_core.h"
+#include "policy/remote_submissions.h"
 
 namespace greengagehead::entry {
 
@@ -19,12 +20,21 @@
 /// Control removes an entry one second after its lease has ended. After a shorter gap the entry has
 /// certainly not been removed.
 constexpr std::chrono::milliseconds ownership_check_gap {800};
-constexpr std::chrono::milliseconds agent_update_interval {300};
+constexpr std::chrono::milliseconds agent_update_interval {250};
 constexpr std::chrono::milliseconds retry_interval {50};
 /// A message does not count for its agent any more when it is older than this. Covers three update
 /// intervals. With the longest lease of a worker (1.02 s) it must stay below
 /// `policy::unconfirmed_run_limit`, after which the entry gives up the runs of a lost agent.
-constexpr std::chrono::milliseconds stamp_validity {900};
+constexpr std::chrono::milliseconds stamp_validity {780};
+// An entry that is cut off just before it announces a job has sent its last stamp by then. Its runs
+// are stopped before the caller sends the job to another entry.
+static_assert(policy::announcement_delay + stamp_validity <= policy::caller_return_delay);
+/// An agent gets no more stamps when it has been silent for this long: 1 s, looked at each 100 ms.
+constexpr std::chrono::milliseconds longest_agent_silence {1100};
+static_assert(stamp_validity + policy::longest_run_after_permission
+              <= policy::unconfirmed_run_limit);
+static_assert(longest_agent_silence + stamp_validity + policy::longest_run_after_permission
+              <= policy::listed_run_limit);
 /// A member that leaves renewals unanswered for this long is assumed to be unreachable.
 constexpr std::chrono::milliseconds answer_timeout {250};
 
@@ -160,6 +170,7 @@
         return std::nullopt;
     // The expiry allows for clock drift, so the agent's stamp ends before this time.
     auto const end = std::min(this->expires_at, now + stamp_validity);
+    agent.permitted_until = std::max(agent.permitted_until, end);
     auto const same_view
         = std::find_if(agent.stamps.begin(), agent.stamps.end(),
                        [this](auto const& s) { return s.view == this->current.number; });
@@ -171,11 +182,12 @@
                                   reading_of_agent(agent, end)};
 }
 
-std::optional<protocol::lease_stamp> lease_manager::unleased_stamp(agent_record const& agent,
+std::optional<protocol::lease_stamp> lease_manager::unleased_stamp(agent_record& agent,
                                                                    base::steady_time now) const
 {
     if (agent.last_report == base::steady_time {} || agent.replaced)
         return std::nullopt;
+    agent.permitted_until = std::max(agent.permitted_until, now + stamp_validity);
     return protocol::lease_stamp {this->settings.id, this->current.number,
                                   reading_of_agent(agent, now + stamp_validity), false};
 }
