Leave the view out of lease updates to agents that have acknowledged it

An update now leaves them out once the agent has acknowledged the view, with a mark by which an agent that has not (restarted under the same name) does not adopt a view without entries. Such an agent reports a lower view and gets it in full.

--- a/src/agent/entry_leases.cpp
+++ b/src/agent/entry_leases.cpp
@@ -32,6 +32,10 @@
 bool entry_leases::record(protocol::lease_update const& update, base::steady_time now)
 {
     this->record(update.lease, now);
+    // The acknowledgement may have come from an earlier incarnation of this agent, which has
+    // adopted views that this one has not.
+    if (update.view_omitted)
+        return false;
     if (update.lease.view <= this->adopted || update.lease.view < this->highest_seen)
         return false;
     this->adopted = update.lease.view;
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -215,10 +215,13 @@
     if (this->current.number == 0)
         return;
     protocol::lease_update update;
-    update.zones_out = this->current.zones_out;
-    update.draining_endpoints = this->current.draining_endpoints;
-    for (auto const& entry : this->current.entries)
-        update.live_entries.push_back(entry.id);
+    update.view_omitted = agent.seen_view >= this->current.number;
+    if (!update.view_omitted) {
+        update.zones_out = this->current.zones_out;
+        update.draining_endpoints = this->current.draining_endpoints;
+        for (auto const& entry : this->current.entries)
+            update.live_entries.push_back(entry.id);
+    }
     update.entry_clock = base::to_reading(now);
     auto const leased = this->stamp(agent, now);
     if (leased) {
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -315,7 +315,8 @@
 template <> struct field_list<lease_update> {
     static auto of(auto& m)
     {
-        return std::tie(m.lease, m.zones_out, m.draining_endpoints, m.live_entries, m.entry_clock);
+        return std::tie(m.lease, m.zones_out, m.draining_endpoints, m.live_entries, m.entry_clock,
+                        m.view_omitted);
     }
 };
 template <> struct field_list<attempt_ref> {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -213,6 +213,9 @@
     std::vector<std::string> draining_endpoints;
     std::vector<process_id> live_entries;
     base::clock_reading entry_clock {0}; ///< Time of sending in the entry's clock.
+    /// The zones, endpoints and entries are left out because the agent has acknowledged the view.
+    /// The agent must not adopt a view from this message.
+    bool view_omitted = false;
 };
 
 /// Identifies one attempt to run a task.
--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -237,7 +237,8 @@
         for (auto const& task : batch->starts)
             this->start(fleet, peer, *batch, task);
     }
-    if (auto const* update = std::get_if<protocol::lease_update>(&body))
+    if (auto const* update = std::get_if<protocol::lease_update>(&body);
+        update != nullptr && !update->view_omitted)
         this->seen_view = std::max(this->seen_view, update->lease.view);
     if (auto const* ack = std::get_if<protocol::outcome_ack>(&body)) {
         if (ack->agent_incarnation == this->id.incarnation) {
--- a/tests/entry/stamp_test.cpp
+++ b/tests/entry/stamp_test.cpp
@@ -31,6 +31,15 @@
     bool leased = true;
 };
 
+/// A lease update, with the time of its sending.
+struct sent_update {
+    std::string agent;
+    steady_time sent;
+    protocol::view_number view = 0;
+    bool view_omitted = false;
+    std::size_t live_entries = 0;
+};
+
 /// One entry and two agents. Records the stamps that the entry sends.
 struct stamped_fleet : simulated_fleet {
     stamped_fleet() : simulated_fleet(1)
@@ -39,8 +48,11 @@
         this->add_agent("agent.1", "recife");
         this->add_agent("agent.2", "fortaleza");
         this->on_send = [this](auto const& /*from*/, auto const& to, auto const& body) {
-            if (auto const* update = std::get_if<protocol::lease_update>(&body))
+            if (auto const* update = std::get_if<protocol::lease_update>(&body)) {
                 this->record(to, update->lease);
+                this->updates.push_back({to, this->now, update->lease.view, update->view_omitted,
+                                         update->live_entries.size()});
+            }
             if (auto const* batch = std::get_if<protocol::start_batch>(&body))
                 this->record(to, batch->lease);
         };
@@ -88,6 +100,7 @@
     }
 
     std::vector<sent_stamp> stamps;
+    std::vector<sent_update> updates;
 };
 
 } // namespace
@@ -222,3 +235,63 @@
         }
     }
 }
+
+SCENARIO("updates leave out a view that the agent has acknowledged", "[entry][stamps]")
+{
+    GIVEN("an agent that has acknowledged the view of its entry")
+    {
+        stamped_fleet fleet;
+        auto const is_full
+            = [](auto const& update) { return !update.view_omitted && update.live_entries > 0; };
+        auto const full_updates = [&](protocol::view_number view) {
+            return std::count_if(
+                fleet.updates.begin(), fleet.updates.end(), [&](auto const& update) {
+                    return update.agent == "agent.1" && update.view == view && is_full(update);
+                });
+        };
+        fleet.run(milliseconds(1000));
+        fleet.updates.clear();
+
+        // Guards against updates that each carry the names of all entries.
+        WHEN("nothing changes")
+        {
+            fleet.run(milliseconds(2000));
+            THEN("its updates carry no part of the view")
+            {
+                REQUIRE_FALSE(fleet.updates.empty());
+                CHECK(
+                    std::all_of(fleet.updates.begin(), fleet.updates.end(), [](auto const& update) {
+                        return update.view_omitted && update.live_entries == 0;
+                    }));
+            }
+        }
+        // Guards against a change that never reaches an agent whose update was lost.
+        WHEN("a new view is applied while the agent is cut off")
+        {
+            fleet.isolated.insert("agent.1");
+            fleet.control.new_view(fleet);
+            auto const number = fleet.control.view.number;
+            fleet.run(milliseconds(500));
+            fleet.isolated.clear();
+            THEN("the view is sent until the agent acknowledges it")
+            {
+                REQUIRE(fleet.run_until(
+                    [&] { return fleet.agents.at("agent.1").seen_view == number; }));
+                CHECK(full_updates(number) >= 2);
+            }
+        }
+        // Guards against a restarted agent that starts tasks in a zone that is out, or refuses all
+        // work, because it has never received the view.
+        WHEN("the agent restarts")
+        {
+            fleet.agents.at("agent.1").restart(fleet);
+            auto const number = fleet.control.view.number;
+            THEN("it gets the view again")
+            {
+                REQUIRE(fleet.run_until(
+                    [&] { return fleet.agents.at("agent.1").seen_view == number; }));
+                CHECK(full_updates(number) >= 1);
+            }
+        }
+    }
+}
