--- a/src/api/route_context.h
+++ b/src/api/route_context.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "settings/process_settings.h"
 #include "transport/http_server.h"
+#include "transport/message_counters.h"
 
 namespace greengagehead::entry {
 class entry_core;
@@ -24,6 +25,7 @@
     settings::process_settings const& settings;
     token_authenticator const& authenticator;
     response_metrics& metrics;
+    transport::message_counters const& messages; ///< On the links of this process.
     bool shutting_down = false; ///< `/readyz` fails while set.
 };
 
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -97,6 +97,41 @@
     append_sample(text, name, "", value);
 }
 
+/// One part of the message counters as a metric.
+struct message_metric {
+    std::string_view name;
+    std::string_view help;
+    std::uint64_t transport::message_count::*value;
+};
+
+constexpr std::array message_metrics {
+    message_metric {"link_messages_total",
+                    "Messages on links to other processes, by direction and kind.",
+                    &transport::message_count::messages},
+    message_metric {"link_message_bytes_total",
+                    "Encoded bytes of the messages on links, by direction and kind.",
+                    &transport::message_count::bytes},
+};
+
+/// Kinds that have not occurred are left out.
+void append_messages(std::string& text, transport::message_counters const& counters)
+{
+    for (auto const& metric : message_metrics) {
+        text.append("# HELP greengagehead_").append(metric.name).append(" ").append(metric.help);
+        text.append("\n# TYPE greengagehead_").append(metric.name).append(" counter\n");
+        auto const append_direction = [&](std::string const& direction, auto const& counts) {
+            for (std::size_t kind = 0; kind < counts.size(); ++kind) {
+                auto const name = std::string(protocol::message_kind_name(kind));
+                auto const labels = "direction=\"" + direction + "\",kind=\"" + name + "\"";
+                if (auto const value = counts.at(kind).*(metric.value); value > 0)
+                    append_sample(text, metric.name, labels, value);
+            }
+        };
+        append_direction("sent", counters.sent);
+        append_direction("received", counters.received);
+    }
+}
+
 void append_gauges(std::string& text, entry::entry_status const& status)
 {
     text += "# TYPE greengagehead_lease_valid gauge\n";
@@ -170,6 +205,7 @@
     append_counter(text, "log_lines_dropped_total",
                    "Log lines of this process that standard output did not take.",
                    base::dropped_log_lines());
+    append_messages(text, context.messages);
     append_gauges(text, context.core.status(base::steady_now()));
     context.metrics.append_to(text);
     call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -40,7 +40,7 @@
                  initial_settings.fleet_key}),
       settings(initial_settings),
       core(core_settings(initial_settings, controls), this->hub, base::steady_now()),
-      routes(this->core, this->settings),
+      routes(this->core, this->settings, this->hub.messages()),
       server(
           this->loop, {initial_settings.limits.body_bytes, initial_settings.limits.header_bytes},
           [this](auto& request, auto const& exchange) { this->routes.handle(request, exchange); })
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -136,7 +136,7 @@
                 .with("reason", decoded.error().message);
             return;
         }
-        this->message_received.emit(decoded.value());
+        this->message_received.emit(decoded.value(), bytes.size() - 1);
         return;
     }
     if (this->state == stage::authenticating && kind == frame::hello)
@@ -176,10 +176,13 @@
     this->became_ready.emit();
 }
 
-void link::send(protocol::message const& body)
+std::size_t link::send(protocol::message const& body)
 {
-    if (this->state == stage::ready)
-        this->send_frame(frame::message, protocol::encode(body));
+    if (this->state != stage::ready)
+        return 0;
+    auto const bytes = protocol::encode(body);
+    this->send_frame(frame::message, bytes);
+    return bytes.size();
 }
 
 void link::send_frame(frame kind, std::string_view body)
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -60,8 +60,9 @@
     link(link&&) = delete;
     link& operator=(link&&) = delete;
 
-    /// Sends a message. It is lost without an error when the link is not ready or breaks.
-    void send(protocol::message const& body);
+    /// Sends a message, and returns its encoded length. It is lost without an error when the link
+    /// is not ready, which returns 0, or breaks.
+    std::size_t send(protocol::message const& body);
 
     [[nodiscard]] bool ready() const { return this->state == stage::ready; }
     /// Authenticated name of the peer; empty until the link is ready.
@@ -69,7 +70,8 @@
 
     /// Emitted once, when the peer is authenticated.
     sigc::signal<void()> became_ready;
-    sigc::signal<void(protocol::message&)> message_received;
+    /// With the encoded length of the message.
+    sigc::signal<void(protocol::message&, std::size_t bytes)> message_received;
     /// Emitted once, with a reason for the log. A handler must not destroy the link.
     sigc::signal<void(std::string const&)> closed;
 
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -67,8 +67,11 @@
 
 void link_hub::send(std::string const& peer, protocol::message const& body)
 {
-    if (auto const found = this->ready_links.find(peer); found != this->ready_links.end())
-        found->second->send(body);
+    auto const found = this->ready_links.find(peer);
+    if (found == this->ready_links.end())
+        return;
+    if (auto const bytes = found->second->send(body); bytes > 0)
+        this->counters.sent.at(body.index()).add(bytes);
 }
 
 bool link_hub::connected(std::string const& peer) const
@@ -86,9 +89,11 @@
     new_link->became_ready.connect([this, new_link] { this->handle_ready(new_link); });
     new_link->closed.connect(
         [this, new_link](std::string const& reason) { this->handle_closed(new_link, reason); });
-    new_link->message_received.connect([this, new_link](protocol::message& body) {
-        this->message_received.emit(new_link->peer(), body);
-    });
+    new_link->message_received.connect(
+        [this, new_link](protocol::message& body, std::size_t bytes) {
+            this->counters.received.at(body.index()).add(bytes);
+            this->message_received.emit(new_link->peer(), body);
+        });
 }
 
 void link_hub::dial(std::string const& peer)
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -15,6 +15,7 @@
 #include "base/error.h"
 #include "protocol/message_sender.h"
 #include "transport/link.h"
+#include "transport/message_counters.h"
 #include "transport/socket_address.h"
 
 struct evconnlistener;
@@ -51,6 +52,8 @@
 
     /// Whether there is a ready link to `peer`.
     [[nodiscard]] bool connected(std::string const& peer) const;
+    /// Messages sent and received over all links so far.
+    [[nodiscard]] message_counters const& messages() const { return this->counters; }
 
     /// Emitted when the first ready link to a peer exists, not when a newer link replaces it.
     sigc::signal<void(std::string const& peer)> peer_up;
@@ -86,6 +89,7 @@
     std::map<std::string, dialled_peer> dialled_peers;
     std::vector<link*> closed_links; // Destroyed later, outside their own signals.
     std::unique_ptr<loop_timer> redial_timer;
+    message_counters counters;
 };
 
 } // namespace greengagehead::transport
--- a/tests/transport/link_hub_test.cpp
+++ b/tests/transport/link_hub_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "protocol/codec.h"
 #include "transport/event_loop.h"
 #include "transport/link_hub.h"
 
@@ -51,6 +52,48 @@
             {
                 CHECK(received == std::vector<std::string> {"agent.b:j1"});
             }
+            // Guards against metrics that miss messages or count them under another kind.
+            THEN("both count one message of its kind, with its length")
+            {
+                auto const kind = protocol::message(protocol::job_cancel()).index();
+                CHECK(protocol::message_kind_name(kind) == "job_cancel");
+                auto const& sent = client.messages().sent.at(kind);
+                auto const& arrived = server.messages().received.at(kind);
+                CHECK(sent.messages == 1);
+                CHECK(sent.bytes == protocol::encode(protocol::job_cancel {"j1"}).size());
+                CHECK(arrived.messages == 1);
+                CHECK(arrived.bytes == sent.bytes);
+            }
+        }
+        // Guards against a counter that includes messages which never left.
+        WHEN("it sends a message to a peer without a link")
+        {
+            client.send("entry.c", protocol::job_cancel {"j1"});
+            THEN("none is counted")
+            {
+                CHECK(client.messages()
+                          .sent.at(protocol::message(protocol::job_cancel()).index())
+                          .messages
+                      == 0);
+            }
+        }
+        // Guards against a link that is closed because messages have taken the place of its
+        // heartbeats.
+        WHEN("messages are sent and then stop")
+        {
+            int disconnects = 0;
+            client.peer_down.connect([&](std::string const&) { ++disconnects; });
+            server.peer_down.connect([&](std::string const&) { ++disconnects; });
+            auto messages = loop.every(milliseconds(7), [&client] {
+                client.send("entry.a", protocol::job_cancel {"j1"});
+            });
+            run_for(loop, milliseconds(300));
+            messages.reset();
+            run_for(loop, milliseconds(300));
+            THEN("the link stays open")
+            {
+                CHECK(disconnects == 0);
+            }
         }
 
         // Guards against an idle link being closed as if its peer had failed.
