Don't answer each report with a lease update while there is no lease

Without a lease an entry keeps no stamps of its agents, and each report of an agent without stamps was answered by an update, beside the regular one every 300 ms. During an outage of control, also after a loss of power of all machines, this doubled the updates of all entries to all agents: 52.5 a second at an entry with 8 agents that reported 26.9 times (link_messages_total of 35 entries and 8 agents as real processes without a leader, load average 23). An update now answers such a report only when two regular ones are missing.

--- a/src/entry/agent_table.h
+++ b/src/entry/agent_table.h
@@ -30,6 +30,7 @@
     base::steady_time last_report;
     base::clock_reading clock {0}; ///< Reading of the agent's own clock in its last report.
     protocol::view_number seen_view = 0;
+    base::steady_time last_update; ///< When this entry last sent it a lease update.
 
     /// A stamp that has not expired. Expiry times are in the entry's clock.
     struct issued_stamp {
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -105,7 +105,10 @@
     // The operator who made the change waits until it is settled.
     if (this->settled_view != before)
         this->renew(now);
-    if (agent.stamps.empty() || agent.seen_view < this->current.number)
+    // Without a lease there are no stamps, and the regular updates are enough.
+    bool const update_missing
+        = agent.stamps.empty() && now - agent.last_update > 2 * agent_update_interval;
+    if (update_missing || agent.seen_view < this->current.number)
         this->update_agent(agent, now);
 }
 
@@ -214,6 +217,7 @@
 {
     if (this->current.number == 0)
         return;
+    agent.last_update = now;
     protocol::lease_update update;
     update.view_omitted = agent.seen_view >= this->current.number;
     if (!update.view_omitted) {
--- a/tests/entry/stamp_test.cpp
+++ b/tests/entry/stamp_test.cpp
@@ -16,6 +16,7 @@
 
 /// Longest time from the sending of a message until its stamp expires.
 constexpr milliseconds stamp_validity {900};
+constexpr milliseconds update_interval {300};
 /// Interval of the updates, with the delay of a message.
 constexpr milliseconds longest_update_gap {320};
 /// Longest time that a worker continues a run without its agent.
@@ -171,6 +172,19 @@
             CHECK(fleet.longest_gap("agent.1", isolated_at) == milliseconds(0));
             CHECK(fleet.longest_gap("agent.2", isolated_at) == milliseconds(0));
         }
+        // Guards against an outage that doubles the messages of all entries to all agents, since
+        // each report of an agent without stamps is answered by an update.
+        THEN("the agents get no more updates than under a lease")
+        {
+            auto const outage = milliseconds(3000);
+            auto const begin = fleet.now;
+            fleet.run(outage);
+            auto const updates = std::count_if(
+                fleet.updates.begin(), fleet.updates.end(), [begin](auto const& update) {
+                    return update.agent == "agent.1" && update.sent >= begin;
+                });
+            CHECK(updates <= outage / update_interval + 1);
+        }
         // Guards against starts of stored tasks after the lease has ended.
         THEN("no stamp with a lease outlasts the lease")
         {
