--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -115,7 +115,10 @@
     // The operator who made the change waits until it is settled.
     if (this->settled_view != before)
         this->renew(now);
-    if (agent.stamps.empty() || agent.seen_view < this->current.number)
+    // Without a lease there are no stamps, and the regular updates are enough.
+    bool const update_missing
+        = agent.stamps.empty() && now - agent.last_update > 2 * agent_update_interval;
+    if (update_missing || agent.seen_view < this->current.number)
         this->update_agent(agent, now);
 }
 
@@ -226,11 +229,15 @@
 {
     if (this->current.number == 0)
         return;
+    agent.last_update = now;
     protocol::lease_update update;
-    update.zones_out = this->current.zones_out;
-    update.draining_endpoints = this->current.draining_endpoints;
-    for (auto const& entry : this->current.entries)
-        update.live_entries.push_back(entry.id);
+    update.view_omitted = agent.seen_view >= this->current.number;
+    if (!update.view_omitted) {
+        update.zones_out = this->current.zones_out;
+        update.draining_endpoints = this->current.draining_endpoints;
+        for (auto const& entry : this->current.entries)
+            update.live_entries.push_back(entry.id);
+    }
     update.entry_clock = base::to_reading(now);
     auto const leased = this->stamp(agent, now);
     if (leased) {
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -136,7 +136,7 @@
                 .with("reason", decoded.error().message);
             return;
         }
-        this->message_received.emit(decoded.value());
+        this->message_received.emit(decoded.value(), bytes.size() - 1);
         return;
     }
     if (this->state == stage::authenticating && kind == frame::hello)
@@ -176,10 +176,13 @@
     this->became_ready.emit();
 }
 
-void link::send(protocol::message const& body)
+std::size_t link::send(protocol::message const& body)
 {
-    if (this->state == stage::ready)
-        this->send_frame(frame::message, protocol::encode(body));
+    if (this->state != stage::ready)
+        return 0;
+    auto const bytes = protocol::encode(body);
+    this->send_frame(frame::message, bytes);
+    return bytes.size();
 }
 
 void link::send_frame(frame kind, std::string_view body)
@@ -187,13 +190,18 @@
     std::string bytes(1, static_cast<char>(kind));
     bytes += body;
     this->session->send(bytes);
+    this->last_send_time = std::chrono::steady_clock::now();
 }
 
 void link::handle_heartbeat_timer()
 {
-    if (std::chrono::steady_clock::now() - this->last_receive_time > this->timing.heartbeat_timeout)
+    auto const now = std::chrono::steady_clock::now();
+    if (now - this->last_receive_time > this->timing.heartbeat_timeout)
         return this->close("silent for too long");
-    if (this->state == stage::ready)
+    // Any frame shows the peer that the link works. The time without one is at most one and a half
+    // intervals.
+    bool const sent_lately = now - this->last_send_time < this->timing.heartbeat_interval / 2;
+    if (this->state == stage::ready && !sent_lately)
         this->send_frame(frame::heartbeat, {});
 }
 
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -26,7 +26,8 @@
 struct socket_address;
 
 struct link_timing {
-    /// Interval at which a ready link sends heartbeats and every link checks `heartbeat_timeout`.
+    /// Interval at which every link checks `heartbeat_timeout`, and a ready link sends a heartbeat
+    /// unless it has sent anything else within the last half of the interval.
     std::chrono::milliseconds heartbeat_interval {500};
     /// A link that has received no data for longer than this is closed.
     std::chrono::milliseconds heartbeat_timeout {2000};
@@ -59,8 +60,9 @@
     link(link&&) = delete;
     link& operator=(link&&) = delete;
 
-    /// Sends a message. It is lost without an error when the link is not ready or breaks.
-    void send(protocol::message const& body);
+    /// Sends a message, and returns its encoded length. It is lost without an error when the link
+    /// is not ready, which returns 0, or breaks.
+    std::size_t send(protocol::message const& body);
 
     [[nodiscard]] bool ready() const { return this->state == stage::ready; }
     /// Authenticated name of the peer; empty until the link is ready.
@@ -68,7 +70,8 @@
 
     /// Emitted once, when the peer is authenticated.
     sigc::signal<void()> became_ready;
-    sigc::signal<void(protocol::message&)> message_received;
+    /// With the encoded length of the message.
+    sigc::signal<void(protocol::message&, std::size_t bytes)> message_received;
     /// Emitted once, with a reason for the log. A handler must not destroy the link.
     sigc::signal<void(std::string const&)> closed;
 
@@ -102,6 +105,7 @@
     std::string claimed_name; // From the peer's hello, not authenticated yet.
     std::string peer_name; // Equals claimed_name once authenticated, else empty.
     base::steady_time last_receive_time;
+    base::steady_time last_send_time;
 };
 
 } // namespace greengagehead::transport
