--- a/tests/fleet/forwarded_fleet.py
+++ b/tests/fleet/forwarded_fleet.py
@@ -15,6 +15,7 @@
 from lib import fleet, http  # noqa: E402
 
 from forwarder import Forwarder, Replacement  # noqa: E402
+from reserved_ports import ReservedPortsFleet  # noqa: E402
 
 # Ports that the review's fleet uses on all machines, before one for each machine.
 COMMON_PORTS = 5
@@ -26,7 +27,7 @@
     return host, int(port)
 
 
-class ForwardedFleet(fleet.Fleet):
+class ForwardedFleet(ReservedPortsFleet):
     def __init__(self, record, agents, routes):
         super().__init__(record, agents=agents)
         self.routes = routes
--- a/tests/fleet/resubmission_test.py
+++ b/tests/fleet/resubmission_test.py
@@ -1,8 +1,9 @@
 """Real processes while callers hand one job in at several entries, or cancel it at another entry.
 
 Guards against tasks that run twice at the same time because a caller that got no answer sends its
-job again to another entry while runs of the first one go on, and against cancelled jobs that go on
-because the cancellation arrived at another entry. The stand-ins for workers and the operator are
+job again to another entry while runs of the first one go on, because an order to stop a run does not
+arrive, or because an order is carried out seconds late, and against cancelled jobs that go on because
+the cancellation arrived at another entry. The stand-ins for workers and the operator are
 those of the review. A run is repeated with its seed; times differ between runs.
 """
 
@@ -22,6 +23,7 @@
 import time
 
 from forwarded_fleet import ROOT, ForwardedFleet, fleet, http
+from worker_orders import RENEWAL, START, STOP, WorkerOrders
 
 AGENTS = (4, 4, 3)
 CALLERS_PER_ENTRY = 7
@@ -43,6 +45,15 @@
 CALM_S = 4.0
 MIN_SERVED_SHARE = 0.5
 MIN_SERVED_SHARE_CALM = 0.9
+# Seconds in which orders to stop do not reach some workers.
+STOPS_WITHHELD_S = (1.0, 3.0)
+# Bench: a process that still runs so long after SIGTERM is killed.
+LONGEST_SHUTDOWN_S = 6.0
+# Orders without an answer that are carried out late, and seconds by which they are.
+LATE_SHARES = {START: 0.08, STOP: 0.2, RENEWAL: 0.05}
+LATE_ORDER_S = (2.0, 12.0)
+# Seconds from the begin of a worker's life in which orders to its former life arrive there.
+FIRST_ORDERS_S = 0.1
 # PROTOCOL.md: bounds of a cancellation.
 CANCEL_S = 3.0
 STOP_GRACE_S = 0.05
@@ -238,6 +249,8 @@
         self.held_jobs = 0
         # Number of troubles in progress in which the entry's balancer cuts off callers.
         self.cutting_off = collections.Counter()
+        self.orders = {name: WorkerOrders(worker, record, self.random)
+                       for name, worker in system.workers.items()}
         for entry, balancer in system.balancers.items():
             balancer.on_accept = functools.partial(self.cut_off_later, entry)
 
@@ -427,10 +440,96 @@
             self.system.start(entry)
             await asyncio.sleep(3)
 
+    # --- orders to workers ---
+
+    async def withheld_stops(self):
+        """An entry is lost while orders to stop do not reach some workers; renewals of leases do."""
+        async with self.one_entry() as entry:
+            with self.taken("agent", 6) as agents:
+                lose = self.random.choice((self.lose_by_kill, self.lose_by_shutdown,
+                                           self.lose_by_freeze))
+                await asyncio.gather(self.withhold_stops(agents), lose(entry))
+                await asyncio.sleep(1.5)
+
+    async def withhold_stops(self, agents):
+        for agent in agents:
+            self.orders[agent].withhold_stops()
+        await asyncio.sleep(self.random.uniform(*STOPS_WITHHELD_S))
+        lost = self.random.random() < 0.5
+        for agent in agents:
+            self.orders[agent].release_stops(lost)
+
+    async def lose_by_kill(self, entry):
+        await asyncio.sleep(self.random.uniform(0, 0.3))
+        self.system.kill(entry)
+        await asyncio.sleep(self.random.uniform(0.05, 2.0))
+        self.system.start(entry)
+
+    async def lose_by_shutdown(self, entry):
+        process = self.system.machines[entry].process
+        self.system.signal(entry, signal.SIGTERM)
+        ends = time.monotonic() + self.random.uniform(0.2, LONGEST_SHUTDOWN_S)
+        while process.poll() is None and time.monotonic() < ends:
+            await asyncio.sleep(0.02)
+        if process.poll() is None:
+            self.system.kill(entry)
+        await asyncio.sleep(self.random.uniform(0.05, 1.0))
+        self.system.start(entry)
+
+    async def lose_by_freeze(self, entry):
+        """The entry freezes; its callers are cut off at once, or give up by and by."""
+        with self.callers.impatient():
+            await asyncio.sleep(self.random.uniform(0, 0.3))
+            self.system.signal(entry, signal.SIGSTOP)
+            if self.random.random() < 0.5:
+                for connection in list(self.system.balancers[entry].connections):
+                    connection.cut_off_caller()
+            await asyncio.sleep(self.random.uniform(0.3, 3.0))
+            self.system.signal(entry, signal.SIGCONT)
+            await asyncio.sleep(RESEND_S)
+
+    async def agent_kill(self):
+        """An agent restarts while orders to stop do not reach its worker."""
+        with self.taken("agent", 2) as agents:
+            await asyncio.gather(self.withhold_stops(agents),
+                                 *(self.restart_agent(agent) for agent in agents))
+            await asyncio.sleep(0.5)
+
+    async def restart_agent(self, agent):
+        await asyncio.sleep(self.random.uniform(0, 0.3))
+        self.system.kill(agent)
+        await asyncio.sleep(self.random.uniform(0.02, 1.0))
+        self.system.start(agent)
+
+    async def late_orders(self):
+        """Orders to some workers are carried out late, also by their next life under the same id."""
+        with self.taken("agent", 4) as agents:
+            for agent in agents:
+                self.orders[agent].late_s = LATE_ORDER_S
+                self.orders[agent].late_shares = LATE_SHARES
+            await asyncio.gather(*(self.end_and_return(agent) for agent in agents))
+            for agent in agents:
+                self.orders[agent].late_shares = {}
+            await asyncio.sleep(0.5)
+
+    async def end_and_return(self, agent):
+        worker = self.system.workers[agent]
+        for _ in range(self.random.randint(1, 3)):
+            await asyncio.sleep(self.random.uniform(0.5, 3))
+            worker.crash()
+            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+            worker.register_s = self.random.uniform(0, 1.2)
+            await worker.start(worker.id)
+            # Those that wait for the new life arrive as soon as it takes calls.
+            self.orders[agent].hasten(0.5, LATE_ORDER_S[0], FIRST_ORDERS_S)
+        await asyncio.sleep(worker.register_s)
+        worker.register_s = 0.0
+
 
 KINDS = ("caller_side_break", "give_up", "slow_link", "one_way_link", "stopped_link",
          "entry_link_slow", "entry_link_stopped", "entry_link_cut", "entry_freeze",
-         "give_up_while_held", "entry_kill", "delete_elsewhere")
+         "give_up_while_held", "entry_kill", "delete_elsewhere", "withheld_stops", "agent_kill",
+         "late_orders")
 TRACKS = 2
 
 
@@ -461,7 +560,8 @@
         return ", ".join(f"{count} {name}" for name, count in sorted(counts.items())) or "none"
 
     ends = collections.Counter(f'"{ends}"' for *_, ends in twice.found)
-    print(f"seed {options.seed}, {options.only or 'mixed'}: troubles: {text(troubles.played)}")
+    print(f"seed {options.seed}, {' '.join(options.only or ['mixed'])}: "
+          f"troubles: {text(troubles.played)}")
     print(f"  requests: {text(callers.answers)}")
     print(f"  jobs served: {served_share(callers.jobs):.1%} of {len(callers.jobs)}")
     print(f"  tasks that ran twice, by ends of the earlier requests: {text(ends)}")
@@ -477,7 +577,7 @@
     twice = TwiceCheck(system, record, callers)
     await asyncio.sleep(2)
     troubles = Troubles(system, record, callers, options.seed)
-    kinds = [options.only] if options.only else KINDS
+    kinds = options.only or KINDS
     ends = time.monotonic() + options.seconds
 
     async def track():
@@ -529,7 +629,7 @@
     parser.add_argument("--program", type=pathlib.Path, default=ROOT / "build/greengagehead")
     parser.add_argument("--seed", type=int, default=35)
     parser.add_argument("--seconds", type=float, default=40)
-    parser.add_argument("--only", choices=KINDS, help="play one kind of trouble")
+    parser.add_argument("--only", choices=KINDS, nargs="+", help="play these kinds of trouble")
     parser.add_argument("--keep", type=pathlib.Path, default=ROOT / "build/fleet-logs/resubmission",
                         help="folder for the record and the logs of the processes")
     findings = asyncio.run(run(parser.parse_args()))
--- a/tests/fleet/worker_identity_test.py
+++ b/tests/fleet/worker_identity_test.py
@@ -21,6 +21,9 @@
 
 from lib import fleet, http  # noqa: E402
 
+from reserved_ports import ReservedPortsFleet  # noqa: E402
+from worker_orders import START, WorkerOrders  # noqa: E402
+
 AGENTS = (4, 4, 3)
 CALLERS_PER_ENTRY = 7
 RUN_MS = 250
@@ -34,31 +37,6 @@
 MIN_SERVED_SHARE = 0.5
 
 
-class LateOrders:
-    """Some orders to a worker get no answer and are carried out seconds later."""
-
-    def __init__(self, worker, random_numbers):
-        self.worker = worker
-        self.random = random_numbers
-        self.active = False
-        self.carry_out = worker.answer
-        self.pending = set()
-        worker.answer = self.answer
-
-    async def answer(self, method, path, headers, body):
-        if self.active and path == "/run-start" and self.random.random() < LATE_ORDER_SHARE:
-            task = asyncio.create_task(self.later(method, path, headers, body))
-            self.pending.add(task)
-            task.add_done_callback(self.pending.discard)
-            raise http.Silence
-        return await self.carry_out(method, path, headers, body)
-
-    async def later(self, *order):
-        await asyncio.sleep(self.random.uniform(*LATE_ORDER_S))
-        if self.worker.up:
-            await self.carry_out(*order)
-
-
 class Troubles:
     """One method for each kind of trouble; each leaves the system as it found it."""
 
@@ -68,8 +46,8 @@
         self.random = random.Random(seed)
         self.busy = set()
         self.jobs = 0
-        self.late = {name: LateOrders(worker, self.random)
-                     for name, worker in system.workers.items()}
+        self.orders = {name: WorkerOrders(worker, record, self.random)
+                       for name, worker in system.workers.items()}
 
     def take(self, role):
         """Name of a machine with this role that no other trouble uses, or None."""
@@ -135,9 +113,11 @@
         worker.answer_delay = lambda: 0.0
 
     async def late_orders(self, agent):
-        self.late[agent].active = True
+        orders = self.orders[agent]
+        orders.late_s = LATE_ORDER_S
+        orders.late_shares = {START: LATE_ORDER_SHARE}
         await asyncio.sleep(3)
-        self.late[agent].active = False
+        orders.late_shares = {}
 
     async def freeze(self, name, seconds):
         self.system.signal(name, signal.SIGSTOP)
@@ -263,7 +243,7 @@
     options.keep.mkdir(parents=True, exist_ok=True)
     os.environ["KEEP_LOGS"] = str(options.keep)
     record = fleet.Record(options.keep)
-    system = fleet.Fleet(record, agents=AGENTS)
+    system = ReservedPortsFleet(record, agents=AGENTS)
     for role in system.roles.values():
         words = role["run"].split()
         role["run"] = " ".join([str(options.program.resolve()), *words[1:]])
