--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -27,7 +27,7 @@
 constexpr std::chrono::seconds longest_order_delay {30};
 constexpr milliseconds unreachable_timeout {700};
 /// When the permission of a run has ended, orders to stop have this long before the lease ends all
-/// runs of the worker. With the validity of a stamp (900 ms) it must stay below 1.3 s, after which
+/// runs of the worker. With the validity of a stamp (780 ms) it must stay below 1.3 s, after which
 /// a caller may hand its job in at another entry.
 constexpr milliseconds stop_allowance {300};
 /// The same for a run that a living entry has cancelled. With the validity of a stamp, during which
