Let the simulation of an agent concentrate on few kinds of trouble, and combine them

New kinds combine what rarely met: a worker that restarts while starts are late, an entry that ends after messages which arrive late, an agent that is frozen while starts are lost, and a restart of agent and worker.

The exemption of late starts is narrower: an outcome that the agent has sent although the worker had neither started nor stopped the run promises that no life starts it.

--- a/tests/agent/agent_simulation.cpp
+++ b/tests/agent/agent_simulation.cpp
@@ -50,9 +50,12 @@
     entry_frozen,
     entry_end,
     entry_end_without_stops,
+    entry_end_after_late_messages,
+    agent_frozen_without_starts,
+    agent_and_worker_restart,
     link, ///< Of an entry; breaks in one direction.
 };
-constexpr std::uint64_t trouble_kind_count = 10;
+constexpr std::uint64_t trouble_kind_count = 13;
 
 /// The agent's side of the worker's announcements, as in platform/worker_adapter.cpp.
 class announcement_handler {
@@ -467,11 +470,14 @@
         return this->restart_agent();
     case trouble_kind::worker_restart:
         return this->restart_worker();
-    case trouble_kind::worker_restart_after_calls:
+    case trouble_kind::worker_restart_after_calls: {
         // The next life may carry out what was sent to the former one.
-        this->break_calls();
-        return this->world.after(this->world.draw_time(20, 1000),
-                                 [this] { this->restart_worker(); });
+        auto const duration = this->world.draw_time(500, 4000);
+        auto const restart = this->world.draw_time(20, 3000);
+        auto const other_kinds = this->world.draw(0, 3);
+        this->break_calls_of(1 + 2 * other_kinds, duration);
+        return this->world.after(restart, [this] { this->restart_worker(); });
+    }
     case trouble_kind::entry_frozen:
         return this->freeze_entry(entry);
     case trouble_kind::entry_end:
@@ -481,6 +487,26 @@
         this->break_calls_of(2, duration);
         return this->end_entry(entry);
     }
+    case trouble_kind::entry_end_after_late_messages: {
+        auto const late = this->world.draw_time(400, 900);
+        auto const end = this->world.draw_time(1, 300);
+        auto const duration = this->world.draw_time(1000, 3000);
+        this->break_calls_of(2, duration);
+        this->oracle.on_entry_trouble(entry.name, this->world.now + late);
+        entry.link.to_agent_held = std::max(entry.link.to_agent_held, this->world.now + late);
+        return this->world.after(end, [this, &entry] { this->end_entry(entry); });
+    }
+    case trouble_kind::agent_frozen_without_starts: {
+        auto const duration = this->world.draw_time(100, 1000);
+        auto const freeze = this->world.draw_time(10, 500);
+        this->break_calls_of(1, duration);
+        return this->world.after(freeze, [this] { this->freeze_agent(); });
+    }
+    case trouble_kind::agent_and_worker_restart: {
+        auto const restart = this->world.draw_time(1, 2500);
+        this->restart_agent();
+        return this->world.after(restart, [this] { this->restart_worker(); });
+    }
     case trouble_kind::link:
         return this->break_link(entry);
     }
@@ -499,8 +525,9 @@
     constexpr std::array<call_kind, 3> all {call_kind::start, call_kind::stop, call_kind::report};
     for (std::size_t index = 0; index < all.size(); ++index) {
         auto const percent = static_cast<std::uint32_t>(this->world.draw(5, 150));
+        auto const mode = static_cast<fault_mode>(this->world.draw(0, fault_mode_count - 1));
         if ((kinds >> index & 1U) != 0)
-            this->worker.set_faults(all.at(index), {until, percent});
+            this->worker.set_faults(all.at(index), {until, percent, mode});
     }
     this->world.note("trouble: calls of kinds " + std::to_string(kinds) + " for "
                      + std::to_string(duration.count()) + " ms");
@@ -560,9 +587,10 @@
 {
     if (!this->worker.up() || this->worker.frozen())
         return;
-    auto const duration = this->world.draw_time(5, 2500);
+    bool const soon = this->world.chance(50);
+    auto const duration = this->world.draw_time(5, soon ? 60 : 2500);
     auto const announced = this->world.draw_time(5, 2000);
-    bool const same_id = this->world.chance(60);
+    bool const same_id = this->world.chance(75);
     this->oracle.on_trouble(this->world.now + duration + announced + milliseconds(3000));
     this->worker.crash();
     this->world.after(duration, [this, same_id, announced] {
--- a/tests/agent/faulty_worker.cpp
+++ b/tests/agent/faulty_worker.cpp
@@ -14,6 +14,7 @@
 /// After this time a call without an answer counts as unanswered.
 constexpr milliseconds call_timeout {120};
 constexpr std::uint64_t shortest_call_delay_ms = 30;
+constexpr std::uint64_t longest_short_call_delay_ms = 1000;
 constexpr std::uint64_t longest_call_delay_ms = 12'000;
 constexpr std::uint64_t longest_answer_delay_ms = 200;
 constexpr std::uint64_t slowest_clock_permille = 980;
@@ -58,7 +59,10 @@
     sent->timeout = call_timeout;
     sent->fail = [done](worker_answer reason) { done({reason, {}, {}}); };
     sent->execute = [this, run, done](std::shared_ptr<call> const& arrived) {
-        auto const reply = this->state.reply(this->state.carry_out_stop(arrived->context, run));
+        auto const result = this->state.carry_out_stop(arrived->context, run);
+        if (result == worker_answer::accepted)
+            this->oracle.on_stop_accepted(run);
+        auto const reply = this->state.reply(result);
         this->answer(arrived, [done, reply] { done(reply); });
     };
     this->send(sent);
@@ -104,14 +108,17 @@
     if (this->world.now >= fault.until || !this->world.chance(fault.percent))
         return this->world.after(request_delay, [this, sent] { this->arrive(sent); });
     auto const kind = this->world.draw(0, 9);
-    auto const lateness = this->world.draw_time(shortest_call_delay_ms, longest_call_delay_ms);
+    bool const soon = this->world.chance(50);
+    auto const lateness = this->world.draw_time(
+        shortest_call_delay_ms, soon ? longest_short_call_delay_ms : longest_call_delay_ms);
     auto const answer_lateness = this->world.draw_time(0, longest_answer_delay_ms);
     constexpr std::uint64_t first_late = 3;
     constexpr std::uint64_t first_answer_lost = 6;
     constexpr std::uint64_t first_answer_late = 8;
-    if (kind < first_late)
+    bool const mixed = fault.mode == fault_mode::mixed;
+    if (fault.mode == fault_mode::lost || (mixed && kind < first_late))
         return;
-    if (kind < first_answer_lost) {
+    if (fault.mode == fault_mode::late || kind < first_answer_lost) {
         this->oracle.on_trouble(this->world.now + lateness);
         return this->world.after(lateness, [this, sent] { this->arrive(sent); });
     }
--- a/tests/agent/faulty_worker.h
+++ b/tests/agent/faulty_worker.h
@@ -16,10 +16,18 @@
 
 namespace greengagehead::agent::fakes {
 
+enum class fault_mode : std::uint8_t {
+    mixed, ///< Calls are lost or late, or their answers are.
+    late, ///< Calls are carried out late.
+    lost, ///< Calls are never carried out.
+};
+constexpr std::uint64_t fault_mode_count = 3;
+
 /// Faults of the calls of one kind while a trouble lasts.
 struct call_faults {
     base::steady_time until;
     std::uint32_t percent = 0; ///< Share of the calls with a fault.
+    fault_mode mode = fault_mode::mixed;
 };
 
 enum class call_kind : std::uint8_t { start, stop, report };
--- a/tests/agent/run_oracle.cpp
+++ b/tests/agent/run_oracle.cpp
@@ -15,6 +15,11 @@
     return entry.name + "/" + std::to_string(entry.incarnation);
 }
 
+std::string key_of_run(worker_run const& run)
+{
+    return run.task + "/" + std::to_string(run.number);
+}
+
 std::string_view text_of(run_end_reason reason)
 {
     static constexpr std::string_view texts[]
@@ -53,7 +58,7 @@
                                  protocol::process_id const& entry)
 {
     this->world.note(entry.name + " sends " + name_of(attempt));
-    this->attempts[name_of(attempt)] = {entry, this->world.now, false, {}};
+    this->attempts[name_of(attempt)] = {entry, this->world.now, false, false, {}};
 }
 
 void run_oracle::on_cancel(protocol::attempt_ref const& attempt)
@@ -77,6 +82,7 @@
         this->violate("(d) without a trouble, " + name_of(attempt) + " has the " + text);
     if (!state.closed)
         this->world.note("agent sends " + name_of(attempt) + ", " + text);
+    found->second.has_outcome = true;
     this->close(attempt, text);
 }
 
@@ -98,7 +104,15 @@
     ++this->runs;
     this->world.note("worker starts " + run.run.task + " run " + std::to_string(run.run.number)
                      + " of " + name_of(run.attempt) + (exempt ? ", for a former life" : ""));
-    this->present[run.run.task] = {run, this->world.now, exempt, {}, false, false};
+    bool const first = this->met_runs.insert(key_of_run(run.run)).second;
+    // The agent could have waited until the start cannot be carried out any more.
+    bool const avoidable = first && this->attempts.at(name_of(run.attempt)).has_outcome;
+    this->present[run.run.task] = {run, this->world.now, exempt && !avoidable, {}, false, false};
+}
+
+void run_oracle::on_stop_accepted(worker_run const& run)
+{
+    this->met_runs.insert(key_of_run(run));
 }
 
 void run_oracle::on_run_ended(model_run const& run, run_end_reason reason)
--- a/tests/agent/run_oracle.h
+++ b/tests/agent/run_oracle.h
@@ -10,7 +10,8 @@
 //
 // Exempt, because no agent can prevent them:
 // - a start for a former life that a new life of the worker carries out before the first call of an
-//   agent that knows of the new life. It must end soon after the worker has listed it;
+//   agent that knows of the new life, unless the agent has sent an outcome although no life had
+//   started or stopped the run before. It must end soon after the worker has listed it;
 // - what is on a worker while its machine is frozen. It must have ended when the machine goes on.
 
 #pragma once
@@ -55,6 +56,7 @@
 
     /// @param exempt a start for a former life, see above.
     void on_run_started(model_run const& run, bool exempt);
+    void on_stop_accepted(worker_run const& run);
     void on_run_ended(model_run const& run, run_end_reason reason);
     /// An answer of the worker that lists what is on it has reached the agent.
     void on_list_received(std::vector<listed_run> const& listed);
@@ -86,12 +88,13 @@
         protocol::process_id entry;
         base::steady_time sent;
         bool cancelled = false;
+        bool has_outcome = false;
         std::optional<std::string> closed; ///< Why no run may be on the worker.
     };
     struct present_run {
         model_run run;
         base::steady_time started;
-        bool exempt = false;
+        bool exempt = false; ///< See above.
         std::optional<base::steady_time> listed;
         bool reported = false; ///< A violation by this run was reported.
         bool exemption_counted = false;
@@ -109,6 +112,7 @@
     std::map<std::string, attempt_state> attempts;
     std::map<std::string, base::steady_time> last_stamp; // By name and incarnation of the entry.
     std::map<std::string, present_run> present; // By task.
+    std::set<std::string> met_runs; // Started or stopped by the worker; by task and run number.
     base::steady_time trouble_until;
     std::map<std::string, base::steady_time> entry_trouble_until;
 };
