Close four gaps between entries that random schedules of troubles have found

resubmission_schedule_test plays callers that go from entry to entry while links between entries are slow, cut or closed and entries are paused, 15 s each in virtual time.

- An entry that had been paused before it announced a job did not stop it when another one announced its own: only announced jobs were looked up.
- A start after a search was announced at the age of 400 ms only, so an entry that was heard again went on with its own job before.
- An entry that got a submission which another one held, and had just started while the link was cut, did not ask anybody.
- An entry that went on after a pause answered the queries for contact before it announced jobs that were due.

The other checks of the simulated fleet do not apply to resubmissions: a refusal is about one attempt of the caller.

--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -121,6 +121,7 @@
     if (added.ephemeral) {
         added.claim_committed = true;
         added.copy_settled = true;
+        this->components.resubmitted.add_own(added);
         this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
         return this->start_if_ready(added, now);
     }
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -63,6 +63,17 @@
 
 resubmissions::resubmissions(entry_components& shared) : components(shared) { }
 
+void resubmissions::add_own(job const& job)
+{
+    this->own[job_id_of(job.team, job.submission)] = job.number;
+}
+
+job* resubmissions::find_own(std::string const& key) const
+{
+    auto const found = this->own.find(key);
+    return found == this->own.end() ? nullptr : this->components.jobs.find(found->second);
+}
+
 void resubmissions::announce(job const& job)
 {
     this->unannounced.push_back(job.number);
@@ -73,7 +84,7 @@
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
-        std::erase_if(this->announced, [this](auto const& item) {
+        std::erase_if(this->own, [this](auto const& item) {
             return this->components.jobs.find(item.second) == nullptr;
         });
     }
@@ -82,10 +93,17 @@
     this->last_tick = now;
     if (now >= this->next_contact_query)
         this->query_contacts(now);
-    if (this->unannounced.empty() || now < this->next_announcement)
-        return;
-    this->next_announcement = now + announcement_interval;
-    this->send_to_all(this->describe_jobs(std::exchange(this->unannounced, {}), now));
+    if (!this->unannounced.empty() && now >= this->next_announcement) {
+        this->next_announcement = now + announcement_interval;
+        this->send_to_all(this->describe_jobs(std::exchange(this->unannounced, {}), now));
+    }
+    for (auto const& [peer, id] : std::exchange(this->contact_queries, {}))
+        this->components.sender.send(peer, protocol::job_reply {id, std::nullopt, {}});
+}
+
+void resubmissions::on_contact_query(std::string const& peer, std::uint64_t query_id)
+{
+    this->contact_queries.emplace_back(peer, query_id);
 }
 
 void resubmissions::send_to_all(protocol::submissions_running const& message)
@@ -112,7 +130,7 @@
     this->update_contacts(now);
     auto const id = this->components.remote.allocate_id();
     this->contacts.record_query(id, now);
-    // No job has an empty id, so the answer is sent at once.
+    // No job has an empty id.
     for (auto const& receiver : this->receivers())
         this->components.sender.send(receiver,
                                      protocol::job_query {id, {}, false, milliseconds(0)});
@@ -139,10 +157,9 @@
         auto const end = job->is_final() ? job->runs_end_by : job->deadline;
         if (end <= now)
             continue;
-        auto const key = job_id_of(job->team, job->submission);
-        message.submissions.push_back({key, std::chrono::floor<milliseconds>(now - job->submitted),
+        message.submissions.push_back({job_id_of(job->team, job->submission),
+                                       std::chrono::floor<milliseconds>(now - job->submitted),
                                        std::chrono::ceil<milliseconds>(end - now), false});
-        this->announced[key] = number;
     }
     return message;
 }
@@ -158,7 +175,7 @@
 {
     std::vector<std::uint64_t> numbers;
     for (auto const& [number, job] : this->components.jobs.all()) {
-        if (job->ephemeral && now - job->arrived >= policy::announcement_age)
+        if (job->ephemeral)
             numbers.push_back(number);
     }
     auto message = this->describe_jobs(numbers, now);
@@ -232,9 +249,7 @@
 void resubmissions::stop_superseded(protocol::submissions_running::submission const& announced,
                                     std::string const& peer, base::steady_time now)
 {
-    auto const found = this->announced.find(announced.key);
-    auto* const job
-        = found == this->announced.end() ? nullptr : this->components.jobs.find(found->second);
+    auto* const job = this->find_own(announced.key);
     auto const& self = this->components.settings.id.name;
     if (job == nullptr || announced.held || announced.remaining <= milliseconds(0)
         || !policy::is_later(now - announced.age, peer, job->submitted, self))
@@ -255,7 +270,9 @@
         return true;
     }
     auto const elsewhere = this->known.find(key, now);
-    if (!elsewhere && unheard.empty() && !abandoned_here)
+    auto const holders
+        = this->admitting ? std::vector<protocol::process_id> {} : this->known.holders(key, now);
+    if (!elsewhere && unheard.empty() && holders.empty() && !abandoned_here)
         return false;
     ++this->components.counters.submissions_held;
     auto const id = this->components.remote.allocate_id();
@@ -270,12 +287,12 @@
     if (elsewhere)
         holder = elsewhere->entry.name;
     else if (!abandoned_here)
-        holder = unheard.front().name;
+        holder = (holders.empty() ? unheard : holders).front().name;
     base::log_record(base::log_event::submission_held)
         .with("submission", item.request.submission)
         .with("team", item.request.team)
         .with("entry", holder);
-    if (elsewhere || abandoned_here)
+    if (elsewhere || abandoned_here || !holders.empty())
         this->announce_hold(item, now);
     this->proceed(item, now);
     return true;
@@ -326,6 +343,11 @@
                                                                   base::steady_time now) const
 {
     auto entries = this->contacts.unheard(now);
+    // A start there is announced at once, but the announcement may be on its way or lost.
+    for (auto const& holder : this->known.holders(item.key, now)) {
+        if (std::find(entries.begin(), entries.end(), holder) == entries.end())
+            entries.push_back(holder);
+    }
     std::erase_if(entries, [&item, now](auto const& entry) {
         auto const found = item.ruled_out.find(entry);
         return found != item.ruled_out.end() && now < found->second + policy::contact_limit;
@@ -342,7 +364,7 @@
     if (unknown || (!item.search && now < this->contact_expected_by(now)))
         return this->wait_until(item, now + repeat_delay);
     if (!item.search)
-        item.search.emplace(entries);
+        item.search.emplace(entries, !this->known.holders(item.key, now).empty());
     if (item.search->next(now) == policy::run_search::step::ask)
         this->send_search_round(item, now);
     // Without agents to ask there is nothing to wait for.
@@ -480,6 +502,12 @@
     auto* const started = this->components.jobs.find(id);
     if (started != nullptr)
         started->arrived = released.submitted;
+    // An entry that is heard again must know of the start before it goes on with its own job.
+    if (started != nullptr && !started->is_final() && !released.announced) {
+        auto const message = this->describe_jobs({started->number}, now);
+        for (auto const& [entry, ruled_out_at] : released.ruled_out)
+            this->components.sender.send(entry.name, message);
+    }
     if (!released.announced)
         return;
     if (started != nullptr && !started->is_final())
@@ -557,15 +585,8 @@
 void resubmissions::on_cancelled_elsewhere(std::string const& key, base::steady_time now)
 {
     this->known.record_cancelled(key, {}, now);
-    std::vector<std::uint64_t> affected;
-    for (auto const& [number, job] : this->components.jobs.all()) {
-        if (job->ephemeral && job_id_of(job->team, job->submission) == key)
-            affected.push_back(number);
-    }
-    for (auto const number : affected) {
-        if (auto* const job = this->components.jobs.find(number))
-            this->components.lifecycle.cancel_submission(*job, now);
-    }
+    if (auto* const job = this->find_own(key))
+        this->components.lifecycle.cancel_submission(*job, now);
     this->end_holds(key);
 }
 
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -30,6 +31,8 @@
 
     // --- announcements of this entry's own jobs ---
 
+    /// An ephemeral job has been admitted here.
+    void add_own(job const& job);
     /// The job has reached `policy::announcement_age`, or its deadline has moved, or it has ended
     /// with runs whose end is not confirmed.
     void announce(job const& job);
@@ -43,6 +46,10 @@
     void on_announcement(std::string const& peer, protocol::submissions_running const& message,
                          base::steady_time now);
 
+    /// Another entry asks whether it has missed an announcement. It gets the answer behind those
+    /// that are due, also after a pause.
+    void on_contact_query(std::string const& peer, std::uint64_t query_id);
+
     // --- submissions that were sent elsewhere before ---
 
     /// Takes the submission over when it was cancelled, or when another entry may still run it.
@@ -122,6 +129,8 @@
                                            base::steady_time now) const;
     /// Job of this entry with this submission that all callers have left; null if there is none.
     [[nodiscard]] job* find_abandoned(protocol::job_request const& request) const;
+    /// Job of this entry with the key; null if there is none.
+    [[nodiscard]] job* find_own(std::string const& key) const;
     /// Announcement of the jobs with these local numbers.
     [[nodiscard]] protocol::submissions_running
     describe_jobs(std::vector<std::uint64_t> const& numbers, base::steady_time now);
@@ -144,10 +153,11 @@
     policy::remote_submissions known;
     policy::entry_contacts contacts;
     base::steady_time next_contact_query;
+    std::vector<std::pair<std::string, std::uint64_t>> contact_queries; ///< Not answered yet.
     base::steady_time last_tick;
     base::steady_time resumed; ///< When this entry went on after its last pause.
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
-    std::unordered_map<std::string, std::uint64_t> announced; ///< Local numbers of jobs, by key.
+    std::unordered_map<std::string, std::uint64_t> own; ///< Local numbers of jobs, by key.
     std::set<std::string> linked; ///< Other entries with a link.
     bool admitting = false; ///< A submission that was held is being admitted.
     bool closing = false; ///< The process ends: nothing is held any more.
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -133,6 +133,20 @@
     });
 }
 
+std::vector<protocol::process_id> remote_submissions::holders(std::string const& key,
+                                                              steady_time now) const
+{
+    std::vector<protocol::process_id> entries;
+    auto const found = this->running.find(key);
+    if (found == this->running.end())
+        return entries;
+    for (auto const& item : found->second) {
+        if (item.held && item.ends_by > now)
+            entries.push_back(item.entry);
+    }
+    return entries;
+}
+
 submission_name const* remote_submissions::cancelled(std::string const& key, steady_time now) const
 {
     auto const found = this->cancellations.find(key);
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -105,6 +105,9 @@
     /// @param self decides between submissions of the same time.
     [[nodiscard]] bool has_newer_holder(std::string const& key, steady_time submitted,
                                         std::string const& self, steady_time now) const;
+    /// Entries that hold the submission and may start it.
+    [[nodiscard]] std::vector<protocol::process_id> holders(std::string const& key,
+                                                            steady_time now) const;
     /// Name of the submission if it was cancelled a short time ago, else null. Valid until the next
     /// change.
     [[nodiscard]] submission_name const* cancelled(std::string const& key, steady_time now) const;
@@ -179,8 +182,12 @@
         ruled_out, ///< Nothing of the submission runs, or will start, for these entries.
     };
 
-    explicit run_search(std::vector<protocol::process_id> entries)
-        : searched(std::move(entries)) { }
+    /// @param may_start whether one of the entries is known to have the submission. Its job is then
+    /// fenced in the first round.
+    run_search(std::vector<protocol::process_id> entries, bool may_start)
+        : searched(std::move(entries)), found(may_start)
+    {
+    }
 
     void begin_round(std::uint64_t query_id, std::vector<protocol::process_id> const& agents,
                      steady_time now);
--- a/tests/policy/remote_submissions_test.cpp
+++ b/tests/policy/remote_submissions_test.cpp
@@ -230,7 +230,7 @@
         protocol::process_id const first {"agent.1", 1};
         protocol::process_id const second {"agent.2", 1};
         base::steady_time const now {1000s};
-        policy::run_search search({{"entry.a", 7}});
+        policy::run_search search({{"entry.a", 7}}, false);
         CHECK(search.next(now) == step::ask);
         search.begin_round(1, {first, second}, now);
         protocol::task_outcome running;
