Play an entry that wakes after its callers were cut off as a kind of its own, and long jobs in withheld_stops

In withheld_stops the connections of a frozen entry's callers break on both sides. A connection that is being accepted has no transport to abort, and agents get 15 s to reach the entries, as the entries get to become ready: beside slow disks one took over 3 s.

--- a/tests/fleet/forwarded_fleet.py
+++ b/tests/fleet/forwarded_fleet.py
@@ -6,6 +6,7 @@
 tell.
 """
 
+import functools
 import pathlib
 import sys
 
@@ -19,6 +20,8 @@
 
 # Ports that the review's fleet uses on all machines, before one for each machine.
 COMMON_PORTS = 5
+# As for the readiness of entries in the review's fleet.
+LINK_LIMIT_S = 15
 LINK_PORT_SETTING = "link_port = {{internal_ports.0}}"
 
 
@@ -94,9 +97,12 @@
             await forwarder.open()
         await super().begin()
         for agent in self.names("agent"):
-            if not all(link.connections for link in self.links[agent].values()):
+            if not await self.wait_for(functools.partial(self.linked, agent), LINK_LIMIT_S):
                 raise fleet.CannotRun(f"{agent} does not reach the entries through the forwarders")
 
+    async def linked(self, agent):
+        return all(link.connections for link in self.links[agent].values())
+
     def stop(self):
         super().stop()
         for forwarder in self.forwarders():
--- a/tests/fleet/forwarder.py
+++ b/tests/fleet/forwarder.py
@@ -118,7 +118,8 @@
 
     def cut_off_caller(self):
         """The caller's connection breaks; the target gets no sign of it before it answers."""
-        if self in self.forwarder.connections:
+        # A connection that is being accepted has no transport yet.
+        if self in self.forwarder.connections and self.caller.transport is not None:
             self.caller_cut_off = True
             self.caller.transport.abort()
 
--- a/tests/fleet/resubmission_test.py
+++ b/tests/fleet/resubmission_test.py
@@ -47,6 +47,9 @@
 MIN_SERVED_SHARE_CALM = 0.9
 # Seconds in which orders to stop do not reach some workers.
 STOPS_WITHHELD_S = (1.0, 3.0)
+# Jobs at the entry that is lost, and their run times, among the longest of the site.
+LONG_JOBS = 4
+LONG_RUN_MS = (1800, 3600)
 # Bench: a process that still runs so long after SIGTERM is killed.
 LONGEST_SHUTDOWN_S = 6.0
 # Orders without an answer that are carried out late, and seconds by which they are.
@@ -247,6 +250,7 @@
         self.played = collections.Counter()
         self.cancelled_jobs = 0
         self.held_jobs = 0
+        self.long_jobs = 0
         # Number of troubles in progress in which the entry's balancer cuts off callers.
         self.cutting_off = collections.Counter()
         self.orders = {name: WorkerOrders(worker, record, self.random)
@@ -408,6 +412,17 @@
                 self.system.signal(entry, signal.SIGCONT)
                 await asyncio.sleep(RESEND_S)
 
+    async def entry_freeze_cut_off(self):
+        """An entry freezes, and its callers are cut off at that moment, without a sign to it."""
+        async with self.one_entry() as entry:
+            self.system.signal(entry, signal.SIGSTOP)
+            for connection in list(self.system.balancers[entry].connections):
+                connection.cut_off_caller()
+            # It wakes soon after the callers have come back to another entry.
+            await asyncio.sleep(RESEND_S + self.random.uniform(0, 0.4))
+            self.system.signal(entry, signal.SIGCONT)
+            await asyncio.sleep(RESEND_S)
+
     async def give_up_while_held(self):
         """A caller gives up at the second entry, which waits for word of the first, frozen one."""
         self.held_jobs += 1
@@ -448,8 +463,24 @@
             with self.taken("agent", 6) as agents:
                 lose = self.random.choice((self.lose_by_kill, self.lose_by_shutdown,
                                            self.lose_by_freeze))
+                long_jobs = [asyncio.create_task(self.long_job(entry)) for _ in range(LONG_JOBS)]
+                await asyncio.sleep(0.1)
                 await asyncio.gather(self.withhold_stops(agents), lose(entry))
-                await asyncio.sleep(1.5)
+                await asyncio.gather(*long_jobs)
+
+    async def long_job(self, entry):
+        """Still runs when its caller has lost its entry and comes back to another one."""
+        self.long_jobs += 1
+        job_id = f"ff{self.long_jobs:014x}"
+        entries = [entry, *(name for name in self.system.names("entry") if name != entry)]
+        body = fleet.job(ORDER_CONFIRM.tasks, self.random.randint(*LONG_RUN_MS))
+        for attempt_entry in entries[:2]:
+            status = await self.callers.submit(attempt_entry, ORDER_CONFIRM.path_prefix + job_id,
+                                               body, PATIENT_DEADLINE_S, PATIENT_DEADLINE_S)
+            if status not in NO_ANSWER:
+                return
+            self.callers.unanswered[job_id].append(self.callers.name_of(status))
+            await asyncio.sleep(RESEND_S)
 
     async def withhold_stops(self, agents):
         for agent in agents:
@@ -477,13 +508,12 @@
         self.system.start(entry)
 
     async def lose_by_freeze(self, entry):
-        """The entry freezes; its callers are cut off at once, or give up by and by."""
+        """The entry freezes; the connections of its callers break at once, or they give up later."""
         with self.callers.impatient():
             await asyncio.sleep(self.random.uniform(0, 0.3))
             self.system.signal(entry, signal.SIGSTOP)
             if self.random.random() < 0.5:
-                for connection in list(self.system.balancers[entry].connections):
-                    connection.cut_off_caller()
+                self.system.balancers[entry].abort_connections()
             await asyncio.sleep(self.random.uniform(0.3, 3.0))
             self.system.signal(entry, signal.SIGCONT)
             await asyncio.sleep(RESEND_S)
@@ -528,8 +558,8 @@
 
 KINDS = ("caller_side_break", "give_up", "slow_link", "one_way_link", "stopped_link",
          "entry_link_slow", "entry_link_stopped", "entry_link_cut", "entry_freeze",
-         "give_up_while_held", "entry_kill", "delete_elsewhere", "withheld_stops", "agent_kill",
-         "late_orders")
+         "entry_freeze_cut_off", "give_up_while_held", "entry_kill", "delete_elsewhere",
+         "withheld_stops", "agent_kill", "late_orders")
 TRACKS = 2
 
 
--- a/tests/fleet/worker_orders.py
+++ b/tests/fleet/worker_orders.py
@@ -76,9 +76,10 @@
             reply = await self.carry_out(*order)
         except http.Reply as early:
             reply = early
-        call = json.loads(body)
-        # Most orders are renewals; `start` events tell of starts only when they are carried out.
+        # Renewals are left out, since there are many and they name no task.
         if path != RENEWAL:
+            call = json.loads(body)
             self.record("late-order", worker=self.worker.name, path=path, task=call["task"],
-                        run=call["run_id"], fence=call["fence_token"], late_s=f"{time.monotonic() - sent:.2f}",
-                        status=reply.status, reason=reply.body.get("reason", ""))
+                        run=call["run_id"], fence=call["fence_token"],
+                        late_s=f"{time.monotonic() - sent:.2f}", status=reply.status,
+                        reason=reply.body.get("reason", ""))
