Measure the progress of a run from the answer to its start

Cause: since readings of the worker's clock below its lower bound are dropped, the last one may be old, and the progress of a run was counted from it. Change: it is counted from the clock in the answer to the start. Result: 'a run starts long after the last useful reading of the worker's clock' failed before, with the same shape, and passes.

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -181,11 +181,11 @@
         return this->on_start_unanswered(active);
     switch (reply.answer) {
     case worker_answer::accepted:
-        return this->on_accepted(active);
+        return this->on_accepted(active, reply.clock);
     case worker_answer::stale_run:
         // An unanswered attempt may have run and ended by now. A report will list its end.
         if (active.unanswered > 0)
-            return this->on_accepted(active);
+            return this->on_accepted(active, reply.clock);
         if (active.start_attempts >= max_start_attempts || !this->may_start_now(active))
             break;
         active.run.number += run_number_step(active.start_attempts);
@@ -230,11 +230,11 @@
         this->on_unconfirmed(active);
 }
 
-void leased_runner::on_accepted(active_run& active)
+void leased_runner::on_accepted(active_run& active, std::optional<worker_clock> clock)
 {
     this->record_contact();
     active.state = phase::running;
-    if (auto const clock = this->lease.clock())
+    if (clock)
         active.progress.start(*clock);
     active.expected_after_report = this->reports_sent;
     if (active.stop_requested_at)
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -129,7 +129,8 @@
     void record_clock(std::optional<worker_clock> reading);
     void record_contact();
     void send_start(active_run& active);
-    void on_accepted(active_run& active);
+    /// @param clock when the worker answered.
+    void on_accepted(active_run& active, std::optional<worker_clock> clock);
     /// Whether a command that the worker has not answered may still be carried out by its next
     /// life, which does not know that the lease in the command has ended.
     [[nodiscard]] static bool may_start_late(active_run const& active, base::steady_time time);
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -91,7 +91,8 @@
     [[nodiscard]] worker_reply reply(worker_answer answer) const
     {
         auto const passed = std::chrono::duration_cast<worker_clock>(this->now.time_since_epoch());
-        return {answer, worker_clock(10'000) + passed - std::chrono::hours(1), {}};
+        return {
+            answer, worker_clock(10'000) + passed - std::chrono::hours(1) - this->answer_age, {}};
     }
     /// Answers the last report request.
     void answer_report(std::vector<worker_run> running, std::vector<ended_run> ended = {})
@@ -110,6 +111,7 @@
     scripted_worker worker;
     leased_runner runner;
     std::vector<run_result> results;
+    milliseconds answer_age {0}; ///< Since the worker wrote the answers of `reply`.
     std::uint32_t percent = 0; ///< Progress of the runs that `answer_report` lists.
     std::string start_when_lost; ///< Task to start during the next result.
     std::optional<std::uint64_t> stated_born; ///< In the answers of `answer_report`.
@@ -339,6 +341,36 @@
     }
 }
 
+SCENARIO("a run starts long after the last useful reading of the worker's clock", "[agent][leased]")
+{
+    GIVEN("a start whose answer was read 40 ms after the worker had written it")
+    {
+        runner_fixture fixture;
+        std::size_t lags = 0;
+        fixture.runner.lag_detected.connect([&lags](auto const&, auto) { ++lags; });
+        fixture.advance(milliseconds(1000));
+        fixture.answer_age = milliseconds(40);
+        fixture.start("a.0.0.0");
+        auto const run = fixture.worker.starts.front().run;
+        fixture.worker.starts.front().done(fixture.reply(worker_answer::accepted));
+
+        WHEN("the run advances as expected")
+        {
+            fixture.advance(milliseconds(50));
+            fixture.percent = 25;
+            fixture.answer_report({run});
+            fixture.advance(milliseconds(50));
+            fixture.percent = 50;
+            fixture.answer_report({run});
+            // Guards against runs that are moved to other endpoints although they are well.
+            THEN("it does not count as slow")
+            {
+                CHECK(lags == 0);
+            }
+        }
+    }
+}
+
 SCENARIO("a run makes little progress", "[agent][leased]")
 {
     GIVEN("a run that is expected to take 200 ms")
