Take back the search for runs of entries that are not heard

Cause: while one entry is unheard, each submission is held until all agents have answered, with a message to each of them; with 10 entries and 60 agents that overloads the entries, and agents that are lost with a zone are waited for. The small sites did not show it.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -16,10 +16,6 @@
 
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
-using std::chrono::milliseconds;
-
-/// Pause before a task of a job that another entry may have started is looked at again.
-constexpr milliseconds postponement {50};
 
 /// Attempt numbers available to one owner of a stored job. Owners of different epochs use different
 /// ranges, because agents identify attempts to cancel by number alone.
@@ -142,8 +138,6 @@
             job->tasks[taken->task.index].queued = false;
             if (this->callers_left(*job, now))
                 this->components.lifecycle.stop_abandoned(*job, now);
-            else if (!this->components.resubmitted.may_start(*job, now))
-                this->postpone(*job, taken->task.index, now);
             else if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
                 this->enqueue(*job, taken->task.index, true);
                 this->classes[taken->placement_class].blocked_generation = this->generation + 1;
@@ -153,14 +147,6 @@
     }
 }
 
-void dispatcher::postpone(job& job, std::uint32_t index, base::steady_time now)
-{
-    // A postponed task is not in the queue, where overdue jobs are found.
-    if (job.nothing_started() && now > job.latest_start)
-        return this->components.lifecycle.refuse_unstarted(job, now);
-    this->components.timers.add({now + postponement, timer_kind::requeue, job.number, index, 0});
-}
-
 bool dispatcher::callers_left(job& job, base::steady_time now)
 {
     if (now < job.wanted_until)
@@ -325,8 +311,7 @@
 
 void dispatcher::resend(job& job, std::uint32_t index, attempt const& open, base::steady_time now)
 {
-    if ((!job.ephemeral && !this->components.leases.valid(now)) || !job.claim_committed
-        || !this->components.resubmitted.may_start(job, now))
+    if ((!job.ephemeral && !this->components.leases.valid(now)) || !job.claim_committed)
         return;
     job.record_decision({now, decision_kind::resent, static_cast<std::int32_t>(index), open.number,
                          open.endpoint, "the agent has no record of the start", 0});
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -53,8 +53,6 @@
 
     bool placeable(std::string const& key, base::steady_time now);
     void place_ephemeral(base::steady_time now);
-    /// Looks at a task later that `resubmissions::may_start` does not permit now.
-    void postpone(job& job, std::uint32_t index, base::steady_time now);
     /// Whether every caller of an ephemeral job has left, so that it may run elsewhere soon.
     bool callers_left(job& job, base::steady_time now);
     /// Refuses ephemeral jobs that have not started and can no longer meet their target.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -237,15 +237,12 @@
             } else if constexpr (std::is_same_v<type, protocol::job_cancel>) {
                 if (auto* job = this->jobs.find(message.job))
                     this->lifecycle.cancel(*job, now);
-                else
-                    this->resubmitted.on_cancelled_elsewhere(message.job, now);
             } else if constexpr (std::is_same_v<type, protocol::outcome_batch>) {
                 auto batch = message;
                 this->attempts.on_batch(peer, batch, now);
             } else if constexpr (std::is_same_v<type, protocol::outcome_report>) {
                 auto report = message;
-                if (!this->takeovers.on_report(report, now)
-                    && !this->resubmitted.on_report(report, now))
+                if (!this->takeovers.on_report(report, now))
                     this->attempts.on_report(report, now);
             } else if constexpr (std::is_same_v<type, protocol::agent_report>) {
                 this->on_report(message, now);
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -83,7 +83,6 @@
     protocol::job_epoch epoch = 1;
 
     base::steady_time submitted;
-    base::steady_time arrived; ///< Earlier than `submitted` when the submission was held.
     base::steady_time deadline;
     base::steady_time claim_deadline;
     base::steady_time latest_start; ///< Ephemeral jobs only: a later start misses the target.
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -101,7 +101,6 @@
     added.ephemeral = request.ephemeral;
     added.submission = request.submission;
     added.submitted = now;
-    added.arrived = now;
     added.callers_seen_at = now;
     added.deadline = now + deadline;
     added.claim_deadline = std::min(added.deadline, now + this->components.settings.claim_timeout);
@@ -121,7 +120,6 @@
     if (added.ephemeral) {
         added.claim_committed = true;
         added.copy_settled = true;
-        this->components.resubmitted.add_own(added);
         this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
         return this->start_if_ready(added, now);
     }
--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -274,8 +274,6 @@
 void remote_jobs::on_query(std::string const& peer, protocol::job_query const& query,
                            base::steady_time now)
 {
-    if (query.job.empty())
-        return this->components.resubmitted.on_contact_query(peer, query.query_id);
     auto const reply = [this, peer, id = query.query_id](protocol::job_reply const& answer) {
         auto reply_with_id = answer;
         reply_with_id.query_id = id;
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -25,13 +25,6 @@
 constexpr milliseconds answer_timeout {500};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
-/// An entry that has not been called for this long has been paused.
-constexpr milliseconds longest_tick_gap {300};
-/// After a pause, the other entries have this long to answer before the agents are asked.
-constexpr milliseconds resumption_wait {100};
-/// Epoch of the jobs of an entry, and that of a query which fences them at an agent.
-constexpr protocol::job_epoch own_epoch = 1;
-constexpr protocol::job_epoch fencing_epoch = 2;
 /// Names of entries as peers begin so.
 constexpr std::string_view entry_peer_prefix = "entry.";
 
@@ -63,17 +56,6 @@
 
 resubmissions::resubmissions(entry_components& shared) : components(shared) { }
 
-void resubmissions::add_own(job const& job)
-{
-    this->own[job_id_of(job.team, job.submission)] = job.number;
-}
-
-job* resubmissions::find_own(std::string const& key) const
-{
-    auto const found = this->own.find(key);
-    return found == this->own.end() ? nullptr : this->components.jobs.find(found->second);
-}
-
 void resubmissions::announce(job const& job)
 {
     this->unannounced.push_back(job.number);
@@ -84,66 +66,27 @@
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
-        std::erase_if(this->own, [this](auto const& item) {
+        std::erase_if(this->announced, [this](auto const& item) {
             return this->components.jobs.find(item.second) == nullptr;
         });
     }
-    if (this->last_tick + longest_tick_gap < now)
-        this->resumed = now;
-    this->last_tick = now;
-    if (now >= this->next_contact_query)
-        this->query_contacts(now);
-    if (!this->unannounced.empty() && now >= this->next_announcement) {
-        this->next_announcement = now + announcement_interval;
-        this->send_to_all(this->describe_jobs(std::exchange(this->unannounced, {}), now));
-    }
-    for (auto const& [peer, id] : std::exchange(this->contact_queries, {}))
-        this->components.sender.send(peer, protocol::job_reply {id, std::nullopt, {}});
-}
-
-void resubmissions::on_contact_query(std::string const& peer, std::uint64_t query_id)
-{
-    this->contact_queries.emplace_back(peer, query_id);
+    if (this->unannounced.empty() || now < this->next_announcement)
+        return;
+    this->next_announcement = now + announcement_interval;
+    this->send_to_all(this->describe_jobs(std::exchange(this->unannounced, {}), now));
 }
 
 void resubmissions::send_to_all(protocol::submissions_running const& message)
 {
     if (message.submissions.empty())
         return;
-    for (auto const& receiver : this->receivers())
-        this->components.sender.send(receiver, message);
-}
-
-std::set<std::string> resubmissions::receivers() const
-{
     // An entry may serve callers without being in the view, and be in it without a link.
-    auto names = this->linked;
+    auto receivers = this->linked;
     for (auto const& entry : this->components.leases.applied().entries)
-        names.insert(entry.id.name);
-    names.erase(this->components.settings.id.name);
-    return names;
-}
-
-void resubmissions::query_contacts(base::steady_time now)
-{
-    this->next_contact_query = now + policy::contact_interval;
-    this->update_contacts(now);
-    auto const id = this->components.remote.allocate_id();
-    this->contacts.record_query(id, now);
-    // No job has an empty id.
-    for (auto const& receiver : this->receivers())
-        this->components.sender.send(receiver,
-                                     protocol::job_query {id, {}, false, milliseconds(0)});
-}
-
-void resubmissions::update_contacts(base::steady_time now)
-{
-    std::vector<protocol::process_id> present;
-    for (auto const& entry : this->components.leases.applied().entries) {
-        if (entry.id != this->components.settings.id)
-            present.push_back(entry.id);
-    }
-    this->contacts.update(present, this->linked, now);
+        receivers.insert(entry.id.name);
+    receivers.erase(this->components.settings.id.name);
+    for (auto const& receiver : receivers)
+        this->components.sender.send(receiver, message);
 }
 
 protocol::submissions_running
@@ -157,9 +100,10 @@
         auto const end = job->is_final() ? job->runs_end_by : job->deadline;
         if (end <= now)
             continue;
-        message.submissions.push_back({job_id_of(job->team, job->submission),
-                                       std::chrono::floor<milliseconds>(now - job->submitted),
+        auto const key = job_id_of(job->team, job->submission);
+        message.submissions.push_back({key, std::chrono::floor<milliseconds>(now - job->submitted),
                                        std::chrono::ceil<milliseconds>(end - now), false});
+        this->announced[key] = number;
     }
     return message;
 }
@@ -175,7 +119,7 @@
 {
     std::vector<std::uint64_t> numbers;
     for (auto const& [number, job] : this->components.jobs.all()) {
-        if (job->ephemeral)
+        if (job->ephemeral && now - job->submitted >= policy::announcement_age)
             numbers.push_back(number);
     }
     auto message = this->describe_jobs(numbers, now);
@@ -192,7 +136,6 @@
     auto message = this->describe_all(now);
     message.asks_for_all = true;
     this->components.sender.send(peer, message);
-    this->query_contacts(now);
 }
 
 void resubmissions::peer_down(std::string const& peer, base::steady_time now)
@@ -210,7 +153,6 @@
     for (auto const& entry : this->components.leases.applied().entries)
         present.push_back(entry.id);
     this->known.record_view(present, now);
-    this->update_contacts(now);
     this->proceed_all(now);
 }
 
@@ -231,11 +173,10 @@
 {
     if (message.entry.name != peer)
         return;
-    this->contacts.record_incarnation(message.entry);
     for (auto const& item : message.submissions) {
         this->known.record(message.entry, item, now);
         if (auto const* const cancelled = this->known.cancelled(item.key, now))
-            this->send_cancel(item.key, *cancelled, message.entry);
+            this->send_cancel(*cancelled, message.entry);
         else
             this->stop_superseded(item, peer, now);
     }
@@ -249,7 +190,9 @@
 void resubmissions::stop_superseded(protocol::submissions_running::submission const& announced,
                                     std::string const& peer, base::steady_time now)
 {
-    auto* const job = this->find_own(announced.key);
+    auto const found = this->announced.find(announced.key);
+    auto* const job
+        = found == this->announced.end() ? nullptr : this->components.jobs.find(found->second);
     auto const& self = this->components.settings.id.name;
     if (job == nullptr || announced.held || announced.remaining <= milliseconds(0)
         || !policy::is_later(now - announced.age, peer, job->submitted, self))
@@ -260,9 +203,7 @@
 bool resubmissions::take(protocol::job_request& request, waiter& caller, bool abandoned_here,
                          base::steady_time now)
 {
-    auto const unheard
-        = this->admitting ? std::vector<protocol::process_id> {} : this->contacts.unheard(now);
-    if (this->known.empty() && unheard.empty() && !abandoned_here)
+    if (this->known.empty() && !abandoned_here)
         return false;
     auto const key = key_of(request);
     if (this->known.cancelled(key, now) != nullptr) {
@@ -270,9 +211,7 @@
         return true;
     }
     auto const elsewhere = this->known.find(key, now);
-    auto const holders
-        = this->admitting ? std::vector<protocol::process_id> {} : this->known.holders(key, now);
-    if (!elsewhere && unheard.empty() && holders.empty() && !abandoned_here)
+    if (!elsewhere && !abandoned_here)
         return false;
     ++this->components.counters.submissions_held;
     auto const id = this->components.remote.allocate_id();
@@ -283,28 +222,15 @@
     item.deadline = now + request.deadline;
     item.request = std::move(request);
     item.caller = std::move(caller);
-    auto holder = this->components.settings.id.name;
-    if (elsewhere)
-        holder = elsewhere->entry.name;
-    else if (!abandoned_here)
-        holder = (holders.empty() ? unheard : holders).front().name;
     base::log_record(base::log_event::submission_held)
         .with("submission", item.request.submission)
         .with("team", item.request.team)
-        .with("entry", holder);
-    if (elsewhere || abandoned_here || !holders.empty())
-        this->announce_hold(item, now);
-    this->proceed(item, now);
-    return true;
-}
-
-void resubmissions::announce_hold(held_submission& item, base::steady_time now)
-{
+        .with("entry", elsewhere ? elsewhere->entry.name : this->components.settings.id.name);
     // Another entry that holds it since earlier must not start it at the same time as this one.
-    if (std::exchange(item.announced, true))
-        return;
     this->send_to_all(
         {this->components.settings.id, {resubmissions::describe_hold(item, now)}, false});
+    this->proceed(item, now);
+    return true;
 }
 
 void resubmissions::proceed(held_submission& item, base::steady_time now)
@@ -322,16 +248,9 @@
         // Its answer serves nobody, and the submission gets a job of its own.
         this->components.lifecycle.drop(*abandoned);
     }
-    // A job that is fenced cannot go on at its entry, whether that is heard again or not.
-    if (item.search && item.search->fences())
-        return this->search(item, item.search->entries(), now);
     auto const elsewhere = this->known.find(item.key, now);
-    if (elsewhere || now >= item.submitted + policy::unannounced_hold)
-        this->announce_hold(item, now);
     if (!elsewhere && this->must_wait_for_newer(item, now))
         return this->wait_until(item, now + repeat_delay);
-    if (auto const entries = this->possible_runners(item, now); !elsewhere && !entries.empty())
-        return this->search(item, entries, now);
     if (!elsewhere)
         return this->start_here(item, now);
     if (elsewhere->connected)
@@ -339,87 +258,6 @@
     this->wait_until(item, elsewhere->ends_by);
 }
 
-std::vector<protocol::process_id> resubmissions::possible_runners(held_submission const& item,
-                                                                  base::steady_time now) const
-{
-    auto entries = this->contacts.unheard(now);
-    // A start there is announced at once, but the announcement may be on its way or lost.
-    for (auto const& holder : this->known.holders(item.key, now)) {
-        if (std::find(entries.begin(), entries.end(), holder) == entries.end())
-            entries.push_back(holder);
-    }
-    std::erase_if(entries, [&item, now](auto const& entry) {
-        auto const found = item.ruled_out.find(entry);
-        return found != item.ruled_out.end() && now < found->second + policy::contact_limit;
-    });
-    return entries;
-}
-
-void resubmissions::search(held_submission& item, std::vector<protocol::process_id> const& entries,
-                           base::steady_time now)
-{
-    // The ids of an entry's jobs depend on its incarnation, which it states when it is linked.
-    auto const unknown = std::any_of(entries.begin(), entries.end(),
-                                     [](auto const& e) { return e.incarnation == 0; });
-    if (unknown || (!item.search && now < this->contact_expected_by(now)))
-        return this->wait_until(item, now + repeat_delay);
-    if (!item.search)
-        item.search.emplace(entries, !this->known.holders(item.key, now).empty());
-    if (item.search->next(now) == policy::run_search::step::ask)
-        this->send_search_round(item, now);
-    // Without agents to ask there is nothing to wait for.
-    if (item.search->next(now) != policy::run_search::step::ruled_out)
-        return this->wait_until(item, now + repeat_delay);
-    auto const fenced = item.search->fences();
-    for (auto const& entry : item.search->entries()) {
-        item.ruled_out[entry] = now;
-        if (fenced)
-            this->known.record_ended(entry, item.key);
-    }
-    // The entries whose job is fenced stop it when they hear of the start here.
-    if (fenced)
-        this->announce_hold(item, now);
-    item.search.reset();
-    this->proceed(item, now);
-}
-
-void resubmissions::send_search_round(held_submission& item, base::steady_time now)
-{
-    std::vector<protocol::process_id> asked;
-    for (auto const& agent : this->components.agents.all()) {
-        if (agent.last_report != base::steady_time {} && !agent.replaced && !agent.silent)
-            asked.push_back(agent.id);
-    }
-    protocol::outcome_query query;
-    query.query_id = this->components.outbox.next_query_id();
-    auto const epoch = item.search->fences() ? fencing_epoch : own_epoch;
-    for (auto const& entry : item.search->entries())
-        query.jobs.push_back(
-            {ephemeral_job_id(item.request.team, item.request.submission, entry), epoch});
-    item.search->begin_round(query.query_id, asked, now);
-    for (auto const& agent : asked)
-        this->components.sender.send(agent.name, query);
-}
-
-bool resubmissions::on_report(protocol::outcome_report const& report, base::steady_time now)
-{
-    auto const found = std::find_if(this->held.begin(), this->held.end(), [&](auto const& entry) {
-        return entry.second.search && entry.second.search->query_id() == report.query_id;
-    });
-    if (found == this->held.end())
-        return false;
-    auto& item = found->second;
-    item.search->record_answer(report.agent, report.outcomes, now);
-    auto const slot = this->components.agents.slot_of(report.agent);
-    for (auto const& outcome : report.outcomes) {
-        if (slot && outcome.kind == protocol::outcome_kind::running)
-            this->components.outbox.add_cancel(*slot, {outcome.task, outcome.attempt});
-    }
-    if (item.search->next(now) != policy::run_search::step::wait)
-        this->proceed(item, now);
-    return true;
-}
-
 bool resubmissions::must_wait_for_newer(held_submission const& item, base::steady_time now) const
 {
     return this->known.has_newer_holder(item.key, item.submitted, this->components.settings.id.name,
@@ -438,23 +276,9 @@
     this->wait_until(item, now + query_wait + answer_timeout);
 }
 
-base::steady_time resubmissions::contact_expected_by(base::steady_time now) const
-{
-    auto const paused = this->last_tick + longest_tick_gap < now;
-    return (paused ? now : this->resumed) + resumption_wait;
-}
-
-bool resubmissions::may_start(job const& job, base::steady_time now) const
-{
-    return !job.ephemeral || now < job.arrived + policy::caller_return_delay
-        || this->contacts.unheard(now).empty();
-}
-
 bool resubmissions::on_reply(std::string const& peer, protocol::job_reply const& reply,
                              base::steady_time now)
 {
-    if (this->contacts.record_answer(peer, reply.query_id))
-        return true;
     auto const found = this->held.find(reply.query_id);
     if (found == this->held.end())
         return false;
@@ -475,11 +299,9 @@
         return this->finish(item, *state);
     case resubmission_step::start_here:
         this->known.record_ended(item.asked, item.key);
-        item.ruled_out[item.asked] = now;
         item.asked = {};
         // Somebody else may run or start it by now.
-        if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now)
-            || !this->possible_runners(item, now).empty())
+        if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now))
             return this->wait_until(item, now + repeat_delay);
         return this->start_here(item, now);
     }
@@ -495,21 +317,9 @@
     auto const id = ephemeral_job_id(released.request.team, released.request.submission,
                                      this->components.settings.id);
     released.request.deadline = std::chrono::ceil<milliseconds>(released.deadline - now);
-    this->admitting = true;
     this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now);
-    this->admitting = false;
     // A third entry may get the submission before the job has reached the age of announcements.
-    auto* const started = this->components.jobs.find(id);
-    if (started != nullptr)
-        started->arrived = released.submitted;
-    // An entry that is heard again must know of the start before it goes on with its own job.
-    if (started != nullptr && !started->is_final() && !released.announced) {
-        auto const message = this->describe_jobs({started->number}, now);
-        for (auto const& [entry, ruled_out_at] : released.ruled_out)
-            this->components.sender.send(entry.name, message);
-    }
-    if (!released.announced)
-        return;
+    auto const* const started = this->components.jobs.find(id);
     if (started != nullptr && !started->is_final())
         return this->send_to_all(this->describe_jobs({started->number}, now));
     this->announce_end(released.key);
@@ -526,8 +336,7 @@
 void resubmissions::give_up(held_submission& item, std::string const& reason)
 {
     auto const released = this->release(item, reason);
-    if (released.announced)
-        this->announce_end(released.key);
+    this->announce_end(released.key);
     deliver_unknown(
         released.caller, answer_for(released.request, protocol::job_state::running),
         {base::error_code::unavailable, base::error_step::admission, released.asked.name, reason});
@@ -538,8 +347,7 @@
     // `answer` may belong to a job that ends with the hold.
     auto const final_answer = answer;
     auto const released = this->release(item, protocol::to_string(answer.state));
-    if (released.announced)
-        this->announce_end(released.key);
+    this->announce_end(released.key);
     deliver(released.caller, final_answer, {});
 }
 
@@ -575,23 +383,7 @@
     this->known.record_cancelled(key, {team, submission}, now);
     auto const elsewhere = this->known.find(key, now);
     if (elsewhere)
-        this->send_cancel(key, {team, submission}, elsewhere->entry);
-    // Its caller may have sent it to an entry that has not announced it yet, or may do so.
-    for (auto const& receiver : this->receivers())
-        this->components.sender.send(receiver, protocol::job_cancel {key});
-    return this->end_holds(key) || elsewhere.has_value();
-}
-
-void resubmissions::on_cancelled_elsewhere(std::string const& key, base::steady_time now)
-{
-    this->known.record_cancelled(key, {}, now);
-    if (auto* const job = this->find_own(key))
-        this->components.lifecycle.cancel_submission(*job, now);
-    this->end_holds(key);
-}
-
-bool resubmissions::end_holds(std::string const& key)
-{
+        this->send_cancel({team, submission}, elsewhere->entry);
     std::vector<std::uint64_t> affected;
     for (auto const& [id, item] : this->held) {
         if (item.key == key)
@@ -601,15 +393,14 @@
         auto& item = this->held.at(id);
         this->finish(item, cancelled_answer(item.request));
     }
-    return !affected.empty();
+    return elsewhere.has_value() || !affected.empty();
 }
 
-void resubmissions::send_cancel(std::string const& key, policy::submission_name const& name,
+void resubmissions::send_cancel(policy::submission_name const& name,
                                 protocol::process_id const& entry)
 {
-    auto const job
-        = name.submission.empty() ? key : ephemeral_job_id(name.team, name.submission, entry);
-    this->components.sender.send(entry.name, protocol::job_cancel {job});
+    this->components.sender.send(
+        entry.name, protocol::job_cancel {ephemeral_job_id(name.team, name.submission, entry)});
 }
 
 job* resubmissions::find_abandoned(protocol::job_request const& request) const
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -6,7 +6,6 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -49,20 +48,11 @@
                                                         + std::chrono::milliseconds(110)};
 /// Callers that get no answer send a job to another entry after this time at the earliest.
 constexpr std::chrono::milliseconds caller_return_delay {1300};
-/// A submission that is held for a shorter time is announced only if another entry may run it, like
-/// one that has just arrived.
-constexpr std::chrono::milliseconds unannounced_hold {50};
-/// Interval at which an entry queries each other one, to know that it has missed no announcement.
-constexpr std::chrono::milliseconds contact_interval {250};
-/// An entry is unheard when no query that was sent within this time has been answered.
-constexpr std::chrono::milliseconds contact_limit {700};
-// What a caller sends again has been announced before the last answer.
-static_assert(announcement_delay + unannounced_hold + contact_limit <= caller_return_delay);
 
 /// What callers call a submission.
 struct submission_name {
     std::string team;
-    std::string submission; ///< Empty when only the key is known.
+    std::string submission;
 };
 
 /// A submission that may still run at another entry.
@@ -105,9 +95,6 @@
     /// @param self decides between submissions of the same time.
     [[nodiscard]] bool has_newer_holder(std::string const& key, steady_time submitted,
                                         std::string const& self, steady_time now) const;
-    /// Entries that hold the submission and may start it.
-    [[nodiscard]] std::vector<protocol::process_id> holders(std::string const& key,
-                                                            steady_time now) const;
     /// Name of the submission if it was cancelled a short time ago, else null. Valid until the next
     /// change.
     [[nodiscard]] submission_name const* cancelled(std::string const& key, steady_time now) const;
@@ -132,90 +119,6 @@
     std::unordered_map<std::string, cancellation> cancellations; ///< By key.
 };
 
-/// How recently the other entries have answered. Whatever an entry announced before it answered has
-/// arrived before the answer.
-class entry_contacts {
-public:
-    using steady_time = base::steady_time;
-
-    /// Sets the entries of the view and the names of those with a link. Others are forgotten once
-    /// their runs have ended.
-    void update(std::vector<protocol::process_id> const& view_entries,
-                std::set<std::string> const& linked, steady_time now);
-    /// A linked entry has stated its incarnation.
-    void record_incarnation(protocol::process_id const& entry);
-    /// The next query is sent to all entries. Its id tells when it was sent.
-    void record_query(std::uint64_t id, steady_time now);
-    /// Returns false when the id is not that of a query recorded here.
-    bool record_answer(std::string const& entry_name, std::uint64_t id);
-    /// Entries that may run a submission which they have announced in vain. The incarnation of one
-    /// that has a link and has stated nothing yet is 0.
-    [[nodiscard]] std::vector<protocol::process_id> unheard(steady_time now) const;
-
-private:
-    struct contact {
-        protocol::process_id entry;
-        steady_time heard; ///< When the last query that it has answered was sent.
-        std::optional<steady_time> gone_since; ///< It has neither a link nor a place in the view.
-    };
-    struct query {
-        std::uint64_t id = 0;
-        steady_time sent;
-    };
-    [[nodiscard]] contact* latest(std::string const& name);
-    void add(protocol::process_id const& entry);
-
-    std::vector<contact> contacts; ///< Later incarnations of an entry come after earlier ones.
-    std::vector<query> queries; ///< Those whose answer may still count.
-};
-
-/// Search for the runs of one submission that unheard entries may have started. All agents are
-/// asked in rounds. When one of them knows the job, the next rounds fence it, so that none of its
-/// tasks starts any more, and go on until its runs have ended.
-class run_search {
-public:
-    using steady_time = base::steady_time;
-
-    enum class step : std::uint8_t {
-        ask, ///< A round is to be sent to all agents.
-        wait, ///< Answers are on their way.
-        ruled_out, ///< Nothing of the submission runs, or will start, for these entries.
-    };
-
-    /// @param may_start whether one of the entries is known to have the submission. Its job is then
-    /// fenced in the first round.
-    run_search(std::vector<protocol::process_id> entries, bool may_start)
-        : searched(std::move(entries)), found(may_start)
-    {
-    }
-
-    void begin_round(std::uint64_t query_id, std::vector<protocol::process_id> const& agents,
-                     steady_time now);
-    void record_answer(protocol::process_id const& agent,
-                       std::vector<protocol::task_outcome> const& outcomes, steady_time now);
-    [[nodiscard]] step next(steady_time now) const;
-
-    [[nodiscard]] std::vector<protocol::process_id> const& entries() const
-    {
-        return this->searched;
-    }
-    [[nodiscard]] std::uint64_t query_id() const { return this->id; }
-    /// Whether the next round fences the jobs.
-    [[nodiscard]] bool fences() const { return this->found; }
-
-private:
-    std::vector<protocol::process_id> searched;
-    std::uint64_t id = 0; ///< Of the last round; 0 before the first one.
-    steady_time round_started;
-    bool round_fences = false;
-    bool found = false; ///< An agent knows the job.
-    std::set<protocol::process_id> awaited; ///< Agents that have not answered in this round.
-    /// Agents that have reported a run in progress, and not its end since.
-    std::set<protocol::process_id> running;
-    /// Until then, runs whose end an agent does not know may go on.
-    steady_time uncertain_until;
-};
-
 /// What follows from the state of a submission at the entry that it was sent to first.
 enum class resubmission_step : std::uint8_t {
     ask_again, ///< The job, or a run of it, is in progress there.
