--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -42,8 +42,8 @@
         this->log_withheld_lease();
         this->lease.grant(lease_until, time);
     }
-    // An end that was named before extends nothing in this life of the worker, but may in its next
-    // one, whose clock starts anew.
+    // An end that was named before extends nothing in this incarnation of the worker, but may in
+    // its next one, whose clock starts anew.
     auto const named = lease_until > before.end ? lease_until : worker_clock(0);
     auto const context = this->context();
     this->worker.report(context, named, this->last_seen_end, wait,
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -352,7 +352,8 @@
                                 worker_lease::grants const& after)
 {
     this->lease.withdraw(before, after);
-    // The first call that reaches the next life then makes it refuse starts for the former one.
+    // The first call that reaches the next incarnation then makes it refuse starts for the former
+    // one.
     if (!std::exchange(this->restart_expected, true))
         ++this->fence;
 }
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -115,7 +115,7 @@
     /// Latest end of the lease that the permissions of all runs on the worker, and of the tasks
     /// that wait for their start, allow.
     [[nodiscard]] base::steady_time latest_lease_end() const;
-    /// A command did not reach the worker, which may be between two lives.
+    /// A command did not reach the worker, which may be between two incarnations.
     void on_not_sent(worker_lease::grants const& before, worker_lease::grants const& after);
     /// Latest end of the lease that the permission of this run allows.
     [[nodiscard]] base::steady_time latest_lease_end(active_run const& active) const;
@@ -132,7 +132,7 @@
     /// @param clock when the worker answered.
     void on_accepted(active_run& active, std::optional<worker_clock> clock);
     /// Whether a command that the worker has not answered may still be carried out by its next
-    /// life, which does not know that the lease in the command has ended.
+    /// incarnation, which does not know that the lease in the command has ended.
     [[nodiscard]] static bool may_start_late(active_run const& active, base::steady_time time);
     /// An unreachable worker ends all runs when their leases expire.
     void finish_expired_runs(base::steady_time time);
@@ -194,7 +194,7 @@
     std::optional<base::steady_time> foreign_since;
     bool lease_withheld = false; ///< The last renewal could not extend the lease.
     bool is_reachable = false;
-    /// The token was raised for the next life of the worker, and no answer has come since.
+    /// The token was raised for the next incarnation of the worker, and no answer has come since.
     bool restart_expected = false;
     bool is_settled = false;
 
