Log ends of runs that the worker has not listed, and those that it lists afterwards

The agent reports a run as ended after three reports without it, on an expired lease or on another incarnation of its worker; nothing told these apart from an end that the worker had listed, nor showed that a run went on afterwards. 4023 run_end_inferred names the proof, the reports without the run and the time since it was first asked to stop; 4024 end_after_outcome is the fault itself. No decision changes.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -130,6 +130,8 @@
         .with("born", this->incarnation.born)
         .with("runs", this->runs.size())
         .with("reason", reason);
+    for (auto const& [name, active] : this->runs)
+        this->record_inferred_end(active, end_proof::later_incarnation);
     this->incarnation = {};
     // A later incarnation may have the same id, and refuses late starts for this one.
     ++this->fence;
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -101,6 +101,7 @@
         this->ended_run_numbers.clear();
     auto& highest = this->ended_run_numbers[ended.run.task];
     highest = std::max(highest, ended.run.number);
+    this->ends_without_row.check(ended, this->incarnation.id, this->now());
     auto const found = this->runs.find(ended.run.task);
     if (found == this->runs.end() || found->second.run != ended.run)
         return;
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -136,6 +136,7 @@
     ++active.in_flight;
     active.last_start_attempt = this->now();
     active.next_start_attempt = active.last_start_attempt + start_resend_interval;
+    this->ends_without_row.forget(active.run);
     auto const context = this->context();
     auto const time = this->now();
     auto const lease_until = this->lease.next_end(this->latest_lease_end(), time);
@@ -397,8 +398,10 @@
         if (!may_start_late(active, time))
             names.push_back(name);
     }
-    for (auto const& name : names)
+    for (auto const& name : names) {
+        this->record_inferred_end(this->runs.at(name), end_proof::lease_expired);
         this->finish_run(name, {outcome_kind::unknown, {}, "the worker does not answer"});
+    }
 }
 
 void leased_runner::resend_commands(base::steady_time time)
@@ -453,9 +456,18 @@
     done(std::move(result), this->now());
 }
 
+void leased_runner::record_inferred_end(active_run const& active, end_proof proof)
+{
+    inferred_end end {active.run, proof, active.missing_reports, {}};
+    if (active.stop_sent)
+        end.first_stop = active.first_stop;
+    this->ends_without_row.record(end, this->incarnation.id, this->now());
+}
+
 void leased_runner::finish_missing_run(std::string const& name)
 {
     bool const restarted = this->runs.at(name).worker_restarted;
+    this->record_inferred_end(this->runs.at(name), end_proof::missing_from_reports);
     // The incarnation that has ended may have run the task without listing its end.
     this->finish_run(
         name,
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -17,6 +17,7 @@
 
 #include "agent/endpoint_runner.h"
 #include "agent/incarnation_verifier.h"
+#include "agent/inferred_ends.h"
 #include "agent/leased_worker.h"
 #include "agent/run_progress.h"
 #include "agent/worker_lease.h"
@@ -175,6 +176,7 @@
     void on_worker_lost(std::string const& reason);
     void update_availability(bool reachable, bool announced);
     void finish_run(std::string const& name, run_result result);
+    void record_inferred_end(active_run const& active, end_proof proof);
     /// Ends a run that the worker does not list although it should.
     void finish_missing_run(std::string const& name);
     [[nodiscard]] static std::string name_of(protocol::task_start const& task);
@@ -204,6 +206,7 @@
     /// Highest run number with a reported end, by task. Reports may arrive out of order, so that an
     /// older one may still list the run as running.
     std::map<std::string, std::uint64_t> ended_run_numbers;
+    inferred_ends ends_without_row;
     std::uint64_t last_seen_end = 0;
     std::uint64_t reports_sent = 0;
     std::uint64_t renewal_in_flight = 0; ///< Number of the report; 0 while none is in flight.
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -82,6 +82,8 @@
     event_description {log_event::entry_lost, severity::warning, "entry_lost"},
     event_description {log_event::stop_unconfirmed, severity::warning, "stop_unconfirmed"},
     event_description {log_event::lease_withheld, severity::warning, "lease_withheld"},
+    event_description {log_event::run_end_inferred, severity::warning, "run_end_inferred"},
+    event_description {log_event::end_after_outcome, severity::warning, "end_after_outcome"},
     event_description {log_event::run_lagging, severity::warning, "run_lagging"},
     event_description {log_event::fence_raised, severity::warning, "fence_raised"},
     event_description {log_event::report_rejected, severity::warning, "report_rejected"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -89,6 +89,8 @@
     entry_lost = 4020,
     stop_unconfirmed = 4021,
     lease_withheld = 4022,
+    run_end_inferred = 4023,
+    end_after_outcome = 4024,
 };
 
 struct event_description {
