Reproduce the runs that are given up because a worker does not list them

The worker's model may now take time to stop a run and leave runs out of its lists; by default it does neither. On virtual time the agent reports 'the worker no longer lists the run' while it goes on: after a stop that takes 50 ms, after a confirmed stop of a start without an answer, and without any order. An agent that starts counts as settled while a run of its former incarnation is being stopped.

--- a/tests/agent/worker_model.h
+++ b/tests/agent/worker_model.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,7 @@
     protocol::attempt_ref attempt;
     worker_clock started {0};
     std::chrono::milliseconds work {0}; ///< On the worker's clock; 0 for a run without end.
+    std::optional<worker_clock> stopped_at; ///< When a stop will have ended the run.
 };
 
 class worker_model {
@@ -51,7 +53,7 @@
             = this->running
                   .insert_or_assign(
                       run.task,
-                      model_run {run, {task.task, task.attempt}, this->clock, work_of(task)})
+                      model_run {run, {task.task, task.attempt}, this->clock, work_of(task), {}})
                   .first;
         ++this->starts;
         if (this->run_started)
@@ -64,8 +66,12 @@
             return checked;
         this->bar(run);
         auto const present = this->running.find(run.task);
-        if (present != this->running.end() && present->second.run.number <= run.number)
+        if (present == this->running.end() || present->second.run.number > run.number)
+            return worker_answer::accepted;
+        if (this->stop_duration == std::chrono::milliseconds(0))
             this->end(present->first, run_end_reason::stopped);
+        else if (!present->second.stopped_at)
+            present->second.stopped_at = this->clock + this->stop_duration;
         return worker_answer::accepted;
     }
     /// Checks a report, extends the lease, and forgets the ends that it acknowledges.
@@ -88,8 +94,10 @@
         worker_report made {this->reply(answer), {}, {}};
         if (answer != worker_answer::accepted)
             return made;
-        for (auto const& [task, present] : this->running)
-            made.running.push_back({present.run, this->percent(present)});
+        for (auto const& [task, present] : this->running) {
+            if (this->lists_runs && (this->lists_stopping_runs || !present.stopped_at))
+                made.running.push_back({present.run, this->percent(present)});
+        }
         std::copy_if(this->ends.begin(), this->ends.end(), std::back_inserter(made.ended),
                      [=](auto const& end) { return end.sequence > last_seen_end; });
         return made;
@@ -103,11 +111,16 @@
             ended = false;
             for (auto const& [task, present] : this->running) {
                 auto const done_at = present.started + present.work;
+                auto const stopped_at = present.stopped_at.value_or(worker_clock::max());
                 bool const done = present.work != std::chrono::milliseconds(0) && done_at <= time
-                    && done_at <= this->lease_end;
-                if (!done && time < this->lease_end)
+                    && done_at <= this->lease_end && done_at <= stopped_at;
+                bool const stopped = !done && stopped_at <= time && stopped_at <= this->lease_end;
+                if (!done && !stopped && time < this->lease_end)
                     continue;
-                this->end(task, done ? run_end_reason::done : run_end_reason::lease_expired);
+                this->end(task,
+                          done          ? run_end_reason::done
+                              : stopped ? run_end_reason::stopped
+                                        : run_end_reason::lease_expired);
                 ended = true;
                 break;
             }
@@ -145,6 +158,10 @@
         return this->last_end > last_seen_end;
     }
 
+    std::chrono::milliseconds stop_duration {0}; ///< From a stop to the end of the run.
+    /// Whether reports list a run that is being stopped. The protocol promises only its end.
+    bool lists_stopping_runs = true;
+    bool lists_runs = true;
     std::string id = "i-1";
     std::uint64_t born = 5;
     worker_clock clock {10'000};
