--- /dev/null
+++ b/tests/entry/absence_test.cpp
@@ -0,0 +1,151 @@
+// What an entry concludes when a message, a list or a record lacks something: a run that an agent's
+// message does not name, a job that an entry has no record of, an entry that a view does not list.
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "entry/resubmission_fixture.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::test;
+using protocol::job_state;
+
+/// Longer than any test.
+constexpr milliseconds never {std::chrono::hours(1)};
+
+/// One entry and two agents, one of which runs a task. Records the queries of the entry.
+struct running_task : linked_fleet {
+    running_task() : linked_fleet({"entry.a"})
+    {
+        this->on_send = [this](auto const& from, auto const& to, protocol::message const& body) {
+            auto const* const query = std::get_if<protocol::outcome_query>(&body);
+            if (from == "entry.a" && query != nullptr)
+                this->query = {to, query->query_id};
+        };
+        this->set_run_time(milliseconds(60'000));
+        auto request = make_submission("s1", 1);
+        request.deadline = milliseconds(60'000);
+        this->submit("entry.a", request, milliseconds(60'000));
+        REQUIRE(this->run_until([this] { return this->running() == 1; }));
+        this->agent = this->agents.at("agent.1").running() > 0 ? "agent.1" : "agent.2";
+    }
+    protocol::agent_report report(milliseconds age = milliseconds(0))
+    {
+        auto const& source = this->agents.at(this->agent);
+        protocol::agent_report made {source.id, {}, source.zone, {}, source.seen_view, {}, {}};
+        made.agent_clock = base::to_reading(this->now + source.clock_offset - age);
+        return made;
+    }
+    protocol::attempt_ref run_of_agent()
+    {
+        auto const& outcome = this->agents.at(this->agent).records.begin()->second.outcome;
+        return {outcome.task, outcome.attempt};
+    }
+    void receive(protocol::message const& body)
+    {
+        this->entries.at("entry.a")->receive(this->agent, body, this->now);
+    }
+    /// Number of attempts that the agents have got.
+    [[nodiscard]] std::size_t attempts() const
+    {
+        return this->agents.at("agent.1").records.size()
+            + this->agents.at("agent.2").records.size();
+    }
+
+    struct sent_query {
+        std::string agent;
+        std::uint64_t id = 0;
+    };
+    std::optional<sent_query> query;
+    std::string agent; ///< Runs the task.
+};
+
+/// Two entries that are linked, and two agents.
+struct two_entries : linked_fleet {
+    two_entries() : linked_fleet({"entry.a", "entry.b"}) { }
+    /// Messages from and to the entry are lost, other than those that agents exchange with it.
+    void cut_off_from_entries_and_control(std::string const& entry)
+    {
+        this->extra_delay = [entry](auto const& from, auto const& to, auto const& /*body*/) {
+            auto const other = from == entry ? to : from;
+            bool const between = (from == entry || to == entry) && !other.starts_with("agent.");
+            return between ? never : milliseconds(0);
+        };
+    }
+};
+
+} // namespace
+
+SCENARIO("a message of an agent does not name a run", "[entry][absence]")
+{
+    GIVEN("a task that runs, and another agent with room")
+    {
+        running_task fleet;
+        // Guards against a run that is taken as ended, and started elsewhere, because a message of
+        // its agent lacks it: it may have been made before the run began.
+        WHEN("reports list neither the run nor its endpoint")
+        {
+            for (int i = 0; i < 30; ++i) {
+                fleet.receive(fleet.report());
+                fleet.run(milliseconds(100));
+            }
+            THEN("the task does not start again")
+            {
+                CHECK(fleet.attempts() == 1);
+            }
+        }
+        WHEN("a report from before its start arrives")
+        {
+            fleet.receive(fleet.report(milliseconds(5000)));
+            fleet.run(milliseconds(3000));
+            THEN("the task does not start again")
+            {
+                CHECK(fleet.attempts() == 1);
+            }
+        }
+        WHEN("the answers to queries lack it")
+        {
+            for (int i = 0; i < 3; ++i) {
+                fleet.query.reset();
+                REQUIRE(fleet.run_until([&fleet] { return fleet.query.has_value(); }));
+                REQUIRE(fleet.query->agent == fleet.agent);
+                fleet.receive(protocol::outcome_report {
+                    fleet.agents.at(fleet.agent).id, fleet.query->id, {}});
+                fleet.run(milliseconds(10));
+            }
+            fleet.run(milliseconds(3000));
+            THEN("the task does not start again")
+            {
+                CHECK(fleet.attempts() == 1);
+            }
+        }
+        WHEN("it lags, and its end is not reported")
+        {
+            fleet.delay<protocol::cancel_batch>(never);
+            fleet.receive(protocol::lagging_run {fleet.agents.at(fleet.agent).id,
+                                                 fleet.run_of_agent(), milliseconds(120'000)});
+            fleet.run(milliseconds(5000));
+            THEN("the task does not start again")
+            {
+                CHECK(fleet.attempts() == 1);
+            }
+        }
+        WHEN("its worker is no longer listed, and the agent reports for the first time since then")
+        {
+            fleet.entries.at("entry.a")->peer_down(fleet.agent, fleet.now);
+            fleet.entries.at("entry.a")->peer_up(fleet.agent, fleet.now);
+            fleet.receive(fleet.report());
+            fleet.run(milliseconds(3000));
+            THEN("the task does not start again")
+            {
+                CHECK(fleet.attempts() == 1);
+            }
+        }
+    }
+}
