Ignore a notice of a takeover that an entry has handled before

An entry that gets it after the job has ended and was dropped to save memory took the job over once more: it has no record of it, and it ignores the agents' records because they have the same epoch. A task that must run once ran twice. Each notice names all unfinished jobs, so an older one names nothing new. The memory limit becomes a setting of the core, for the test.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -17,8 +17,7 @@
 
 using std::chrono::milliseconds;
 
-/// Approximate memory limits for finished jobs and for copies stored for other entries.
-constexpr std::size_t finished_bytes = 128U << 20U;
+/// Approximate memory limit for copies stored for other entries.
 constexpr std::size_t copy_bytes = 256U << 20U;
 /// Three missed reports; a silent agent gets no new work.
 constexpr milliseconds agent_silence {1000};
@@ -53,7 +52,7 @@
     : settings(std::move(initial_settings)), sender(output, this->counters.messages_sent),
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      placement(policy_of(this->settings)), jobs(finished_bytes), copies(copy_bytes),
+      placement(policy_of(this->settings)), jobs(this->settings.finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
       monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this), takeovers(*this)
 {
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -33,6 +34,8 @@
     std::chrono::milliseconds claim_timeout {5000};
     std::chrono::milliseconds default_deadline {30'000};
     std::chrono::milliseconds answer_retention {900'000};
+    /// Approximate memory limit for finished jobs; the oldest ones are dropped earlier.
+    std::size_t finished_bytes {128U << 20U};
 };
 
 /// Reply to a submission; exactly one per call.
--- a/src/entry/takeover.cpp
+++ b/src/entry/takeover.cpp
@@ -32,6 +32,12 @@
 {
     if (notice.new_owner != this->components.settings.id)
         return;
+    // Each notice names all unfinished jobs that were taken over until then. What an older one
+    // names and this entry has no record of has therefore ended, and was forgotten since.
+    bool const numbered = notice.sequence != 0;
+    if (numbered && notice.sequence <= this->last_sequence)
+        return;
+    this->last_sequence = std::max(this->last_sequence, notice.sequence);
     recovery recovering;
     auto claimed_at = protocol::wall_time::max();
     for (auto const& claim : notice.claims) {
--- a/src/entry/takeover.h
+++ b/src/entry/takeover.h
@@ -22,7 +22,7 @@
 public:
     explicit takeover(entry_components& components);
 
-    /// Notices may be repeated; jobs that are already taken over are skipped.
+    /// Notices may be repeated or late; jobs that are already taken over are skipped.
     void on_notice(protocol::takeover_notice const& notice, base::steady_time now);
     /// Returns true when the report answers a query of a takeover.
     bool on_report(protocol::outcome_report& report, base::steady_time now);
@@ -62,6 +62,7 @@
     void finish_recovery(recovery const& recovering, job& job, base::steady_time now);
 
     entry_components& components;
+    std::uint64_t last_sequence = 0; ///< Of the notices that were handled.
     std::uint64_t last_recovery = 0;
     std::map<std::uint64_t, recovery> recoveries;
     /// Former owners' attempts that were already applied, so that repeated reports change nothing.
--- a/tests/entry/absence_test.cpp
+++ b/tests/entry/absence_test.cpp
@@ -149,3 +149,60 @@
         }
     }
 }
+
+SCENARIO("a notice of a takeover arrives after its job has been forgotten", "[entry][absence]")
+{
+    GIVEN("a job that an entry has taken over, run once and forgotten")
+    {
+        simulated_fleet fleet(1);
+        fleet.finished_bytes = 1;
+        fleet.add_entry("entry.a", "recife");
+        fleet.add_entry("entry.b", "fortaleza");
+        fleet.add_agent("agent.1", "recife");
+        fleet.add_agent("agent.2", "fortaleza");
+        fleet.run(milliseconds(500));
+        std::optional<protocol::takeover_notice> notice;
+        fleet.on_send = [&notice](auto const&, auto const& to, protocol::message const& body) {
+            auto const* const sent = std::get_if<protocol::takeover_notice>(&body);
+            if (to == "entry.b" && sent != nullptr && !notice)
+                notice = *sent;
+        };
+        // The first owner starts nothing before it is lost.
+        fleet.extra_delay = [](auto const& from, auto const&, protocol::message const& body) {
+            return from == "entry.a" && std::holds_alternative<protocol::start_batch>(body)
+                ? never
+                : milliseconds(0);
+        };
+        auto request = make_job("s1", 1, false);
+        request.deadline = milliseconds(20'000);
+        auto const job = fleet.submit("entry.a", request);
+        fleet.run(milliseconds(100));
+        fleet.isolated.insert("entry.a");
+        REQUIRE(fleet.run_until([&] { return fleet.runs.size() == 1; }, milliseconds(10'000)));
+        REQUIRE(notice);
+        auto const id = notice->claims.front().job;
+        REQUIRE(fleet.run_until([&] { return fleet.control.claims.at(id).finished; }));
+        auto const other = fleet.submit("entry.b", make_job("s2", 1, false));
+        REQUIRE(fleet.run_until([&] { return other->replies.size() == 1; }));
+        fleet.run(milliseconds(500));
+
+        WHEN("a notice from before its end arrives, and the endpoint of the run has no room")
+        {
+            for (auto& [name, agent] : fleet.agents) {
+                bool const has_run
+                    = std::any_of(agent.records.begin(), agent.records.end(),
+                                  [&](auto const& item) { return std::get<0>(item.first) == id; });
+                agent.slots = has_run ? 0 : agent.slots;
+            }
+            fleet.run(milliseconds(500));
+            fleet.entries.at("entry.b")->receive("control.a", *notice, fleet.now);
+            fleet.run(milliseconds(3000));
+            // Guards against a job that counts as never run because the entry has no record of it.
+            THEN("its task does not run again")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+                CHECK(fleet.runs.at({id, 0}) == 1);
+            }
+        }
+    }
+}
--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -149,6 +149,7 @@
                   });
             claim.owner = (owner == live.end() ? live.front() : *owner).id;
             ++claim.epoch;
+            this->takeovers[job] = ++this->takeover_count;
         }
     }
     if (since_start(fleet.now).count() % 200 != 0)
@@ -157,8 +158,12 @@
     for (auto const& entry : live) {
         protocol::takeover_notice notice {entry.id, {}};
         for (auto const& [job, claim] : this->claims) {
-            if (!claim.finished && claim.epoch > 1 && claim.owner == entry.id)
-                notice.claims.push_back(claim);
+            auto const number = this->takeovers.find(job);
+            if (claim.finished || claim.epoch <= 1 || claim.owner != entry.id)
+                continue;
+            notice.claims.push_back(claim);
+            if (number != this->takeovers.end())
+                notice.sequence = std::max(notice.sequence, number->second);
         }
         if (!notice.claims.empty())
             fleet.post("control.a", entry.id.name, notice);
@@ -346,6 +351,7 @@
     settings.zone = zone;
     settings.controls = {"control.a"};
     settings.claim_timeout = this->claim_timeout;
+    settings.finished_bytes = this->finished_bytes;
     settings.seed = this->generator();
     auto& core = this->entries[name];
     core = std::make_unique<entry::entry_core>(settings, *sender, this->now);
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -51,6 +51,8 @@
     std::map<std::string, protocol::job_claim> claims;
     std::vector<protocol::registered_agent> agents;
     std::map<std::string, protocol::view_number> settled;
+    std::map<std::string, std::uint64_t> takeovers; ///< Number of the last one, by job.
+    std::uint64_t takeover_count = 0;
     bool answers_claims = true;
 
     void receive(simulated_fleet& fleet, std::string const& peer, protocol::message const& body);
@@ -130,6 +132,7 @@
     /// Lets the entry go on, with the messages that have waited.
     void thaw(std::string const& entry);
     milliseconds claim_timeout {5000};
+    std::size_t finished_bytes = 128U << 20U; ///< As in entry_settings.
     double loss_rate = 0;
     double duplicate_rate = 0;
     std::uint32_t max_delay_ms = 1;
