Say "not run" of a claim that was given up only when control has no claim of it

The entries alone were asked. One that had run the job without a copy and was restarted, or that is not in the view of an entry without contact to control, does not know it or is not asked, and the caller was told "not run". Without an answer of control the state is now unknown.

--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -2,7 +2,10 @@
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include "base/log_record.h"
 #include "entry/entry_components.h"
@@ -24,6 +27,8 @@
 constexpr milliseconds refused_retry_after {500};
 /// The end of a run that agents go on to list is moved by steps, and announced at each of them.
 constexpr milliseconds listed_run_extension {500};
+/// Longest wait for control when a claim was given up.
+constexpr milliseconds claim_lookup_timeout {500};
 /// A submission that is resent to the same entry within this time gets the same answer.
 constexpr milliseconds ephemeral_retention {5000};
 
@@ -176,23 +181,46 @@
             this->components.claims.finish({job.id, job.epoch, state, ran_extent::none});
         return this->answer_waiters(job);
     }
+    this->answer_given_up(job, now);
+}
+
+void job_lifecycle::answer_given_up(job& job, base::steady_time now)
+{
+    auto const callers = std::make_shared<std::vector<waiter>>(std::move(job.waiters));
+    job.waiters.clear();
+    auto const reply = [callers, answer = job.answer](bool has_not_run) {
+        for (auto const& caller : *callers) {
+            if (has_not_run)
+                deliver(caller, answer, "[]");
+            else
+                deliver_unknown(caller, answer, *answer.failure);
+        }
+    };
     // The caller may have sent the same submission to another entry before. "Not run" is only true
-    // when no other entry knows it, and while control is unreachable the entries have to be queried
-    // themselves.
+    // when that one has neither claimed it nor is about to. Entries alone can't tell: the one that
+    // has run it may have been restarted, or is missing from an old view.
     auto const has_copy = this->components.copies.find(job.id) != nullptr;
-    this->components.remote.query_all_entries(
-        job.id,
-        [this, answer = job.answer, has_copy,
-         waiters = std::move(job.waiters)](bool unknown_everywhere) {
-            for (auto const& caller : waiters) {
-                if (unknown_everywhere && !has_copy)
-                    deliver(caller, answer, "[]");
-                else
-                    deliver_unknown(caller, answer, *answer.failure);
-            }
+    this->components.control.request(
+        protocol::read_claim {job.id}, claim_lookup_timeout,
+        [this, reply, id = job.id, has_copy](protocol::control_result const& result,
+                                             base::steady_time later) {
+            auto const* const lookup = std::get_if<protocol::claim_lookup>(&result);
+            if (lookup == nullptr || has_copy || this->may_have_run(*lookup))
+                return reply(false);
+            this->components.remote.query_all_entries(id, reply, later);
         },
         now);
-    job.waiters.clear();
+}
+
+bool job_lifecycle::may_have_run(protocol::claim_lookup const& lookup) const
+{
+    if (!lookup.claim)
+        return lookup.expired;
+    auto const& claim = *lookup.claim;
+    bool const refused = claim.finished && claim.state == job_state::refused;
+    // A claim of this entry that was granted late starts nothing, unless it was taken over.
+    bool const granted_late = claim.owner == this->components.settings.id && claim.epoch == 1;
+    return !refused && !granted_late;
 }
 
 void job_lifecycle::on_deadline(job& job, base::steady_time now)
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -97,6 +97,10 @@
                            protocol::ran_extent ran);
     void start_if_ready(job& job, base::steady_time now);
     void abandon(job& job, protocol::job_state state, base::error failure, base::steady_time now);
+    /// Answers the callers of a job whose claim was given up: "not run" if that is certain.
+    void answer_given_up(job& job, base::steady_time now);
+    /// Whether an entry may have run a job that has been given up here.
+    [[nodiscard]] bool may_have_run(protocol::claim_lookup const& lookup) const;
     void stop(job& job, protocol::job_state state, base::error failure, base::steady_time now);
     void finalize(job& job, base::steady_time now);
     void record_unconfirmed_runs(job& job, base::steady_time now);
--- a/tests/entry/absence_test.cpp
+++ b/tests/entry/absence_test.cpp
@@ -206,3 +206,40 @@
         }
     }
 }
+
+SCENARIO("an entry asks others for a job that a lost one has run", "[entry][absence]")
+{
+    GIVEN("a job that an entry has run without a copy, before it was restarted")
+    {
+        simulated_fleet fleet(1);
+        fleet.claim_timeout = milliseconds(500);
+        fleet.add_entry("entry.a", "recife");
+        fleet.add_entry("entry.b", "fortaleza");
+        fleet.add_agent("agent.1", "recife");
+        fleet.run(milliseconds(500));
+        fleet.extra_delay = [](auto const&, auto const&, protocol::message const& body) {
+            bool const copy = std::holds_alternative<protocol::job_copy>(body)
+                || std::holds_alternative<protocol::job_finished_copy>(body);
+            return copy ? never : milliseconds(0);
+        };
+        auto const first = fleet.submit("entry.b", make_job("s1", 1, false));
+        REQUIRE(fleet.run_until([&] { return first->replies.size() == 1; }));
+        REQUIRE(first->replies.front().answer.state == job_state::complete);
+        fleet.add_entry("entry.b", "fortaleza");
+        fleet.run(milliseconds(500));
+
+        WHEN("it arrives at the other entry while control confirms no claims")
+        {
+            fleet.control.answers_claims = false;
+            auto const second = fleet.submit("entry.a", make_job("s1", 1, false));
+            REQUIRE(fleet.run_until([&] { return second->replies.size() == 1; }));
+            // Guards against entries whose present incarnation knows nothing of it, which are taken
+            // for a proof that it has not run.
+            THEN("the caller is not told that it has not run")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+                CHECK(second->replies.front().answer.ran != protocol::ran_extent::none);
+            }
+        }
+    }
+}
