Leave a query for an unknown job unanswered just after the start of an entry

It is addressed by name. An entry that asked it for a job of its former incarnation, because the link was replaced without being closed or the query was on its way, took "not known" for the end of the runs and started them at once.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -68,11 +68,15 @@
     void on_report(protocol::agent_report const& report, base::steady_time now);
     void check_agents(base::steady_time now);
     void run_timers(base::steady_time now);
+    /// Whether runs of the job may be in progress that a former incarnation of this entry, under
+    /// whose name it is asked, has started.
+    [[nodiscard]] bool may_be_of_former_incarnation(std::string const& job, base::steady_time now);
     /// Called after each input: places waiting tasks and sends the collected messages.
     void place_and_send(base::steady_time now);
 
     view_signal view_applied;
     controls_signal control_group_changed;
+    base::steady_time started;
     base::steady_time next_agent_check;
     base::steady_time next_expiry;
 };
@@ -187,6 +191,12 @@
     }
 }
 
+bool entry_core::impl::may_be_of_former_incarnation(std::string const& job, base::steady_time now)
+{
+    return now < this->started + policy::longest_run_end && this->jobs.find(job) == nullptr
+        && this->copies.find(job) == nullptr;
+}
+
 void entry_core::impl::place_and_send(base::steady_time now)
 {
     this->dispatch.run(now);
@@ -229,7 +239,9 @@
             } else if constexpr (std::is_same_v<type, protocol::job_finished_ack>) {
                 this->lifecycle.on_finished_ack(message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_query>) {
-                this->remote.on_query(peer, message, now);
+                // No answer is correct then: "not known" would be taken for the end of the runs.
+                if (!this->may_be_of_former_incarnation(message.job, now))
+                    this->remote.on_query(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_reply>) {
                 if (!this->resubmitted.on_reply(peer, message, now))
                     this->remote.on_reply(peer, message, now);
@@ -258,6 +270,7 @@
                        base::steady_time now)
     : pimpl(std::make_unique<impl>(std::move(settings), sender))
 {
+    this->pimpl->started = now;
     this->pimpl->connect();
     this->pimpl->view_applied.connect(
         [this](protocol::view const& view) { this->view_applied.emit(view); });
--- a/tests/entry/absence_test.cpp
+++ b/tests/entry/absence_test.cpp
@@ -243,3 +243,31 @@
         }
     }
 }
+
+SCENARIO("an entry is asked for a job of its former incarnation", "[entry][absence]")
+{
+    GIVEN("a job that an entry has announced, and a new incarnation under its name")
+    {
+        two_entries fleet;
+        fleet.set_run_time(milliseconds(10'000));
+        fleet.submit("entry.b", make_submission("s1", 1));
+        fleet.run(resend_delay);
+        REQUIRE(fleet.running() == 1);
+        // A link that replaces another one is no new link to its user.
+        auto const lost = fleet.now;
+        fleet.add_entry("entry.b", "recife").peer_up("entry.a", fleet.now);
+        fleet.run(milliseconds(10));
+
+        WHEN("the job arrives at another entry")
+        {
+            fleet.submit("entry.a", make_submission("s1", 1));
+            fleet.run_until([&fleet] { return fleet.running() == 2; }, milliseconds(4000));
+            // Guards against the answer of an incarnation that cannot know the run. The agents have
+            // ended it 1.09 s after the last stamp.
+            THEN("it does not start before its run has ended at the agents")
+            {
+                CHECK(fleet.now - lost >= milliseconds(1090));
+            }
+        }
+    }
+}
