Use an agent again that a former incarnation, heard later, had replaced

The entry took the present incarnation as gone for good, although it went on reporting. Once the other one is lost, a replaced incarnation that reports with a newer clock is the present one again. An agent that is registered is not registered once more.

--- a/src/entry/agent_table.cpp
+++ b/src/entry/agent_table.cpp
@@ -14,9 +14,12 @@
         kind = report_kind::first;
     } else if (this->records[current->second].id != report.agent) {
         auto const slot = this->slot_of(report.agent);
-        // Reports may arrive out of order; an incarnation that was replaced never becomes current
-        // again.
-        if (slot && this->records[*slot].replaced)
+        auto const& successor = this->records[current->second];
+        // Reports may arrive out of order, so an incarnation that was replaced is not current
+        // again while its successor is heard. Once that is lost, whoever goes on reporting is the
+        // present one: a former incarnation may be heard for the first time after the present one.
+        if (slot && this->records[*slot].replaced
+            && (!successor.lost || report.agent_clock <= this->records[*slot].clock))
             return report_kind::outdated;
         this->records[current->second].replaced = true;
         kind = report_kind::replacement;
@@ -25,6 +28,7 @@
     this->current_slots[report.agent.name] = slot;
 
     auto& record = this->records[slot];
+    record.replaced = false;
     if (record.silent && kind == report_kind::current)
         kind = report_kind::returned;
     record.zone = report.zone;
--- a/src/entry/agent_table.h
+++ b/src/entry/agent_table.h
@@ -24,7 +24,7 @@
     std::string zone;
     bool connected = false;
     bool registered = false; ///< The join_agent command of this incarnation is committed.
-    bool replaced = false; ///< A newer incarnation of the same agent has reported.
+    bool replaced = false; ///< Another incarnation of the same agent has reported since.
     bool silent = false; ///< No report within the silence limit; gets no new work.
     bool lost = false; ///< Silent, and every stamp issued to it has expired.
     base::steady_time lost_since; ///< Of the last loss.
@@ -54,8 +54,8 @@
     current, ///< The current incarnation.
     returned, ///< The current incarnation, which had been silent.
     first, ///< An agent that has not reported before.
-    replacement, ///< A new incarnation; the previous one is marked as replaced.
-    outdated, ///< An incarnation that has already been replaced.
+    replacement, ///< Another incarnation; the previous one is marked as replaced.
+    outdated, ///< An incarnation that has been replaced by one that is not lost.
 };
 
 class agent_table {
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -137,9 +137,10 @@
         this->endpoints.remove_agent(report.agent.name);
     this->endpoints.update(report, now);
     auto& record = *this->agents.find(report.agent.name);
+    bool const other = kind == report_kind::first || kind == report_kind::replacement;
     if (record.registered)
         this->endpoints.set_agent_registered(report.agent);
-    if (kind == report_kind::first || kind == report_kind::replacement)
+    else if (other)
         this->claims.join_agent(report.agent, report.zone, now);
     if (kind == report_kind::replacement && previous)
         this->monitor.on_agent_replaced(*previous, now);
--- a/tests/entry/absence_test.cpp
+++ b/tests/entry/absence_test.cpp
@@ -271,3 +271,31 @@
         }
     }
 }
+
+SCENARIO("a former incarnation of an agent is heard after the present one", "[entry][absence]")
+{
+    GIVEN("an entry that has heard only the present incarnation of its only agent")
+    {
+        simulated_fleet fleet(1);
+        auto& entry = fleet.add_entry("entry.a", "recife");
+        auto& agent = fleet.add_agent("agent.1", "recife");
+        fleet.run(milliseconds(500));
+
+        WHEN("one report of another incarnation arrives")
+        {
+            protocol::agent_report late {
+                {agent.id.name, agent.id.incarnation + 5}, {}, agent.zone, {}, 0, {}, {}};
+            late.agent_clock = base::to_reading(fleet.now + agent.clock_offset);
+            entry.receive(agent.id.name, late, fleet.now);
+            fleet.run(milliseconds(4000));
+            auto const job = fleet.submit("entry.a", make_submission("s1", 1));
+            fleet.run(milliseconds(2000));
+            // Guards against an agent that counts as gone for good while it goes on reporting.
+            THEN("the agent is used again once the other incarnation is lost")
+            {
+                REQUIRE(job->replies.size() == 1);
+                CHECK(job->replies.front().answer.state == job_state::complete);
+            }
+        }
+    }
+}
