--- a/tests/entry/absence_test.cpp
+++ b/tests/entry/absence_test.cpp
@@ -299,3 +299,28 @@
         }
     }
 }
+SCENARIO("an entry is neither linked nor in the view", "[entry][absence][known-red]")
+{
+    GIVEN("an entry that runs a job, and is cut off from control and the other entry")
+    {
+        two_entries fleet;
+        fleet.set_run_time(milliseconds(20'000));
+        auto request = make_submission("s1", 1);
+        request.deadline = milliseconds(20'000);
+        fleet.submit("entry.b", request, milliseconds(20'000));
+        fleet.run(resend_delay);
+        fleet.cut_off_from_entries_and_control("entry.b");
+        fleet.close_link("entry.a", "entry.b");
+
+        WHEN("the job arrives at the other entry, and the view lists the first one no longer")
+        {
+            fleet.submit("entry.a", request, milliseconds(20'000));
+            fleet.run(milliseconds(8000));
+            // Guards against an entry that is taken as gone because nobody but its agents hears it.
+            THEN("no task runs twice at the same time")
+            {
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+        }
+    }
+}
