Play two processes of one agent that overlap

A new kind of trouble, agent_overlap, starts a second process of an agent beside the same worker, or on another VM with a worker of its own, before the first one is ended by SIGTERM or SIGKILL 0 to 2 s later. Each play prints how many fencing tokens were raised (4015) and how many unknown runs were stopped (4011).

--- a/tests/fleet/worker_identity_test.py
+++ b/tests/fleet/worker_identity_test.py
@@ -8,6 +8,8 @@
 
 import argparse
 import asyncio
+import contextlib
+import copy
 import json
 import os
 import pathlib
@@ -31,10 +33,16 @@
 # Callers that wait a short time, and the run time of their task.
 SHORT_WAITS_MS = ((300, 280), (400, 370), (500, 470))
 RESEND_S = 1.3
+# Two processes of one agent run at once for at most this time, before the first is told to end.
+LONGEST_OVERLAP_S = 2.0
+# The shutdown limit of the agents' settings, and some time for a loaded machine.
+LONGEST_SHUTDOWN_S = 10.0
 CALM_S = 4.0
 LATE_ORDER_SHARE = 0.04
 LATE_ORDER_S = (2.0, 6.0)
 MIN_SERVED_SHARE = 0.5
+# Log events whose numbers are printed.
+COUNTED_EVENTS = {4011: "foreign_run_stopped", 4015: "fence_raised"}
 
 
 class Troubles:
@@ -48,6 +56,13 @@
         self.jobs = 0
         self.orders = {name: WorkerOrders(worker, record, self.random)
                        for name, worker in system.workers.items()}
+        self.findings = []
+        self.overlaps = 0
+        # A process of an agent beside another one of the same agent.
+        system.roles["agent.next"] = system.roles["agent"]
+        # `Fleet.add` gives one port to each machine, after the first five.
+        self.spare_ports = system.ports[5 + len(system.machines):]
+        self.other_ports = {}
 
     def take(self, role):
         """Name of a machine with this role that no other trouble uses, or None."""
@@ -133,6 +148,84 @@
         self.system.start(agent)
         await asyncio.sleep(2)
 
+    async def agent_overlap(self, agent):
+        """A second process of the agent begins before the first one ends: beside the same worker, or
+        on another VM with a worker of its own."""
+        former = self.system.machines[agent]
+        former_worker = self.system.workers[agent]
+        other_vm = self.random.random() < 0.5
+        overlap_s = self.random.uniform(0, LONGEST_OVERLAP_S)
+        last_signal = self.random.choice((signal.SIGTERM, signal.SIGKILL))
+        # The worker reports to one of the two processes.
+        reports_to_former = self.random.random() < 0.5
+        self.overlaps += 1
+        self.record("agent-overlap", agent=agent, other_vm=other_vm, overlap_s=f"{overlap_s:.2f}")
+
+        machine = self.successor(former, other_vm)
+        self.system.machines[f"{agent}.next"] = machine
+        self.system.start(f"{agent}.next")
+        if other_vm:
+            worker = fleet.Worker(former_worker.name + ".next", machine.fields["app"],
+                                  machine.fields["listen"]["control"], fleet.SERVICE,
+                                  machine.zone, self.record)
+            self.system.workers[f"{agent}.next"] = worker
+            await worker.start(f"i-{self.random.getrandbits(32):08x}")
+        elif not reports_to_former:
+            former_worker.control = machine.fields["listen"]["control"]
+
+        await asyncio.sleep(overlap_s)
+        if former.process.poll() is not None:
+            self.findings.append(f"the former process of {agent} ended by itself")
+        else:
+            self.system.signal(agent, last_signal)
+        ended = await self.system.wait_for(self.has_ended(former), LONGEST_SHUTDOWN_S)
+        if not ended:
+            self.findings.append(f"the former process of {agent} did not end")
+            self.system.kill(agent)
+        if other_vm:
+            former_worker.crash()
+            self.system.workers[agent] = self.system.workers.pop(f"{agent}.next")
+            self.orders[agent] = WorkerOrders(worker, self.record, self.random)
+        else:
+            former_worker.control = machine.fields["listen"]["control"]
+        self.system.machines[agent] = self.system.machines.pop(f"{agent}.next")
+        machine.role = "agent"
+        await asyncio.sleep(2)
+
+    @staticmethod
+    def other_host(address):
+        """The second of the two addresses that a machine has here, or the first for the second."""
+        network, host = address.rsplit(".", 1)
+        number = int(host)
+        return f"{network}.{number - 100 if number > 100 else number + 100}"
+
+    @staticmethod
+    def has_ended(machine):
+        async def ended():
+            return machine.process.poll() is not None
+        return ended
+
+    def successor(self, former, other_vm):
+        """A machine under the same name, with addresses that the former process does not use."""
+        machine = copy.copy(former)
+        machine.role = "agent.next"  # No trouble befalls it before it has taken over.
+        machine.fields = copy.deepcopy(former.fields)
+        fields = machine.fields
+        machine.ip = self.other_host(former.ip)
+        fields["ip"] = machine.ip
+        # The agents' own interface is at 127.0.0.1 on all machines here.
+        if former.name not in self.other_ports:
+            self.other_ports[former.name] = self.spare_ports.pop()
+        fields["internal_ports"][1] = self.other_ports[former.name]
+        self.other_ports[former.name] = former.fields["internal_ports"][1]
+        for name, address in fields["listen"].items():
+            fields["listen"][name] = f"{machine.ip}:{address.rsplit(':', 1)[1]}"
+        if other_vm:
+            host, port = fields["app"].rsplit(":", 1)
+            fields["app"] = f"{self.other_host(host)}:{port}"
+        fields["data_dir"] = f"{fields['data_dir']}-next"
+        return machine
+
     async def entry_freeze(self, entry):
         """Callers that wait a short time arrive while the entry is frozen, and go elsewhere."""
         others = [entry, *(name for name in self.system.names("entry") if name != entry)]
@@ -169,7 +262,7 @@
 # Kind of trouble, and the role of the machine that it befalls.
 KINDS = (("odd_heartbeats", "agent"), ("odd_heartbeats", "agent"), ("worker_crash", "agent"),
          ("worker_crash", "agent"), ("late_orders", "agent"), ("agent_freeze", "agent"),
-         ("agent_kill", "agent"), ("entry_freeze", "entry"), ("entry_kill", "entry"),
+         ("agent_kill", "agent"), ("agent_overlap", "agent"), ("entry_freeze", "entry"), ("entry_kill", "entry"),
          ("control_freeze", "control"))
 TRACKS = 3
 
@@ -217,16 +310,31 @@
                 for now, task, first, second in check.found]
     findings += [f"heartbeat of {worker} answered {status} at {now:.3f} s, after the last trouble"
                  for now, worker, status in answers.refused_heartbeats if now > calm_since]
+    findings += troubles.findings
     findings += [f"{name} ended by itself" for name, machine in system.machines.items()
                  if machine.process.poll() is not None]
     total = answers.served + answers.others
     if answers.served < MIN_SERVED_SHARE * total:
         findings.append(f"only {answers.served} of {total} requests were served")
+    counts = count_events(pathlib.Path(system.folder.name), COUNTED_EVENTS)
     print(f"seed {options.seed}: {answers.served} of {total} requests served, "
-          f"{len(check.found)} tasks ran twice")
+          f"{len(check.found)} tasks ran twice, {troubles.overlaps} overlaps, "
+          + ", ".join(f"{counts[number]} {name}" for number, name in COUNTED_EVENTS.items()))
     return findings
 
 
+def count_events(folder, numbers):
+    """How often each of these log events was written, by its number."""
+    counts = dict.fromkeys(numbers, 0)
+    for log in folder.glob("*.log"):
+        for line in log.read_bytes().splitlines():
+            with contextlib.suppress(ValueError):
+                event = json.loads(line.decode("utf-8")).get("event")
+                if event in counts:
+                    counts[event] += 1
+    return counts
+
+
 def invalid_log_lines(folder):
     """Findings for log lines that a strict reader of JSON refuses."""
     findings = []
