Raise a refused fencing token only until the worker has accepted one

Cause: an agent whose token the worker refused took a higher one each time (+60,000) and went on. Two processes of one agent that ran at once outbid each other and stopped each other's runs: a token that anyone raises when it is refused fences nobody.

Change: the class fencing_token decides. Once the worker has accepted a token of a process, only another process can have used a higher one: the process is superseded. That counts across lives of the worker, because a later process may be the first one to reach a new life. A superseded process logs 4025 once, sends nothing to the worker, takes no work (its endpoint counts as draining) and reports nothing about its runs but ends that were on their way. If the worker still announces itself to it 30 s later (a late order of an earlier process with a higher token, carried out by a new life), it goes on like a new process; the next time that takes twice as long, up to 16 min.

A superseded process that is ended by SIGTERM while it has runs waits for its shutdown limit (5.5 s), since it does not learn of their ends.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -27,12 +27,18 @@
 void leased_runner::ask_incarnation(worker_incarnation const& announced,
                                     std::function<void(incarnation_answer)> done)
 {
+    this->resume_if_due();
+    if (this->token.superseded())
+        return done(incarnation_answer::unanswered);
     // Grants no lease and acknowledges no end.
-    this->worker.report({this->fence, announced}, worker_clock(0), 0, std::chrono::milliseconds(0),
-                        [this, weak = std::weak_ptr(this->alive), announced, sent = this->fence,
+    auto const sent = this->token.value();
+    this->worker.report({sent, announced}, worker_clock(0), 0, std::chrono::milliseconds(0),
+                        [this, weak = std::weak_ptr(this->alive), announced, sent,
                          done = std::move(done)](worker_report const& report) {
                             if (weak.expired())
                                 return;
+                            if (report.reply.answer == worker_answer::accepted)
+                                this->token.on_accepted();
                             if (report.reply.answer == worker_answer::stale_fence)
                                 this->on_stale_fence(sent);
                             done(judge(announced, report.reply));
@@ -42,6 +48,7 @@
 void leased_runner::announced(worker_incarnation const& current,
                               std::optional<worker_clock> reading)
 {
+    this->resume_if_due();
     // Ignores delayed announcements of earlier incarnations.
     bool const same_id = current.id == this->incarnation.id;
     if (same_id && current.born < this->incarnation.born)
@@ -62,6 +69,8 @@
 
 bool leased_runner::is_current(worker_incarnation const& addressed, worker_reply const& reply)
 {
+    if (reply.answer == worker_answer::accepted)
+        this->token.on_accepted();
     if (reply.answer == worker_answer::wrong_incarnation) {
         // A call to an earlier incarnation tells nothing about the present one.
         if (!addressed.id.empty() && addressed == this->incarnation)
@@ -88,7 +97,7 @@
     this->forget_worker_state();
     // Commands that were sent to the previous incarnation may still arrive. The new one refuses
     // them once it has seen a higher token.
-    ++this->fence;
+    this->token.advance();
     for (auto& [name, active] : this->runs) {
         active.worker_restarted = true;
         active.stop_sent = false;
@@ -138,7 +147,7 @@
         this->record_inferred_end(active, end_proof::later_incarnation);
     this->incarnation = {};
     // A later incarnation may have the same id, and refuses late starts for this one.
-    ++this->fence;
+    this->token.advance();
     this->forget_worker_state();
     this->run_numbers.clear();
     auto lost = std::exchange(this->runs, {});
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -29,6 +29,8 @@
 
 void leased_runner::send_report(report_kind kind)
 {
+    if (this->token.superseded())
+        return;
     auto const time = this->now();
     this->next_probe = time + probe_interval;
     auto const number = ++this->reports_sent;
@@ -96,6 +98,9 @@
     this->record_contact();
     for (auto const& ended : report.ended)
         this->on_ended(ended);
+    // The worker made the report before it refused the token.
+    if (this->token.superseded())
+        return;
     this->reconcile_runs(number, report);
 }
 
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -37,14 +37,13 @@
 constexpr milliseconds longest_unlisted {1000};
 /// A start with a shorter lease is refused.
 constexpr milliseconds shortest_lease {200};
-/// The run numbers and fencing tokens of earlier incarnations of this agent are unknown. When the
+/// The run numbers of earlier incarnations of this agent are unknown. When the
 /// worker rejects a number as too low, it is raised in growing steps, so that a few attempts
 /// suffice: the last step is 2^32, because a task that comes from another entry may have had any
 /// attempt number as its run number.
 constexpr std::uint32_t max_start_attempts = 6;
 constexpr std::uint64_t first_run_number_step = 16;
 constexpr std::uint64_t run_number_step_factor = 128;
-constexpr std::uint64_t fence_step = 60'000;
 
 /// The latest time of the clock stands for "never" and is kept.
 base::steady_time add(base::steady_time time, milliseconds duration)
@@ -79,9 +78,9 @@
 
 leased_runner::leased_runner(leased_worker& target, lease_limits worker_limits,
                              std::uint64_t initial_fence, clock_source time_source)
-    : worker(target), limits(worker_limits), fence(initial_fence), now(std::move(time_source)),
-      created(this->now()), last_contact(this->created), lease(worker_limits, this->created),
-      alive(std::make_shared<bool>(true))
+    : worker(target), limits(worker_limits), now(std::move(time_source)), created(this->now()),
+      token(initial_fence, this->created), last_contact(this->created),
+      lease(worker_limits, this->created), alive(std::make_shared<bool>(true))
 {
 }
 
@@ -111,6 +110,8 @@
                                                     std::string const& name) const
 {
     auto const time = this->now();
+    if (this->token.superseded())
+        return "another process of this agent has taken over the worker";
     if (this->runs.contains(name))
         return "another run of the task has not ended yet";
     if (!this->is_announced || !this->is_settled || !this->lease.clock()
@@ -127,7 +128,7 @@
 bool leased_runner::may_start_now(active_run const& active) const
 {
     auto const time = this->now();
-    return this->lease.clock() && time < active.start_before
+    return !this->token.superseded() && this->lease.clock() && time < active.start_before
         && this->latest_lease_end() >= time + shortest_lease;
 }
 
@@ -274,6 +275,8 @@
     if (!std::exchange(active.stop_sent, true))
         active.first_stop = this->now();
     active.next_stop = this->now() + stop_resend_interval;
+    if (this->token.superseded())
+        return;
     auto const context = this->context();
     this->worker.stop(context, active.run,
                       [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
@@ -352,7 +355,7 @@
     // The first call that reaches the next incarnation then makes it refuse starts for the former
     // one.
     if (!std::exchange(this->restart_expected, true))
-        ++this->fence;
+        this->token.advance();
 }
 
 void leased_runner::record_contact()
@@ -364,6 +367,8 @@
 
 void leased_runner::tick()
 {
+    if (this->token.superseded())
+        return;
     auto const time = this->now();
     if (!this->is_settled && this->lease.expired(time)) {
         this->is_settled = true;
@@ -425,21 +430,6 @@
         .with("ms", std::chrono::duration_cast<milliseconds>(time - active.first_stop).count());
 }
 
-void leased_runner::on_stale_fence(std::uint64_t sent)
-{
-    // A call with a former token does not tell whether the present one is too low.
-    if (sent == this->fence)
-        this->raise_fence();
-}
-
-void leased_runner::raise_fence()
-{
-    this->fence += fence_step;
-    base::log_record(base::log_event::fence_raised)
-        .with("worker", this->incarnation.id)
-        .with("fence", this->fence);
-}
-
 void leased_runner::finish_run(std::string const& name, run_result result)
 {
     auto const found = this->runs.find(name);
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -16,6 +16,7 @@
 #include <sigc++/signal.h>
 
 #include "agent/endpoint_runner.h"
+#include "agent/fencing_token.h"
 #include "agent/foreign_runs.h"
 #include "agent/incarnation_verifier.h"
 #include "agent/inferred_ends.h"
@@ -58,8 +59,13 @@
         return this->incarnation;
     }
     /// Whether the worker answers and its present incarnation has announced itself. The capacity of
-    /// an incarnation is unknown until then.
-    [[nodiscard]] bool available() const { return this->is_reachable && this->is_announced; }
+    /// an incarnation is unknown until then. False while another process of this agent has taken
+    /// over the worker: then nothing is sent to it, and runs go on until the other process or their
+    /// lease ends them, which this process does not learn.
+    [[nodiscard]] bool available() const
+    {
+        return this->is_reachable && this->is_announced && !this->token.superseded();
+    }
     sigc::signal<void(bool available)> availability_changed;
     /// Emitted at most once per run, when it has stalled or is far slower than expected.
     /// `remaining` is the estimated time until its end.
@@ -118,7 +124,7 @@
 
     using call_context = leased_worker::call_context;
 
-    [[nodiscard]] call_context context() const { return {this->fence, this->incarnation}; }
+    [[nodiscard]] call_context context() const { return {this->token.value(), this->incarnation}; }
     /// Latest end of the lease that the permissions of all runs on the worker, and of the tasks
     /// that wait for their start, allow.
     [[nodiscard]] base::steady_time latest_lease_end() const;
@@ -173,9 +179,11 @@
     [[nodiscard]] std::optional<end_proof> proof_of_end(active_run const& active,
                                                         worker_clock reading) const;
     void check_progress(active_run& active, std::uint32_t percent, worker_clock time);
-    void raise_fence();
-    /// Raises the token if the worker refused the one that the runner uses now.
+    /// The worker refused this token.
     void on_stale_fence(std::uint64_t sent);
+    /// The worker announces itself. A superseded process may go on after a while.
+    void resume_if_due();
+    void log_raised_fence() const;
     /// Whether an answer is about the present incarnation of the worker. First acts on what the
     /// answer tells about incarnations: the present one has ended, or a later one has answered.
     /// @param addressed the incarnation that was called.
@@ -196,9 +204,9 @@
 
     leased_worker& worker;
     lease_limits limits;
-    std::uint64_t fence;
     clock_source now;
     base::steady_time created;
+    fencing_token token;
 
     worker_incarnation incarnation; ///< Empty id until the worker has announced itself.
     bool is_announced = false; ///< The present incarnation has announced itself.
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -84,6 +84,7 @@
     event_description {log_event::lease_withheld, severity::warning, "lease_withheld"},
     event_description {log_event::run_end_inferred, severity::warning, "run_end_inferred"},
     event_description {log_event::end_after_outcome, severity::warning, "end_after_outcome"},
+    event_description {log_event::agent_superseded, severity::warning, "agent_superseded"},
     event_description {log_event::run_lagging, severity::warning, "run_lagging"},
     event_description {log_event::fence_raised, severity::warning, "fence_raised"},
     event_description {log_event::report_rejected, severity::warning, "report_rejected"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -91,6 +91,7 @@
     lease_withheld = 4022,
     run_end_inferred = 4023,
     end_after_outcome = 4024,
+    agent_superseded = 4025,
 };
 
 struct event_description {
--- /dev/null
+++ b/tests/agent/superseded_agent_test.cpp
@@ -0,0 +1,291 @@
+// Two processes of one agent at one worker, and processes whose fencing token is too low because a
+// clock was set back.
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "agent/leased_runner.h"
+#include "agent/simulated_worker.h"
+
+namespace {
+
+using namespace greengagehead;
+using namespace greengagehead::agent;
+using namespace greengagehead::agent::fakes;
+using protocol::outcome_kind;
+using std::chrono::milliseconds;
+
+constexpr milliseconds announcement_interval {1500};
+
+/// Passes the calls of one process to the worker, and counts them.
+class counted_calls : public leased_worker {
+public:
+    explicit counted_calls(simulated_worker& target) : worker(target) { }
+
+    void start(call_context const& context, worker_run const& run, protocol::task_start const& task,
+               worker_clock lease_until, std::function<void(worker_reply const&)> done) override
+    {
+        this->note(context);
+        this->worker.start(context, run, task, lease_until, std::move(done));
+    }
+    void stop(call_context const& context, worker_run const& run,
+              std::function<void(worker_reply const&)> done) override
+    {
+        this->note(context);
+        this->worker.stop(context, run, std::move(done));
+    }
+    void report(call_context const& context, worker_clock lease_until, std::uint64_t last_seen_end,
+                milliseconds wait, std::function<void(worker_report const&)> done) override
+    {
+        this->note(context);
+        this->worker.report(context, lease_until, last_seen_end, wait, std::move(done));
+    }
+
+    std::size_t calls = 0;
+    std::uint64_t last_fence = 0; ///< Fencing token of the last call.
+
+private:
+    void note(call_context const& context)
+    {
+        ++this->calls;
+        this->last_fence = context.fence;
+    }
+
+    simulated_worker& worker;
+};
+
+/// One process of the agent.
+struct agent_process {
+    agent_process(simulated_worker& worker, std::uint64_t fence, leased_runner::clock_source clock)
+        : calls(worker), runner(calls, {}, fence, std::move(clock))
+    {
+    }
+
+    counted_calls calls;
+    leased_runner runner;
+    std::vector<run_result> results;
+};
+
+struct superseded_agent_fixture {
+    [[nodiscard]] agent_process new_process(std::uint64_t fence)
+    {
+        return {this->worker, fence, [this] { return this->now; }};
+    }
+    void announce(agent_process& process) const
+    {
+        process.runner.announced({this->worker.id, this->worker.born}, this->worker.clock);
+    }
+    void start(agent_process& process, std::string const& name) const
+    {
+        run_request request;
+        request.task.task = {"job", 0};
+        request.task.name = name;
+        request.start_before = this->now + milliseconds(1000);
+        process.runner.start(request, [&process](run_result result, base::steady_time) {
+            process.results.push_back(std::move(result));
+        });
+    }
+    void advance(milliseconds duration, std::vector<agent_process*> const& processes)
+    {
+        constexpr milliseconds step {10};
+        for (auto const end = this->now + duration; this->now < end;) {
+            this->now += step;
+            this->worker.advance(step);
+            for (auto* const process : processes)
+                process->runner.tick();
+        }
+    }
+    /// The worker announces itself to the process meanwhile.
+    void advance_announced(milliseconds duration, agent_process& process)
+    {
+        for (auto const end = this->now + duration; this->now < end;) {
+            this->announce(process);
+            this->advance(announcement_interval, {&process});
+        }
+    }
+
+    base::steady_time now {std::chrono::hours(1)};
+    simulated_worker worker;
+};
+
+} // namespace
+
+SCENARIO("a second process of an agent begins while the first one runs on", "[agent][leased]")
+{
+    GIVEN("an agent with a run, whose worker knows its token")
+    {
+        superseded_agent_fixture fixture;
+        auto former = fixture.new_process(1'000);
+        fixture.announce(former);
+        fixture.advance(milliseconds(1050), {&former});
+        fixture.start(former, "a.0.0.0");
+        fixture.advance(milliseconds(100), {&former});
+        REQUIRE(fixture.worker.runs("a.0.0.0"));
+
+        WHEN("a second process with a higher token begins, and starts a run")
+        {
+            auto next = fixture.new_process(3'000);
+            fixture.announce(next);
+            fixture.advance(milliseconds(1500), {&former, &next});
+            fixture.start(next, "b.0.0.0");
+            fixture.advance(milliseconds(50), {&former, &next});
+            REQUIRE(fixture.worker.runs("b.0.0.0"));
+            auto const calls_before = former.calls.calls;
+            std::vector<bool> availability;
+            former.runner.availability_changed.connect(
+                [&availability](bool available) { availability.push_back(available); });
+            fixture.advance(milliseconds(2000), {&former, &next});
+
+            // Guards against two processes that outbid each other, and stop each other's runs.
+            THEN("the token and the run of the second one stay")
+            {
+                CHECK(next.calls.last_fence == 3'000);
+                CHECK(next.runner.available());
+                CHECK(fixture.worker.runs("b.0.0.0"));
+                CHECK(next.results.empty());
+            }
+            THEN("the first one calls the worker no more, and takes no work")
+            {
+                CHECK(former.calls.last_fence == 1'000);
+                CHECK(former.calls.calls == calls_before);
+                CHECK_FALSE(former.runner.available());
+                CHECK(availability.empty());
+                fixture.start(former, "c.0.0.0");
+                REQUIRE(former.results.size() == 1);
+                CHECK(former.results.front().kind == outcome_kind::not_run);
+            }
+            // Guards against an end that is reported without proof: the second process may have
+            // extended the lease of the worker.
+            THEN("the first one reports nothing about its run, also when it is to stop it")
+            {
+                former.runner.stop({}, {"job", 0});
+                fixture.advance(milliseconds(2000), {&former, &next});
+                CHECK(former.results.empty());
+                CHECK(former.calls.calls == calls_before);
+            }
+            // Guards against a process that takes over again because the new life of the worker has
+            // not seen its token before.
+            THEN("the second one keeps the next life of the worker, too")
+            {
+                fixture.worker.restart(6);
+                fixture.announce(next);
+                fixture.advance(milliseconds(100), {&former, &next});
+                fixture.announce(former);
+                fixture.advance(milliseconds(1500), {&former, &next});
+                CHECK(next.runner.available());
+                CHECK_FALSE(former.runner.available());
+                CHECK(next.calls.last_fence < 4'000);
+                CHECK(former.calls.calls == calls_before);
+            }
+        }
+        // Guards against a process that counts as a new one because this life of the worker has not
+        // seen its token yet.
+        WHEN("a second process reaches the next life of the worker before the first one does")
+        {
+            auto next = fixture.new_process(3'000);
+            fixture.worker.crash();
+            fixture.advance(milliseconds(200), {&former});
+            fixture.worker.restart(6);
+            fixture.announce(next);
+            fixture.advance(milliseconds(100), {&next});
+            fixture.advance(milliseconds(1500), {&former, &next});
+            THEN("the second one keeps its token")
+            {
+                CHECK(next.calls.last_fence < 4'000);
+                CHECK(next.runner.available());
+                CHECK_FALSE(former.runner.available());
+            }
+        }
+        // Guards against a true end that is lost: the answer had been on its way.
+        WHEN("a report of the run's end is on its way when the token is refused")
+        {
+            fixture.worker.finish_all_but("");
+            fixture.now += milliseconds(10);
+            former.runner.tick();
+            auto next = fixture.new_process(3'000);
+            fixture.announce(next);
+            fixture.advance(milliseconds(100), {&next, &former});
+            THEN("the end is reported")
+            {
+                REQUIRE(former.results.size() == 1);
+                CHECK(former.results.front().kind == outcome_kind::succeeded);
+            }
+        }
+    }
+}
+
+SCENARIO("an agent starts with a lower fencing token than its worker has seen", "[agent][leased]")
+{
+    GIVEN("a worker that has seen the token of a former process, whose clock was ahead")
+    {
+        for (std::uint64_t const ahead : {1ULL, 60'001ULL, 86'400'000ULL, 31'536'000'000ULL}) {
+            WHEN("the clock was set back by " + std::to_string(ahead) + " ms")
+            {
+                superseded_agent_fixture fixture;
+                (void)fixture.worker.begin_report({1'000 + ahead, {}}, worker_clock(0), 0);
+                auto process = fixture.new_process(1'000);
+                fixture.announce(process);
+                fixture.advance(milliseconds(1500), {&process});
+                fixture.start(process, "a.0.0.0");
+                fixture.advance(milliseconds(50), {&process});
+                // Guards against an agent being refused for good after its clock was set back.
+                THEN("the new process raises its token and works")
+                {
+                    CHECK(process.calls.last_fence > 1'000 + ahead);
+                    CHECK(process.runner.available());
+                    CHECK(fixture.worker.runs("a.0.0.0"));
+                }
+            }
+        }
+    }
+}
+
+SCENARIO("the next life of a worker carries out an order with a higher token", "[agent][leased]")
+{
+    GIVEN("an agent at work, and a late order of an earlier process to the next life of its worker")
+    {
+        superseded_agent_fixture fixture;
+        auto process = fixture.new_process(1'000);
+        fixture.announce(process);
+        fixture.advance(milliseconds(1050), {&process});
+        REQUIRE(process.runner.available());
+        fixture.worker.restart(6);
+        (void)fixture.worker.carry_out_stop({500'000, {}}, {"z.0.0.0", 1});
+        fixture.advance(milliseconds(1500), {&process});
+        REQUIRE_FALSE(process.runner.available());
+        auto const calls_before = process.calls.calls;
+
+        // Guards against an agent that stays without work for good.
+        WHEN("the worker goes on announcing itself to the process")
+        {
+            fixture.advance_announced(milliseconds(25'000), process);
+            CHECK(process.calls.calls == calls_before);
+            fixture.advance_announced(milliseconds(10'000), process);
+            THEN("the process raises its token after a while, and works")
+            {
+                CHECK(process.calls.last_fence > 500'000);
+                CHECK(process.runner.available());
+                fixture.start(process, "a.0.0.0");
+                fixture.advance(milliseconds(50), {&process});
+                CHECK(fixture.worker.runs("a.0.0.0"));
+            }
+        }
+        // Guards against a process that takes the worker back from one that it announces itself to.
+        WHEN("the worker announces itself elsewhere")
+        {
+            fixture.advance(std::chrono::minutes(5), {&process});
+            THEN("the process stays silent")
+            {
+                CHECK(process.calls.calls == calls_before);
+                CHECK_FALSE(process.runner.available());
+            }
+        }
+    }
+}
