Count the leases that a restarted worker takes from commands to its former incarnation

A start for the former incarnation of a worker that the next one carries out names a time on another clock, and grants the longest lease there. The agent compared its own grants only: a run was reported as ended ('the worker does not answer', or 'lease expired' by a report that leaves its row out) up to 0.5 s before its lease ended.

Not covered: such a worker answers nothing after its first answer, and commands to the former incarnation arrive later than that.

--- a/src/agent/foreign_runs.h
+++ b/src/agent/foreign_runs.h
@@ -20,7 +20,8 @@
     void on_listed(worker_run const& run, worker_clock reading, base::steady_time now);
     void on_ended(worker_run const& run) { this->known.erase(run); }
     /// Removes the runs whose lease had ended when the worker made a report.
-    /// @param granted_until latest end of a lease that this agent has granted.
+    /// @param granted_until latest end of a lease that this agent has granted, also by commands to
+    /// a former incarnation of the worker.
     /// @param max_lease longest lease that an order of another process may have granted.
     void remove_expired(worker_clock reading, worker_clock granted_until,
                         std::chrono::milliseconds max_lease);
--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -86,6 +86,8 @@
         .with("runs", this->runs.size());
     this->incarnation.born = born;
     this->forget_worker_state();
+    this->lease.on_restarted(this->now());
+    this->restarted_after_report = this->reports_sent;
     // Commands that were sent to the previous incarnation may still arrive. The new one refuses
     // them once it has seen a higher token.
     ++this->fence;
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -93,6 +93,8 @@
         return;
     }
     this->record_clock(report.reply.clock);
+    if (report.reply.clock && number > this->restarted_after_report)
+        this->lease.on_fenced(*report.reply.clock, this->now());
     this->record_contact();
     for (auto const& ended : report.ended)
         this->on_ended(ended);
@@ -170,7 +172,7 @@
 void leased_runner::stop_foreign_runs(worker_report const& report)
 {
     auto const reading = report.reply.clock.value_or(worker_clock(0));
-    this->foreign.remove_expired(reading, this->lease.granted().end, this->limits.max_lease);
+    this->foreign.remove_expired(reading, this->lease.latest_end(), this->limits.max_lease);
     bool listed = false;
     for (auto const& [run, percent] : report.running) {
         auto const own_run = this->runs.find(run.task);
@@ -202,8 +204,8 @@
                                                      worker_clock reading) const
 {
     // The next incarnation of the worker may run the task under a lease of its own.
-    auto const granted_until = this->lease.granted().end;
-    if (!active.worker_restarted && granted_until > worker_clock(0) && reading >= granted_until)
+    auto const lease_end = this->lease.latest_end();
+    if (!active.worker_restarted && lease_end > worker_clock(0) && reading >= lease_end)
         return end_proof::lease_expired;
     // If the start had been carried out before the stop, the worker would list the end by now.
     bool const may_not_have_started = active.state == phase::unconfirmed && !active.listed;
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -220,6 +220,9 @@
     inferred_ends ends_without_row;
     std::uint64_t last_seen_end = 0;
     std::uint64_t reports_sent = 0;
+    /// Number of a report. Those requested later carry the token that was raised after the last
+    /// restart of the worker under its id.
+    std::uint64_t restarted_after_report = 0;
     std::uint64_t renewal_in_flight = 0; ///< Number of the report; 0 while none is in flight.
     base::steady_time next_report;
     base::steady_time next_probe;
--- a/src/agent/worker_lease.cpp
+++ b/src/agent/worker_lease.cpp
@@ -8,15 +8,37 @@
 
 worker_lease::worker_lease(lease_limits worker_limits, base::steady_time now)
     : limits(worker_limits)
+{
+    this->current.named_until = now + this->limits.max_lease;
+    this->extend_expiry(now);
+}
+
+void worker_lease::extend_expiry(base::steady_time now)
 {
     auto const longest = this->limits.max_lease;
-    this->current.named_until = now + longest;
-    this->current.expire_at = now + longest + longest * this->limits.clock_drift_percent / 100;
+    auto const drift = longest * this->limits.clock_drift_percent / 100;
+    this->current.expire_at = std::max(this->current.expire_at, now + longest + drift);
+}
+
+void worker_lease::on_restarted(base::steady_time now)
+{
+    this->reset();
+    this->inherited_until = worker_clock::max();
+    this->extend_expiry(now);
+}
+
+void worker_lease::on_fenced(worker_clock reading, base::steady_time now)
+{
+    if (this->inherited_until != worker_clock::max())
+        return;
+    this->inherited_until = reading + this->limits.max_lease;
+    this->extend_expiry(now);
 }
 
 void worker_lease::reset()
 {
     this->last_reading.reset();
+    this->inherited_until = worker_clock(0);
     this->current.end = worker_clock(0);
 }
 
--- a/src/agent/worker_lease.h
+++ b/src/agent/worker_lease.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -45,6 +46,11 @@
 
     /// A new incarnation of the worker, or none: nothing is known of its clock and nothing granted.
     void reset();
+    /// The worker has restarted under its id. Until it has seen a higher token it may carry out
+    /// commands to its former incarnation, whose ends mean the longest lease on its new clock.
+    void on_restarted(base::steady_time now);
+    /// The worker has answered a call with a token that was raised after `on_restarted`.
+    void on_fenced(worker_clock reading, base::steady_time now);
     /// A reading that is older than what is known has no effect: answers may arrive out of order,
     /// and may be read long after they were sent, because the agent was paused.
     void record_clock(worker_clock reading, base::steady_time now);
@@ -60,6 +66,12 @@
     void withdraw(grants const& before, grants const& after);
 
     [[nodiscard]] grants const& granted() const { return this->current; }
+    /// Latest end of any lease on the worker's clock. 0 if none was granted, and the maximum while
+    /// it is unknown.
+    [[nodiscard]] worker_clock latest_end() const
+    {
+        return std::max(this->current.end, this->inherited_until);
+    }
     /// Whether every lease that was granted has certainly ended.
     [[nodiscard]] bool expired(base::steady_time now) const
     {
@@ -67,12 +79,17 @@
     }
 
 private:
+    /// The worker may have been granted the longest lease just now.
+    void extend_expiry(base::steady_time now);
     /// Lower bound of the worker's clock, which may have fallen behind since the last reading.
     [[nodiscard]] worker_clock worker_time(base::steady_time now) const;
 
     lease_limits limits;
     std::optional<worker_clock> last_reading;
     base::steady_time read_at; ///< Of the last reading.
+    /// Latest end of leases that commands to a former incarnation have granted. 0 if there are
+    /// none, and the maximum while it is unknown.
+    worker_clock inherited_until {0};
     grants current;
 };
 
--- a/tests/agent/simulated_worker.h
+++ b/tests/agent/simulated_worker.h
@@ -40,6 +40,8 @@
                 std::function<void(worker_report const&)> done) override
     {
         ++this->reports;
+        if (this->silent)
+            return this->answer(call_timeout, [done = std::move(done)] { done({}); });
         worker_report report;
         if (!this->up)
             report.reply = {worker_answer::not_sent, {}, {}};
@@ -83,6 +85,7 @@
     /// Orders of this kind get no answer, and are carried out by `carry_out_lost_orders` only.
     bool lost_starts = false;
     bool lost_stops = false;
+    bool silent = false; ///< Reports get no answer and have no effect.
     std::size_t reports = 0; ///< Calls for a report since this life began.
 
 private:
