Settle a starting agent by reports again, once stops have ended

Since an agent that starts waited for the longest lease of its former process (1.02 s) in any case.

From the first call that the worker accepts it refuses the starts of a former process, so it runs what it lists and what it has been stopping since before. The agent is settled when each listed run has a listed end and nothing was listed for twice the longest stop, by a report that was requested after that; otherwise when the longest lease has expired. Both count from the first accepted call, and not from the start of the process: until then another process may grant leases. A process that goes on after it was superseded settles again.

Tests: 'the worker no longer lists any run' of leased_runner_test is now three cases: the listed end settles the agent after 100 ms and a second report, a run without a listed end only with the lease, and an agent that its worker answers after 3 s settles anew.

--- a/src/agent/leased_fencing.cpp
+++ b/src/agent/leased_fencing.cpp
@@ -1,10 +1,51 @@
-// What the runner does when the worker refuses its fencing token.
+// What the runner does when the worker accepts or refuses its fencing token, and when nothing of a
+// former process of the agent can run any more.
+
+#include <utility>
 
 #include "agent/leased_runner.h"
 #include "base/log_record.h"
 
 namespace greengagehead::agent {
 
+void leased_runner::on_token_accepted()
+{
+    this->token.on_accepted();
+    if (std::exchange(this->is_taken_over, true))
+        return;
+    // Until now another process may have granted leases.
+    this->lease.on_taken_over(this->now());
+    this->is_settled = false;
+    this->quiet_since.reset();
+    this->settled_after_report.reset();
+}
+
+void leased_runner::settle_by_report(std::uint64_t number, worker_report const& report)
+{
+    if (this->is_settled || !report.reply.clock)
+        return;
+    if (this->foreign.since()) {
+        this->quiet_since.reset();
+        this->settled_after_report.reset();
+        return;
+    }
+    if (!this->quiet_since)
+        this->quiet_since = report.reply.clock;
+    if (*report.reply.clock < *this->quiet_since + this->limits.longest_stop_wait())
+        return;
+    // The report may have been made before its clock was read.
+    if (!this->settled_after_report)
+        this->settled_after_report = this->reports_sent;
+    else if (number > *this->settled_after_report)
+        this->settle("nothing runs");
+}
+
+void leased_runner::settle(std::string_view reason)
+{
+    this->is_settled = true;
+    base::log_record(base::log_event::worker_settled).with("reason", reason);
+}
+
 void leased_runner::on_stale_fence(std::uint64_t sent)
 {
     bool const before = this->available();
@@ -29,6 +70,7 @@
     if (!this->token.resume(this->now()))
         return;
     this->log_raised_fence();
+    this->is_taken_over = false;
     // Reports decide about the runs that the process had, before the silence of the worker does.
     this->last_contact = this->now();
     this->next_report = this->now();
--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -38,7 +38,7 @@
                             if (weak.expired())
                                 return;
                             if (report.reply.answer == worker_answer::accepted)
-                                this->token.on_accepted();
+                                this->on_token_accepted();
                             if (report.reply.answer == worker_answer::stale_fence)
                                 this->on_stale_fence(sent);
                             done(judge(announced, report.reply));
@@ -70,7 +70,7 @@
 bool leased_runner::is_current(worker_incarnation const& addressed, worker_reply const& reply)
 {
     if (reply.answer == worker_answer::accepted)
-        this->token.on_accepted();
+        this->on_token_accepted();
     if (reply.answer == worker_answer::wrong_incarnation) {
         // A call to an earlier incarnation tells nothing about the present one.
         if (!addressed.id.empty() && addressed == this->incarnation)
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -21,9 +21,8 @@
 constexpr milliseconds idle_report_interval {300};
 /// A run that the worker lists neither as running nor as ended is stopped after this time.
 constexpr milliseconds unlisted_until_stopped {500};
-/// A stop is waited for this many times as long as it may take, because a worker's timers are late
-/// under load.
-constexpr int stop_margin = 2;
+/// Until the runner is settled, reports tell whether runs of a former process have ended.
+constexpr milliseconds settling_report_interval {30};
 
 } // namespace
 
@@ -79,7 +78,8 @@
 void leased_runner::process_report(std::uint64_t number, call_context const& context,
                                    worker_report const& report)
 {
-    this->next_report = this->now() + (this->runs.empty() ? idle_report_interval : report_delay);
+    auto const idle = this->is_settled ? idle_report_interval : settling_report_interval;
+    this->next_report = this->now() + (this->runs.empty() ? idle : report_delay);
     if (!this->is_current(context.incarnation, report.reply))
         return;
     if (report.reply.answer == worker_answer::stale_fence) {
@@ -139,6 +139,7 @@
 void leased_runner::reconcile_runs(std::uint64_t number, worker_report const& report)
 {
     this->stop_foreign_runs(report);
+    this->settle_by_report(number, report);
     std::vector<std::pair<std::string, end_proof>> ended;
     for (auto& [name, active] : this->runs) {
         auto const& sent_run = active.run;
@@ -215,7 +216,7 @@
     // If the start had been carried out before the stop, the worker would list the end by now.
     bool const may_not_have_started = active.state == phase::unconfirmed && !active.listed;
     if (may_not_have_started && active.stop_confirmed_at
-        && reading >= *active.stop_confirmed_at + stop_margin * this->limits.max_stop_duration)
+        && reading >= *active.stop_confirmed_at + this->limits.longest_stop_wait())
         return end_proof::start_refused;
     return {};
 }
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -370,10 +370,8 @@
     if (this->token.superseded())
         return;
     auto const time = this->now();
-    if (!this->is_settled && this->lease.expired(time)) {
-        this->is_settled = true;
-        base::log_record(base::log_event::worker_settled).with("reason", "leases have lapsed");
-    }
+    if (!this->is_settled && this->lease.expired(time))
+        this->settle("leases have lapsed");
     if (this->renewal_in_flight == 0 && time >= this->next_report)
         this->send_report(report_kind::renewal);
     if (this->is_reachable && !this->runs.empty() && time >= this->next_probe)
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -198,6 +198,13 @@
     void update_availability(bool reachable, bool announced);
     void finish_run(std::string const& name, run_result result);
     void record_inferred_end(active_run const& active, end_proof proof);
+    /// The worker has accepted a call with the token of this process.
+    void on_token_accepted();
+    /// Settles the runner by what a report does not list. From the first accepted call on, the
+    /// worker refuses the starts of a former process, so it runs what it lists, and what it has
+    /// been stopping since before.
+    void settle_by_report(std::uint64_t number, worker_report const& report);
+    void settle(std::string_view reason);
     /// Ends a run whose end the worker has not listed.
     void finish_unlisted_run(std::string const& name, end_proof proof);
     [[nodiscard]] static std::string name_of(protocol::task_start const& task);
@@ -218,6 +225,14 @@
     /// The token was raised for the next incarnation of the worker, and no answer has come since.
     bool restart_expected = false;
     bool is_settled = false;
+    /// The worker has accepted a call since this process began, or went on after it had been
+    /// superseded.
+    bool is_taken_over = false;
+    /// Reading of the worker's clock since when every run of a former process that was listed has
+    /// a listed end.
+    std::optional<worker_clock> quiet_since;
+    /// Number of a report. One that was requested later and lists no such run settles the runner.
+    std::optional<std::uint64_t> settled_after_report;
 
     run_list runs;
     std::uint64_t last_serial = 0; ///< Of a run.
--- a/src/agent/worker_lease.h
+++ b/src/agent/worker_lease.h
@@ -22,6 +22,13 @@
     std::chrono::milliseconds max_report_wait {200};
     /// Longest time that the worker takes to stop a run, on its own clock.
     std::chrono::milliseconds max_stop_duration {50};
+
+    /// Time after which a stop has certainly ended a run. It is longer than `max_stop_duration`,
+    /// because a worker's timers are late under load.
+    [[nodiscard]] std::chrono::milliseconds longest_stop_wait() const
+    {
+        return 2 * this->max_stop_duration;
+    }
 };
 
 /// The worker has one lease for all that runs there, and never shortens it. A command names the
@@ -46,6 +53,9 @@
 
     /// A new incarnation of the worker, or none: nothing is known of its clock and nothing granted.
     void reset();
+    /// The worker has accepted a call of this process for the first time. A former process may have
+    /// granted the longest lease right before.
+    void on_taken_over(base::steady_time now) { this->extend_expiry(now); }
     /// The worker has restarted under its id. Until it has seen a higher token it may carry out
     /// commands to its former incarnation, whose ends mean the longest lease on its new clock.
     void on_restarted(base::steady_time now);
--- a/tests/agent/inherited_lease_test.cpp
+++ b/tests/agent/inherited_lease_test.cpp
@@ -20,6 +20,8 @@
 struct inherited_lease_fixture {
     inherited_lease_fixture() : runner(worker, {}, 100, [this] { return this->now; })
     {
+        // Keeps the leases of the former life short, as a waiting task does.
+        this->runner.waiting_permitted_until = [this] { return this->now; };
         this->runner.announced({"i-1", 5}, this->worker.clock);
         this->advance(milliseconds(1100));
         this->permitted_until = this->now;
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -65,6 +65,9 @@
         : runner(worker, {}, 100, [this] { return this->now; })
     {
         this->runner.announced({"i-1", 5}, worker_clock(10'000));
+        this->advance(milliseconds(10));
+        if (token_accepted)
+            this->answer_report({});
         // The leases of a former incarnation of the agent expire.
         this->advance(milliseconds(1020));
         if (token_accepted)
@@ -628,28 +631,61 @@
             CHECK(worker.stops.front().run == worker_run {"old.0.0.0", 3});
             CHECK_FALSE(runner.settled());
         }
-        // Guards against entries starting tasks elsewhere that the worker still runs without
-        // listing them, and against an agent that waits for an announcement.
+        auto const answer_next = [&](worker_clock clock, std::optional<std::uint64_t> born,
+                                     std::vector<ended_run> ended) {
+            now += milliseconds(30);
+            runner.tick();
+            worker.reports.back().done(
+                {{worker_answer::accepted, clock, born}, {}, std::move(ended)});
+        };
+        ended_run const end {1, {"old.0.0.0", 3}, run_end_reason::stopped};
+        // Guards against an agent that waits for an announcement, or for the end of all leases,
+        // although every run has ended, and against one that accepts work while the worker still
+        // stops a run that it does not list.
         for (auto const& born : {std::optional<std::uint64_t>(), std::optional<std::uint64_t>(5)}) {
-            WHEN(std::string("the worker no longer lists any run")
-                 + (born ? " and states its start" : ""))
-            {
-                now += milliseconds(10);
-                runner.tick();
-                worker.reports.back().done(
-                    {{worker_answer::accepted, worker_clock(60), born}, {}, {}});
-                THEN("the agent accepts no work until the leases of that incarnation have expired")
+            WHEN(std::string("the worker lists the end of the run")
+                 + (born ? ", and states its start" : ""))
+            {
+                answer_next(worker_clock(60), born, {end});
+                answer_next(worker_clock(159), born, {});
+                CHECK_FALSE(runner.settled());
+                answer_next(worker_clock(160), born, {});
+                CHECK_FALSE(runner.settled());
+                answer_next(worker_clock(161), born, {});
+                THEN("the agent accepts work once a stop would have ended any other run")
                 {
-                    CHECK_FALSE(runner.settled());
-                    now += milliseconds(1000);
-                    runner.tick();
-                    CHECK_FALSE(runner.settled());
-                    now += milliseconds(10);
-                    runner.tick();
                     CHECK(runner.settled());
                 }
             }
         }
+        // Guards against entries starting a task elsewhere that the worker still runs without
+        // listing it.
+        WHEN("the worker no longer lists the run, nor its end")
+        {
+            for (int reading = 100; reading <= 900; reading += 100)
+                answer_next(worker_clock(reading), {}, {});
+            THEN("the agent accepts no work until the leases of that incarnation have expired")
+            {
+                CHECK_FALSE(runner.settled());
+                now += milliseconds(1020);
+                runner.tick();
+                CHECK(runner.settled());
+            }
+        }
+        // Guards against a former incarnation that has granted leases until it was fenced off.
+        WHEN("a worker without any run answers for the first time after 3 s")
+        {
+            scripted_worker late;
+            leased_runner next(late, {}, 100, [&now] { return now; });
+            now += milliseconds(3000);
+            next.tick();
+            CHECK(next.settled());
+            late.reports.back().done({{worker_answer::accepted, worker_clock(7), {}}, {}, {}});
+            THEN("the agent accepts no work before the runs of that incarnation have ended")
+            {
+                CHECK_FALSE(next.settled());
+            }
+        }
         WHEN("the worker does not answer until its leases have expired")
         {
             now += milliseconds(1020);
