--- a/tests/fleet/worker_orders.py
+++ b/tests/fleet/worker_orders.py
@@ -19,6 +19,8 @@
         self.random = random_numbers
         # Share of the orders that get no answer and are carried out late, by path.
         self.late_shares = {}
+        # Share of the orders that get no answer and are not carried out, by path.
+        self.lost_shares = {}
         self.late_s = (0.0, 0.0)
         self.stops_withheld = False
         self.withheld = []
@@ -32,6 +34,9 @@
         if path == STOP and self.stops_withheld:
             self.withheld.append(order)
             raise http.Silence
+        lost_share = self.lost_shares.get(path, 0.0)
+        if lost_share and self.random.random() < lost_share:
+            raise http.Silence
         share = self.late_shares.get(path, 0.0)
         if share and self.random.random() < share:
             self.carry_out_later(order, self.random.uniform(*self.late_s))
