Ignore a list of entries that answers another process of the agent

Cause: a control member sends its answer over the newest link of the agent's name, and leaves the entries out when the view in the request is up to date. While two processes of one agent ran at once, the new one got the answers to requests of the former one: it adopted the view without the entries, and asked only for later views from then on. It found no entry until the view changed, so an agent was without work after most hand-overs ("only one accepts a task" at all entries in the end).

Change: an answer with a later view but without entries has no effect on the view. Entries that have left stay known anyway, so nothing is missed if there are none. The test in ephemeral_test failed before.

--- a/src/agent/entry_directory.cpp
+++ b/src/agent/entry_directory.cpp
@@ -41,6 +41,10 @@
     // A member that is cut off from the others may list outdated entries.
     if (answer.view <= this->latest_view)
         return;
+    // A member leaves the entries out when the view in the request is up to date. This answer is to
+    // the request of another process under the same name, whose link to the member is older.
+    if (answer.entries.empty())
+        return;
     this->latest_view = answer.view;
     for (auto const& entry : answer.entries) {
         auto& address = this->addresses[entry.id.name];
--- a/tests/agent/ephemeral_test.cpp
+++ b/tests/agent/ephemeral_test.cpp
@@ -320,6 +320,22 @@
                 CHECK(sender.sent.back().first != first);
             }
         }
+        // Guards against an agent that never learns of the entries, because the answer to a former
+        // process of its name, which knew them, came in over its link.
+        WHEN("an answer without entries comes, to a request that named the latest view")
+        {
+            directory.receive({4, {}, {}}, now);
+            now += milliseconds(100);
+            directory.tick(now);
+            THEN("the entries are still asked for, and used")
+            {
+                REQUIRE(sender.sent.size() == 2);
+                CHECK(std::get<protocol::directory_request>(sender.sent.back().second).known_view
+                      == 0);
+                directory.receive({4, {{{"entry.a", 9}, "recife", "", "10.0.0.1:7000"}}, {}}, now);
+                CHECK(found == std::vector<std::string> {"entry.a@10.0.0.1:7000"});
+            }
+        }
         WHEN("it answers with an entry")
         {
             protocol::directory const answer {4,
