Play agents that start with a lower fencing token than their workers know

A new kind of trouble, clock_set_back, ends an agent, lets its worker know a token that is 1 s to a year ahead, and starts the agent again. It fails if the worker has not accepted a token of the agent 4 s later. The count of log event 4025 is printed, too.

--- a/tests/fleet/worker_identity_test.py
+++ b/tests/fleet/worker_identity_test.py
@@ -37,12 +37,16 @@
 LONGEST_OVERLAP_S = 2.0
 # The shutdown limit of the agents' settings, and some time for a loaded machine.
 LONGEST_SHUTDOWN_S = 10.0
+# From a second to a year.
+SET_BACK_MS_EXPONENTS = (3.0, 10.5)
+# An agent takes on work 1 s after its start, so a few seconds are enough for a loaded machine.
+LONGEST_REFUSAL_S = 4.0
 CALM_S = 4.0
 LATE_ORDER_SHARE = 0.04
 LATE_ORDER_S = (2.0, 6.0)
 MIN_SERVED_SHARE = 0.5
 # Log events whose numbers are printed.
-COUNTED_EVENTS = {4011: "foreign_run_stopped", 4015: "fence_raised"}
+COUNTED_EVENTS = {4011: "foreign_run_stopped", 4015: "fence_raised", 4025: "agent_superseded"}
 
 
 class Troubles:
@@ -148,6 +152,24 @@
         self.system.start(agent)
         await asyncio.sleep(2)
 
+    async def clock_set_back(self, agent):
+        """The agent starts again with a lower fencing token than its worker knows, as after its clock
+        was set back. Guards against an agent that is refused for good."""
+        worker = self.system.workers[agent]
+        self.system.kill(agent)
+        set_back_ms = int(10 ** self.random.uniform(*SET_BACK_MS_EXPONENTS))
+        worker.fence = int(time.time() * 1000) + set_back_ms
+        known = worker.fence
+        self.record("clock-set-back", agent=agent, ms=set_back_ms)
+        self.system.start(agent)
+
+        async def accepted():
+            return worker.fence > known
+        if not await self.system.wait_for(accepted, LONGEST_REFUSAL_S):
+            self.findings.append(f"{agent} is still refused {LONGEST_REFUSAL_S} s after its clock "
+                                 f"was set back by {set_back_ms} ms")
+        await asyncio.sleep(2)
+
     async def agent_overlap(self, agent):
         """A second process of the agent begins before the first one ends: beside the same worker, or
         on another VM with a worker of its own."""
@@ -262,7 +284,8 @@
 # Kind of trouble, and the role of the machine that it befalls.
 KINDS = (("odd_heartbeats", "agent"), ("odd_heartbeats", "agent"), ("worker_crash", "agent"),
          ("worker_crash", "agent"), ("late_orders", "agent"), ("agent_freeze", "agent"),
-         ("agent_kill", "agent"), ("agent_overlap", "agent"), ("entry_freeze", "entry"), ("entry_kill", "entry"),
+         ("agent_kill", "agent"), ("agent_overlap", "agent"),
+         ("clock_set_back", "agent"), ("entry_freeze", "entry"), ("entry_kill", "entry"),
          ("control_freeze", "control"))
 TRACKS = 3
 
