Repeat an order to stop until an answer names the worker's clock

A run whose start was lost ends by a confirmed stop and 100 ms of the worker's clock after it. An answer without a clock counted as the confirmation, so the order was not repeated and its time stayed unknown: after a restart of the worker the run never ended, and kept the lease of the worker from being extended.

'an answer to an order to stop names no clock' failed before (no outcome in 1.5 s).

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -298,7 +298,8 @@
     if (reply.answer != worker_answer::accepted || stopped == nullptr)
         return;
     this->record_contact();
-    stopped->stop_confirmed = true;
+    // Without a reading the answer cannot prove anything later, so the order is repeated.
+    stopped->stop_confirmed = reply.clock.has_value();
     if (!stopped->stop_confirmed_at)
         stopped->stop_confirmed_at = reply.clock;
     if (this->renewal_in_flight == 0)
