Conclude nothing from a report that may not list all ends

A report lists 500 ends at most. When a worker has more that are not acknowledged, the end of a run may come after them, so its absence proves nothing: a start without an answer that was done was reported as cancelled, and its task could be started again.

'a worker has more ends than a report lists' failed before (cancelled instead of succeeded).

--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -162,8 +162,11 @@
         if (number <= active.expected_after_report || active.state == phase::starting)
             continue;
         this->on_unlisted(active);
-        auto const proof
-            = report.reply.clock ? this->proof_of_end(active, *report.reply.clock) : std::nullopt;
+        // Otherwise the end of the run may be among those that come after the listed ones.
+        bool const lists_all_ends = report.ended.size() < this->limits.max_listed_ends;
+        auto const proof = report.reply.clock && lists_all_ends
+            ? this->proof_of_end(active, *report.reply.clock)
+            : std::nullopt;
         if (!proof)
             continue;
         if (!active.ended_after_report)
--- a/src/agent/worker_lease.h
+++ b/src/agent/worker_lease.h
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 
@@ -22,6 +23,8 @@
     std::chrono::milliseconds max_report_wait {200};
     /// Longest time that the worker takes to stop a run, on its own clock.
     std::chrono::milliseconds max_stop_duration {50};
+    /// Most ends in one report of the worker.
+    std::size_t max_listed_ends = 500;
 
     /// Time after which a stop has certainly ended a run. It is longer than `max_stop_duration`,
     /// because a worker's timers are late under load.
--- a/tests/agent/unlisted_run_review_test.cpp
+++ b/tests/agent/unlisted_run_review_test.cpp
@@ -99,6 +99,50 @@
     bool ran_at_result = false;
 };
 
+/// Has many ends that it has not listed yet when it is asked to stop a run, and then answers no
+/// call for a report until no stop can take any longer.
+struct worker_with_many_ends : simulated_worker {
+    static constexpr std::uint64_t other_ends = 1500;
+    static constexpr std::size_t longest_list = 500;
+    static constexpr milliseconds silence {110};
+
+    void stop(call_context const& context, worker_run const& run,
+              std::function<void(worker_reply const&)> done) override
+    {
+        if (!this->stopped) {
+            this->stopped = run;
+            this->silent_until = this->clock + silence;
+        }
+        simulated_worker::stop(context, run, std::move(done));
+    }
+    void report(call_context const& context, worker_clock lease_until, std::uint64_t last_seen_end,
+                milliseconds wait, std::function<void(worker_report const&)> done) override
+    {
+        if (this->clock < this->silent_until)
+            return done({});
+        simulated_worker::report(context, lease_until, last_seen_end, wait,
+                                 [this, last_seen_end, done](worker_report answer) {
+                                     this->list_ends(answer, last_seen_end);
+                                     done(answer);
+                                 });
+    }
+
+private:
+    void list_ends(worker_report& answer, std::uint64_t last_seen_end) const
+    {
+        if (!this->stopped)
+            return;
+        for (auto number = last_seen_end + 1;
+             number <= other_ends + 1 && answer.ended.size() < longest_list; ++number)
+            answer.ended.push_back(
+                {number, number <= other_ends ? worker_run {"other", number} : *this->stopped,
+                 run_end_reason::done});
+    }
+
+    std::optional<worker_run> stopped;
+    worker_clock silent_until {0};
+};
+
 } // namespace
 
 SCENARIO("an answer to an order to stop names no clock", "[agent][leased]")
@@ -123,3 +167,42 @@
         }
     }
 }
+
+SCENARIO("a worker has more ends than a report lists", "[agent][leased]")
+{
+    GIVEN("a start that was carried out without an answer, and many ends before that of its run")
+    {
+        base::steady_time now {std::chrono::hours(1)};
+        worker_with_many_ends worker;
+        worker.lost_starts = true;
+        leased_runner runner(worker, {}, 100, [&now] { return now; });
+        runner.announced({"i-1", 5}, worker.clock);
+        std::vector<run_result> results;
+        auto const advance = [&](milliseconds duration) {
+            for (auto const end = now + duration; now < end;) {
+                now += milliseconds(10);
+                worker.advance(milliseconds(10));
+                runner.tick();
+            }
+        };
+        advance(milliseconds(1100));
+        run_request request;
+        request.task.task = {"job", 0};
+        request.task.name = "a.0.0.0";
+        request.start_before = now + milliseconds(1000);
+        runner.start(request, [&results](run_result result, base::steady_time) {
+            results.push_back(std::move(result));
+        });
+
+        WHEN("the first reports after the stop list only others")
+        {
+            advance(milliseconds(1000));
+            // Guards against a task that is started again after it was done.
+            THEN("the outcome is that of the end")
+            {
+                REQUIRE(results.size() == 1);
+                CHECK(results.front().kind == outcome_kind::succeeded);
+            }
+        }
+    }
+}
