Grant no lease before the worker has accepted a call, and wait for the longest lease of a start

An agent that counted as settled because its worker had not answered for 1 s named a lease in its first report, before it had read what runs there: 660 ms too long in 'an agent reaches its worker only after it counts as settled'. Leases of the next life of a worker by the clock of the one before were mended in two places at once; what left open is the worker that answers nothing any more after it has accepted such a start: its run is given up 1.02 s after that answer at the earliest ('no answer of the worker reaches the agent any more' failed before).

--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -40,7 +40,7 @@
     // Until then the worker may run tasks of a former incarnation of this agent, which entries
     // start elsewhere: their lease must lapse. Without a reading of the worker's clock, the end of
     // a lease cannot be told.
-    bool const extends = this->is_settled && this->lease.clock();
+    bool const extends = this->is_settled && this->is_taken_over && this->lease.clock();
     auto const lease_until
         = extends ? this->lease.next_end(this->latest_lease_end(), time) : worker_clock(0);
     auto const before = this->lease.granted();
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -144,7 +144,6 @@
     auto const time = this->now();
     auto const lease_until = this->lease.next_end(this->latest_lease_end(), time);
     auto const before = this->lease.grant(lease_until, time);
-    active.starts_expire_at = this->lease.granted().expire_at;
     this->worker.start(context, active.run, active.task, lease_until,
                        [this, weak = std::weak_ptr(this->alive), context, name = active.run.task,
                         serial = active.serial, before,
@@ -178,6 +177,9 @@
     // command.
     bool const answered = current && reply.answer != worker_answer::no_answer;
     active.unanswered -= answered ? 1 : 0;
+    if (answered && reply.answer == worker_answer::accepted)
+        active.start_lease_end = this->now() + this->limits.max_lease
+            + this->limits.max_lease * this->limits.clock_drift_percent / 100;
     // Another attempt has already been answered.
     if (active.state != phase::starting)
         return;
@@ -395,7 +397,7 @@
 {
     std::vector<std::string> names;
     for (auto const& [name, active] : this->runs) {
-        if (!may_start_late(active, time))
+        if (!may_start_late(active, time) && time >= active.start_lease_end)
             names.push_back(name);
     }
     for (auto const& name : names) {
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -98,8 +98,9 @@
         std::uint32_t unanswered = 0; ///< Start attempts in flight or with a lost answer.
         std::uint32_t in_flight = 0; ///< Start attempts in flight.
         base::steady_time last_start_attempt;
-        /// From then on, this incarnation of the worker refuses the starts that were sent.
-        base::steady_time starts_expire_at;
+        /// Latest end of the lease that an answered start has granted, also to a next life of the
+        /// worker, which shortens a lease by the former clock only to the longest one.
+        base::steady_time start_lease_end;
         base::steady_time next_start_attempt;
         /// Number of a report. Those requested later must list the run.
         std::uint64_t expected_after_report = 0;
--- a/tests/agent/unlisted_run_review_test.cpp
+++ b/tests/agent/unlisted_run_review_test.cpp
@@ -206,3 +206,87 @@
         }
     }
 }
+
+SCENARIO("the next life of a worker has a lease by the clock of the one before", "[agent][leased]")
+{
+    GIVEN("a start that the next life has accepted before the agent knows of it")
+    {
+        review_fixture fixture;
+        auto const started = fixture.now + milliseconds(1100);
+        fixture.permitted_until = started + milliseconds(400);
+        fixture.runner.waiting_permitted_until = [&fixture] { return fixture.permitted_until; };
+        fixture.advance(milliseconds(1100));
+        fixture.calls.worker.restart(6);
+        fixture.start("a.0.0.0");
+        fixture.advance(milliseconds(1));
+        REQUIRE(fixture.calls.worker.runs("a.0.0.0"));
+        REQUIRE(fixture.calls.worker.lease_end == worker_clock(1000));
+
+        WHEN("no answer of the worker reaches the agent any more")
+        {
+            fixture.calls.reachable = false;
+            fixture.advance(milliseconds(2000));
+            // Guards against the same conclusion by the clock of the agent.
+            THEN("its outcome is reported once it has ended")
+            {
+                REQUIRE(fixture.results.size() == 1);
+                CHECK_FALSE(fixture.ran_at_result);
+            }
+        }
+        WHEN("its permission has ended, and it is stopped late and not listed meanwhile")
+        {
+            fixture.calls.worker.lost_stops = true;
+            fixture.advance(milliseconds(760));
+            fixture.runner.stop({}, {"a.0.0.0", 0});
+            fixture.calls.worker.lost_stops = false;
+            fixture.calls.worker.carry_out_lost_orders();
+            REQUIRE(fixture.calls.worker.runs("a.0.0.0"));
+            fixture.advance(milliseconds(1500));
+            // Guards against a lease that counts as expired because this agent has granted a
+            // shorter one to the new life: the order to the former one has granted the longest.
+            THEN("its outcome is reported once it has ended")
+            {
+                REQUIRE(fixture.results.size() == 1);
+                CHECK_FALSE(fixture.ran_at_result);
+            }
+        }
+    }
+}
+
+SCENARIO("an agent reaches its worker only after it counts as settled", "[agent][leased]")
+{
+    GIVEN("a worker that runs a task of another process of the agent")
+    {
+        base::steady_time now {std::chrono::hours(1)};
+        altered_worker calls;
+        calls.reachable = false;
+        leased_runner runner(calls, {}, 200, [&now] { return now; });
+        for (int step = 0; step < 110; ++step) {
+            now += milliseconds(10);
+            calls.advance(milliseconds(10));
+            runner.tick();
+        }
+        REQUIRE(runner.settled());
+        auto const granted = calls.worker.clock + milliseconds(300);
+        REQUIRE(calls.worker.carry_out_start({100, {}}, {"a.0.0.0", 1}, {}, granted)
+                == worker_answer::accepted);
+
+        WHEN("it reaches it, and orders to stop are lost")
+        {
+            calls.reachable = true;
+            calls.worker.lost_stops = true;
+            runner.announced({"i-1", 5}, calls.worker.clock);
+            for (int step = 0; step < 40; ++step) {
+                now += milliseconds(10);
+                calls.advance(milliseconds(10));
+                runner.tick();
+            }
+            // Guards against a run that an agent keeps alive before it knows of it: its own process
+            // had bounded its lease.
+            THEN("the lease is extended at most until the run should have ended")
+            {
+                CHECK(calls.worker.lease_end <= granted + milliseconds(50));
+            }
+        }
+    }
+}
