Ask the other entries before tasks of an older job start

Cause: an entry that woke from a pause or returned from a cut retried runs that its agents had stopped meanwhile, and sent lost starts again, 4 to 15 ms later, before it could hear that the caller had gone to another entry and the job ran there.

Change: a task of an ephemeral job that was sent 1.3 s ago or earlier (callers return after 1.3 s) starts, or starts again, only when each other entry has stated that it does not run the submission. The entry announces the job and sends one job_query for each such job to each other entry; agents get no message. At most 32 jobs are asked for each 50 ms, the statements count for 1.2 s, and after 3 s without all of them the job is given up. What is read just after a pause counts as sent when the pause began. The decisions are in policy/start_confirmations. An entry finds its jobs by the key of the submission also before they have been announced. Messages keep their fields; an entry of an older version answers that it does not know the job, as without the query.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -138,6 +138,8 @@
             job->tasks[taken->task.index].queued = false;
             if (this->callers_left(*job, now))
                 this->components.lifecycle.stop_abandoned(*job, now);
+            else if (!this->components.resubmitted.may_start(*job, now))
+                this->put_aside(*job, now);
             else if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
                 this->enqueue(*job, taken->task.index, true);
                 this->classes[taken->placement_class].blocked_generation = this->generation + 1;
@@ -147,6 +149,13 @@
     }
 }
 
+void dispatcher::put_aside(job& job, base::steady_time now)
+{
+    // Overdue jobs are looked for in the queue only.
+    if (job.nothing_started() && now > job.latest_start)
+        this->components.lifecycle.refuse_unstarted(job, now);
+}
+
 bool dispatcher::callers_left(job& job, base::steady_time now)
 {
     if (now < job.wanted_until)
@@ -311,7 +320,8 @@
 
 void dispatcher::resend(job& job, std::uint32_t index, attempt const& open, base::steady_time now)
 {
-    if ((!job.ephemeral && !this->components.leases.valid(now)) || !job.claim_committed)
+    if ((!job.ephemeral && !this->components.leases.valid(now)) || !job.claim_committed
+        || !this->components.resubmitted.may_start(job, now))
         return;
     job.record_decision({now, decision_kind::resent, static_cast<std::int32_t>(index), open.number,
                          open.endpoint, "the agent has no record of the start", 0});
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -53,6 +53,9 @@
 
     bool placeable(std::string const& key, base::steady_time now);
     void place_ephemeral(base::steady_time now);
+    /// Puts aside a task whose job may run at another entry. It is queued again when that is known
+    /// not to be so.
+    void put_aside(job& job, base::steady_time now);
     /// Whether every caller of an ephemeral job has left, so that it may run elsewhere soon.
     bool callers_left(job& job, base::steady_time now);
     /// Refuses ephemeral jobs that have not started and can no longer meet their target.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -201,6 +201,7 @@
 void entry_core::impl::place_and_send(base::steady_time now)
 {
     this->dispatch.run(now);
+    this->resubmitted.ask_before_starts(now);
     this->outbox.flush(now);
     this->claims.flush(now);
 }
@@ -241,7 +242,8 @@
                 this->lifecycle.on_finished_ack(message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_query>) {
                 // No answer is correct then: "not known" would be taken for the end of the runs.
-                if (!this->may_be_of_former_incarnation(message.job, now))
+                if (!this->may_be_of_former_incarnation(message.job, now)
+                    && !this->resubmitted.on_query(peer, message, now))
                     this->remote.on_query(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_reply>) {
                 if (!this->resubmitted.on_reply(peer, message, now))
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -83,6 +83,9 @@
     protocol::job_epoch epoch = 1;
 
     base::steady_time submitted;
+    /// When its caller has sent it at the earliest. Before `submitted` when it was held, or when it
+    /// waited while this entry was paused.
+    base::steady_time earliest_sent;
     base::steady_time deadline;
     base::steady_time claim_deadline;
     base::steady_time latest_start; ///< Ephemeral jobs only: a later start misses the target.
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -61,7 +61,8 @@
 
 job_lifecycle::job_lifecycle(entry_components& shared) : components(shared) { }
 
-void job_lifecycle::submit(protocol::job_request request, waiter caller, base::steady_time now)
+void job_lifecycle::submit(protocol::job_request request, waiter caller, base::steady_time now,
+                           std::optional<base::steady_time> held_since)
 {
     auto const id = this->job_id_for(request);
     // The id of an ephemeral submission identifies it; a digest would not be used.
@@ -101,6 +102,7 @@
     added.ephemeral = request.ephemeral;
     added.submission = request.submission;
     added.submitted = now;
+    added.earliest_sent = held_since.value_or(this->components.resubmitted.earliest_sent(now));
     added.callers_seen_at = now;
     added.deadline = now + deadline;
     added.claim_deadline = std::min(added.deadline, now + this->components.settings.claim_timeout);
@@ -120,6 +122,7 @@
     if (added.ephemeral) {
         added.claim_committed = true;
         added.copy_settled = true;
+        this->components.resubmitted.record_admitted(added);
         this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
         return this->start_if_ready(added, now);
     }
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -28,7 +28,9 @@
 public:
     explicit job_lifecycle(entry_components& components);
 
-    void submit(protocol::job_request request, waiter caller, base::steady_time now);
+    /// @param held_since when the submission arrived, if it was held at this entry.
+    void submit(protocol::job_request request, waiter caller, base::steady_time now,
+                std::optional<base::steady_time> held_since = std::nullopt);
     void cancel(job& job, base::steady_time now);
     /// Cancels an ephemeral job. One that was abandoned before counts as cancelled from now on.
     void cancel_submission(job& job, base::steady_time now);
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -20,6 +20,10 @@
 /// Announcements of jobs that reach the age in this interval share one message.
 constexpr milliseconds announcement_interval {100};
 constexpr milliseconds expiry_interval {1000};
+/// A longer time between two ticks counts as a pause of this entry.
+constexpr milliseconds min_pause {300};
+/// What is read this soon after a pause may have been sent before it.
+constexpr milliseconds backlog_time {100};
 /// Longest wait in one query, so that a lost entry is noticed.
 constexpr milliseconds max_query_wait {1000};
 constexpr milliseconds answer_timeout {500};
@@ -27,6 +31,19 @@
 constexpr milliseconds repeat_delay {50};
 /// Names of entries as peers begin so.
 constexpr std::string_view entry_peer_prefix = "entry.";
+/// Entries name a submission to each other by this and its key, because the id of an ephemeral job
+/// differs between entries. Ids of jobs are hexadecimal.
+constexpr std::string_view submission_prefix = "submission:";
+
+std::string submission_id(std::string const& key)
+{
+    return std::string(submission_prefix) + key;
+}
+
+std::string submission_id(job const& job)
+{
+    return submission_id(job_id_of(job.team, job.submission));
+}
 
 std::string key_of(protocol::job_request const& request)
 {
@@ -56,17 +73,48 @@
 
 resubmissions::resubmissions(entry_components& shared) : components(shared) { }
 
+void resubmissions::record_admitted(job const& job)
+{
+    this->jobs_by_key[job_id_of(job.team, job.submission)] = job.number;
+}
+
+job* resubmissions::find_job(std::string const& key) const
+{
+    auto const found = this->jobs_by_key.find(key);
+    return found == this->jobs_by_key.end() ? nullptr : this->components.jobs.find(found->second);
+}
+
 void resubmissions::announce(job const& job)
 {
     this->unannounced.push_back(job.number);
 }
 
+void resubmissions::record_tick(base::steady_time now)
+{
+    if (this->last_tick != base::steady_time {} && now - this->last_tick > min_pause) {
+        this->pause_began = this->last_tick;
+        this->pause_ended = now;
+    }
+    this->last_tick = now;
+}
+
+base::steady_time resubmissions::earliest_sent(base::steady_time now) const
+{
+    if (this->last_tick == base::steady_time {})
+        return now;
+    if (now - this->last_tick > min_pause)
+        return this->last_tick;
+    return now < this->pause_ended + backlog_time ? this->pause_began : now;
+}
+
 void resubmissions::tick(base::steady_time now)
 {
+    this->record_tick(now);
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
-        std::erase_if(this->announced, [this](auto const& item) {
+        this->confirmations.expire(now);
+        std::erase_if(this->jobs_by_key, [this](auto const& item) {
             return this->components.jobs.find(item.second) == nullptr;
         });
     }
@@ -80,15 +128,19 @@
 {
     if (message.submissions.empty())
         return;
-    // An entry may serve callers without being in the view, and be in it without a link.
-    auto receivers = this->linked;
-    for (auto const& entry : this->components.leases.applied().entries)
-        receivers.insert(entry.id.name);
-    receivers.erase(this->components.settings.id.name);
-    for (auto const& receiver : receivers)
+    for (auto const& receiver : this->other_entries())
         this->components.sender.send(receiver, message);
 }
 
+std::set<std::string> resubmissions::other_entries() const
+{
+    auto others = this->linked;
+    for (auto const& entry : this->components.leases.applied().entries)
+        others.insert(entry.id.name);
+    others.erase(this->components.settings.id.name);
+    return others;
+}
+
 protocol::submissions_running
 resubmissions::describe_jobs(std::vector<std::uint64_t> const& numbers, base::steady_time now)
 {
@@ -103,7 +155,6 @@
         auto const key = job_id_of(job->team, job->submission);
         message.submissions.push_back({key, std::chrono::floor<milliseconds>(now - job->submitted),
                                        std::chrono::ceil<milliseconds>(end - now), false});
-        this->announced[key] = number;
     }
     return message;
 }
@@ -190,9 +241,7 @@
 void resubmissions::stop_superseded(protocol::submissions_running::submission const& announced,
                                     std::string const& peer, base::steady_time now)
 {
-    auto const found = this->announced.find(announced.key);
-    auto* const job
-        = found == this->announced.end() ? nullptr : this->components.jobs.find(found->second);
+    auto* const job = this->find_job(announced.key);
     auto const& self = this->components.settings.id.name;
     if (job == nullptr || announced.held || announced.remaining <= milliseconds(0)
         || !policy::is_later(now - announced.age, peer, job->submitted, self))
@@ -200,6 +249,88 @@
     this->components.lifecycle.stop_superseded(*job, now);
 }
 
+bool resubmissions::may_start(job const& job, base::steady_time now)
+{
+    bool const alone = this->linked.empty() && this->components.leases.applied().entries.size() < 2;
+    return !job.ephemeral || alone
+        || this->confirmations.may_start(job.number, job.earliest_sent, now);
+}
+
+void resubmissions::ask_before_starts(base::steady_time now)
+{
+    for (auto const number : this->confirmations.take_expired(now))
+        this->give_up_unconfirmed(number, now);
+    std::vector<std::uint64_t> due;
+    for (auto const number : this->confirmations.take_due(now)) {
+        auto const* const job = this->components.jobs.find(number);
+        if (job != nullptr && job->phase == job_phase::running)
+            due.push_back(number);
+        else
+            this->confirmations.forget(number);
+    }
+    if (due.empty())
+        return;
+    // The others hold the jobs from now on, so that their answers stay true for a while.
+    this->send_to_all(this->describe_jobs(due, now));
+    auto const others = this->other_entries();
+    for (auto const number : due) {
+        auto const* const job = this->components.jobs.find(number);
+        auto const id = this->components.remote.allocate_id();
+        this->confirmations.begin_query(number, id, others, now);
+        for (auto const& entry : others)
+            this->components.sender.send(entry,
+                                         protocol::job_query {id, submission_id(*job), false, {}});
+    }
+}
+
+bool resubmissions::on_query(std::string const& peer, protocol::job_query const& query,
+                             base::steady_time now)
+{
+    if (!query.job.starts_with(submission_prefix))
+        return false;
+    protocol::job_reply reply;
+    reply.query_id = query.query_id;
+    auto const* const job = this->find_job(query.job.substr(submission_prefix.size()));
+    if (job != nullptr && (!job->is_final() || !job->unconfirmed.empty())) {
+        // The entry that asks stops its job when this one is the later one.
+        auto const running = this->describe_jobs({job->number}, now);
+        if (!running.submissions.empty())
+            this->components.sender.send(peer, running);
+        reply.answer.emplace();
+        reply.answer->job = query.job;
+        reply.answer->ran = protocol::ran_extent::unknown;
+    }
+    this->components.sender.send(peer, reply);
+    return true;
+}
+
+bool resubmissions::on_start_reply(std::string const& peer, protocol::job_reply const& reply)
+{
+    if (!this->confirmations.contains(reply.query_id))
+        return false;
+    auto const confirmed
+        = this->confirmations.record_reply(peer, reply.query_id, reply.answer.has_value());
+    auto* const job = confirmed ? this->components.jobs.find(*confirmed) : nullptr;
+    if (job != nullptr && job->phase == job_phase::running)
+        this->components.lifecycle.enqueue_waiting(*job);
+    return true;
+}
+
+void resubmissions::give_up_unconfirmed(std::uint64_t number, base::steady_time now)
+{
+    auto* const job = this->components.jobs.find(number);
+    if (job == nullptr || job->phase != job_phase::running)
+        return;
+    if (job->nothing_started())
+        return this->components.lifecycle.refuse_unstarted(*job, now);
+    this->components.lifecycle.fail(*job,
+                                    {base::error_code::unavailable,
+                                     base::error_step::placement,
+                                     {},
+                                     "not all entries have answered whether they run the job"},
+                                    now);
+}
+
 bool resubmissions::take(protocol::job_request& request, waiter& caller, bool abandoned_here,
                          base::steady_time now)
 {
@@ -281,7 +412,7 @@
 {
     auto const found = this->held.find(reply.query_id);
     if (found == this->held.end())
-        return false;
+        return this->on_start_reply(peer, reply);
     auto& item = found->second;
     if (peer != item.asked.name || (reply.answer && reply.answer->job != item.asked_job))
         return true;
@@ -317,7 +448,8 @@
     auto const id = ephemeral_job_id(released.request.team, released.request.submission,
                                      this->components.settings.id);
     released.request.deadline = std::chrono::ceil<milliseconds>(released.deadline - now);
-    this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now);
+    this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now,
+                                      released.submitted);
     // A third entry may get the submission before the job has reached the age of announcements.
     auto const* const started = this->components.jobs.find(id);
     if (started != nullptr && !started->is_final())
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "entry/waiter.h"
 #include "policy/remote_submissions.h"
+#include "policy/start_confirmations.h"
 #include "protocol/job.h"
 #include "protocol/message.h"
 
@@ -28,6 +29,8 @@
 
     // --- announcements of this entry's own jobs ---
 
+    /// An ephemeral job has been admitted here. Other entries may ask for it from now on.
+    void record_admitted(job const& job);
     /// The job has reached `policy::announcement_age`, or its deadline has moved, or it has ended
     /// with runs whose end is not confirmed.
     void announce(job const& job);
@@ -41,6 +44,21 @@
     void on_announcement(std::string const& peer, protocol::submissions_running const& message,
                          base::steady_time now);
 
+    // --- jobs of this entry that may have gone elsewhere ---
+
+    /// Whether tasks of the job may be started. If not, the other entries are asked for it, and its
+    /// tasks are queued again when none of them runs it.
+    [[nodiscard]] bool may_start(job const& job, base::steady_time now);
+    /// Asks the other entries for the jobs that wait for it, and gives up those that have waited
+    /// for too long.
+    void ask_before_starts(base::steady_time now);
+    /// Another entry asks for a submission by its key. Returns false when the query is not for this
+    /// component.
+    bool on_query(std::string const& peer, protocol::job_query const& query, base::steady_time now);
+    /// When the caller of a request that is read now has sent it at the earliest: before `now` when
+    /// this entry has been paused.
+    [[nodiscard]] base::steady_time earliest_sent(base::steady_time now) const;
+
     // --- submissions that were sent elsewhere before ---
 
     /// Takes the submission over when it was cancelled, or when another entry may still run it.
@@ -49,7 +67,8 @@
     /// The submission then waits for the end of its runs.
     bool take(protocol::job_request& request, waiter& caller, bool abandoned_here,
               base::steady_time now);
-    /// Returns false when the reply is not for this component.
+    /// Also for queries of `ask_before_starts`. Returns false when the reply is not for this
+    /// component.
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
     /// Stops the submission at the entry that has announced it, and at those that announce it
@@ -99,6 +118,16 @@
     /// Tells the other entries that this one holds the submission no longer and has not started it.
     void announce_end(std::string const& key);
     void send_to_all(protocol::submissions_running const& message);
+    /// The other entries. One may serve callers without being in the view, and be in it without a
+    /// link.
+    [[nodiscard]] std::set<std::string> other_entries() const;
+    /// Job of this entry with this key; null if there is none.
+    [[nodiscard]] job* find_job(std::string const& key) const;
+    void record_tick(base::steady_time now);
+    /// Queues the tasks of a job that waits when all entries have answered. Returns false when the
+    /// reply is not about such a job.
+    bool on_start_reply(std::string const& peer, protocol::job_reply const& reply);
+    void give_up_unconfirmed(std::uint64_t number, base::steady_time now);
     /// Stops the job of this entry that another one runs too since its caller went there.
     void stop_superseded(protocol::submissions_running::submission const& announced,
                          std::string const& peer, base::steady_time now);
@@ -107,7 +136,11 @@
     entry_components& components;
     policy::remote_submissions known;
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
-    std::unordered_map<std::string, std::uint64_t> announced; ///< Local numbers of jobs, by key.
+    std::unordered_map<std::string, std::uint64_t> jobs_by_key; ///< Local numbers of jobs.
+    policy::start_confirmations confirmations;
+    base::steady_time last_tick;
+    base::steady_time pause_began; ///< Of the last pause of this entry.
+    base::steady_time pause_ended;
     std::set<std::string> linked; ///< Other entries with a link.
     bool closing = false; ///< The process ends: nothing is held any more.
     base::steady_time next_announcement;
--- a/tests/entry/resubmission_review_test.cpp
+++ b/tests/entry/resubmission_review_test.cpp
@@ -257,8 +257,7 @@
     }
 }
 
-SCENARIO("an entry starts a job again after another one has taken it over",
-         "[entry][resubmission][known-red]")
+SCENARIO("an entry starts a job again after another one has taken it over", "[entry][resubmission]")
 {
     GIVEN("an entry that was cut off, whose runs its agents have stopped, and whose job has a long "
           "deadline")
