Tell all entries of a cancelled submission

Cause: a cancellation was remembered by the entry that got it only, and passed on to entries that had announced the submission or did so later. A job that was cancelled before its announcement, and sent again by its caller, ran at the next entry.

Change: job_cancel with the key of the submission goes to all other entries, and to those that connect within 5 s. They refuse the submission for 5 s and stop a job or a hold of it, also one that they have not announced yet. At most 4,000 cancellations are remembered, the oldest one is forgotten first.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -251,6 +251,8 @@
             } else if constexpr (std::is_same_v<type, protocol::job_cancel>) {
                 if (auto* job = this->jobs.find(message.job))
                     this->lifecycle.cancel(*job, now);
+                else
+                    this->resubmitted.on_cancelled_elsewhere(peer, message.job, now);
             } else if constexpr (std::is_same_v<type, protocol::outcome_batch>) {
                 auto batch = message;
                 this->attempts.on_batch(peer, batch, now);
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -187,6 +187,8 @@
     auto message = this->describe_all(now);
     message.asks_for_all = true;
     this->components.sender.send(peer, message);
+    for (auto const& key : this->known.cancelled_here(now))
+        this->components.sender.send(peer, protocol::job_cancel {submission_id(key)});
 }
 
 void resubmissions::peer_down(std::string const& peer, base::steady_time now)
@@ -227,7 +229,7 @@
     for (auto const& item : message.submissions) {
         this->known.record(message.entry, item, now);
         if (auto const* const cancelled = this->known.cancelled(item.key, now))
-            this->send_cancel(*cancelled, message.entry);
+            this->send_cancel(item.key, *cancelled, message.entry);
         else
             this->stop_superseded(item, peer, now);
     }
@@ -515,7 +517,27 @@
     this->known.record_cancelled(key, {team, submission}, now);
     auto const elsewhere = this->known.find(key, now);
     if (elsewhere)
-        this->send_cancel({team, submission}, elsewhere->entry);
+        this->send_cancel(key, {team, submission}, elsewhere->entry);
+    // Its caller may have sent it to an entry that has not announced it yet, or may do so.
+    for (auto const& entry : this->other_entries())
+        this->components.sender.send(entry, protocol::job_cancel {submission_id(key)});
+    return this->end_holds(key) || elsewhere.has_value();
+}
+
+void resubmissions::on_cancelled_elsewhere(std::string const& peer, std::string const& id,
+                                           base::steady_time now)
+{
+    if (!peer.starts_with(entry_peer_prefix) || !id.starts_with(submission_prefix))
+        return;
+    auto const key = id.substr(submission_prefix.size());
+    this->known.record_cancelled(key, {}, now);
+    if (auto* const job = this->find_job(key))
+        this->components.lifecycle.cancel_submission(*job, now);
+    this->end_holds(key);
+}
+
+bool resubmissions::end_holds(std::string const& key)
+{
     std::vector<std::uint64_t> affected;
     for (auto const& [id, item] : this->held) {
         if (item.key == key)
@@ -525,12 +547,14 @@
         auto& item = this->held.at(id);
         this->finish(item, cancelled_answer(item.request));
     }
-    return elsewhere.has_value() || !affected.empty();
+    return !affected.empty();
 }
 
-void resubmissions::send_cancel(policy::submission_name const& name,
+void resubmissions::send_cancel(std::string const& key, policy::submission_name const& name,
                                 protocol::process_id const& entry)
 {
+    if (name.submission.empty())
+        return this->components.sender.send(entry.name, protocol::job_cancel {submission_id(key)});
     this->components.sender.send(
         entry.name, protocol::job_cancel {ephemeral_job_id(name.team, name.submission, entry)});
 }
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -71,9 +71,13 @@
     /// component.
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
-    /// Stops the submission at the entry that has announced it, and at those that announce it
-    /// later. Returns whether it is known here.
+    /// Tells all other entries to stop the submission and to refuse it, also those that connect or
+    /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
+    /// Stops what this entry has of a submission that was cancelled at another one, and refuses it
+    /// when it arrives. Ids of single jobs have no effect.
+    void on_cancelled_elsewhere(std::string const& peer, std::string const& id,
+                                base::steady_time now);
     /// Answers all callers that wait here that the state of their job is not known.
     void answer_all();
     [[nodiscard]] bool idle() const { return this->held.empty(); }
@@ -131,7 +135,10 @@
     /// Stops the job of this entry that another one runs too since its caller went there.
     void stop_superseded(protocol::submissions_running::submission const& announced,
                          std::string const& peer, base::steady_time now);
-    void send_cancel(policy::submission_name const& name, protocol::process_id const& entry);
+    /// Ends the holds of a cancelled submission. Returns whether there were any.
+    bool end_holds(std::string const& key);
+    void send_cancel(std::string const& key, policy::submission_name const& name,
+                     protocol::process_id const& entry);
 
     entry_components& components;
     policy::remote_submissions known;
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -101,9 +101,32 @@
 void remote_submissions::record_cancelled(std::string const& key, submission_name name,
                                           steady_time now)
 {
+    auto const found = this->cancellations.find(key);
+    if (found != this->cancellations.end()) {
+        if (!name.submission.empty())
+            found->second.name = std::move(name);
+        found->second.kept_until = now + cancellation_memory;
+        return;
+    }
+    if (this->cancellations.size() >= max_cancellations)
+        this->cancellations.erase(
+            std::min_element(this->cancellations.begin(), this->cancellations.end(),
+                             [](auto const& a, auto const& b) {
+                                 return a.second.kept_until < b.second.kept_until;
+                             }));
     this->cancellations[key] = {std::move(name), now + cancellation_memory};
 }
 
+std::vector<std::string> remote_submissions::cancelled_here(steady_time now) const
+{
+    std::vector<std::string> keys;
+    for (auto const& [key, item] : this->cancellations) {
+        if (!item.name.submission.empty() && item.kept_until > now)
+            keys.push_back(key);
+    }
+    return keys;
+}
+
 std::optional<remote_submission> remote_submissions::find(std::string const& key,
                                                           steady_time now) const
 {
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,6 +42,9 @@
 constexpr std::chrono::milliseconds submission_time_error {500};
 /// How long a cancelled submission is refused, and stopped at entries that announce it.
 constexpr std::chrono::milliseconds cancellation_memory {5000};
+/// Cancellations that are remembered, for 800 a second; one takes about 200 bytes. Beyond it the
+/// oldest one is forgotten.
+constexpr std::size_t max_cancellations {4000};
 
 /// A submission is announced this long after its arrival at the latest: those that reach the age
 /// within 100 ms share a message, which is sent at the next tick.
@@ -52,7 +56,7 @@
 /// What callers call a submission.
 struct submission_name {
     std::string team;
-    std::string submission;
+    std::string submission; ///< Empty when only the key is known.
 };
 
 /// A submission that may still run at another entry.
@@ -84,8 +88,10 @@
     /// The entries of the present view. An incarnation that is neither in the view nor connected
     /// has ended.
     void record_view(std::vector<protocol::process_id> const& entries, steady_time now);
-    /// A caller has cancelled the submission.
+    /// A caller has cancelled the submission, here or, if the name is empty, at another entry.
     void record_cancelled(std::string const& key, submission_name name, steady_time now);
+    /// Keys of the submissions that were cancelled here a short time ago.
+    [[nodiscard]] std::vector<std::string> cancelled_here(steady_time now) const;
 
     /// The entry that may still run the submission; empty if there is none.
     [[nodiscard]] std::optional<remote_submission> find(std::string const& key,
--- a/tests/entry/resubmission_review_test.cpp
+++ b/tests/entry/resubmission_review_test.cpp
@@ -299,8 +299,7 @@
     }
 }
 
-SCENARIO("a cancelled job arrives at an entry that was not told",
-         "[entry][resubmission][known-red]")
+SCENARIO("a cancelled job arrives at an entry that was not told", "[entry][resubmission]")
 {
     GIVEN("a job that is cancelled at its entry before it has been announced")
     {
@@ -324,6 +323,32 @@
             }
         }
     }
+    GIVEN("a job that is cancelled at its entry while the link to another one is closed")
+    {
+        three_entries fleet;
+        fleet.set_run_time(milliseconds(4000));
+        fleet.delay_between("entry.a", "entry.b", never);
+        fleet.close_link("entry.a", "entry.b");
+        fleet.submit("entry.a", make_submission("s1", 1));
+        fleet.run(milliseconds(200));
+        REQUIRE(fleet.cancel("entry.a", "s1"));
+        fleet.run(milliseconds(100));
+
+        WHEN("it arrives at the other one when they are connected again")
+        {
+            fleet.extra_delay = {};
+            fleet.entries.at("entry.a")->peer_up("entry.b", fleet.now);
+            fleet.entries.at("entry.b")->peer_up("entry.a", fleet.now);
+            fleet.run(resend_delay);
+            fleet.submit("entry.b", make_submission("s1", 1));
+            fleet.run(milliseconds(500));
+            // Guards against a cancellation that is lost with a link.
+            THEN("none of its tasks starts")
+            {
+                CHECK(fleet.runs.size() == 1);
+            }
+        }
+    }
     GIVEN("an announced job that is cancelled after its caller has left")
     {
         three_entries fleet;
--- a/tests/entry/resubmission_test.cpp
+++ b/tests/entry/resubmission_test.cpp
@@ -184,6 +184,17 @@
                 CHECK(state_of(*job) == job_state::cancelled);
             }
         }
+        WHEN("a moment passes after its cancellation at the other entry, before it is announced")
+        {
+            fleet.cancel("entry.b", "s1");
+            fleet.run(milliseconds(20));
+            // Guards against a cancellation that waits for an announcement.
+            THEN("it has stopped")
+            {
+                CHECK(fleet.running() == 0);
+                CHECK(state_of(*job) == job_state::cancelled);
+            }
+        }
         WHEN("it is cancelled at the other entry after it has been announced")
         {
             fleet.run(milliseconds(1000));
--- a/tests/policy/remote_submissions_test.cpp
+++ b/tests/policy/remote_submissions_test.cpp
@@ -119,6 +119,58 @@
     }
 }
 
+SCENARIO("callers cancel submissions", "[policy][resubmission]")
+{
+    base::steady_time const now {1000s};
+    policy::remote_submissions known;
+
+    GIVEN("as many cancellations as are remembered")
+    {
+        for (std::size_t i = 0; i < policy::max_cancellations; ++i)
+            known.record_cancelled("key" + std::to_string(i), {"recife", "s"},
+                                   now + std::chrono::microseconds(i));
+        auto const later = now + 1s;
+
+        WHEN("another submission is cancelled")
+        {
+            known.record_cancelled("other key", {"recife", "s"}, later);
+            // Guards against memory that grows with the number of cancelled jobs.
+            THEN("the oldest one is forgotten")
+            {
+                CHECK(known.cancelled("other key", later) != nullptr);
+                CHECK(known.cancelled("key0", later) == nullptr);
+                CHECK(known.cancelled("key1", later) != nullptr);
+                CHECK(known.cancelled_here(later).size() == policy::max_cancellations);
+            }
+        }
+        WHEN("one of them is cancelled again")
+        {
+            known.record_cancelled("key0", {}, later);
+            // Guards against a notice of another entry that hides the name, which the entry that
+            // runs the job may need.
+            THEN("nothing is forgotten, and its time begins again")
+            {
+                CHECK(known.cancelled_here(later).size() == policy::max_cancellations);
+                auto const end = later + policy::cancellation_memory;
+                REQUIRE(known.cancelled("key0", end - 1ms) != nullptr);
+                CHECK(known.cancelled("key0", end - 1ms)->submission == "s");
+                CHECK(known.cancelled("key0", end) == nullptr);
+            }
+        }
+    }
+    GIVEN("a submission that was cancelled at another entry")
+    {
+        known.record_cancelled("key", {}, now);
+
+        // Guards against a cancellation that entries tell each other for ever.
+        THEN("it is refused here, and not passed on")
+        {
+            CHECK(known.cancelled("key", now) != nullptr);
+            CHECK(known.cancelled_here(now).empty());
+        }
+    }
+}
+
 SCENARIO("a caller sends a job to a second entry", "[policy][resubmission]")
 {
     GIVEN("the state of the job at the first entry")
