Simulate workers that use what the protocol leaves open, and agents that overlap

New troubles: tasks stand still (and entries cancel them), running runs are missing from lists for 10 to 90 ms, short pauses of the agent, a worker that answers nothing, calls that are carried out without an answer. Fencing tokens are times, as in platform/worker_adapter.cpp, no longer so far apart that no process can outbid the next one. Missing rows and tasks that stand still are no excuse for a run that ends.

--- a/tests/agent/agent_simulation.cpp
+++ b/tests/agent/agent_simulation.cpp
@@ -54,8 +54,13 @@
     agent_frozen_without_starts,
     agent_and_worker_restart,
     link, ///< Of an entry; breaks in one direction.
+    agent_paused, ///< Shorter than `agent_frozen`.
+    agent_overlap, ///< A process of the agent runs on beside the next one.
+    worker_silent, ///< No call gets an answer.
+    tasks_stand_still,
+    rows_left_out, ///< Running runs are missing from lists for some tens of milliseconds.
 };
-constexpr std::uint64_t trouble_kind_count = 13;
+constexpr std::uint64_t trouble_kind_count = 18;
 
 /// The agent's side of the worker's announcements, as in platform/worker_adapter.cpp.
 class announcement_handler {
@@ -117,22 +122,51 @@
 /// One incarnation of the agent's process.
 class agent_process {
 public:
+    using message_sink
+        = std::function<void(std::string const& entry, protocol::message const& body)>;
+
     agent_process(simulation_world& simulated, protocol::incarnation_number incarnation,
-                  protocol::message_sender& sender, leased_worker& worker)
-        : runner(worker, {}, fence_of(incarnation), [&simulated] { return simulated.now; }),
-          core(settings(incarnation), sender, this->runner, simulated.now),
+                  message_sink to_entry, std::unique_ptr<leased_worker> connection)
+        : number(incarnation), worker(std::move(connection)), sender(std::move(to_entry)),
+          runner(*this->worker, {}, fence_at(simulated), [&simulated] { return simulated.now; }),
+          core(settings(incarnation), this->sender, this->runner, simulated.now),
           announcements(simulated, this->runner, this->core)
     {
+        this->runner.lag_detected.connect([this](auto const& run, milliseconds remaining) {
+            this->core.report_lag(run, remaining);
+        });
     }
 
+    protocol::incarnation_number const number;
+    base::steady_time frozen_until;
+    bool was_frozen = false;
+    std::deque<std::function<void()>> unread;
+    base::steady_time next_tick;
+
+private:
+    struct sender_adapter final : protocol::message_sender {
+        explicit sender_adapter(message_sink target) : sink(std::move(target)) { }
+        void send(std::string const& peer, protocol::message const& body) override
+        {
+            this->sink(peer, body);
+        }
+        message_sink sink;
+    };
+
+    std::unique_ptr<leased_worker> worker;
+    sender_adapter sender;
+
+public:
     leased_runner runner;
     agent_core core;
     announcement_handler announcements;
 
 private:
-    static std::uint64_t fence_of(protocol::incarnation_number incarnation)
+    /// As in platform/worker_adapter.cpp, a time in milliseconds.
+    static std::uint64_t fence_at(simulation_world const& simulated)
     {
-        return incarnation * 1'000'000;
+        constexpr std::uint64_t at_begin = 1'000'000;
+        return at_begin + static_cast<std::uint64_t>(simulated.elapsed().count());
     }
     static agent_settings settings(protocol::incarnation_number incarnation)
     {
@@ -148,6 +182,7 @@
     bool agent_up = false;
     bool entry_up = false;
     std::uint64_t number = 0; ///< Of the connection; 0 for none.
+    protocol::incarnation_number agent = 0; ///< Process at its end.
     /// Messages in this direction are held up until then.
     base::steady_time to_agent_held;
     base::steady_time to_entry_held;
@@ -165,27 +200,32 @@
     base::steady_time next_start;
 };
 
-class simulation final : public protocol::message_sender {
+class simulation {
 public:
-    explicit simulation(std::uint64_t seed);
+    simulation(std::uint64_t seed, agent_processes allowed);
     simulation_result run();
 
 private:
-    void send(std::string const& peer, protocol::message const& body) override;
+    void send_to_entry(protocol::incarnation_number from, std::string const& peer,
+                       protocol::message const& body);
     void send_to_agent(entry_machine& entry, protocol::message const& body);
-    /// Runs `action` in the agent's process, once it is not frozen.
-    void deliver_to_agent(std::function<void()> action);
+    /// Runs `action` in a process of the agent, once it is not frozen.
+    void deliver_to_agent(protocol::incarnation_number number,
+                          std::function<void(agent_process&)> const& action);
+    /// Null if the process has ended.
+    agent_process* find_agent(protocol::incarnation_number number);
     void deliver_to_entry(entry_machine& entry, std::function<void()> action);
 
     void step();
-    void step_agent();
+    void step_agent(agent_process& agent);
     void step_entry(entry_machine& entry);
     void announce_worker();
     void start_tasks(entry_machine& entry);
 
     void start_agent();
+    void end_agent(protocol::incarnation_number number);
     void start_entry(entry_machine& entry);
-    void connect(entry_machine& entry);
+    void connect(agent_process& agent, entry_machine& entry);
     void close_agent_side(entry_machine& entry);
     /// The callers of an entry that has fallen silent send their jobs again.
     void resubmit(std::vector<simulated_entry::open_attempt> const& attempts);
@@ -195,39 +235,39 @@
     void break_calls();
     /// @param kinds one bit for each `call_kind`.
     void break_calls_of(std::uint64_t kinds, milliseconds duration);
-    void freeze_agent();
+    void freeze_agent(std::uint64_t shortest_ms, std::uint64_t longest_ms);
     void freeze_machine();
     void restart_agent();
+    /// The next process of the agent starts, and the present one ends later.
+    void overlap_agents();
+    void silence_worker();
+    void let_tasks_stand_still();
+    void leave_out_rows();
     void restart_worker();
     void freeze_entry(entry_machine& entry);
     void end_entry(entry_machine& entry);
     void break_link(entry_machine& entry);
-    void freeze_agent_until(base::steady_time time);
+    void freeze_agent_until(agent_process& agent, base::steady_time time);
 
     [[nodiscard]] std::set<std::string> present_entries() const;
 
+    agent_processes const processes;
     simulation_world world;
     run_oracle oracle;
     faulty_worker worker;
     std::uint64_t worker_ids = 1;
     base::steady_time announcements_late_until;
     base::steady_time next_announcement;
-    std::unique_ptr<agent_process> agent;
+    std::vector<std::unique_ptr<agent_process>> agents; ///< The newest one is the last.
     protocol::incarnation_number agent_incarnation = 0;
-    base::steady_time agent_frozen_until;
-    bool agent_was_frozen = false;
-    std::deque<std::function<void()>> agent_unread;
-    base::steady_time next_agent_tick;
     std::vector<std::unique_ptr<entry_machine>> entries;
     std::vector<trouble_kind> trouble_kinds;
     std::uint64_t last_task = 0;
     std::uint64_t last_connection = 0;
 };
 
-simulation::simulation(std::uint64_t seed)
-    : world(seed), oracle(this->world), worker(this->world, this->oracle, [this](auto action) {
-          this->deliver_to_agent(std::move(action));
-      })
+simulation::simulation(std::uint64_t seed, agent_processes allowed)
+    : processes(allowed), world(seed), oracle(this->world), worker(this->world, this->oracle)
 {
     this->start_agent();
     constexpr std::array<char const*, 3> names {"entry.a", "entry.b", "entry.c"};
@@ -240,7 +280,8 @@
     this->schedule_troubles();
 }
 
-void simulation::send(std::string const& peer, protocol::message const& body)
+void simulation::send_to_entry(protocol::incarnation_number from, std::string const& peer,
+                               protocol::message const& body)
 {
     if (auto const* const batch = std::get_if<protocol::outcome_batch>(&body)) {
         for (auto const& outcome : batch->outcomes)
@@ -254,7 +295,7 @@
     }
     auto const found = std::find_if(this->entries.begin(), this->entries.end(),
                                     [&peer](auto const& entry) { return entry->name == peer; });
-    if (found == this->entries.end() || !(*found)->link.agent_up)
+    if (found == this->entries.end() || !(*found)->link.agent_up || (*found)->link.agent != from)
         return;
     auto& entry = **found;
     auto const delay = this->world.draw_time(0, 3);
@@ -279,20 +320,30 @@
     this->world.at(link.last_to_agent, [this, &entry, number = link.number, body] {
         if (!entry.link.agent_up || entry.link.number != number)
             return;
-        this->deliver_to_agent([this, peer = entry.name, body] {
-            this->agent->core.receive(peer, body, this->world.now);
+        this->deliver_to_agent(entry.link.agent, [this, peer = entry.name, body](auto& agent) {
+            agent.core.receive(peer, body, this->world.now);
         });
     });
 }
 
-void simulation::deliver_to_agent(std::function<void()> action)
+agent_process* simulation::find_agent(protocol::incarnation_number number)
+{
+    auto const found
+        = std::find_if(this->agents.begin(), this->agents.end(),
+                       [number](auto const& agent) { return agent->number == number; });
+    return found == this->agents.end() ? nullptr : found->get();
+}
+
+void simulation::deliver_to_agent(protocol::incarnation_number number,
+                                  std::function<void(agent_process&)> const& action)
 {
-    if (!this->agent)
+    auto* const agent = this->find_agent(number);
+    if (agent == nullptr)
         return;
-    if (this->world.now < this->agent_frozen_until || !this->agent_unread.empty())
-        this->agent_unread.push_back(std::move(action));
+    if (this->world.now < agent->frozen_until || !agent->unread.empty())
+        agent->unread.push_back([agent, action] { action(*agent); });
     else
-        action();
+        action(*agent);
 }
 
 void simulation::deliver_to_entry(entry_machine& entry, std::function<void()> action)
@@ -311,41 +362,43 @@
     this->world.run_due();
     this->worker.advance();
     this->announce_worker();
-    this->step_agent();
+    for (auto& agent : this->agents)
+        this->step_agent(*agent);
     for (auto& entry : this->entries)
         this->step_entry(*entry);
     this->oracle.check(this->worker.frozen());
     this->world.now += milliseconds(1);
 }
 
-void simulation::step_agent()
+void simulation::step_agent(agent_process& agent)
 {
-    if (!this->agent || this->world.now < this->agent_frozen_until)
+    if (this->world.now < agent.frozen_until)
         return;
-    auto const tick = [this] {
-        this->agent->announcements.tick();
-        this->agent->runner.tick();
-        this->agent->core.tick(this->world.now);
+    auto const tick = [this, &agent] {
+        agent.announcements.tick();
+        agent.runner.tick();
+        agent.core.tick(this->world.now);
     };
-    if (std::exchange(this->agent_was_frozen, false)) {
+    if (std::exchange(agent.was_frozen, false)) {
         // The order of a timer and of unread messages is not defined.
         if (this->world.chance(50))
             tick();
-        while (!this->agent_unread.empty()) {
-            auto const action = std::move(this->agent_unread.front());
-            this->agent_unread.pop_front();
+        while (!agent.unread.empty()) {
+            auto const action = std::move(agent.unread.front());
+            agent.unread.pop_front();
             action();
         }
     }
-    if (this->world.now < this->next_agent_tick)
+    if (this->world.now < agent.next_tick)
         return;
-    this->next_agent_tick = this->world.now + agent_tick;
+    agent.next_tick = this->world.now + agent_tick;
     tick();
-    if (!this->agent->runner.settled())
+    if (!agent.runner.settled())
         return;
     for (auto& entry : this->entries) {
-        if (entry->process && entry->link.number == 0)
-            this->connect(*entry);
+        bool const replaces = entry->link.agent < agent.number;
+        if (entry->process && (entry->link.number == 0 || replaces))
+            this->connect(agent, *entry);
     }
 }
 
@@ -384,18 +437,50 @@
     this->world.after(
         delay,
         [this, incarnation = worker_incarnation {state.id, state.born}, clock = state.clock] {
-            this->deliver_to_agent([this, incarnation, clock] {
-                this->agent->announcements.handle(incarnation, clock);
-            });
+            if (this->agents.empty())
+                return;
+            auto const receiver = this->world.draw(0, this->agents.size() - 1);
+            this->deliver_to_agent(this->agents.at(receiver)->number,
+                                   [incarnation, clock](auto& agent) {
+                                       agent.announcements.handle(incarnation, clock);
+                                   });
         });
 }
 
 void simulation::start_agent()
 {
-    this->world.note("agent starts");
-    this->agent = std::make_unique<agent_process>(this->world, ++this->agent_incarnation, *this,
-                                                  this->worker);
-    this->worker.on_agent_restarted();
+    auto const number = ++this->agent_incarnation;
+    this->world.note("agent starts as " + std::to_string(number));
+    auto connection = this->worker.connect([this, number](std::function<void()> const& action) {
+        this->deliver_to_agent(number, [action](auto& /*agent*/) { action(); });
+    });
+    this->agents.push_back(std::make_unique<agent_process>(
+        this->world, number,
+        [this, number](std::string const& entry, protocol::message const& body) {
+            this->send_to_entry(number, entry, body);
+        },
+        std::move(connection)));
+}
+
+void simulation::end_agent(protocol::incarnation_number number)
+{
+    if (this->find_agent(number) == nullptr)
+        return;
+    this->world.note("agent " + std::to_string(number) + " ends");
+    std::erase_if(this->agents, [number](auto const& agent) { return agent->number == number; });
+    for (auto& entry : this->entries) {
+        if (entry->link.agent != number)
+            continue;
+        entry->link.agent_up = false;
+        auto const notice = this->world.draw_time(1, 500);
+        this->world.after(notice, [this, &entry = *entry, number = entry->link.number] {
+            if (entry.link.number != number)
+                return;
+            entry.link.entry_up = false;
+            entry.link.number = 0;
+            this->deliver_to_entry(entry, [&entry] { entry.process->link_down(); });
+        });
+    }
 }
 
 void simulation::start_entry(entry_machine& entry)
@@ -408,21 +493,23 @@
     entry.next_start = this->world.now;
 }
 
-void simulation::connect(entry_machine& entry)
+void simulation::connect(agent_process& agent, entry_machine& entry)
 {
     auto& link = entry.link;
-    link = {true, true, ++this->last_connection, {}, {}, {}, {}};
+    // To a former process.
+    this->close_agent_side(entry);
+    link = {true, true, ++this->last_connection, agent.number, {}, {}, {}, {}};
     this->deliver_to_entry(entry, [&entry] { entry.process->link_up(); });
-    this->deliver_to_agent(
-        [this, name = entry.name] { this->agent->core.peer_up(name, this->world.now); });
+    agent.core.peer_up(entry.name, this->world.now);
 }
 
 void simulation::close_agent_side(entry_machine& entry)
 {
     if (!std::exchange(entry.link.agent_up, false))
         return;
-    this->deliver_to_agent(
-        [this, name = entry.name] { this->agent->core.peer_down(name, this->world.now); });
+    this->deliver_to_agent(entry.link.agent, [this, name = entry.name](auto& agent) {
+        agent.core.peer_down(name, this->world.now);
+    });
 }
 
 void simulation::resubmit(std::vector<simulated_entry::open_attempt> const& attempts)
@@ -447,6 +534,8 @@
     for (std::uint64_t kind = 0; kind < kinds; ++kind)
         this->trouble_kinds.push_back(
             static_cast<trouble_kind>(this->world.draw(0, trouble_kind_count - 1)));
+    if (this->processes == agent_processes::overlapping)
+        this->trouble_kinds.push_back(trouble_kind::agent_overlap);
     auto const count = this->world.draw(0, most_troubles);
     for (std::uint64_t trouble = 0; trouble < count; ++trouble) {
         auto const begin = this->world.draw_time(first_trouble_ms, last_trouble_ms);
@@ -463,7 +552,19 @@
     case trouble_kind::calls:
         return this->break_calls();
     case trouble_kind::agent_frozen:
-        return this->freeze_agent();
+        return this->freeze_agent(100, 3000);
+    case trouble_kind::agent_paused:
+        return this->freeze_agent(20, 700);
+    case trouble_kind::agent_overlap:
+        if (this->processes == agent_processes::overlapping)
+            this->overlap_agents();
+        return;
+    case trouble_kind::worker_silent:
+        return this->silence_worker();
+    case trouble_kind::tasks_stand_still:
+        return this->let_tasks_stand_still();
+    case trouble_kind::rows_left_out:
+        return this->leave_out_rows();
     case trouble_kind::machine_frozen:
         return this->freeze_machine();
     case trouble_kind::agent_restart:
@@ -500,7 +601,7 @@
         auto const duration = this->world.draw_time(100, 1000);
         auto const freeze = this->world.draw_time(10, 500);
         this->break_calls_of(1, duration);
-        return this->world.after(freeze, [this] { this->freeze_agent(); });
+        return this->world.after(freeze, [this] { this->freeze_agent(100, 3000); });
     }
     case trouble_kind::agent_and_worker_restart: {
         auto const restart = this->world.draw_time(1, 2500);
@@ -534,19 +635,68 @@
     this->oracle.on_trouble(until);
 }
 
-void simulation::freeze_agent_until(base::steady_time time)
+void simulation::freeze_agent_until(agent_process& agent, base::steady_time time)
 {
-    this->agent_frozen_until = std::max(this->agent_frozen_until, time);
-    this->agent_was_frozen = true;
-    this->oracle.on_trouble(this->agent_frozen_until);
+    agent.frozen_until = std::max(agent.frozen_until, time);
+    agent.was_frozen = true;
+    this->oracle.on_trouble(agent.frozen_until);
 }
 
-void simulation::freeze_agent()
+void simulation::freeze_agent(std::uint64_t shortest_ms, std::uint64_t longest_ms)
+{
+    if (this->agents.empty())
+        return;
+    auto const duration = this->world.draw_time(shortest_ms, longest_ms);
+    auto const frozen = this->world.draw(0, this->agents.size() - 1);
+    auto& agent = *this->agents.at(frozen);
+    this->world.note("trouble: agent " + std::to_string(agent.number) + " is frozen for "
+                     + std::to_string(duration.count()) + " ms");
+    this->freeze_agent_until(agent, this->world.now + duration);
+}
+
+void simulation::overlap_agents()
+{
+    if (this->agents.size() != 1)
+        return;
+    auto const duration = this->world.draw_time(0, 2000);
+    this->world.note("trouble: two processes of the agent overlap for "
+                     + std::to_string(duration.count()) + " ms");
+    this->oracle.on_trouble(this->world.now + duration);
+    auto const former = this->agents.back()->number;
+    this->start_agent();
+    this->world.after(duration, [this, former] { this->end_agent(former); });
+}
+
+void simulation::silence_worker()
+{
+    auto const duration = this->world.draw_time(100, 2500);
+    auto const until = this->world.now + duration;
+    auto const mode = static_cast<fault_mode>(this->world.draw(1, fault_mode_count - 1));
+    this->world.note("trouble: the worker is silent for " + std::to_string(duration.count())
+                     + " ms");
+    constexpr std::uint32_t all = 100;
+    for (auto const kind : {call_kind::start, call_kind::stop, call_kind::report})
+        this->worker.set_faults(kind, {until, all, mode});
+    this->oracle.on_trouble(until);
+}
+
+void simulation::let_tasks_stand_still()
+{
+    auto const duration = this->world.draw_time(100, 2500);
+    auto const share = this->world.draw(1, 3);
+    this->world.note("trouble: one task in " + std::to_string(share) + " stands still for "
+                     + std::to_string(duration.count()) + " ms");
+    // Ends no run, unless an entry cancels it.
+    this->worker.stand_still_until(this->world.now + duration, share);
+}
+
+void simulation::leave_out_rows()
 {
     auto const duration = this->world.draw_time(100, 3000);
-    this->world.note("trouble: the agent is frozen for " + std::to_string(duration.count())
+    this->world.note("trouble: lists leave out rows for " + std::to_string(duration.count())
                      + " ms");
-    this->freeze_agent_until(this->world.now + duration);
+    // Ends no run, because rows return in time.
+    this->worker.leave_out_rows_until(this->world.now + duration);
 }
 
 void simulation::freeze_machine()
@@ -554,32 +704,21 @@
     auto const duration = this->world.draw_time(100, 3000);
     this->world.note("trouble: the machine is frozen for " + std::to_string(duration.count())
                      + " ms");
-    this->freeze_agent_until(this->world.now + duration);
+    for (auto& agent : this->agents)
+        this->freeze_agent_until(*agent, this->world.now + duration);
+    this->oracle.on_trouble(this->world.now + duration);
     this->worker.freeze_until(this->world.now + duration);
 }
 
 void simulation::restart_agent()
 {
-    if (!this->agent)
+    if (this->agents.empty())
         return;
     auto const duration = this->world.draw_time(20, 2000);
     this->world.note("trouble: the agent ends for " + std::to_string(duration.count()) + " ms");
     this->oracle.on_trouble(this->world.now + duration);
-    this->agent.reset();
-    this->agent_unread.clear();
-    this->agent_frozen_until = {};
-    this->agent_was_frozen = false;
-    for (auto& entry : this->entries) {
-        entry->link.agent_up = false;
-        auto const notice = this->world.draw_time(1, 500);
-        this->world.after(notice, [this, &entry = *entry, number = entry->link.number] {
-            if (entry.link.number != number)
-                return;
-            entry.link.entry_up = false;
-            entry.link.number = 0;
-            this->deliver_to_entry(entry, [&entry] { entry.process->link_down(); });
-        });
-    }
+    while (!this->agents.empty())
+        this->end_agent(this->agents.back()->number);
     this->world.after(duration, [this] { this->start_agent(); });
 }
 
@@ -713,9 +852,9 @@
 
 } // namespace
 
-simulation_result simulate_agent(std::uint64_t seed)
+simulation_result simulate_agent(std::uint64_t seed, agent_processes processes)
 {
-    return simulation(seed).run();
+    return simulation(seed, processes).run();
 }
 
 } // namespace greengagehead::agent::fakes
--- a/tests/agent/agent_simulation.h
+++ b/tests/agent/agent_simulation.h
@@ -20,6 +20,9 @@
     std::size_t frozen_runs_exempted = 0;
 };
 
-[[nodiscard]] simulation_result simulate_agent(std::uint64_t seed);
+/// Whether a process of the agent may run on beside the next one.
+enum class agent_processes : std::uint8_t { one_at_a_time, overlapping };
+
+[[nodiscard]] simulation_result simulate_agent(std::uint64_t seed, agent_processes processes);
 
 } // namespace greengagehead::agent::fakes
--- a/tests/agent/agent_simulation_test.cpp
+++ b/tests/agent/agent_simulation_test.cpp
@@ -29,47 +29,69 @@
         std::cout << line << '\n';
 }
 
+/// Plays the seeds and checks that they break no rule.
+/// @param default_seeds without GH_AGENT_SEEDS.
+void play_seeds(agent_processes processes, std::uint64_t default_seeds)
+{
+    auto const first = number_from_environment("GH_AGENT_SEED", 1);
+    auto const count = number_from_environment("GH_AGENT_SEEDS", default_seeds);
+    bool const traced = std::getenv("GH_AGENT_TRACE") != nullptr;
+    simulation_result sums;
+    std::size_t broken = 0;
+    std::string findings;
+    for (auto seed = first; seed < first + count; ++seed) {
+        auto const result = simulate_agent(seed, processes);
+        sums.runs += result.runs;
+        sums.runs_done += result.runs_done;
+        sums.late_starts_exempted += result.late_starts_exempted;
+        sums.frozen_runs_exempted += result.frozen_runs_exempted;
+        if (result.violations.empty())
+            continue;
+        ++broken;
+        constexpr std::size_t most_listed = 20;
+        if (broken <= most_listed)
+            findings += "seed " + std::to_string(seed) + " ("
+                + std::to_string(result.violations.size()) + "): " + result.violations.front()
+                + '\n';
+        if (traced)
+            print(result, seed);
+    }
+    WARN("seeds " << first << " to " << first + count - 1 << ": " << sums.runs << " runs, "
+                  << sums.runs_done << " done, exempt: " << sums.late_starts_exempted
+                  << " late starts for a former life, " << sums.frozen_runs_exempted
+                  << " on frozen machines");
+    INFO(findings);
+    CHECK(sums.runs_done > 0);
+    CHECK(broken == 0);
+}
+
 } // namespace
 
+// Guards against runs that outlive their outcome, their entry or the patience of it, against runs
+// that are lost without a cause, and against attempts without an outcome.
 SCENARIO("an agent keeps the rules for runs under random troubles", "[agent][leased][schedules]")
 {
     GIVEN("seeded troubles of the agent, its worker, the calls between them, and the entries")
     {
-        auto const first = number_from_environment("GH_AGENT_SEED", 1);
-        auto const count = number_from_environment("GH_AGENT_SEEDS", 40);
-        bool const traced = std::getenv("GH_AGENT_TRACE") != nullptr;
-        simulation_result sums;
-        std::size_t broken = 0;
-        std::string findings;
-        for (auto seed = first; seed < first + count; ++seed) {
-            auto const result = simulate_agent(seed);
-            sums.runs += result.runs;
-            sums.runs_done += result.runs_done;
-            sums.late_starts_exempted += result.late_starts_exempted;
-            sums.frozen_runs_exempted += result.frozen_runs_exempted;
-            if (result.violations.empty())
-                continue;
-            ++broken;
-            constexpr std::size_t most_listed = 20;
-            if (broken <= most_listed)
-                findings += "seed " + std::to_string(seed) + " ("
-                    + std::to_string(result.violations.size()) + "): " + result.violations.front()
-                    + '\n';
-            if (traced)
-                print(result, seed);
+        THEN("no rule is broken")
+        {
+            constexpr std::uint64_t seeds = 40;
+            play_seeds(agent_processes::one_at_a_time, seeds);
         }
-        WARN("seeds " << first << " to " << first + count - 1 << ": " << sums.runs << " runs, "
-                      << sums.runs_done << " done, exempt: " << sums.late_starts_exempted
-                      << " late starts for a former life, " << sums.frozen_runs_exempted
-                      << " on frozen machines");
+    }
+}
 
-        // Guards against runs that outlive their outcome, their entry or the patience of it,
-        // against runs that are lost without a cause, and against attempts without an outcome.
+// Guards against runs that a process of the agent keeps on the worker although entries have learnt
+// that the next one has replaced it.
+SCENARIO("an agent keeps the rules for runs while two of its processes overlap",
+         "[agent][leased][overlap]")
+{
+    GIVEN("the same troubles, and processes that call the worker for up to 2 s beside the next one")
+    {
         THEN("no rule is broken")
         {
-            INFO(findings);
-            CHECK(sums.runs_done > 0);
-            CHECK(broken == 0);
+            constexpr std::uint64_t seeds = 10;
+            play_seeds(agent_processes::overlapping, seeds);
         }
     }
 }
--- a/tests/agent/simulated_entry.cpp
+++ b/tests/agent/simulated_entry.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint32_t max_attempts = 3;
 constexpr std::uint32_t cancelled_percent = 8;
 constexpr std::uint32_t retried_percent = 70;
+constexpr std::uint32_t moved_percent = 80; ///< Runs that are cancelled because they lag.
 
 } // namespace
 
@@ -100,6 +101,8 @@
             this->on_outcome(outcome);
         return;
     }
+    if (auto const* const notice = std::get_if<protocol::lagging_run>(&body))
+        return this->on_lagging(*notice);
     auto const* const answer = std::get_if<protocol::outcome_report>(&body);
     if (answer == nullptr)
         return;
@@ -201,6 +204,20 @@
     (void)this->send_start(std::move(task));
 }
 
+void simulated_entry::on_lagging(protocol::lagging_run const& notice)
+{
+    auto const found
+        = std::find_if(this->open.begin(), this->open.end(), [&notice](auto const& attempt) {
+              return attempt.task.task == notice.run.task
+                  && attempt.task.attempt == notice.run.attempt;
+          });
+    bool const moved = this->world.chance(moved_percent);
+    if (found == this->open.end() || found->cancelled || !moved)
+        return;
+    found->cancelled = true;
+    this->cancel(notice.run);
+}
+
 void simulated_entry::cancel(protocol::attempt_ref const& attempt)
 {
     this->oracle.on_cancel(attempt);
--- a/tests/agent/simulated_entry.h
+++ b/tests/agent/simulated_entry.h
@@ -55,6 +55,8 @@
     bool send_start(protocol::task_start task);
     void on_report(protocol::agent_report const& report);
     void on_outcome(protocol::task_outcome const& outcome);
+    /// Cancels the run, to start the task again.
+    void on_lagging(protocol::lagging_run const& notice);
     void check_agent();
     void give_up_all(std::string const& reason);
     void cancel(protocol::attempt_ref const& attempt);
--- a/tests/agent/worker_model.h
+++ b/tests/agent/worker_model.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <iterator>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,6 +34,8 @@
 
     /// Longest lease that the worker grants, on its own clock.
     static constexpr worker_clock longest_lease {1000};
+    /// As the last seen end: no end is later.
+    static constexpr std::uint64_t no_end = std::numeric_limits<std::uint64_t>::max();
 
     worker_answer carry_out_start(call_context const& context, worker_run const& run,
                                   protocol::task_start const& task, worker_clock lease_until)
@@ -95,7 +98,8 @@
         if (answer != worker_answer::accepted)
             return made;
         for (auto const& [task, present] : this->running) {
-            if (this->lists_runs && (this->lists_stopping_runs || !present.stopped_at))
+            bool const left_out = this->is_left_out && this->is_left_out(present);
+            if (this->lists_runs && !left_out && (this->lists_stopping_runs || !present.stopped_at))
                 made.running.push_back({present.run, this->percent(present)});
         }
         std::copy_if(this->ends.begin(), this->ends.end(), std::back_inserter(made.ended),
@@ -106,6 +110,10 @@
     /// Ends what ends until `time`, in order.
     void advance_to(worker_clock time)
     {
+        for (auto& [task, present] : this->running) {
+            if (this->stands_still && this->stands_still(present))
+                present.started += time - this->clock;
+        }
         this->clock = time;
         for (bool ended = true; ended;) {
             ended = false;
@@ -126,6 +134,16 @@
             }
         }
     }
+    /// The work of a run will be done after `duration` at most.
+    void finish_within(worker_run const& run, std::chrono::milliseconds duration)
+    {
+        auto const present = this->running.find(run.task);
+        if (present == this->running.end() || present->second.run != run)
+            return;
+        auto const work = this->clock - present->second.started + duration;
+        if (present->second.work == std::chrono::milliseconds(0) || work < present->second.work)
+            present->second.work = std::max(work, std::chrono::milliseconds(1));
+    }
     /// Ends every other run as done.
     void finish_all_but(std::string const& task)
     {
@@ -162,6 +180,8 @@
     /// Whether reports list a run that is being stopped. The protocol promises only its end.
     bool lists_stopping_runs = true;
     bool lists_runs = true;
+    std::function<bool(model_run const&)> is_left_out; ///< By reports.
+    std::function<bool(model_run const&)> stands_still; ///< The run makes no progress.
     std::string id = "i-1";
     std::uint64_t born = 5;
     worker_clock clock {10'000};
