--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -188,6 +188,36 @@
     }
 }
 
+// Guards against a worker that is refused for good because another writer was the first to announce
+// its incarnation.
+SCENARIO("another writer announces a service for a worker that has just started",
+         "[platform][worker]")
+{
+    GIVEN("a worker that has restarted, and is announced with another service before it does it")
+    {
+        agent_fixture agent;
+        agent.worker.restart("i-2");
+        auto odd = agent.worker.announcement();
+        odd.body["service"] = "pool-7";
+        odd.body["seq"] = 1000;
+        REQUIRE(agent.announce(odd) == 200);
+
+        WHEN("the worker announces itself, and again later")
+        {
+            CHECK(agent.announce(agent.worker.announcement()) == 400);
+            agent.run_for(milliseconds(1100));
+            THEN("it is followed with its own service")
+            {
+                CHECK(agent.announce(agent.worker.announcement()) == 200);
+                agent.core->peer_up("entry.a", base::steady_now());
+                auto const report = agent.sender.to<protocol::agent_report>("entry.a").back();
+                REQUIRE(report.endpoints.size() == 1);
+                CHECK(report.endpoints.front().kinds == std::vector<std::string> {"s1"});
+            }
+        }
+    }
+}
+
 // Guards against an announcement that was held up and displaces a later incarnation.
 SCENARIO("an announcement arrives after its sender has ended", "[platform][worker]")
 {
