Count restarts by reason, and repeat concluded ends when an agent ends

An entry now counts the tasks that it queues again by the reason of their attempt's end (metric task_restarts_total, 3029 when it ends); an agent writes the number of ends that it concluded by proof (4027) and the last eight of them (4028) when it ends. No decision changes.

--- a/src/agent/inferred_ends.cpp
+++ b/src/agent/inferred_ends.cpp
@@ -44,6 +44,10 @@
         .with("proof", text_of(end.proof))
         .with("reports", end.missing_reports)
         .with("stop_ms", since_stop);
+    ++this->counts.at(static_cast<std::size_t>(end.proof));
+    this->recent.push_back({end.run, end.proof, now});
+    if (this->recent.size() > max_recent)
+        this->recent.pop_front();
     if (this->ends.size() > max_ends)
         this->ends.clear();
     this->ends[{end.run.task, end.run.number}] = now;
@@ -61,6 +65,26 @@
         .with("end", text_of(listed.reason))
         .with("ms", duration_cast<milliseconds>(now - found->second).count());
     this->ends.erase(found);
+    ++this->listed_afterwards;
+}
+
+void inferred_ends::log_summary(base::steady_time now) const
+{
+    if (this->recent.empty())
+        return;
+    auto const count
+        = [this](end_proof proof) { return this->counts.at(static_cast<std::size_t>(proof)); };
+    base::log_record(base::log_event::inferred_ends_counted)
+        .with("start_refused", count(end_proof::start_refused))
+        .with("lease_expired", count(end_proof::lease_expired))
+        .with("later_incarnation", count(end_proof::later_incarnation))
+        .with("listed_afterwards", this->listed_afterwards);
+    for (auto const& end : this->recent)
+        base::log_record(base::log_event::inferred_end_recalled)
+            .with("task", end.run.task)
+            .with("run", end.run.number)
+            .with("proof", text_of(end.proof))
+            .with("ms", duration_cast<milliseconds>(now - end.inferred_at).count());
 }
 
 void inferred_ends::forget(worker_run const& run)
--- a/src/agent/inferred_ends.h
+++ b/src/agent/inferred_ends.h
@@ -3,9 +3,11 @@
 
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -40,13 +42,27 @@
     void check(ended_run const& listed, std::string const& worker, base::steady_time now);
     /// A run of this number starts, possibly again on another incarnation of the worker.
     void forget(worker_run const& run);
+    /// Logs the number of conclusions by proof and the last of them, for a log of which only the
+    /// last lines are kept. Nothing if there were none.
+    void log_summary(base::steady_time now) const;
 
 private:
     /// `ends` is cleared when it exceeds this size.
     static constexpr std::size_t max_ends = 1'000;
+    static constexpr std::size_t max_recent = 8;
+    static constexpr std::size_t proof_count = 3;
+
+    struct recent_end {
+        worker_run run;
+        end_proof proof;
+        base::steady_time inferred_at;
+    };
 
     /// When the end of each run was inferred, by task and run number.
     std::map<std::pair<std::string, std::uint64_t>, base::steady_time> ends;
+    std::array<std::uint64_t, proof_count> counts {}; ///< By `end_proof`.
+    std::uint64_t listed_afterwards = 0;
+    std::deque<recent_end> recent;
 };
 
 } // namespace greengagehead::agent
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -84,6 +84,11 @@
 {
 }
 
+leased_runner::~leased_runner()
+{
+    this->ends_without_row.log_summary(this->now());
+}
+
 std::string leased_runner::name_of(protocol::task_start const& task)
 {
     return task.name.empty() ? task.task.job + "." + std::to_string(task.task.index) : task.name;
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -35,6 +35,9 @@
     /// @param initial_fence fencing token, higher than any that an earlier incarnation has used.
     leased_runner(leased_worker& worker, lease_limits limits, std::uint64_t initial_fence,
                   clock_source clock);
+    ~leased_runner() override;
+    leased_runner(leased_runner const&) = delete;
+    leased_runner& operator=(leased_runner const&) = delete;
 
     void start(run_request const& request, callback done) override;
     void stop(std::string const& url, protocol::task_ref const& task) override;
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -12,6 +12,7 @@
 #include "api/json_replies.h"
 #include "base/log_sink.h"
 #include "entry/entry_core.h"
+#include "entry/restart_counts.h"
 
 namespace greengagehead::api {
 
@@ -97,6 +98,28 @@
     append_sample(text, name, "", value);
 }
 
+/// A value of a label, as the text format writes it.
+std::string label_value(std::string const& text)
+{
+    std::string escaped;
+    for (char const letter : text) {
+        if (letter == '\\' || letter == '"')
+            escaped += '\\';
+        escaped += letter == '\n' ? ' ' : letter;
+    }
+    return escaped;
+}
+
+void append_restarts(std::string& text, entry::restart_counts const& restarts)
+{
+    constexpr std::string_view name = "task_restarts_total";
+    text.append("# HELP greengagehead_").append(name);
+    text.append(" Tasks queued again, by why their attempt had ended without a result.");
+    text.append("\n# TYPE greengagehead_").append(name).append(" counter\n");
+    for (auto const& [reason, count] : restarts.by_reason())
+        append_sample(text, name, "reason=\"" + label_value(reason) + "\"", count);
+}
+
 /// One part of the message counters as a metric.
 struct message_metric {
     std::string_view name;
@@ -205,6 +228,7 @@
     append_counter(text, "log_lines_dropped_total",
                    "Log lines of this process that standard output did not take.",
                    base::dropped_log_lines());
+    append_restarts(text, context.core.restarts());
     append_messages(text, context.messages);
     append_gauges(text, context.core.status(base::steady_now()));
     context.metrics.append_to(text);
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -68,6 +68,7 @@
     run_given_up = 3026,
     submission_held = 3027,
     submission_released = 3028,
+    restarts_counted = 3029,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
@@ -92,6 +93,8 @@
     run_end_inferred = 4023,
     end_after_outcome = 4024,
     agent_superseded = 4025,
+    inferred_ends_counted = 4027,
+    inferred_end_recalled = 4028,
 };
 
 struct event_description {
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -305,6 +305,7 @@
         return false;
     ++task.retries;
     ++this->components.counters.retries;
+    this->components.restarts.record(cause);
     task.tried_endpoints.push_back(endpoint);
     task.state = task_state::waiting;
     job.record_decision({now, decision_kind::retried, static_cast<std::int32_t>(index),
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -19,6 +19,7 @@
 #include "entry/job_table.h"
 #include "entry/lease_manager.h"
 #include "entry/remote_jobs.h"
+#include "entry/restart_counts.h"
 #include "entry/resubmissions.h"
 #include "entry/takeover.h"
 #include "entry/team_table.h"
@@ -55,6 +56,7 @@
 
     entry_settings settings;
     entry_counters counters;
+    restart_counts restarts;
     /// Number of the last attempt of any ephemeral task. A job that is submitted again has the same
     /// id, so numbers are not used twice: a late statement then matches no attempt of the newer
     /// job.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -284,7 +284,10 @@
     this->pimpl->leases.tick(now);
 }
 
-entry_core::~entry_core() = default;
+entry_core::~entry_core()
+{
+    this->pimpl->restarts.log();
+}
 
 void entry_core::submit(protocol::job_request request, milliseconds wait,
                         std::function<void(submit_reply const&)> reply, base::steady_time now,
@@ -460,6 +463,11 @@
     return this->pimpl->counters;
 }
 
+restart_counts const& entry_core::restarts() const
+{
+    return this->pimpl->restarts;
+}
+
 std::string entry_core::ephemeral_id(std::string const& team, std::string const& submission) const
 {
     return ephemeral_job_id(team, submission, this->pimpl->settings.id);
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -20,6 +20,8 @@
 
 namespace greengagehead::entry {
 
+class restart_counts;
+
 struct entry_settings {
     protocol::process_id id; ///< Peer name, for example `entry.recife-1`, and a random incarnation.
     std::string region;
@@ -147,6 +149,7 @@
 
     [[nodiscard]] entry_status status(base::steady_time now) const;
     [[nodiscard]] entry_counters const& counters() const;
+    [[nodiscard]] restart_counts const& restarts() const;
     [[nodiscard]] protocol::view const& applied_view() const;
     /// Job id of an ephemeral submission to this entry.
     [[nodiscard]] std::string ephemeral_id(std::string const& team,
