Test that one denial of a live worker ends none of its runs

A worker of the simulation answers calls with 421 for a while, calls itself by another id, or is born again under another id.

--- a/tests/agent/worker_model.h
+++ b/tests/agent/worker_model.h
@@ -182,6 +182,8 @@
     bool lists_runs = true;
     std::function<bool(model_run const&)> is_left_out; ///< By reports.
     std::function<bool(model_run const&)> stands_still; ///< The run makes no progress.
+    /// The worker answers the call as if it were meant for another incarnation.
+    std::function<bool(call_context const&)> denies;
     std::string id = "i-1";
     std::uint64_t born = 5;
     worker_clock clock {10'000};
@@ -205,6 +207,8 @@
     }
     worker_answer check(call_context const& context)
     {
+        if (this->denies && this->denies(context))
+            return worker_answer::wrong_incarnation;
         if (!context.incarnation.id.empty() && context.incarnation.id != this->id)
             return worker_answer::wrong_incarnation;
         if (context.fence < this->fence)
