End no run of a worker before a later incarnation of it has been heard

Callers saw tasks that ran twice at once: all runs of one worker started elsewhere while it went on with them.

Cause: the agent took one answer for a proof. A 421 to the present incarnation, or a confirmed announcement with another id, ended all runs of the worker at once (leased_runner::on_worker_lost), each was told to its entry as unknown and started elsewhere, and the next report listed the runs as unknown ones, which were stopped.

Now an incarnation is recognized by its start (agent/incarnation_tracker). Another id with the same start is another name of the present one. After a 421 the worker is asked for its start without an id, every 10 ms; until it has answered, its lease is not extended, and it gets no start before it accepts its id again. Another start in an answer, or a confirmed announcement, makes each run unconfirmed, as after a restart under the same id. A run whose starts were all answered, or any run if the next incarnation is known by another id, has ended once a list that was asked for after that lacks it; others as before. What is listed is taken up. A start without an answer is not sent again to the next incarnation.

Changed test: leased_runner_test "a call to the previous incarnation of a worker is refused late" demanded that outcomes are told on an announcement and on a 421, which is the fault. It now demands that they are told after the list of the later incarnation, and that nothing is sent meanwhile; the task that is to start during a result is still refused.

--- a/src/agent/leased_fencing.cpp
+++ b/src/agent/leased_fencing.cpp
@@ -58,7 +58,7 @@
         break;
     }
     base::log_record(base::log_event::agent_superseded)
-        .with("worker", this->incarnation.id)
+        .with("worker", this->identity.present().id)
         .with("fence", sent)
         .with("runs", this->runs.size());
     if (before)
@@ -81,7 +81,7 @@
 void leased_runner::log_raised_fence() const
 {
     base::log_record(base::log_event::fence_raised)
-        .with("worker", this->incarnation.id)
+        .with("worker", this->identity.present().id)
         .with("fence", this->token.value());
 }
 
--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-using protocol::outcome_kind;
+/// A worker on the same VM answers within a few milliseconds.
+constexpr std::chrono::milliseconds identity_check_interval {10};
 
 incarnation_answer judge(worker_incarnation const& announced, worker_reply const& reply)
 {
@@ -50,74 +51,119 @@
 {
     this->resume_if_due();
     // Ignores delayed announcements of earlier incarnations.
-    bool const same_id = current.id == this->incarnation.id;
-    if (same_id && current.born < this->incarnation.born)
+    auto const present = this->identity.present();
+    bool const same_id = current.id == present.id;
+    if (same_id && current.born < present.born)
         return;
-    if (same_id && current.born > this->incarnation.born)
-        this->on_restarted(current.born);
-    if (current != this->incarnation) {
-        if (!this->incarnation.id.empty())
-            this->on_worker_lost("the worker has restarted");
+    if (this->identity.is_present(current)) {
+        bool const before = this->available();
+        this->identity.rename(current.id);
+        this->emit_if_changed(before);
+    } else if (present == worker_incarnation {}) {
         // Answers that came while no incarnation was known may be from an earlier one.
         this->forget_worker_state();
-        this->incarnation = current;
+        this->identity.replace(current);
         this->next_report = this->now();
+    } else {
+        bool const other_life = !same_id && current.born > present.born;
+        this->on_life_ended(current,
+                            other_life ? former_orders::refused : former_orders::may_arrive);
     }
     this->record_clock(reading);
     this->update_availability(this->is_reachable, true);
 }
 
-bool leased_runner::is_current(worker_incarnation const& addressed, worker_reply const& reply)
+bool leased_runner::is_current(worker_incarnation const& named, worker_reply const& reply)
 {
     if (reply.answer == worker_answer::accepted)
         this->on_token_accepted();
-    if (reply.answer == worker_answer::wrong_incarnation) {
-        // A call to an earlier incarnation tells nothing about the present one.
-        if (!addressed.id.empty() && addressed == this->incarnation)
-            this->on_worker_lost("the worker has restarted");
+    bool const before = this->available();
+    bool const was_denied = this->identity.is_denied();
+    switch (this->identity.judge(named, reply)) {
+    case answer_origin::unknown:
         return false;
-    }
-    if (addressed.id != this->incarnation.id)
+    case answer_origin::denied:
+        this->emit_if_changed(before);
+        this->on_denied();
         return false;
-    // While no incarnation is known, whichever answers is the present one.
-    if (addressed.id.empty())
+    case answer_origin::other_life: {
+        bool const later = *reply.born > named.born;
+        bool const has_other_id = named.id.empty() && was_denied && later;
+        this->on_life_ended({named.id, *reply.born},
+                            has_other_id ? former_orders::answered_only
+                                         : former_orders::may_arrive);
         return true;
-    if (this->incarnation.born != 0 && reply.born.value_or(0) > this->incarnation.born)
-        this->on_restarted(*reply.born);
-    return reply.born.value_or(addressed.born) == this->incarnation.born;
+    }
+    case answer_origin::present:
+        break;
+    }
+    this->emit_if_changed(before);
+    return true;
+}
+
+void leased_runner::on_denied()
+{
+    base::log_record(base::log_event::incarnation_denied)
+        .with("worker", this->identity.present().id)
+        .with("born", this->identity.present().born)
+        .with("runs", this->runs.size());
+    this->check_identity();
+}
+
+void leased_runner::check_identity()
+{
+    if (this->token.superseded())
+        return;
+    this->next_identity_check = this->now() + identity_check_interval;
+    auto const present = this->identity.present();
+    this->send_identity_check({{}, present.born});
+    this->send_identity_check(present);
 }
 
-void leased_runner::on_restarted(std::uint64_t born)
+void leased_runner::on_life_ended(worker_incarnation const& next, former_orders orders)
 {
-    base::log_record(base::log_event::worker_restarted)
-        .with("worker", this->incarnation.id)
-        .with("born", born)
+    auto const former = this->identity.present();
+    base::log_record(next.id == former.id ? base::log_event::worker_restarted
+                                          : base::log_event::worker_lost)
+        .with("worker", former.id)
+        .with("born", former.born)
+        .with("next", next.id)
+        .with("next_born", next.born)
         .with("runs", this->runs.size());
-    this->incarnation.born = born;
+    bool const before = this->available();
+    this->identity.replace(next);
+    this->is_announced = false;
     this->forget_worker_state();
     this->lease.on_restarted(this->now());
     this->restarted_after_report = this->reports_sent;
     // Commands that were sent to the previous incarnation may still arrive. The new one refuses
     // them once it has seen a higher token.
     this->token.advance();
-    for (auto& [name, active] : this->runs) {
-        active.worker_restarted = true;
-        active.stop_sent = false;
-        active.stop_confirmed = false;
-        active.stop_confirmed_at.reset();
-        active.listed = false;
-        active.missing_reports = 0;
-        active.unlisted_since.reset();
-        active.ended_after_report.reset();
-        active.progress = {};
-        if (active.state != phase::starting || active.in_flight == 0)
-            active.state = phase::unconfirmed;
-        active.expected_after_report = this->reports_sent;
-        if (active.stop_requested_at)
-            this->send_stop(active);
-    }
+    for (auto& [name, active] : this->runs)
+        this->await_confirmation(active, orders);
     this->send_report(report_kind::probe);
-    this->update_availability(this->is_reachable, false);
+    this->emit_if_changed(before);
+}
+
+void leased_runner::await_confirmation(active_run& active, former_orders orders)
+{
+    active.worker_restarted = true;
+    active.ended_unless_listed = orders == former_orders::refused
+        || (orders == former_orders::answered_only && active.unanswered == 0);
+    active.stop_sent = false;
+    active.stop_confirmed = false;
+    active.stop_confirmed_at.reset();
+    active.listed = false;
+    active.missing_reports = 0;
+    active.unlisted_since.reset();
+    active.ended_after_report.reset();
+    active.progress = {};
+    if (orders == former_orders::refused || active.state != phase::starting
+        || active.in_flight == 0)
+        active.state = phase::unconfirmed;
+    active.expected_after_report = this->reports_sent;
+    if (active.stop_requested_at)
+        this->send_stop(active);
 }
 
 void leased_runner::forget_worker_state()
@@ -134,29 +180,13 @@
     bool const before = this->available();
     this->is_reachable = reachable;
     this->is_announced = announced;
-    if (this->available() != before)
-        this->availability_changed.emit(!before);
+    this->emit_if_changed(before);
 }
 
-void leased_runner::on_worker_lost(std::string const& reason)
+void leased_runner::emit_if_changed(bool before)
 {
-    base::log_record(base::log_event::worker_lost)
-        .with("worker", this->incarnation.id)
-        .with("born", this->incarnation.born)
-        .with("runs", this->runs.size())
-        .with("reason", reason);
-    for (auto const& [name, active] : this->runs)
-        this->record_inferred_end(active, end_proof::later_incarnation);
-    this->incarnation = {};
-    // A later incarnation may have the same id, and refuses late starts for this one.
-    this->token.advance();
-    this->forget_worker_state();
-    this->run_numbers.clear();
-    auto lost = std::exchange(this->runs, {});
-    // Before the results: `done` may ask for other starts, which must be refused.
-    this->update_availability(this->is_reachable, false);
-    for (auto& [name, active] : lost)
-        std::exchange(active.done, nullptr)({outcome_kind::unknown, {}, reason}, this->now());
+    if (this->available() != before)
+        this->availability_changed.emit(!before);
 }
 
 } // namespace greengagehead::agent
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -40,7 +40,8 @@
     // Until then the worker may run tasks of a former incarnation of this agent, which entries
     // start elsewhere: their lease must lapse. Without a reading of the worker's clock, the end of
     // a lease cannot be told.
-    bool const extends = this->is_settled && this->is_taken_over && this->lease.clock();
+    bool const extends = this->is_settled && this->is_taken_over && this->identity.is_heard()
+        && this->lease.clock();
     auto const lease_until
         = extends ? this->lease.next_end(this->latest_lease_end(), time) : worker_clock(0);
     auto const before = this->lease.granted();
@@ -65,12 +66,24 @@
                         });
 }
 
+void leased_runner::send_identity_check(worker_incarnation const& named)
+{
+    auto const number = ++this->reports_sent;
+    call_context const context {this->token.value(), named};
+    this->worker.report(
+        context, worker_clock(0), 0, milliseconds(0),
+        [this, weak = std::weak_ptr(this->alive), context, number](worker_report const& report) {
+            if (!weak.expired())
+                this->process_report(number, context, report);
+        });
+}
+
 void leased_runner::log_withheld_lease()
 {
     bool const withheld = this->latest_lease_end() <= this->now();
     if (withheld && !this->lease_withheld)
         base::log_record(base::log_event::lease_withheld)
-            .with("worker", this->incarnation.id)
+            .with("worker", this->identity.present().id)
             .with("runs", this->runs.size());
     this->lease_withheld = withheld;
 }
@@ -113,7 +126,7 @@
         this->ended_run_numbers.clear();
     auto& highest = this->ended_run_numbers[ended.run.task];
     highest = std::max(highest, ended.run.number);
-    this->ends_without_row.check(ended, this->incarnation.id, this->now());
+    this->ends_without_row.check(ended, this->identity.present().id, this->now());
     this->foreign.on_ended(ended.run);
     auto const found = this->runs.find(ended.run.task);
     if (found == this->runs.end() || found->second.run != ended.run)
@@ -152,6 +165,7 @@
             active.ended_after_report.reset();
             active.listed = true;
             active.worker_restarted = false;
+            active.ended_unless_listed = false;
             // The start was carried out although its answer was lost.
             if (active.state == phase::unconfirmed && !active.stop_sent)
                 active.state = phase::running;
@@ -161,6 +175,10 @@
         }
         if (number <= active.expected_after_report || active.state == phase::starting)
             continue;
+        if (this->ended_with_former_life(active, report.reply)) {
+            ended.emplace_back(name, end_proof::later_incarnation);
+            continue;
+        }
         this->on_unlisted(active);
         // Otherwise the end of the run may be among those that come after the listed ones.
         bool const lists_all_ends = report.ended.size() < this->limits.max_listed_ends;
@@ -224,6 +242,12 @@
     return {};
 }
 
+bool leased_runner::ended_with_former_life(active_run const& active,
+                                           worker_reply const& reply) const
+{
+    return active.ended_unless_listed && reply.born == this->identity.present().born;
+}
+
 void leased_runner::check_progress(active_run& active, std::uint32_t percent, worker_clock time)
 {
     active.progress.update(percent, time);
@@ -236,7 +260,7 @@
     base::log_record(base::log_event::run_lagging)
         .with("task", active.run.task)
         .with("run", active.run.number)
-        .with("worker", this->incarnation.id)
+        .with("worker", this->identity.present().id)
         .with("percent", percent)
         .with("expected", active.task.expected)
         .with("remaining", *remaining);
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -119,6 +119,8 @@
         return "another process of this agent has taken over the worker";
     if (this->runs.contains(name))
         return "another run of the task has not ended yet";
+    if (this->identity.is_denied())
+        return "the worker says that it is another incarnation";
     if (!this->is_announced || !this->is_settled || !this->lease.clock()
         || time >= request.start_before)
         return "the worker is not ready, or the lease or the deadline has passed";
@@ -133,8 +135,11 @@
 bool leased_runner::may_start_now(active_run const& active) const
 {
     auto const time = this->now();
-    return !this->token.superseded() && this->lease.clock() && time < active.start_before
-        && this->latest_lease_end() >= time + shortest_lease;
+    // The former incarnation of the worker may have carried out a start without an answer.
+    if (active.worker_restarted)
+        return false;
+    return !this->token.superseded() && !this->identity.is_denied() && this->lease.clock()
+        && time < active.start_before && this->latest_lease_end() >= time + shortest_lease;
 }
 
 void leased_runner::send_start(active_run& active)
@@ -236,7 +241,7 @@
     base::log_record(base::log_event::start_unanswered)
         .with("task", active.run.task)
         .with("run", active.run.number)
-        .with("worker", this->incarnation.id);
+        .with("worker", this->identity.present().id);
     if (active.in_flight == 0)
         this->on_unconfirmed(active);
 }
@@ -318,7 +323,7 @@
     base::log_record(base::log_event::foreign_run_stopped)
         .with("task", run.task)
         .with("run", run.number)
-        .with("worker", this->incarnation.id);
+        .with("worker", this->identity.present().id);
     auto& number = this->run_numbers[run.task];
     number = std::max(number, run.number);
     this->worker.stop(this->context(), run, [](worker_reply const&) {});
@@ -384,9 +389,12 @@
         this->send_report(report_kind::renewal);
     if (this->is_reachable && !this->runs.empty() && time >= this->next_probe)
         this->send_report(report_kind::probe);
+    if (this->identity.is_denied() && time >= this->next_identity_check)
+        this->check_identity();
     this->resend_commands(time);
     if (this->is_reachable && time - this->last_contact > unreachable_timeout) {
-        base::log_record(base::log_event::worker_unreachable).with("worker", this->incarnation.id);
+        base::log_record(base::log_event::worker_unreachable)
+            .with("worker", this->identity.present().id);
         this->update_availability(false, this->is_announced);
     }
     if (!this->is_reachable && this->lease.expired(time))
@@ -453,7 +461,7 @@
     inferred_end end {active.run, proof, active.missing_reports, {}};
     if (active.stop_sent)
         end.first_stop = active.first_stop;
-    this->ends_without_row.record(end, this->incarnation.id, this->now());
+    this->ends_without_row.record(end, this->identity.present().id, this->now());
 }
 
 void leased_runner::finish_unlisted_run(std::string const& name, end_proof proof)
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -18,6 +18,7 @@
 #include "agent/endpoint_runner.h"
 #include "agent/fencing_token.h"
 #include "agent/foreign_runs.h"
+#include "agent/incarnation_tracker.h"
 #include "agent/incarnation_verifier.h"
 #include "agent/inferred_ends.h"
 #include "agent/leased_worker.h"
@@ -42,9 +43,10 @@
     void start(run_request const& request, callback done) override;
     void stop(std::string const& url, protocol::task_ref const& task) override;
 
-    /// Handles an announcement by the worker. A new incarnation has lost the runs of the previous
-    /// one. Under the same id, it may have accepted starts that were sent to the previous one, so
-    /// each run ends only when the worker has confirmed that it does not run.
+    /// Handles an announcement that the worker has confirmed. Another id with the same start is
+    /// another name of the present incarnation. A new incarnation has lost the runs of the previous
+    /// one, but each run ends only when the new one has been heard: it may have accepted starts
+    /// that were sent to the previous one.
     void announced(worker_incarnation const& incarnation, std::optional<worker_clock> clock);
     /// Asks the worker whether it is the incarnation that an announcement names. Calls `done`
     /// exactly once, unless the runner is destroyed first.
@@ -59,15 +61,16 @@
     /// Empty id while no incarnation is known.
     [[nodiscard]] worker_incarnation const& current_incarnation() const
     {
-        return this->incarnation;
+        return this->identity.present();
     }
-    /// Whether the worker answers and its present incarnation has announced itself. The capacity of
-    /// an incarnation is unknown until then. False while another process of this agent has taken
-    /// over the worker: then nothing is sent to it, and runs go on until the other process or their
-    /// lease ends them, which this process does not learn.
+    /// Whether the worker answers to its id and its present incarnation has announced itself. The
+    /// capacity of an incarnation is unknown until then. False while another process of this agent
+    /// has taken over the worker: then nothing is sent to it, and runs go on until the other
+    /// process or their lease ends them, which this process does not learn.
     [[nodiscard]] bool available() const
     {
-        return this->is_reachable && this->is_announced && !this->token.superseded();
+        return this->is_reachable && this->is_announced && !this->identity.is_denied()
+            && !this->token.superseded();
     }
     sigc::signal<void(bool available)> availability_changed;
     /// Emitted at most once per run, when it has stalled or is far slower than expected.
@@ -97,6 +100,9 @@
         bool stop_delay_logged = false;
         /// The worker has restarted since the start was sent, and has not listed the run since.
         bool worker_restarted = false;
+        /// No order to the former incarnation can start the run on the present one, so a list of
+        /// the present one without the run proves its end.
+        bool ended_unless_listed = false;
         std::uint32_t start_attempts = 0;
         std::uint32_t unanswered = 0; ///< Start attempts in flight or with a lost answer.
         std::uint32_t in_flight = 0; ///< Start attempts in flight.
@@ -128,7 +134,10 @@
 
     using call_context = leased_worker::call_context;
 
-    [[nodiscard]] call_context context() const { return {this->token.value(), this->incarnation}; }
+    [[nodiscard]] call_context context() const
+    {
+        return {this->token.value(), this->identity.addressed()};
+    }
     /// Latest end of the lease that the permissions of all runs on the worker, and of the tasks
     /// that wait for their start, allow.
     [[nodiscard]] base::steady_time latest_lease_end() const;
@@ -168,6 +177,13 @@
     void stop_foreign(worker_run const& run);
     enum class report_kind : std::uint8_t { renewal, probe };
     void send_report(report_kind kind);
+    /// Asks whoever runs at the worker's address for its start and its runs. Grants no lease and
+    /// acknowledges no end.
+    /// @param named empty id if any incarnation may answer.
+    void send_identity_check(worker_incarnation const& named);
+    /// Asks while the worker denies its id: without an id for its start, and by its id whether the
+    /// denial is over.
+    void check_identity();
     void process_report(std::uint64_t number, call_context const& context,
                         worker_report const& report);
     void resend_commands(base::steady_time time);
@@ -182,6 +198,9 @@
     /// What proves that a run has ended which the worker has not listed for its end.
     [[nodiscard]] std::optional<end_proof> proof_of_end(active_run const& active,
                                                         worker_clock reading) const;
+    /// Whether a report without the run shows that the run has ended with a former incarnation.
+    [[nodiscard]] bool ended_with_former_life(active_run const& active,
+                                              worker_reply const& reply) const;
     void check_progress(active_run& active, std::uint32_t percent, worker_clock time);
     /// The worker refused this token.
     void on_stale_fence(std::uint64_t sent);
@@ -189,17 +208,26 @@
     void resume_if_due();
     void log_raised_fence() const;
     /// Whether an answer is about the present incarnation of the worker. First acts on what the
-    /// answer tells about incarnations: the present one has ended, or a later one has answered.
-    /// @param addressed the incarnation that was called.
-    bool is_current(worker_incarnation const& addressed, worker_reply const& reply);
-    /// The worker has restarted under its id. Each run is unconfirmed until the new incarnation
-    /// lists it or has confirmed that it refuses it.
-    void on_restarted(std::uint64_t born);
+    /// answer tells about incarnations: the worker denies its id, or another one has answered.
+    /// @param named the incarnation that the call named.
+    bool is_current(worker_incarnation const& named, worker_reply const& reply);
+    /// The worker denies its id. Its runs go on until another incarnation has been heard.
+    void on_denied();
+    enum class former_orders : std::uint8_t {
+        may_arrive, ///< Unanswered starts for the former incarnation may reach the next one.
+        answered_only, ///< So may those starts, but answered ones are done with.
+        refused, ///< The next incarnation has another id.
+    };
+    /// Another incarnation of the worker is the present one. Each run is unconfirmed until that one
+    /// lists it, has been heard without it, or has confirmed that it refuses it.
+    void on_life_ended(worker_incarnation const& next, former_orders orders);
+    /// Forgets what the former incarnation has told about a run.
+    void await_confirmation(active_run& active, former_orders orders);
     /// Forgets what answers of an earlier incarnation have told.
     void forget_worker_state();
-    /// The present incarnation has ended, and with it every run.
-    void on_worker_lost(std::string const& reason);
     void update_availability(bool reachable, bool announced);
+    /// @param before availability before a change.
+    void emit_if_changed(bool before);
     void finish_run(std::string const& name, run_result result);
     void record_inferred_end(active_run const& active, end_proof proof);
     /// The worker has accepted a call with the token of this process.
@@ -219,7 +247,7 @@
     base::steady_time created;
     fencing_token token;
 
-    worker_incarnation incarnation; ///< Empty id until the worker has announced itself.
+    incarnation_tracker identity;
     bool is_announced = false; ///< The present incarnation has announced itself.
     base::steady_time last_contact;
     worker_lease lease;
@@ -253,6 +281,7 @@
     std::uint64_t renewal_in_flight = 0; ///< Number of the report; 0 while none is in flight.
     base::steady_time next_report;
     base::steady_time next_probe;
+    base::steady_time next_identity_check;
     std::shared_ptr<bool> alive; // Callbacks of the worker hold weak references to it.
 };
 
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -86,6 +86,7 @@
     event_description {log_event::run_end_inferred, severity::warning, "run_end_inferred"},
     event_description {log_event::end_after_outcome, severity::warning, "end_after_outcome"},
     event_description {log_event::agent_superseded, severity::warning, "agent_superseded"},
+    event_description {log_event::incarnation_denied, severity::warning, "incarnation_denied"},
     event_description {log_event::inferred_ends_counted, severity::warning,
                        "inferred_ends_counted"},
     event_description {log_event::inferred_end_recalled, severity::warning,
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -93,6 +93,7 @@
     run_end_inferred = 4023,
     end_after_outcome = 4024,
     agent_superseded = 4025,
+    incarnation_denied = 4026,
     inferred_ends_counted = 4027,
     inferred_end_recalled = 4028,
 };
--- a/tests/agent/denied_incarnation_test.cpp
+++ b/tests/agent/denied_incarnation_test.cpp
@@ -68,8 +68,7 @@
 } // namespace
 
 // Guards against all runs of a live worker that start elsewhere after one answer of it.
-SCENARIO("a worker that lives denies to be the incarnation that is called",
-         "[agent][leased][known-red]")
+SCENARIO("a worker that lives denies to be the incarnation that is called", "[agent][leased]")
 {
     GIVEN("a worker with two runs")
     {
@@ -146,7 +145,7 @@
 }
 
 // Guards against all runs of a live worker that start elsewhere when it calls itself otherwise.
-SCENARIO("a worker that lives calls itself by another id", "[agent][leased][known-red]")
+SCENARIO("a worker that lives calls itself by another id", "[agent][leased]")
 {
     GIVEN("a worker with two runs")
     {
@@ -186,7 +185,7 @@
     }
 }
 
-SCENARIO("a later life of the worker is heard under another id", "[agent][leased][known-red]")
+SCENARIO("a later life of the worker is heard under another id", "[agent][leased]")
 {
     GIVEN("a worker with two runs, which has ended")
     {
--- a/tests/agent/leased_runner_test.cpp
+++ b/tests/agent/leased_runner_test.cpp
@@ -839,6 +839,9 @@
         auto const stop = fixture.worker.stops.back();
         auto const report = fixture.worker.reports.back();
         fixture.runner.announced({"i-2", 6}, worker_clock(0));
+        REQUIRE(fixture.results.empty());
+        fixture.stated_born = 6;
+        fixture.answer_report({});
         REQUIRE(fixture.results.size() == 2);
         fixture.start("b.0.0.0");
         fixture.worker.starts.back().done(fixture.reply(worker_answer::accepted));
@@ -885,18 +888,43 @@
         {
             fixture.advance(milliseconds(40));
             auto const starts = fixture.worker.starts.size();
-            fixture.start_when_lost = "c.0.0.0";
+            auto const before = fixture.worker.reports.size();
             fixture.worker.reports.back().done({refused, {}, {}});
-            THEN("its run is lost with it")
+            // Guards against a denial of a live worker that is taken for the end of its runs.
+            THEN("its run goes on, and the worker is asked for its start without an id")
             {
-                REQUIRE(fixture.results.size() >= 3);
-                CHECK(fixture.results[2].kind == outcome_kind::unknown);
+                check_run_goes_on();
+                REQUIRE(fixture.worker.reports.size() == before + 2);
+                auto const& question = fixture.worker.reports[before];
+                CHECK(question.context.incarnation.id.empty());
+                CHECK(question.lease_until == worker_clock(0));
+                CHECK(question.last_seen_end == 0);
             }
             // Guards against a start that is addressed to no incarnation in particular.
-            THEN("a task that is to start at that moment is not sent")
+            THEN("a task that is to start at that moment is refused, and not sent")
             {
+                fixture.start("c.0.0.0");
+                REQUIRE(fixture.results.size() == 3);
+                CHECK(fixture.results.back().kind == outcome_kind::not_run);
                 CHECK(fixture.worker.starts.size() == starts);
             }
+            AND_WHEN("a later incarnation answers the question")
+            {
+                auto later = fixture.reply(worker_answer::accepted);
+                later.born = 7;
+                fixture.worker.reports[before].done({later, {}, {}});
+                THEN("its run is lost once that one has been asked what it runs")
+                {
+                    CHECK(fixture.results.size() == 2);
+                    fixture.stated_born = 7;
+                    fixture.start_when_lost = "c.0.0.0";
+                    fixture.answer_report({});
+                    REQUIRE(fixture.results.size() == 4);
+                    CHECK(fixture.results[2].kind == outcome_kind::unknown);
+                    CHECK(fixture.results.back().kind == outcome_kind::not_run);
+                    CHECK(fixture.worker.starts.size() == starts);
+                }
+            }
         }
     }
 }
