--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -310,3 +310,41 @@
         }
     }
 }
+
+// Guards against a live worker that gets no work any more because its announcements count as late.
+SCENARIO("a worker calls itself by another id", "[platform][worker][review]")
+{
+    GIVEN("a worker that has announced itself a few times and runs a task")
+    {
+        agent_fixture agent;
+        for (int count = 0; count < 3; ++count)
+            REQUIRE(agent.announce(agent.worker.announcement()) == 200);
+        agent.start("a.0.0.0");
+        REQUIRE(agent.offered() == std::vector<std::string> {"i-1/1700000000000"});
+
+        WHEN("it announces another id with the same start, and counts its announcements anew")
+        {
+            agent.worker.rename("i-9");
+            CHECK(agent.announce(agent.worker.announcement()) == 200);
+            agent.run_for(milliseconds(100));
+            THEN("the run goes on, and further ones start there")
+            {
+                CHECK(agent.results.empty());
+                agent.start("b.0.0.0");
+                CHECK(agent.offered() == std::vector<std::string> {"i-1/1700000000000"});
+            }
+            AND_WHEN("an announcement by the former id arrives late")
+            {
+                auto late = agent.worker.announcement();
+                late.id = "i-1";
+                late.body["seq"] = 1000;
+                CHECK(agent.announce(late) == 400);
+                THEN("it is refused, and further runs start")
+                {
+                    CHECK(agent.results.empty());
+                    agent.start("b.0.0.0");
+                }
+            }
+        }
+    }
+}
--- a/tests/platform/worker_stand_in.h
+++ b/tests/platform/worker_stand_in.h
@@ -42,6 +42,13 @@
         this->stopped.clear();
     }
 
+    /// The present incarnation goes on under another id.
+    void rename(std::string const& new_id)
+    {
+        this->id = new_id;
+        this->sequence = 0;
+    }
+
     stand_in_announcement announcement()
     {
         stand_in_announcement sent {this->id,
