Confirm stops of a worker whose id is denied or unknown

Workers name their start in lists, not in answers to orders. Since such answers to calls without an id counted as told by nobody, so no stop was confirmed while the id was denied, or not known after another life had been heard.

- A run whose start had no answer was never given up if the next life, under another id, did not announce itself (an announcement of another service is refused for good).
- A start that met the denial stayed unlisted and unstopped, and after 1 s kept the lease of the worker from being extended: all its runs lapsed when the worker announced its other id 1 s later.

A call without an id is answered by the incarnation that was heard before or by a later one, and whichever confirms a stop refuses the start. An end still needs a list of the present start that was asked for later, so a confirmation by a later one is forgotten before it counts. Lists without a start are ignored while the id is denied, as before, and renew no lease.

--- a/src/agent/incarnation_tracker.cpp
+++ b/src/agent/incarnation_tracker.cpp
@@ -36,16 +36,12 @@
 answer_origin incarnation_tracker::judge_start(worker_incarnation const& named,
                                                worker_reply const& reply)
 {
-    // Without an answer nobody has been heard. Without an id in the call, anybody may answer.
-    bool const has_answered
-        = reply.answer != worker_answer::no_answer && reply.answer != worker_answer::not_sent;
-    if (named.id.empty() && has_answered && !reply.born)
-        return answer_origin::unknown;
     // The call was sent after the present incarnation was heard, so it did not reach a former one.
     if (reply.born && this->incarnation.born != 0 && *reply.born != this->incarnation.born)
         return answer_origin::other_life;
     if (reply.answer == worker_answer::accepted) {
-        this->heard = true;
+        // Without an id in the call and a start in the answer, a later one may have answered.
+        this->heard = this->heard || !named.id.empty() || reply.born;
         if (named.id == this->incarnation.id)
             this->denied = false;
     }
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -95,6 +95,12 @@
     this->next_report = this->now() + (this->runs.empty() ? idle : report_delay);
     if (!this->is_current(context.incarnation, report.reply))
         return;
+    // While the id is denied, a list that names no start may be of any incarnation.
+    bool const has_answered = report.reply.answer != worker_answer::not_sent
+        && report.reply.answer != worker_answer::no_answer;
+    bool const names_nobody = context.incarnation.id.empty() && !report.reply.born;
+    if (has_answered && names_nobody && this->identity.is_denied())
+        return;
     if (report.reply.answer == worker_answer::stale_fence) {
         this->next_report = this->now();
         return this->on_stale_fence(context.fence);
