Ignore a start of 0 in an answer of the worker

One answer that named 0 as the start became the present incarnation, and a start of 0 means that none is known: the runner then recognized no further life by its answers until the worker announced itself. A worker that restarted under its id in that time kept its runs on the books.

denied_incarnation_review_test, "one answer names the start 0", fails before. agent_test and platform_test pass.

--- a/src/agent/incarnation_tracker.cpp
+++ b/src/agent/incarnation_tracker.cpp
@@ -36,12 +36,14 @@
 answer_origin incarnation_tracker::judge_start(worker_incarnation const& named,
                                                worker_reply const& reply)
 {
-    // The call was sent after the present incarnation was heard, so it did not reach a former one.
-    if (reply.born && this->incarnation.born != 0 && *reply.born != this->incarnation.born)
+    // A start is never 0. The call was sent after the present incarnation was heard, so it did not
+    // reach a former one.
+    auto const start = reply.born.value_or(0);
+    if (start != 0 && this->incarnation.born != 0 && start != this->incarnation.born)
         return answer_origin::other_life;
     if (reply.answer == worker_answer::accepted) {
         // Without an id in the call and a start in the answer, a later one may have answered.
-        this->heard = this->heard || !named.id.empty() || reply.born;
+        this->heard = this->heard || !named.id.empty() || start != 0;
         if (named.id == this->incarnation.id)
             this->denied = false;
     }
--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -98,7 +98,7 @@
     // While the id is denied, a list that names no start may be of any incarnation.
     bool const has_answered = report.reply.answer != worker_answer::not_sent
         && report.reply.answer != worker_answer::no_answer;
-    bool const names_nobody = context.incarnation.id.empty() && !report.reply.born;
+    bool const names_nobody = context.incarnation.id.empty() && report.reply.born.value_or(0) == 0;
     if (has_answered && names_nobody && this->identity.is_denied())
         return;
     if (report.reply.answer == worker_answer::stale_fence) {
--- a/tests/agent/denied_incarnation_review_test.cpp
+++ b/tests/agent/denied_incarnation_review_test.cpp
@@ -307,6 +307,29 @@
                 fixture.check_serves();
             }
         }
+        WHEN("one answer names the start 0, and the worker restarts under its id later")
+        {
+            bool const denies = GENERATE(false, true);
+            CAPTURE(denies);
+            int left = 1;
+            fixture.answers.alter = [&left](worker_report& made) {
+                if (left-- > 0)
+                    made.reply.born = 0;
+            };
+            if (denies)
+                fixture.worker.denies = review_fixture::names_id;
+            fixture.advance(milliseconds(50));
+            fixture.worker.denies = {};
+            fixture.advance(milliseconds(50));
+            CHECK(fixture.results.empty());
+            // Guards against a runner that no longer recognizes lives by their start.
+            THEN("it is still recognized by its start")
+            {
+                CHECK(fixture.runner.current_incarnation() == worker_incarnation {"i-1", 5});
+                fixture.restart("i-1", 6);
+                CHECK(fixture.time_to_give_up(2, milliseconds(400)) <= milliseconds(300));
+            }
+        }
     }
 }
 
