Wait for the end of a run that the next life may be stopping

A confirmed announcement of a later life under another id counted as proof that no former order can reach that life. A worker that had changed its id before (same start) may begin its next life under the former id: a lost start by that id is then carried out there before its fencing token is raised, and a run that is being stopped may be missing from its list. The run was told as ended while the worker was still stopping it (stop_grace at most).

Such a run, without an answer to its start and with a stop sent, ends by its row or by the confirmed stop. Others end as before: what a lost start has begun is listed, and later ones meet the raised token.

denied_incarnation_review_test, "a start is lost, the worker changes its id, and the next life has the former one", fails before. agent_test and platform_test pass.

--- a/src/agent/leased_reports.cpp
+++ b/src/agent/leased_reports.cpp
@@ -251,7 +251,11 @@
 bool leased_runner::ended_with_former_life(active_run const& active,
                                            worker_reply const& reply) const
 {
-    return active.ended_unless_listed && reply.born == this->identity.present().born;
+    // An order by an earlier id may have reached the present one before its token was raised, which
+    // then may leave out of its lists what it is stopping.
+    bool const may_be_stopping = active.unanswered > 0 && active.stop_sent;
+    return active.ended_unless_listed && !may_be_stopping
+        && reply.born == this->identity.present().born;
 }
 
 void leased_runner::check_progress(active_run& active, std::uint32_t percent, worker_clock time)
--- a/tests/agent/denied_incarnation_review_test.cpp
+++ b/tests/agent/denied_incarnation_review_test.cpp
@@ -399,6 +399,29 @@
                 fixture.check_serves();
             }
         }
+        WHEN("a start is lost, the worker changes its id, and the next life has the former one")
+        {
+            fixture.worker.lists_stopping_runs = false;
+            fixture.worker.lost_starts = true;
+            fixture.start("c.0.0.0", work);
+            fixture.advance(step);
+            fixture.worker.lost_starts = false;
+            fixture.worker.id = "i-9";
+            fixture.announce();
+            fixture.stop("c.0.0.0");
+            fixture.advance(step);
+            fixture.restart("i-1", 6);
+            fixture.worker.carry_out_lost_orders();
+            REQUIRE(fixture.worker.runs("c.0.0.0"));
+            fixture.announce();
+            // Guards against an end that is concluded while the next life is stopping the run.
+            THEN("that start is told as ended after the next life has stopped it")
+            {
+                fixture.advance(milliseconds(300));
+                CHECK(fixture.results.size() == 3);
+                CHECK_FALSE(fixture.worker.runs("c.0.0.0"));
+            }
+        }
     }
     GIVEN("an agent that has not settled, whose worker has a run of a former process")
     {
