--- a/tests/agent/denied_incarnation_review_test.cpp
+++ b/tests/agent/denied_incarnation_review_test.cpp
@@ -33,16 +33,24 @@
     void start(call_context const& context, worker_run const& run, protocol::task_start const& task,
                worker_clock lease_until, std::function<void(worker_reply const&)> done) override
     {
+        if (this->refuses_connections)
+            return this->refused.push_back([done] { done({worker_answer::not_sent, {}, {}}); });
         this->worker.start(context, run, task, lease_until, without_start(std::move(done)));
     }
     void stop(call_context const& context, worker_run const& run,
               std::function<void(worker_reply const&)> done) override
     {
+        if (this->refuses_connections)
+            return this->refused.push_back([done] { done({worker_answer::not_sent, {}, {}}); });
         this->worker.stop(context, run, without_start(std::move(done)));
     }
     void report(call_context const& context, worker_clock lease_until, std::uint64_t last_seen_end,
                 milliseconds wait, std::function<void(worker_report const&)> done) override
     {
+        if (this->refuses_connections)
+            return this->refused.push_back([done] {
+                done({{worker_answer::not_sent, {}, {}}, {}, {}});
+            });
         this->worker.report(context, lease_until, last_seen_end, wait,
                             [this, context, done = std::move(done)](worker_report made) {
                                 if (this->alter)
@@ -53,17 +61,21 @@
                                 done(made);
                             });
     }
-    void release()
-    {
-        for (auto const& answer : std::exchange(this->held, {}))
-            answer();
-    }
+    void release() { deliver(this->held); }
+    void release_refused() { deliver(this->refused); }
 
+    /// No call reaches the worker, which goes on. `release_refused` tells so.
+    bool refuses_connections = false;
     std::function<void(worker_report&)> alter; ///< Of answered reports.
     std::function<bool(call_context const&)> holds; ///< Whether an answer waits for `release`.
     std::vector<std::function<void()>> held;
 
 private:
+    static void deliver(std::vector<std::function<void()>>& waiting)
+    {
+        for (auto const& answer : std::exchange(waiting, {}))
+            answer();
+    }
     static std::function<void(worker_reply const&)>
     without_start(std::function<void(worker_reply const&)> done)
     {
@@ -74,6 +86,7 @@
     }
 
     leased_worker& worker;
+    std::vector<std::function<void()>> refused;
 };
 
 struct review_fixture {
@@ -111,6 +124,7 @@
         for (auto const end = this->now + duration; this->now < end;) {
             this->now += step;
             this->worker.advance(step);
+            this->answers.release_refused();
             this->runner.tick();
         }
     }
@@ -539,3 +553,57 @@
         }
     }
 }
+
+// Guards against an outcome that lets a task start again while its row waits at the worker. An end
+// counts as read unless the lease of the worker has lapsed before.
+SCENARIO("a run ends as done while its worker cannot be asked", "[agent][leased][review]")
+{
+    GIVEN("a worker with two runs")
+    {
+        review_fixture fixture;
+        fixture.start_two();
+        WHEN("calls get no answer, and may have renewed the lease")
+        {
+            fixture.worker.silent = true;
+            fixture.advance(milliseconds(3000));
+            CHECK(fixture.results.empty());
+            AND_WHEN("it answers again")
+            {
+                fixture.worker.silent = false;
+                fixture.advance(milliseconds(200));
+                THEN("the rows are read")
+                {
+                    CHECK(fixture.succeeded("a.0.0.0"));
+                    CHECK(fixture.succeeded("b.0.0.0"));
+                }
+            }
+        }
+        WHEN("it refuses connections until the lease has almost lapsed")
+        {
+            fixture.answers.refuses_connections = true;
+            fixture.advance(milliseconds(900));
+            fixture.answers.refuses_connections = false;
+            fixture.advance(milliseconds(200));
+            THEN("the rows are read")
+            {
+                CHECK(fixture.succeeded("a.0.0.0"));
+                CHECK(fixture.succeeded("b.0.0.0"));
+            }
+        }
+        WHEN("it refuses connections from now on")
+        {
+            fixture.answers.refuses_connections = true;
+            fixture.time_to_give_up(2, milliseconds(2000));
+            CHECK_FALSE(fixture.worker.runs("a.0.0.0"));
+            THEN("the runs are given up after the lease has lapsed, and the rows change nothing")
+            {
+                CHECK(fixture.worker.clock >= fixture.worker.lease_end);
+                CHECK(fixture.results.at("a.0.0.0").kind == outcome_kind::unknown);
+                fixture.answers.refuses_connections = false;
+                fixture.advance(milliseconds(300));
+                CHECK(fixture.results.at("a.0.0.0").kind == outcome_kind::unknown);
+                fixture.check_serves();
+            }
+        }
+    }
+}
