Refuse announced ids that no header can carry as they are

Paths are percent-decoded, so an announcement of another writer may name an id with a space at its end, a control character or a line break. Calls name the id in Greengagehead-Expect-Instance: spaces around it are not part of a header's value, and evhttp refused to add the others, which went unnoticed, so that the call named nobody. Either way the worker confirmed an id that is not its own.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -92,8 +92,13 @@
     evhttp_request* const outgoing = evhttp_request_new(&connection::on_done, acquired);
     evkeyvalq* const headers = evhttp_request_get_output_headers(outgoing);
     evhttp_add_header(headers, "Host", request.address.to_string().c_str());
-    for (auto const& [name, value] : request.headers)
-        evhttp_add_header(headers, name.c_str(), value.c_str());
+    for (auto const& [name, value] : request.headers) {
+        bool const is_cut = value.find('\0') != std::string::npos;
+        if (is_cut || evhttp_add_header(headers, name.c_str(), value.c_str()) != 0) {
+            evhttp_request_free(outgoing);
+            return this->finish_request(acquired, {http_client_status::not_sent, 0, {}, {}}, false);
+        }
+    }
     evbuffer_add(evhttp_request_get_output_buffer(outgoing), request.body.data(),
                  request.body.size());
     // On failure evhttp has freed the request without calling on_done.
--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -173,6 +173,23 @@
                 CHECK(agent.results.empty());
             }
         }
+        // Guards against a worker that confirms an id which it was never asked for: a header does
+        // not carry all ids as they are.
+        for (std::string const id : {"i-1%20", "%20i-1", "i-1%09", "i-1%0D%0AX-Other:%20b",
+                                     "i-1%0A", "i-%FF", "i-%C3%A9"}) {
+            WHEN("its id is no header value: " + id)
+            {
+                odd.id = id;
+                odd.body["seq"] = 1000;
+                THEN("it is refused, the run goes on, and the worker keeps its id")
+                {
+                    CHECK(send_odd() == 400);
+                    CHECK(agent.results.empty());
+                    CHECK(agent.announce(agent.worker.announcement()) == 200);
+                    CHECK(agent.offered().size() == 1);
+                }
+            }
+        }
         WHEN("it names another id while the worker does not answer")
         {
             odd.id = "i-other";
--- a/tests/transport/http_test.cpp
+++ b/tests/transport/http_test.cpp
@@ -112,6 +112,27 @@
         }
     }
 
+    // Guards against a request that is sent without a header that says whom it is for.
+    WHEN("a header of a request cannot be sent as it is")
+    {
+        using namespace std::string_literals;
+        std::string const value = GENERATE("a\r\nb"s, "a\nb"s, "a\0b"s);
+        CAPTURE(value);
+        client.send({http_method::post,
+                     address,
+                     "/now?x=1",
+                     {{"X-Receiver", value}},
+                     "body",
+                     milliseconds(500)},
+                    record_response);
+        run_for(loop, milliseconds(50));
+        THEN("the request is not sent")
+        {
+            CHECK(answers == 1);
+            CHECK(last.status == http_client_status::not_sent);
+        }
+    }
+
     // Guards against a missing TCP_NODELAY: a small write then waits 40 ms for the delayed
     // acknowledgement of the write before it.
     WHEN("twenty requests with a body follow each other on one connection")
