--- a/tests/agent/end_proof_test.cpp
+++ b/tests/agent/end_proof_test.cpp
@@ -5,61 +5,19 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <optional>
-#include <string>
 
-#include "agent/leased_runner.h"
-#include "agent/simulated_worker.h"
-
-namespace {
+#include "agent/simulated_worker_fixture.h"
 
 using namespace greengagehead;
 using namespace greengagehead::agent;
 using namespace greengagehead::agent::fakes;
 using std::chrono::milliseconds;
 
-struct end_proof_fixture {
-    end_proof_fixture() : runner(worker, {}, 100, [this] { return this->now; })
-    {
-        this->runner.announced({"i-1", 5}, this->worker.clock);
-        this->advance(milliseconds(1100));
-    }
-
-    void advance(milliseconds duration)
-    {
-        constexpr milliseconds step {1};
-        constexpr milliseconds tick_interval {10};
-        for (auto const end = this->now + duration; this->now < end;) {
-            this->now += step;
-            this->worker.advance(step);
-            if (this->now.time_since_epoch() % tick_interval == milliseconds(0))
-                this->runner.tick();
-        }
-    }
-    void start(std::string const& name)
-    {
-        run_request request;
-        request.task.task = {"job", 0};
-        request.task.name = name;
-        request.start_before = this->now + milliseconds(1000);
-        this->runner.start(request, [this, name](run_result const&, base::steady_time) {
-            this->ran_at_result = this->worker.runs(name);
-        });
-    }
-
-    base::steady_time now {std::chrono::hours(1)};
-    simulated_worker worker;
-    leased_runner runner;
-    std::optional<bool> ran_at_result; ///< Empty until the run has a result.
-};
-
-} // namespace
-
 SCENARIO("a run is never listed again, and no stop reaches it", "[agent][leased]")
 {
     GIVEN("a run that the worker does not list, and orders to stop that are lost")
     {
-        end_proof_fixture fixture;
+        simulated_worker_fixture fixture(milliseconds(1));
         fixture.start("a.0.0.0");
         fixture.advance(milliseconds(50));
         fixture.worker.lists_runs = false;
@@ -82,7 +40,7 @@
 {
     GIVEN("a worker with a run of its agent and an unknown one, which no order to stop reaches")
     {
-        end_proof_fixture fixture;
+        simulated_worker_fixture fixture(milliseconds(1));
         fixture.start("a.0.0.0");
         fixture.advance(milliseconds(100));
         fixture.worker.lost_stops = true;
--- a/tests/agent/foreign_run_test.cpp
+++ b/tests/agent/foreign_run_test.cpp
@@ -4,50 +4,19 @@
 
 #include <chrono>
 
-#include "agent/leased_runner.h"
-#include "agent/simulated_worker.h"
-
-namespace {
+#include "agent/simulated_worker_fixture.h"
 
 using namespace greengagehead;
 using namespace greengagehead::agent;
 using namespace greengagehead::agent::fakes;
 using std::chrono::milliseconds;
 
-struct foreign_run_fixture {
-    foreign_run_fixture() : runner(worker, {}, 100, [this] { return this->now; })
-    {
-        this->runner.announced({"i-1", 5}, this->worker.clock);
-        this->advance(milliseconds(1050));
-    }
-
-    void advance(milliseconds duration)
-    {
-        constexpr milliseconds step {10};
-        for (auto const end = this->now + duration; this->now < end;) {
-            this->now += step;
-            this->worker.advance(step);
-            this->runner.tick();
-        }
-    }
-
-    base::steady_time now {std::chrono::hours(1)};
-    simulated_worker worker;
-    leased_runner runner;
-};
-
-} // namespace
-
 SCENARIO("orders to stop an unknown run do not arrive", "[agent][leased]")
 {
     GIVEN("a worker with a run of its agent, which no order to stop reaches")
     {
-        foreign_run_fixture fixture;
-        run_request request;
-        request.task.task = {"job", 0};
-        request.task.name = "a.0.0.0";
-        request.start_before = fixture.now + milliseconds(1000);
-        fixture.runner.start(request, [](run_result const&, base::steady_time) {});
+        simulated_worker_fixture fixture;
+        fixture.start("a.0.0.0");
         fixture.advance(milliseconds(500));
         REQUIRE(fixture.worker.runs("a.0.0.0"));
         fixture.worker.lost_stops = true;
--- a/tests/agent/reborn_worker_test.cpp
+++ b/tests/agent/reborn_worker_test.cpp
@@ -3,14 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <string>
-#include <utility>
-#include <vector>
 
-#include "agent/leased_runner.h"
-#include "agent/simulated_worker.h"
-
-namespace {
+#include "agent/simulated_worker_fixture.h"
 
 using namespace greengagehead;
 using namespace greengagehead::agent;
@@ -18,46 +12,11 @@
 using protocol::outcome_kind;
 using std::chrono::milliseconds;
 
-struct reborn_worker_fixture {
-    reborn_worker_fixture() : runner(worker, {}, 100, [this] { return this->now; })
-    {
-        this->runner.announced({"i-1", 5}, this->worker.clock);
-        this->advance(milliseconds(1050));
-    }
-
-    void start(std::string const& name)
-    {
-        run_request request;
-        request.task.task = {"job", 0};
-        request.task.name = name;
-        request.start_before = this->now + milliseconds(1000);
-        this->runner.start(request, [this](run_result result, base::steady_time) {
-            this->results.push_back(std::move(result));
-        });
-    }
-    void advance(milliseconds duration)
-    {
-        constexpr milliseconds step {10};
-        for (auto const end = this->now + duration; this->now < end;) {
-            this->now += step;
-            this->worker.advance(step);
-            this->runner.tick();
-        }
-    }
-
-    base::steady_time now {std::chrono::hours(1)};
-    simulated_worker worker;
-    leased_runner runner;
-    std::vector<run_result> results;
-};
-
-} // namespace
-
 SCENARIO("the next life of a worker carries out a start of the one before", "[agent][leased]")
 {
     GIVEN("a worker that has ended before it answered a start")
     {
-        reborn_worker_fixture fixture;
+        simulated_worker_fixture fixture;
         fixture.worker.lost_starts = true;
         fixture.start("a.0.0.0");
         fixture.worker.crash();
@@ -110,7 +69,7 @@
     }
     GIVEN("a worker that has answered the start of a run and has ended")
     {
-        reborn_worker_fixture fixture;
+        simulated_worker_fixture fixture;
         fixture.start("a.0.0.0");
         fixture.advance(milliseconds(100));
         fixture.worker.crash();
@@ -131,7 +90,7 @@
 {
     GIVEN("a worker that has not carried out a start, and has confirmed that it will not")
     {
-        reborn_worker_fixture fixture;
+        simulated_worker_fixture fixture;
         fixture.worker.lost_starts = true;
         fixture.start("a.0.0.0");
         fixture.advance(milliseconds(500));
--- a/tests/agent/unlisted_run_test.cpp
+++ b/tests/agent/unlisted_run_test.cpp
@@ -3,11 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <chrono>
-#include <optional>
-#include <string>
 
-#include "agent/leased_runner.h"
-#include "agent/simulated_worker.h"
+#include "agent/simulated_worker_fixture.h"
 
 namespace {
 
@@ -16,43 +13,12 @@
 using namespace greengagehead::agent::fakes;
 using std::chrono::milliseconds;
 
-struct unlisted_run_fixture {
-    unlisted_run_fixture() : runner(worker, {}, 100, [this] { return this->now; })
+struct unlisted_run_fixture : simulated_worker_fixture {
+    unlisted_run_fixture() : simulated_worker_fixture(milliseconds(1))
     {
         this->worker.stop_duration = milliseconds(50);
         this->worker.lists_stopping_runs = false;
-        this->runner.announced({"i-1", 5}, this->worker.clock);
-        this->advance(milliseconds(1100));
     }
-
-    void advance(milliseconds duration)
-    {
-        constexpr milliseconds step {1};
-        constexpr milliseconds tick_interval {10};
-        for (auto const end = this->now + duration; this->now < end;) {
-            this->now += step;
-            this->worker.advance(step);
-            if (this->now.time_since_epoch() % tick_interval == milliseconds(0))
-                this->runner.tick();
-        }
-    }
-    void start(std::string const& name)
-    {
-        run_request request;
-        request.task.task = {"job", 0};
-        request.task.name = name;
-        request.start_before = this->now + milliseconds(1000);
-        this->runner.start(request, [this, name](run_result result, base::steady_time) {
-            this->result = std::move(result);
-            this->ran_at_result = this->worker.runs(name);
-        });
-    }
-
-    base::steady_time now {std::chrono::hours(1)};
-    simulated_worker worker;
-    leased_runner runner;
-    std::optional<run_result> result;
-    bool ran_at_result = false;
 };
 
 } // namespace
@@ -68,15 +34,15 @@
 
         WHEN("the run is stopped")
         {
-            fixture.runner.stop({}, {"job", 0});
+            fixture.stop("a.0.0.0");
             fixture.advance(milliseconds(200));
 
             // Guards against a task that is started elsewhere while its run is being stopped.
             THEN("its outcome is reported once it has ended")
             {
-                REQUIRE(fixture.result);
-                CHECK(fixture.result->message == "stopped on request");
-                CHECK_FALSE(fixture.ran_at_result);
+                REQUIRE(fixture.results.size() == 1);
+                CHECK(fixture.results.front().message == "stopped on request");
+                CHECK_FALSE(*fixture.ran_at_result);
             }
         }
     }
@@ -95,14 +61,14 @@
 
         WHEN("the run is stopped")
         {
-            fixture.runner.stop({}, {"job", 0});
+            fixture.stop("a.0.0.0");
             fixture.advance(milliseconds(400));
 
             // Guards against a confirmed stop that is taken for the end of the run.
             THEN("its outcome is reported once it has ended")
             {
-                REQUIRE(fixture.result);
-                CHECK_FALSE(fixture.ran_at_result);
+                REQUIRE(fixture.results.size() == 1);
+                CHECK_FALSE(*fixture.ran_at_result);
             }
         }
     }
@@ -125,7 +91,7 @@
             // Guards against a task that is started elsewhere while its run goes on.
             THEN("the run goes on")
             {
-                CHECK_FALSE(fixture.result);
+                CHECK(fixture.results.empty());
                 CHECK(fixture.worker.runs("a.0.0.0"));
             }
         }
@@ -135,8 +101,8 @@
             // Guards against a caller that waits for a run that nothing ends.
             THEN("its outcome is reported once it has ended")
             {
-                REQUIRE(fixture.result);
-                CHECK_FALSE(fixture.ran_at_result);
+                REQUIRE(fixture.results.size() == 1);
+                CHECK_FALSE(*fixture.ran_at_result);
             }
         }
     }
