--- a/tests/agent/denied_incarnation_review_test.cpp
+++ b/tests/agent/denied_incarnation_review_test.cpp
@@ -307,6 +307,29 @@
                 fixture.check_serves();
             }
         }
+        WHEN("one answer names the start 0, and the worker restarts under its id later")
+        {
+            bool const denies = GENERATE(false, true);
+            CAPTURE(denies);
+            int left = 1;
+            fixture.answers.alter = [&left](worker_report& made) {
+                if (left-- > 0)
+                    made.reply.born = 0;
+            };
+            if (denies)
+                fixture.worker.denies = review_fixture::names_id;
+            fixture.advance(milliseconds(50));
+            fixture.worker.denies = {};
+            fixture.advance(milliseconds(50));
+            CHECK(fixture.results.empty());
+            // Guards against a runner that no longer recognizes lives by their start.
+            THEN("it is still recognized by its start")
+            {
+                CHECK(fixture.runner.current_incarnation() == worker_incarnation {"i-1", 5});
+                fixture.restart("i-1", 6);
+                CHECK(fixture.time_to_give_up(2, milliseconds(400)) <= milliseconds(300));
+            }
+        }
     }
 }
 
@@ -376,6 +399,29 @@
                 fixture.check_serves();
             }
         }
+        WHEN("a start is lost, the worker changes its id, and the next life has the former one")
+        {
+            fixture.worker.lists_stopping_runs = false;
+            fixture.worker.lost_starts = true;
+            fixture.start("c.0.0.0", work);
+            fixture.advance(step);
+            fixture.worker.lost_starts = false;
+            fixture.worker.id = "i-9";
+            fixture.announce();
+            fixture.stop("c.0.0.0");
+            fixture.advance(step);
+            fixture.restart("i-1", 6);
+            fixture.worker.carry_out_lost_orders();
+            REQUIRE(fixture.worker.runs("c.0.0.0"));
+            fixture.announce();
+            // Guards against an end that is concluded while the next life is stopping the run.
+            THEN("that start is told as ended after the next life has stopped it")
+            {
+                fixture.advance(milliseconds(300));
+                CHECK(fixture.results.size() == 3);
+                CHECK_FALSE(fixture.worker.runs("c.0.0.0"));
+            }
+        }
     }
     GIVEN("an agent that has not settled, whose worker has a run of a former process")
     {
