--- a/tests/fleet/unlisted_runs.py
+++ b/tests/fleet/unlisted_runs.py
@@ -165,12 +165,14 @@
 class UnlistedRunsFleet(ReservedPortsFleet):
     """The review's fleet with these workers."""
 
+    WORKER = UnlistedRunsWorker
+
     def add(self, role, name, zone, ip, seeds):
         super().add(role, name, zone, ip, seeds)
         worker = self.workers.get(name)
         if worker is not None:
-            self.workers[name] = UnlistedRunsWorker(worker.name, worker.app, worker.control,
-                                                    fleet.SERVICE, zone, self.record)
+            self.workers[name] = self.WORKER(worker.name, worker.app, worker.control,
+                                             fleet.SERVICE, zone, self.record)
             self.workers[name].settle_all = self.settle
 
     def settle(self):
