Let the stand-in workers go on while a killed process ends

Fleet.kill waits for the end of the process and stops the event loop that all stand-ins share. The troubles now wait without stopping the event loop.

--- a/tests/fleet/denied_worker_test.py
+++ b/tests/fleet/denied_worker_test.py
@@ -138,7 +138,7 @@
             return
         member = self.random.choice(self.system.names("control"))
         self.busy["control"].add(member)
-        self.system.kill(member)
+        await self.kill(member)
         await asyncio.sleep(self.random.uniform(0.05, 2.0))
         self.system.start(member)
         await asyncio.sleep(2.0)
--- a/tests/fleet/worker_troubles.py
+++ b/tests/fleet/worker_troubles.py
@@ -125,8 +125,16 @@
         with self.taken("process", 2) as agents:
             await asyncio.gather(*(self.restart_agent(agent) for agent in agents))
 
+    async def kill(self, name):
+        """Like `Fleet.kill`, but the stand-ins go on until the process has ended: that takes as long
+        as what it was writing to a busy disk, which may be seconds."""
+        self.system.signal(name, signal.SIGKILL)
+        process = self.system.machines[name].process
+        while process.poll() is None:
+            await asyncio.sleep(0.005)
+
     async def restart_agent(self, agent):
-        self.system.kill(agent)
+        await self.kill(agent)
         await asyncio.sleep(self.random.uniform(0, 1.0))
         self.system.start(agent)
         # The agent waits for the leases of its former process, then it takes on work.
