Give a worker work again once it names its announced start

Cause: after an answer that names another start, the agent waits for an announcement before it gives the worker work again, also when the next answer names the announced start, and it keeps an empty id if the id was denied meanwhile. Announcements come every 1.5 s.

The tracker remembers the incarnation that has announced itself; an answer that names its start again makes it the present one, with its id and as announced. Each run is still looked for in a list that is asked for after that.

--- a/src/agent/incarnation_tracker.cpp
+++ b/src/agent/incarnation_tracker.cpp
@@ -59,6 +59,13 @@
     return announced.born != 0 || announced.id == this->incarnation.id;
 }
 
+worker_incarnation incarnation_tracker::answering(std::string const& id, std::uint64_t born) const
+{
+    if (born != 0 && this->announced && this->announced->born == born)
+        return *this->announced;
+    return {id, born};
+}
+
 void incarnation_tracker::rename(std::string const& id)
 {
     if (id == this->incarnation.id)
--- a/src/agent/incarnation_tracker.h
+++ b/src/agent/incarnation_tracker.h
@@ -5,6 +5,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <string>
 
 #include "agent/leased_worker.h"
 
@@ -38,6 +40,13 @@
     [[nodiscard]] bool is_present(worker_incarnation const& announced) const;
     /// The present incarnation has confirmed this id.
     void rename(std::string const& id);
+    /// The present incarnation has announced itself.
+    void on_announced() { this->announced = this->incarnation; }
+    /// Whether the present incarnation has announced itself.
+    [[nodiscard]] bool is_announced() const { return this->announced == this->incarnation; }
+    /// The incarnation that an answer names. A start may be wrong in some answers: the announced
+    /// incarnation is recognized when it is named again, with the id by which it was announced.
+    [[nodiscard]] worker_incarnation answering(std::string const& id, std::uint64_t born) const;
     /// Another incarnation is the present one.
     void replace(worker_incarnation const& next);
 
@@ -46,6 +55,8 @@
     answer_origin judge_start(worker_incarnation const& named, worker_reply const& reply);
 
     worker_incarnation incarnation;
+    /// The last one that has announced itself.
+    std::optional<worker_incarnation> announced;
     bool denied = false;
     /// While the id is denied: an answer to a call without an id has named the present start.
     bool heard = false;
--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -69,6 +69,7 @@
         this->on_life_ended(current,
                             other_life ? former_orders::refused : former_orders::may_arrive);
     }
+    this->identity.on_announced();
     this->record_clock(reading);
     this->update_availability(this->is_reachable, true);
 }
@@ -89,7 +90,7 @@
     case answer_origin::other_life: {
         bool const later = *reply.born > named.born;
         bool const has_other_id = named.id.empty() && was_denied && later;
-        this->on_life_ended({named.id, *reply.born},
+        this->on_life_ended(this->identity.answering(named.id, *reply.born),
                             has_other_id ? former_orders::answered_only
                                          : former_orders::may_arrive);
         return true;
@@ -132,7 +133,7 @@
         .with("runs", this->runs.size());
     bool const before = this->available();
     this->identity.replace(next);
-    this->is_announced = false;
+    this->is_announced = this->identity.is_announced();
     this->forget_worker_state();
     this->lease.on_restarted(this->now());
     this->restarted_after_report = this->reports_sent;
--- a/tests/agent/denied_incarnation_test.cpp
+++ b/tests/agent/denied_incarnation_test.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "agent/leased_runner.h"
@@ -185,6 +186,47 @@
     }
 }
 
+SCENARIO("answers of a worker that lives name another start for a moment", "[agent][leased]")
+{
+    GIVEN("a worker with two runs")
+    {
+        denial_fixture fixture;
+        auto const born = fixture.worker.born;
+        auto const odd = GENERATE(std::uint64_t(4), std::uint64_t(6));
+        CAPTURE(odd);
+        WHEN("its answers name the announced start again")
+        {
+            fixture.worker.born = odd;
+            fixture.advance(milliseconds(50));
+            CHECK_FALSE(fixture.runner.available());
+            fixture.worker.born = born;
+            // Guards against a worker that gets no work until its next announcement.
+            THEN("the runs go on, and new work is accepted without an announcement")
+            {
+                fixture.check_runs_go_on();
+                fixture.check_serves();
+            }
+        }
+        WHEN("it denies its id meanwhile, so that its id is not known for a moment")
+        {
+            fixture.worker.denies = [](auto const& call) { return !call.incarnation.id.empty(); };
+            fixture.advance(milliseconds(20));
+            fixture.worker.born = odd;
+            fixture.advance(milliseconds(50));
+            fixture.worker.born = born;
+            fixture.advance(milliseconds(50));
+            CHECK_FALSE(fixture.runner.available());
+            fixture.worker.denies = {};
+            THEN("the runs go on, and new work is accepted under the announced id")
+            {
+                fixture.check_runs_go_on();
+                CHECK(fixture.runner.current_incarnation().id == fixture.worker.id);
+                fixture.check_serves();
+            }
+        }
+    }
+}
+
 SCENARIO("a later life of the worker is heard under another id", "[agent][leased]")
 {
     GIVEN("a worker with two runs, which has ended")
