Let the simulated worker of an agent deny calls, change its id and misstate its start

The simulation of an agent now has these troubles, overlapping with the others: calls denied for 5 to 200 ms (one, three, those that name an id, all); another id from now on with the same start, announced before or after the former one is denied; answers with no start or one that is off by up to 1 s; a next life whose clock was set back, under either id; answers that are late when the worker restarts; announcements of other writers. Starts are Unix times, so that a wrong one can be that of no life.

Denials, other ids and other writers are no excuse for a run that ends: rule (d) holds for runs meanwhile. They excuse refused starts only.

--- a/tests/agent/faulty_worker.cpp
+++ b/tests/agent/faulty_worker.cpp
@@ -28,6 +28,9 @@
 constexpr std::uint64_t longest_gap_ms = 90;
 constexpr std::uint32_t gap_percent = 2; ///< Of the milliseconds in which a gap may begin.
 constexpr std::uint64_t smallest_share = 3;
+/// Unix time of the start of the first life, in milliseconds.
+constexpr std::uint64_t first_born = 1'000'000'000;
+constexpr std::uint64_t longest_set_back_ms = 5000;
 
 /// Whether a task is among one in `share`. The same on every machine, unlike `std::hash`.
 bool is_selected(std::string const& task, std::uint64_t share)
@@ -68,7 +71,7 @@
 };
 
 faulty_worker::faulty_worker(simulation_world& simulated, run_oracle& judge)
-    : world(simulated), oracle(judge), life_began(simulated.now),
+    : identity(simulated), world(simulated), oracle(judge), life_began(simulated.now),
       clock_permille(simulated.draw(slowest_clock_permille, 1000))
 {
     this->state.run_started
@@ -84,6 +87,11 @@
         return this->world.now < this->standing_until
             && is_selected(run.run.task, this->standing_share);
     };
+    this->state.denies
+        = [this](call_context const& context) { return this->identity.denies(context); };
+    this->state.stated_born
+        = [this](std::uint64_t born) { return this->identity.stated_born(born); };
+    this->state.born = first_born;
     this->draw_habits();
 }
 
@@ -241,7 +249,8 @@
         this->oracle.on_trouble(this->world.now + lateness);
         return this->world.after(lateness, [this, sent] { this->arrive(sent); });
     }
-    sent->answer_lost = fault.mode == fault_mode::unanswered || kind < first_answer_late;
+    sent->answer_lost = fault.mode == fault_mode::unanswered
+        || (fault.mode == fault_mode::mixed && kind < first_answer_late);
     sent->answer_delay += answer_lateness;
     this->world.after(request_delay, [this, sent] { this->arrive(sent); });
 }
@@ -324,16 +333,32 @@
         this->fail_after(report.from, milliseconds(1), worker_answer::no_answer);
 }
 
-void faulty_worker::begin_life(std::string const& id)
+void faulty_worker::rename(std::string const& id, base::steady_time former_id_until)
 {
-    this->world.note("worker starts as " + id);
+    this->world.note("worker " + this->state.id + " calls itself " + id);
+    this->state.former_id = std::exchange(this->state.id, id);
+    this->world.at(former_id_until, [this, former_id = this->state.former_id] {
+        if (this->state.former_id == former_id)
+            this->state.former_id.clear();
+    });
+}
+
+void faulty_worker::begin_life(std::string const& id, bool set_back)
+{
+    auto const unix_time = milliseconds(first_born) + this->world.elapsed();
+    if (set_back) {
+        auto const before = this->world.draw_time(1, longest_set_back_ms);
+        this->clock_set_back = unix_time - milliseconds(this->state.born) + before;
+    }
+    auto const born = static_cast<std::uint64_t>((unix_time - this->clock_set_back).count());
+    this->world.note("worker starts as " + id + ", born " + std::to_string(born));
     ++this->life;
     this->is_up = true;
     this->called_with_knowledge = false;
     this->life_began = this->world.now;
     this->clock_at_start = worker_clock(0);
     this->state.id = id;
-    this->state.begin_life(this->state.born + 1);
+    this->state.begin_life(born);
     this->draw_habits();
 }
 
--- a/tests/agent/faulty_worker.h
+++ b/tests/agent/faulty_worker.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 
+#include "agent/identity_faults.h"
 #include "agent/leased_worker.h"
 #include "agent/run_oracle.h"
 #include "agent/simulation_world.h"
@@ -24,8 +25,9 @@
     late, ///< Calls are carried out late.
     lost, ///< Calls are never carried out.
     unanswered, ///< Calls are carried out in time, without an answer.
+    answered_late, ///< Calls are carried out in time, and answered late.
 };
-constexpr std::uint64_t fault_mode_count = 4;
+constexpr std::uint64_t fault_mode_count = 5;
 
 /// Faults of the calls of one kind while a trouble lasts.
 struct call_faults {
@@ -50,7 +52,13 @@
     void advance();
     /// Ends the worker. Connections are refused until `begin_life`.
     void crash();
-    void begin_life(std::string const& id);
+    /// Another life begins.
+    /// @param set_back the machine's clock was set back to before the start of the former
+    /// life.
+    void begin_life(std::string const& id, bool set_back);
+    /// The present life calls itself by another id.
+    /// @param former_id_until until then it answers to its former id too.
+    void rename(std::string const& id, base::steady_time former_id_until);
     void freeze_until(base::steady_time time) { this->frozen_until = time; }
     void set_faults(call_kind kind, call_faults const& faults) { this->faults[kind] = faults; }
     /// Until `time` some of the tasks make no progress.
@@ -59,6 +67,8 @@
     /// Until `time` reports leave out running runs for some tens of milliseconds, time and again.
     void leave_out_rows_until(base::steady_time time) { this->rows_left_out_until = time; }
 
+    identity_faults identity;
+
     [[nodiscard]] bool up() const { return this->is_up; }
     [[nodiscard]] bool frozen() const { return this->world.now < this->frozen_until; }
     [[nodiscard]] worker_model const& model() const { return this->state; }
@@ -137,6 +147,7 @@
     bool is_up = true;
     base::steady_time frozen_until;
     base::steady_time life_began;
+    std::chrono::milliseconds clock_set_back {0}; ///< By which the machine's clock is wrong.
     worker_clock clock_at_start {10'000};
     std::uint64_t clock_permille = 1000; ///< Rate of the clock.
     std::uint64_t life = 1;
--- a/tests/agent/run_oracle.cpp
+++ b/tests/agent/run_oracle.cpp
@@ -147,6 +147,11 @@
     this->trouble_until = std::max(this->trouble_until, until);
 }
 
+void run_oracle::on_starts_refused(base::steady_time until)
+{
+    this->starts_refused_until = std::max(this->starts_refused_until, until);
+}
+
 void run_oracle::on_entry_trouble(std::string const& entry, base::steady_time until)
 {
     auto& known = this->entry_trouble_until[entry];
@@ -155,7 +160,7 @@
 
 base::steady_time run_oracle::last_trouble() const
 {
-    auto last = this->trouble_until;
+    auto last = std::max(this->trouble_until, this->starts_refused_until);
     for (auto const& [entry, until] : this->entry_trouble_until)
         last = std::max(last, until);
     return last;
--- a/tests/agent/run_oracle.h
+++ b/tests/agent/run_oracle.h
@@ -5,7 +5,8 @@
 // (a) once the agent has sent an outcome of an attempt, no run of it is on the worker;
 // (b) 1.3 s after the last stamp of an entry, no run of that entry is on the worker;
 // (c) once an entry has given up an attempt, no run of it is on the worker;
-// (d) a run ends by itself only, unless a trouble concerns its agent, its worker or its entry;
+// (d) a run ends by itself only, unless a trouble concerns its agent, its worker or its entry.
+//     A denial of the worker, or another id of it, ends no run;
 // (e) each attempt has an outcome 35 s after the last trouble.
 //
 // Exempt, because no agent can prevent them:
@@ -65,6 +66,8 @@
 
     /// A trouble of the agent, its worker or the calls between them.
     void on_trouble(base::steady_time until);
+    /// The worker may refuse starts until then. What runs goes on.
+    void on_starts_refused(base::steady_time until);
     /// A trouble of an entry or its link.
     void on_entry_trouble(std::string const& entry, base::steady_time until);
     [[nodiscard]] base::steady_time last_trouble() const;
@@ -114,6 +117,7 @@
     std::map<std::string, present_run> present; // By task.
     std::set<std::string> met_runs; // Started or stopped by the worker; by task and run number.
     base::steady_time trouble_until;
+    base::steady_time starts_refused_until;
     std::map<std::string, base::steady_time> entry_trouble_until;
 };
 
--- a/tests/agent/simulated_agent.h
+++ b/tests/agent/simulated_agent.h
@@ -49,9 +49,14 @@
     }
     void apply(worker_incarnation const& announced, worker_clock clock)
     {
-        if (this->latest && !this->is_known(announced)) {
-            (void)this->core.leave(this->latest->id, this->world.now);
-            this->latest.reset();
+        // An incarnation that changes its id keeps its endpoint.
+        bool const same_life = this->latest
+            && (this->is_known(announced)
+                || (announced.born != 0 && this->latest->born == announced.born));
+        if (!same_life) {
+            if (this->latest)
+                (void)this->core.leave(this->endpoint_name, this->world.now);
+            this->endpoint_name = announced.id;
         }
         this->latest = announced;
         this->runner.announced(announced, clock);
@@ -63,7 +68,7 @@
             return;
         constexpr std::uint32_t slots = 64;
         announcement endpoint {
-            this->latest->id, "http://127.0.0.1:9000", {"quote"}, slots, 0, 64, 1024, {}};
+            this->endpoint_name, "http://127.0.0.1:9000", {"quote"}, slots, 0, 64, 1024, {}};
         endpoint.draining = !this->runner.available();
         (void)this->core.announce(endpoint, this->world.now);
     }
@@ -73,6 +78,7 @@
     agent_core& core;
     incarnation_verifier verifier;
     std::optional<worker_incarnation> latest;
+    std::string endpoint_name;
 };
 
 /// One incarnation of the agent's process.
--- a/tests/agent/simulated_machines.cpp
+++ b/tests/agent/simulated_machines.cpp
@@ -187,17 +187,19 @@
     if (this->world.now < this->announcements_late_until)
         delay += this->world.draw_time(0, 3000);
     auto const& state = this->worker.model();
-    this->world.after(
-        delay,
-        [this, incarnation = worker_incarnation {state.id, state.born}, clock = state.clock] {
-            if (this->agents.empty())
-                return;
-            auto const receiver = this->world.draw(0, this->agents.size() - 1);
-            this->deliver_to_agent(this->agents.at(receiver)->number,
-                                   [incarnation, clock](auto& agent) {
-                                       agent.announcements.handle(incarnation, clock);
-                                   });
-        });
+    this->world.after(delay,
+                      [this, incarnation = worker_incarnation {state.id, state.born},
+                       clock = state.clock] { this->announce(incarnation, clock); });
+}
+
+void simulated_machines::announce(worker_incarnation const& incarnation, worker_clock clock)
+{
+    if (this->agents.empty())
+        return;
+    auto const receiver = this->world.draw(0, this->agents.size() - 1);
+    this->deliver_to_agent(this->agents.at(receiver)->number, [incarnation, clock](auto& agent) {
+        agent.announcements.handle(incarnation, clock);
+    });
 }
 
 void simulated_machines::start_agent()
--- a/tests/agent/simulated_machines.h
+++ b/tests/agent/simulated_machines.h
@@ -64,6 +64,9 @@
     /// announcements are late.
     void delay_announcements(std::chrono::milliseconds first, std::chrono::milliseconds late_for);
 
+    /// An announcement reaches the agent.
+    void announce(worker_incarnation const& incarnation, worker_clock clock);
+
     /// By name and incarnation.
     [[nodiscard]] std::set<std::string> present_entries() const;
 
--- a/tests/agent/simulation_troubles.cpp
+++ b/tests/agent/simulation_troubles.cpp
@@ -16,7 +16,7 @@
 constexpr std::uint64_t first_trouble_ms = 1'500;
 constexpr std::uint64_t most_troubles = 14;
 constexpr std::uint64_t most_trouble_kinds = 6;
-constexpr std::uint64_t trouble_kind_count = 18;
+constexpr std::uint64_t trouble_kind_count = 23;
 
 } // namespace
 
@@ -66,6 +66,16 @@
         return this->let_tasks_stand_still();
     case trouble_kind::rows_left_out:
         return this->leave_out_rows();
+    case trouble_kind::worker_restart_after_late_answers:
+        return this->restart_worker_after_late_answers();
+    case trouble_kind::calls_denied:
+        return this->deny_calls();
+    case trouble_kind::worker_renamed:
+        return this->rename_worker();
+    case trouble_kind::born_misstated:
+        return this->misstate_born();
+    case trouble_kind::other_writers:
+        return this->let_others_announce();
     case trouble_kind::machine_frozen:
         return this->freeze_machine();
     case trouble_kind::agent_restart:
@@ -231,16 +241,89 @@
     auto const duration = this->world.draw_time(5, soon ? 60 : 2500);
     auto const announced = this->world.draw_time(5, 2000);
     bool const same_id = this->world.chance(75);
+    bool const set_back = this->world.chance(20);
     this->oracle.on_trouble(this->world.now + duration + announced + milliseconds(3000));
     this->worker.crash();
-    this->world.after(duration, [this, same_id, announced] {
+    this->world.after(duration, [this, same_id, set_back, announced] {
         this->worker_ids += same_id ? 0 : 1;
-        this->worker.begin_life("i-" + std::to_string(this->worker_ids));
+        this->worker.begin_life("i-" + std::to_string(this->worker_ids), set_back);
         auto const late_for = this->world.draw_time(0, 1500);
         this->machines.delay_announcements(announced, late_for);
     });
 }
 
+void simulation_troubles::restart_worker_after_late_answers()
+{
+    auto const duration = this->world.draw_time(100, 1000);
+    auto const restart = this->world.draw_time(20, 500);
+    auto const until = this->world.now + duration;
+    auto const percent = static_cast<std::uint32_t>(this->world.draw(20, 100));
+    this->world.note("trouble: answers are late for " + std::to_string(duration.count()) + " ms");
+    for (auto const kind : {call_kind::start, call_kind::stop, call_kind::report})
+        this->worker.set_faults(kind, {until, percent, fault_mode::answered_late});
+    this->oracle.on_trouble(until);
+    this->world.after(restart, [this] { this->restart_worker(); });
+}
+
+void simulation_troubles::deny_calls()
+{
+    auto const duration = this->world.draw_time(5, 200);
+    auto const calls = this->world.draw(0, denied_calls_count - 1);
+    this->world.note("trouble: calls are denied for " + std::to_string(duration.count())
+                     + " ms, kind " + std::to_string(calls));
+    this->oracle.on_starts_refused(this->world.now + duration);
+    this->worker.identity.deny(static_cast<denied_calls>(calls), this->world.now + duration);
+}
+
+void simulation_troubles::rename_worker()
+{
+    if (!this->worker.up())
+        return;
+    bool const at_once = this->world.chance(50);
+    auto const former_id_for = this->world.draw_time(0, at_once ? 0 : 1000);
+    auto const announced = this->world.draw_time(0, 2000);
+    auto const late_for = this->world.chance(50) ? this->world.draw_time(0, 1500) : milliseconds(0);
+    this->world.note("trouble: the worker gets another id, and answers to the former one for "
+                     + std::to_string(former_id_for.count()) + " ms");
+    // The longest delay of an announcement is 3 s.
+    this->oracle.on_starts_refused(this->world.now + announced + late_for + milliseconds(3000));
+    ++this->worker_ids;
+    this->worker.rename("i-" + std::to_string(this->worker_ids), this->world.now + former_id_for);
+    this->machines.delay_announcements(announced, late_for);
+}
+
+void simulation_troubles::misstate_born()
+{
+    auto const duration = this->world.draw_time(5, 1000);
+    auto const percent = static_cast<std::uint32_t>(this->world.draw(5, 100));
+    auto const fault = this->world.draw(0, born_fault_count - 1);
+    this->world.note("trouble: answers misstate the start of the worker for "
+                     + std::to_string(duration.count()) + " ms, kind " + std::to_string(fault));
+    this->oracle.on_trouble(this->world.now + duration);
+    this->worker.identity.misstate_born(static_cast<born_fault>(fault), percent,
+                                        this->world.now + duration);
+}
+
+void simulation_troubles::let_others_announce()
+{
+    auto const count = this->world.draw(1, 5);
+    this->world.note("trouble: " + std::to_string(count) + " announcements of other writers");
+    for (std::uint64_t number = 0; number < count; ++number) {
+        auto const delay = this->world.draw_time(0, 500);
+        bool const other_id = this->world.chance(50);
+        auto const offset = this->world.draw(1, 2000);
+        bool const later = this->world.chance(50);
+        auto const clock = this->world.draw_time(0, 20'000);
+        this->world.after(delay, [this, other_id, offset, later, clock] {
+            auto const& model = this->worker.model();
+            if (other_id)
+                return this->machines.announce({"i-other", model.born}, clock);
+            this->machines.announce({model.id, later ? model.born + offset : model.born - offset},
+                                    clock);
+        });
+    }
+}
+
 void simulation_troubles::freeze_entry(entry_machine& entry)
 {
     if (!entry.process)
--- a/tests/agent/simulation_troubles.h
+++ b/tests/agent/simulation_troubles.h
@@ -30,6 +30,11 @@
     worker_silent, ///< No call gets an answer.
     tasks_stand_still,
     rows_left_out, ///< Running runs are missing from lists for some tens of milliseconds.
+    worker_restart_after_late_answers,
+    calls_denied, ///< The worker lives, and says that it is another incarnation.
+    worker_renamed, ///< The worker lives, and calls itself by another id.
+    born_misstated, ///< Answers state no start of the worker, or another one.
+    other_writers, ///< Announcements of nobody who runs at the worker's address.
 };
 
 class simulation_troubles {
@@ -55,6 +60,11 @@
     void let_tasks_stand_still();
     void leave_out_rows();
     void restart_worker();
+    void restart_worker_after_late_answers();
+    void deny_calls();
+    void rename_worker();
+    void misstate_born();
+    void let_others_announce();
     void freeze_entry(entry_machine& entry);
     void end_entry(entry_machine& entry);
     void break_link(entry_machine& entry);
--- a/tests/agent/worker_model.h
+++ b/tests/agent/worker_model.h
@@ -90,7 +90,8 @@
     }
     [[nodiscard]] worker_reply reply(worker_answer answer) const
     {
-        return {answer, this->clock, this->born};
+        return {answer, this->clock,
+                this->stated_born ? this->stated_born(this->born) : this->born};
     }
     [[nodiscard]] worker_report report(worker_answer answer, std::uint64_t last_seen_end) const
     {
@@ -161,6 +162,7 @@
     void begin_life(std::uint64_t born_at)
     {
         this->born = born_at;
+        this->former_id.clear();
         this->clock = worker_clock(0);
         this->lease_end = worker_clock(0);
         this->fence = 0;
@@ -184,7 +186,10 @@
     std::function<bool(model_run const&)> stands_still; ///< The run makes no progress.
     /// The worker answers the call as if it were meant for another incarnation.
     std::function<bool(call_context const&)> denies;
+    /// What answers say about the start of this life.
+    std::function<std::optional<std::uint64_t>(std::uint64_t)> stated_born;
     std::string id = "i-1";
+    std::string former_id; ///< The worker answers to it too. Empty for none.
     std::uint64_t born = 5;
     worker_clock clock {10'000};
     worker_clock lease_end {0};
@@ -209,7 +214,8 @@
     {
         if (this->denies && this->denies(context))
             return worker_answer::wrong_incarnation;
-        if (!context.incarnation.id.empty() && context.incarnation.id != this->id)
+        auto const& named = context.incarnation.id;
+        if (!named.empty() && named != this->id && named != this->former_id)
             return worker_answer::wrong_incarnation;
         if (context.fence < this->fence)
             return worker_answer::stale_fence;
