Test that one order with a higher fencing token does not end the work of an agent

A late order of a process that has ended, whose token is higher by 1, 1,000 or 1,000,000, reaches the worker of an agent at work, or its next life; in a third case a process that has ended had extended the lease of the worker meanwhile. The agent is to serve again within 7.1 s (four announcement intervals of 1.5 s, the longest lease, and the calls until its token is high enough), and to report the ends that the worker lists.

--- a/tests/agent/superseded_agent_test.cpp
+++ b/tests/agent/superseded_agent_test.cpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <string>
 #include <utility>
 #include <vector>
@@ -23,6 +24,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds announcement_interval {1500};
+/// Longest time that an agent serves nothing after an order with a higher fencing token. Another
+/// process gives up its endpoint after three intervals without an announcement; the next
+/// announcement to this one comes an interval later at most; then every lease that was granted
+/// before lapses within 1020 ms, and a few calls are refused until the token is high enough.
+constexpr milliseconds longest_outage = 4 * announcement_interval + milliseconds(1020 + 80);
 
 /// Passes the calls of one process to the worker, and counts them.
 class counted_calls : public leased_worker {
@@ -71,6 +77,7 @@
     counted_calls calls;
     leased_runner runner;
     std::vector<run_result> results;
+    std::map<std::string, outcome_kind> outcomes; ///< By the name of the task.
 };
 
 struct superseded_agent_fixture {
@@ -88,7 +95,8 @@
         request.task.task = {"job", 0};
         request.task.name = name;
         request.start_before = this->now + milliseconds(1000);
-        process.runner.start(request, [&process](run_result result, base::steady_time) {
+        process.runner.start(request, [&process, name](run_result result, base::steady_time) {
+            process.outcomes.insert_or_assign(name, result.kind);
             process.results.push_back(std::move(result));
         });
     }
@@ -289,3 +297,85 @@
         }
     }
 }
+
+// Guards against an agent that serves nothing any more because its worker has seen one higher
+// fencing token, in a late order of a process that has ended.
+SCENARIO("a worker at work carries out one order with a higher token", "[agent][leased][known-red]")
+{
+    GIVEN("an agent with two runs, to which its worker announces itself")
+    {
+        for (std::uint64_t const distance : {1ULL, 1'000ULL, 1'000'000ULL}) {
+            superseded_agent_fixture fixture;
+            auto process = fixture.new_process(1'000);
+            fixture.announce(process);
+            fixture.advance(milliseconds(1050), {&process});
+            fixture.start(process, "a.0.0.0");
+            fixture.start(process, "b.0.0.0");
+            fixture.advance(milliseconds(700), {&process});
+            REQUIRE(fixture.worker.runs("a.0.0.0"));
+            REQUIRE(fixture.worker.runs("b.0.0.0"));
+            auto const late_token = process.calls.last_fence + distance;
+            auto const serves_again = [&fixture, &process, late_token] {
+                CHECK(process.runner.available());
+                CHECK(process.runner.settled());
+                CHECK(process.calls.last_fence > late_token);
+                fixture.start(process, "c.0.0.0");
+                fixture.advance(milliseconds(50), {&process});
+                CHECK(fixture.worker.runs("c.0.0.0"));
+                CHECK_FALSE(process.outcomes.contains("c.0.0.0"));
+            };
+            auto const distance_text = " that is higher by " + std::to_string(distance);
+
+            WHEN("its worker carries out an order with a token" + distance_text)
+            {
+                (void)fixture.worker.carry_out_stop({late_token, {}}, {"z.0.0.0", 1});
+                fixture.advance(milliseconds(100), {&process});
+                REQUIRE_FALSE(process.runner.available());
+                fixture.worker.finish_all_but("a.0.0.0");
+                fixture.advance_announced(longest_outage, process);
+                THEN("it serves again, and reports the ends that the worker lists")
+                {
+                    CHECK(process.outcomes["a.0.0.0"] == outcome_kind::cancelled);
+                    CHECK(process.outcomes["b.0.0.0"] == outcome_kind::succeeded);
+                    CHECK(process.results.size() == 2);
+                    serves_again();
+                }
+            }
+            WHEN("the next life of its worker first carries out one with a token" + distance_text)
+            {
+                fixture.worker.restart(6);
+                (void)fixture.worker.carry_out_stop({late_token, {}}, {"z.0.0.0", 1});
+                fixture.advance(milliseconds(100), {&process});
+                REQUIRE_FALSE(process.runner.available());
+                fixture.advance_announced(longest_outage, process);
+                THEN("it serves again, and reports its runs as lost with the former life")
+                {
+                    CHECK(process.outcomes["a.0.0.0"] == outcome_kind::unknown);
+                    CHECK(process.outcomes["b.0.0.0"] == outcome_kind::unknown);
+                    CHECK(process.results.size() == 2);
+                    serves_again();
+                }
+            }
+            WHEN("another process extended its worker's lease for 4 s with a token" + distance_text)
+            {
+                auto const other_ended = fixture.now + milliseconds(4000);
+                for (auto const end = fixture.now + longest_outage; fixture.now < end;) {
+                    if (fixture.now < other_ended)
+                        (void)fixture.worker.begin_report(
+                            {late_token, {}}, fixture.worker.clock + milliseconds(1000), 0);
+                    fixture.announce(process);
+                    fixture.advance(milliseconds(500), {&process});
+                }
+                THEN("it serves again, and its runs go on until they end")
+                {
+                    CHECK(process.results.empty());
+                    serves_again();
+                    fixture.worker.finish_all_but("c.0.0.0");
+                    fixture.advance(milliseconds(50), {&process});
+                    CHECK(process.outcomes["a.0.0.0"] == outcome_kind::succeeded);
+                    CHECK(process.outcomes["b.0.0.0"] == outcome_kind::succeeded);
+                }
+            }
+        }
+    }
+}
