Let an agent serve again soon after an order with a higher fencing token

A refusal does not tell a late order from a process that has taken over, so the agent waited for 30 s, and each further time for twice as long, up to 16 minutes.

What tells them apart without a call are the announcements of the worker: they go to one process, and one without an announcement for three intervals gives up its endpoint. So a superseded process goes on when the worker has announced itself here for three intervals (4.5 s at 1.5 s; 4 s at least, because an announcement may still come to a process that is being replaced), and none was missing meanwhile: one in two may go to another process, and a process that was paused reads old ones together. A process that is shutting down stays superseded. The delay doubles only if the process is superseded again within a minute, or four delays if that is longer, after it went on. The interval is the one of the settings (agent_core::announcement_interval).

A process that goes on grants no lease before it is settled again. Whoever used the higher token may have extended the lease, so runs that no list names end as "lease expired" only one longest lease after the worker has accepted the new token, and never without an answer. Rows in ended_at are used as before.

A process that is living and at work is not outbid in four more cases (announcements in turn, a former process that ends, one that is paused before or after it is superseded). Limit: announcements of other writers that are not refused before count as announcements of the worker.

--- a/src/agent/agent_core.cpp
+++ b/src/agent/agent_core.cpp
@@ -92,6 +92,11 @@
     this->impl->run_due_work(now);
 }
 
+std::chrono::milliseconds agent_core::announcement_interval() const
+{
+    return this->impl->settings.announcement_interval;
+}
+
 bool agent_core::idle() const
 {
     return this->impl->outcomes.unfinished() == 0 && this->impl->outcomes.unacknowledged() == 0;
--- a/src/agent/agent_core.h
+++ b/src/agent/agent_core.h
@@ -74,6 +74,7 @@
 
     /// Refuses new starts from now on. Running tasks continue.
     void begin_shutdown(base::steady_time now);
+    [[nodiscard]] std::chrono::milliseconds announcement_interval() const;
     /// True if no task runs or waits and every outcome is acknowledged.
     [[nodiscard]] bool idle() const;
 
--- a/src/agent/fencing_token.cpp
+++ b/src/agent/fencing_token.cpp
@@ -26,17 +26,43 @@
         this->raise();
         return refusal::raised;
     }
-    this->superseded_at = now;
+    this->supersede(now);
     return refusal::superseded;
 }
 
+void fencing_token::supersede(base::steady_time now)
+{
+    bool const stable = !this->resumed_at
+        || now - *this->resumed_at >= std::max<base::steady_time::duration>(
+               stable_time, stable_delays * this->resume_delay);
+    this->resume_delay = stable
+        ? this->first_resume_delay()
+        : std::min<base::steady_time::duration>(this->resume_delay * 2, longest_resume_delay);
+    this->superseded_at = now;
+    this->announced_since = now;
+    this->last_announced = now;
+}
+
+base::steady_time::duration fencing_token::first_resume_delay() const
+{
+    return std::max<base::steady_time::duration>(
+        longest_replacement, missed_announcements * this->announcement_interval);
+}
+
 bool fencing_token::resume(base::steady_time now)
 {
-    if (!this->superseded() || now < *this->superseded_at + this->resume_delay)
+    if (!this->superseded())
+        return false;
+    // An announcement that is missing may have gone to another process, or this one was paused and
+    // reads old ones.
+    auto const longest_gap = this->announcement_interval * 3 / 2;
+    if (now - this->last_announced > longest_gap)
+        this->announced_since = now;
+    this->last_announced = now;
+    if (now < this->announced_since + this->resume_delay)
         return false;
     this->superseded_at.reset();
-    this->resume_delay
-        = std::min<base::steady_time::duration>(this->resume_delay * 2, longest_resume_delay);
+    this->resumed_at = now;
     this->accepted = false;
     this->next_step = first_step;
     this->raise_before = now + raising_time;
--- a/src/agent/leased_fencing.cpp
+++ b/src/agent/leased_fencing.cpp
@@ -67,10 +67,17 @@
 
 void leased_runner::resume_if_due()
 {
-    if (!this->token.resume(this->now()))
+    if (this->is_shutting_down || !this->token.resume(this->now()))
         return;
     this->log_raised_fence();
     this->is_taken_over = false;
+    this->is_settled = false;
+    this->quiet_since.reset();
+    this->settled_after_report.reset();
+    // Whoever has used the higher token may have extended the lease of the runs that this process
+    // had.
+    this->lease.on_resumed(this->now());
+    this->restarted_after_report = this->reports_sent;
     // Reports decide about the runs that the process had, before the silence of the worker does.
     this->last_contact = this->now();
     this->next_report = this->now();
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -397,7 +397,8 @@
             .with("worker", this->identity.present().id);
         this->update_availability(false, this->is_announced);
     }
-    if (!this->is_reachable && this->lease.expired(time))
+    // Before the worker has accepted a call of this process, another one may extend the lease.
+    if (!this->is_reachable && this->is_taken_over && this->lease.expired(time))
         this->finish_expired_runs(time);
 }
 
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -54,6 +54,13 @@
                          std::function<void(incarnation_answer)> done);
     /// To be called every 10 ms.
     void tick();
+    /// Interval between two announcements of the worker.
+    void set_announcement_interval(std::chrono::milliseconds interval)
+    {
+        this->token.set_announcement_interval(interval);
+    }
+    /// From now on, a process that is superseded stays so: the other one replaces it.
+    void begin_shutdown() { this->is_shutting_down = true; }
 
     /// True once no run that an earlier incarnation of this agent started can still be running. The
     /// agent accepts work only then, because entries may already start those tasks elsewhere.
@@ -257,6 +264,7 @@
     /// The token was raised for the next incarnation of the worker, and no answer has come since.
     bool restart_expected = false;
     bool is_settled = false;
+    bool is_shutting_down = false;
     /// The worker has accepted a call since this process began, or went on after it had been
     /// superseded.
     bool is_taken_over = false;
@@ -276,7 +284,7 @@
     std::uint64_t last_seen_end = 0;
     std::uint64_t reports_sent = 0;
     /// Number of a report. Those requested later carry the token that was raised after the last
-    /// restart of the worker under its id.
+    /// restart of the worker under its id, or when this process resumed.
     std::uint64_t restarted_after_report = 0;
     std::uint64_t renewal_in_flight = 0; ///< Number of the report; 0 while none is in flight.
     base::steady_time next_report;
--- a/src/agent/worker_lease.cpp
+++ b/src/agent/worker_lease.cpp
@@ -27,6 +27,12 @@
     this->extend_expiry(now);
 }
 
+void worker_lease::on_resumed(base::steady_time now)
+{
+    this->inherited_until = worker_clock::max();
+    this->extend_expiry(now);
+}
+
 void worker_lease::on_fenced(worker_clock reading, base::steady_time now)
 {
     if (this->inherited_until != worker_clock::max())
--- a/src/agent/worker_lease.h
+++ b/src/agent/worker_lease.h
@@ -62,7 +62,11 @@
     /// The worker has restarted under its id. Until it has seen a higher token it may carry out
     /// commands to its former incarnation, whose ends mean the longest lease on its new clock.
     void on_restarted(base::steady_time now);
-    /// The worker has answered a call with a token that was raised after `on_restarted`.
+    /// This process goes on after another one may have granted leases to the present incarnation,
+    /// until the worker has seen the token that was raised now.
+    void on_resumed(base::steady_time now);
+    /// The worker has answered a call with a token that was raised after `on_restarted` or
+    /// `on_resumed`.
     void on_fenced(worker_clock reading, base::steady_time now);
     /// A reading that is older than what is known has no effect: answers may arrive out of order,
     /// and may be read long after they were sent, because the agent was paused.
@@ -100,8 +104,8 @@
     lease_limits limits;
     std::optional<worker_clock> last_reading;
     base::steady_time read_at; ///< Of the last reading.
-    /// Latest end of leases that commands to a former incarnation have granted. 0 if there are
-    /// none, and the maximum while it is unknown.
+    /// Latest end of leases that commands to a former incarnation, or of another process of the
+    /// agent, have granted. 0 if there are none, and the maximum while it is unknown.
     worker_clock inherited_until {0};
     grants current;
 };
--- a/tests/agent/superseded_agent_test.cpp
+++ b/tests/agent/superseded_agent_test.cpp
@@ -270,13 +270,14 @@
         REQUIRE_FALSE(process.runner.available());
         auto const calls_before = process.calls.calls;
 
-        // Guards against an agent that stays without work for good.
+        // Guards against an agent that stays without work for good, and against one that outbids
+        // another process which still takes work.
         WHEN("the worker goes on announcing itself to the process")
         {
-            fixture.advance_announced(milliseconds(25'000), process);
+            fixture.advance_announced(2 * announcement_interval, process);
             CHECK(process.calls.calls == calls_before);
-            fixture.advance_announced(milliseconds(10'000), process);
-            THEN("the process raises its token after a while, and works")
+            fixture.advance_announced(longest_outage - 3 * announcement_interval, process);
+            THEN("the process raises its token once another one would have no endpoint, and works")
             {
                 CHECK(process.calls.last_fence > 500'000);
                 CHECK(process.runner.available());
@@ -300,7 +301,7 @@
 
 // Guards against an agent that serves nothing any more because its worker has seen one higher
 // fencing token, in a late order of a process that has ended.
-SCENARIO("a worker at work carries out one order with a higher token", "[agent][leased][known-red]")
+SCENARIO("a worker at work carries out one order with a higher token", "[agent][leased]")
 {
     GIVEN("an agent with two runs, to which its worker announces itself")
     {
@@ -344,7 +345,8 @@
             WHEN("the next life of its worker first carries out one with a token" + distance_text)
             {
                 fixture.worker.restart(6);
-                (void)fixture.worker.carry_out_stop({late_token, {}}, {"z.0.0.0", 1});
+                // The process advances its own token by 1 for the next life.
+                (void)fixture.worker.carry_out_stop({late_token + 1, {}}, {"z.0.0.0", 1});
                 fixture.advance(milliseconds(100), {&process});
                 REQUIRE_FALSE(process.runner.available());
                 fixture.advance_announced(longest_outage, process);
@@ -356,15 +358,16 @@
                     serves_again();
                 }
             }
-            WHEN("another process extended its worker's lease for 4 s with a token" + distance_text)
+            WHEN("another process extended its worker's lease for 4.4 s with a token"
+                 + distance_text)
             {
-                auto const other_ended = fixture.now + milliseconds(4000);
+                auto const other_ended = fixture.now + milliseconds(4400);
                 for (auto const end = fixture.now + longest_outage; fixture.now < end;) {
                     if (fixture.now < other_ended)
                         (void)fixture.worker.begin_report(
                             {late_token, {}}, fixture.worker.clock + milliseconds(1000), 0);
                     fixture.announce(process);
-                    fixture.advance(milliseconds(500), {&process});
+                    fixture.advance(milliseconds(100), {&process});
                 }
                 THEN("it serves again, and its runs go on until they end")
                 {
@@ -376,6 +379,172 @@
                     CHECK(process.outcomes["b.0.0.0"] == outcome_kind::succeeded);
                 }
             }
+            // Guards against a run that counts as ended because the lease that this process has
+            // granted has lapsed, while another process has extended it.
+            WHEN("lists leave out its runs when it goes on, after another process had a token"
+                 + distance_text)
+            {
+                fixture.worker.lists_runs = false;
+                for (auto const end = fixture.now + milliseconds(5000); fixture.now < end;) {
+                    if (fixture.now < end - milliseconds(600))
+                        (void)fixture.worker.begin_report(
+                            {late_token, {}}, fixture.worker.clock + milliseconds(1000), 0);
+                    fixture.announce(process);
+                    fixture.advance(milliseconds(100), {&process});
+                }
+                REQUIRE(process.runner.available());
+                REQUIRE(fixture.worker.runs("a.0.0.0"));
+                THEN("it reports nothing about its runs before they have ended")
+                {
+                    CHECK(process.results.empty());
+                    fixture.worker.lists_runs = true;
+                    fixture.advance(milliseconds(100), {&process});
+                    CHECK(process.results.empty());
+                    CHECK(fixture.worker.runs("a.0.0.0"));
+                }
+            }
+            // Guards against a run that counts as ended because the worker does not answer, while
+            // another process extends the lease.
+            WHEN("it gets no answer when it goes on, after another process had a token"
+                 + distance_text)
+            {
+                (void)fixture.worker.begin_report({late_token, {}},
+                                                  fixture.worker.clock + milliseconds(1000), 0);
+                fixture.advance(milliseconds(300), {&process});
+                REQUIRE_FALSE(process.runner.available());
+                fixture.worker.silent = true;
+                auto const fence_before = process.calls.last_fence;
+                for (auto const end = fixture.now + milliseconds(8000); fixture.now < end;) {
+                    (void)fixture.worker.begin_report({late_token, {}},
+                                                      fixture.worker.clock + milliseconds(1000), 0);
+                    fixture.announce(process);
+                    fixture.advance(milliseconds(100), {&process});
+                }
+                REQUIRE(process.calls.last_fence > fence_before);
+                THEN("it reports nothing about its runs")
+                {
+                    CHECK(process.results.empty());
+                    CHECK(fixture.worker.runs("a.0.0.0"));
+                }
+            }
+        }
+    }
+}
+
+// Guards against a process that outbids another one which is living and at work.
+SCENARIO("a superseded process hears the worker beside the process that has replaced it",
+         "[agent][leased]")
+{
+    GIVEN("a process that another one has replaced")
+    {
+        superseded_agent_fixture fixture;
+        auto former = fixture.new_process(1'000);
+        fixture.announce(former);
+        fixture.advance(milliseconds(1050), {&former});
+        auto next = fixture.new_process(3'000);
+        fixture.announce(next);
+        auto const keeps_worker = [&fixture, &former, &next] {
+            CHECK(former.calls.last_fence == 1'000);
+            CHECK_FALSE(former.runner.available());
+            CHECK(next.calls.last_fence == 3'000);
+            CHECK(next.runner.available());
+            fixture.start(next, "b.0.0.0");
+            fixture.advance(milliseconds(50), {&former, &next});
+            CHECK(fixture.worker.runs("b.0.0.0"));
+        };
+
+        WHEN("the worker announces itself to each of the two in turn")
+        {
+            for (int turn = 0; turn < 50; ++turn) {
+                fixture.announce(turn % 2 == 0 ? former : next);
+                fixture.advance(announcement_interval, {&former, &next});
+            }
+            THEN("the next one keeps the worker")
+            {
+                keeps_worker();
+            }
+        }
+        WHEN("the worker announces itself to the former one, which is told to end after 2 s")
+        {
+            fixture.announce(former);
+            fixture.advance(milliseconds(2000), {&former, &next});
+            former.runner.begin_shutdown();
+            // Its shutdown limit is 5.5 s.
+            for (int announcement = 0; announcement < 4; ++announcement) {
+                fixture.announce(former);
+                fixture.advance(announcement_interval, {&former, &next});
+            }
+            THEN("the next one keeps the worker")
+            {
+                keeps_worker();
+            }
+        }
+        WHEN("the former one is paused, and reads old announcements when it goes on")
+        {
+            fixture.advance(std::chrono::seconds(2), {&next});
+            for (int announcement = 0; announcement < 20; ++announcement) {
+                fixture.announce(next);
+                fixture.advance(announcement_interval, {&next});
+            }
+            for (int announcement = 0; announcement < 20; ++announcement)
+                fixture.announce(former);
+            fixture.advance(milliseconds(500), {&former, &next});
+            for (int announcement = 0; announcement < 20; ++announcement)
+                fixture.announce(former);
+            for (int announcement = 0; announcement < 20; ++announcement) {
+                fixture.announce(next);
+                fixture.advance(announcement_interval, {&former, &next});
+            }
+            THEN("the next one keeps the worker")
+            {
+                keeps_worker();
+            }
+        }
+        WHEN("the former one is paused while it is superseded")
+        {
+            fixture.advance(std::chrono::seconds(1), {&former, &next});
+            REQUIRE_FALSE(former.runner.available());
+            for (int announcement = 0; announcement < 20; ++announcement) {
+                fixture.announce(next);
+                fixture.advance(announcement_interval, {&next});
+            }
+            for (int announcement = 0; announcement < 20; ++announcement)
+                fixture.announce(former);
+            fixture.advance(announcement_interval, {&former, &next});
+            THEN("the next one keeps the worker")
+            {
+                keeps_worker();
+            }
+        }
+    }
+}
+
+SCENARIO("several late orders with higher tokens reach a worker", "[agent][leased]")
+{
+    GIVEN("an agent at work")
+    {
+        superseded_agent_fixture fixture;
+        auto process = fixture.new_process(1'000);
+        fixture.announce(process);
+        fixture.advance(milliseconds(1050), {&process});
+
+        // Guards against an agent that is out of work for longer with each late order.
+        WHEN("its worker carries out one every two minutes")
+        {
+            THEN("it serves again as soon after each")
+            {
+                for (int order = 0; order < 8; ++order) {
+                    (void)fixture.worker.carry_out_stop({process.calls.last_fence + 1'000, {}},
+                                                        {"z.0.0.0", 1});
+                    fixture.advance(milliseconds(300), {&process});
+                    CHECK_FALSE(process.runner.available());
+                    fixture.advance_announced(longest_outage, process);
+                    CHECK(process.runner.available());
+                    CHECK(process.runner.settled());
+                    fixture.advance_announced(std::chrono::minutes(2) - longest_outage, process);
+                    CHECK(process.runner.available());
+                }
+            }
         }
     }
 }
