Let some stand-in workers name their start in lists only

PROTOCOL.md promises born in what a worker says of itself and in its lists of runs, not in answers to orders. Half of the workers of denied_worker_test now do no more than that; and for half of the times odd_start names one wrong start in several answers.

--- a/tests/fleet/denied_worker_test.py
+++ b/tests/fleet/denied_worker_test.py
@@ -21,6 +21,7 @@
 import argparse
 import asyncio
 import collections
+import functools
 import pathlib
 import signal
 import sys
@@ -59,6 +60,9 @@
         self.latest_start = None
         self.longest_gap_s = 0.0
         self.refused_s = {}
+        # Some workers tell no more than PROTOCOL.md promises.
+        for worker in system.workers.values():
+            worker.names_start_in_lists_only = self.random.random() < 0.5
         record.listeners.append(self.on_event)
 
     def on_event(self, _, event, fields):
@@ -122,15 +126,20 @@
 
     async def change_starts(self, worker):
         self.record("odd-start", worker=worker.name)
-        worker.born_in_answer = self.odd_born
+        # Several answers may name the same wrong start.
+        error_ms = self.start_error_ms() if self.random.random() < 0.5 else None
+        worker.born_in_answer = functools.partial(self.odd_born, error_ms)
         await asyncio.sleep(self.random.uniform(*ODD_START_S))
         worker.born_in_answer = lambda born: born
 
-    def odd_born(self, born):
+    def start_error_ms(self):
+        return self.random.choice((-1, 1)) * self.random.randint(1, LARGEST_START_ERROR_MS)
+
+    def odd_born(self, error_ms, born):
         if self.random.random() >= ODD_START_SHARE:
             return born
-        error_ms = self.random.randint(1, LARGEST_START_ERROR_MS)
-        return self.random.choice((None, str(born), "soon", born + error_ms, born - error_ms))
+        wrong = born + (error_ms or self.start_error_ms())
+        return self.random.choice((None, str(born), "soon", wrong, wrong))
 
     async def control_kill(self):
         # The others must be a majority, so one at a time.
--- a/tests/fleet/denied_workers.py
+++ b/tests/fleet/denied_workers.py
@@ -14,6 +14,8 @@
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
+        # PROTOCOL.md promises `born` in lists of runs, not in answers to orders.
+        self.names_start_in_lists_only = False
         self.forget_troubles()
 
     def forget_troubles(self):
@@ -70,7 +72,7 @@
     async def handle(self, method, path, headers, body):
         reply = await super().handle(method, path, headers, body)
         born = self.born_in_answer(reply.body["born"])
-        if born is None:
+        if born is None or self.names_start_in_lists_only and "running" not in reply.body:
             del reply.body["born"]
         else:
             reply.body["born"] = born
