--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -365,3 +365,35 @@
         }
     }
 }
+
+// Guards against a worker that is known by an id which no header names: every incarnation accepts
+// calls to it, or a worker takes it for its own id.
+SCENARIO("an announced id cannot be sent in a header as it is", "[platform][worker][review]")
+{
+    GIVEN("an agent whose worker runs a task")
+    {
+        agent_fixture agent;
+        agent.start("a.0.0.0");
+        WHEN("an id with a control character or a space at an end is announced")
+        {
+            std::string const id = GENERATE("i-1%00x", "i-1%20", "%20i-1", "i-1%09", "i-1%0A",
+                                            "i-1%0D%0AGreengagehead-Expect-Instance:%20i-1",
+                                            "i-9%0D%0AX:%20y", "i-1%7F", "%20");
+            CAPTURE(id);
+            auto odd = agent.worker.announcement();
+            odd.id = id;
+            odd.body["service"] = "pool-7";
+            auto const status = agent.announce(odd);
+            agent.run_for(milliseconds(50));
+            THEN("it is refused, and the run goes on")
+            {
+                CHECK(status == 400);
+                CHECK(agent.results.empty());
+                agent.core->peer_up("entry.a", base::steady_now());
+                auto const report = agent.sender.to<protocol::agent_report>("entry.a").back();
+                REQUIRE(report.endpoints.size() == 1);
+                CHECK(report.endpoints.front().kinds == std::vector<std::string> {"s1"});
+            }
+        }
+    }
+}
