Settle no agent before its worker has accepted a call of it

A new process whose calls were lost counted as settled 1.02 s after its own start and reported to the entries, but its former process lived and went on renewing the lease. That the new process is silent says nothing about what the other one grants; only a call that the worker has accepted makes it refuse the other one's. Leases now count as lapsed only after that.

--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -383,7 +383,8 @@
     if (this->token.superseded())
         return;
     auto const time = this->now();
-    if (!this->is_settled && this->lease.expired(time))
+    // Before that, another process may go on renewing the lease.
+    if (!this->is_settled && this->is_taken_over && this->lease.expired(time))
         this->settle("leases have lapsed");
     if (this->renewal_in_flight == 0 && time >= this->next_report)
         this->send_report(report_kind::renewal);
