Resume a superseded process with the token of a process that begins then

A superseded process that went on raised its token by 60,000 ms at once, although the one that it had met was higher by 1. Its token was then ahead of the clock: a process of the agent that followed within a minute had a lower one, and a new life of the worker that this one reached first would have carried out late orders of the former one.

It now takes the token that a process has which begins at that time, its first one and the milliseconds since, or the next higher one. That is raised only if the worker refuses it, as after a clock was set back; with a token that far ahead the case above remains.

fencing_token_test: the token after a resume was 60,100, and is 4,600 (and 13,600 the second time). agent_test passes.

--- a/src/agent/fencing_token.cpp
+++ b/src/agent/fencing_token.cpp
@@ -6,8 +6,8 @@
 
 namespace greengagehead::agent {
 
-fencing_token::fencing_token(std::uint64_t initial, base::steady_time now)
-    : present(initial), raise_before(now + raising_time)
+fencing_token::fencing_token(std::uint64_t initial_token, base::steady_time now)
+    : initial(initial_token), began(now), present(initial_token), raise_before(now + raising_time)
 {
 }
 
@@ -66,7 +66,10 @@
     this->accepted = false;
     this->next_step = first_step;
     this->raise_before = now + raising_time;
-    this->raise();
+    // Higher tokens would be higher than that of a later process.
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->began);
+    this->present
+        = std::max(this->present + 1, this->initial + static_cast<std::uint64_t>(age.count()));
     return true;
 }
 
--- a/src/agent/fencing_token.h
+++ b/src/agent/fencing_token.h
@@ -29,8 +29,9 @@
         superseded, ///< From now on this process must not call the worker.
     };
 
-    /// @param initial should be higher than the tokens of all earlier processes.
-    fencing_token(std::uint64_t initial, base::steady_time now);
+    /// @param initial_token should be higher than the tokens of all earlier processes: the time in
+    /// milliseconds.
+    fencing_token(std::uint64_t initial_token, base::steady_time now);
 
     /// @param interval between two announcements of the worker.
     void set_announcement_interval(std::chrono::milliseconds interval)
@@ -49,7 +50,8 @@
     /// @param sent token of the call.
     refusal on_refused(std::uint64_t sent, base::steady_time now);
     /// The worker has announced itself to this process. Returns true if that shows that no other
-    /// process is at work: then this one has raised its token and goes on like a new one.
+    /// process is at work: then this one goes on like a new one, with the token that a process has
+    /// which begins now.
     bool resume(base::steady_time now);
 
 private:
@@ -77,6 +79,8 @@
     static constexpr std::chrono::minutes stable_time {1};
     static constexpr int stable_delays = 4;
 
+    std::uint64_t initial;
+    base::steady_time began;
     std::uint64_t present;
     std::uint64_t next_step = first_step;
     /// The worker has accepted a token since this process began or resumed.
