Ask the agents for the runs of an entry that is out of contact

Callers saw: TWICE. A job that came back to another entry started there while the runs of the first one went on, when the first one was cut off from control and from the other entries, but not from its agents.

Cause: an entry that was neither linked nor in the view counted as gone, and its runs as ended 1.4 s later. Neither a closed link nor a view says that agents no longer hear it.

Change: the holder of such a submission sends all agents an outcome query for the job's id at that entry with epoch 2, as in a takeover (entry/remote_runs). From then on agents refuse its starts; runs that they report are cancelled, and the submission starts when no agent has one. A silent agent is waited for up to the deadline, unless it was silent before the last announcement. Messages and agents are unchanged, so older processes take part. The section of remote_submissions_test that demanded the end 1.4 s after the view is replaced: the view ends nothing, and the agents are to be asked.

--- a/src/entry/agent_table.cpp
+++ b/src/entry/agent_table.cpp
@@ -31,6 +31,8 @@
     record.replaced = false;
     if (record.silent && kind == report_kind::current)
         kind = report_kind::returned;
+    if (kind == report_kind::first || kind == report_kind::replacement)
+        record.current_since = now;
     record.zone = report.zone;
     record.connected = true;
     record.silent = false;
--- a/src/entry/agent_table.h
+++ b/src/entry/agent_table.h
@@ -29,6 +29,7 @@
     bool lost = false; ///< Silent, and every stamp issued to it has expired.
     base::steady_time lost_since; ///< Of the last loss.
     base::steady_time last_report;
+    base::steady_time current_since; ///< First report after that of another incarnation.
     base::clock_reading clock {0}; ///< Reading of the agent's own clock in its last report.
     protocol::view_number seen_view = 0;
     base::steady_time last_update; ///< When this entry last sent it a lease update.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -258,6 +258,7 @@
                 this->attempts.on_batch(peer, batch, now);
             } else if constexpr (std::is_same_v<type, protocol::outcome_report>) {
                 auto report = message;
+                this->resubmitted.on_report(message, now);
                 if (!this->takeovers.on_report(report, now))
                     this->attempts.on_report(report, now);
             } else if constexpr (std::is_same_v<type, protocol::agent_report>) {
--- /dev/null
+++ b/src/entry/remote_runs.cpp
@@ -0,0 +1,119 @@
+// Queries to the agents for jobs of other entries, and what their answers prove.
+
+#include "entry/remote_runs.h"
+
+#include <chrono>
+
+#include "entry/entry_components.h"
+#include "policy/remote_submissions.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Entries start ephemeral jobs with epoch 1. An agent that has been asked with a higher one
+/// refuses their starts.
+constexpr protocol::job_epoch fencing_epoch = 2;
+/// A query without an answer is sent again after this time.
+constexpr milliseconds answer_timeout {250};
+/// Pause before an agent that still has a run of the job is asked again.
+constexpr milliseconds repeat_delay {50};
+/// An agent without a report for this long is silent.
+constexpr milliseconds agent_silence {1000};
+
+} // namespace
+
+remote_runs::remote_runs(entry_components& shared) : components(shared) { }
+
+void remote_runs::search(std::string const& job, base::steady_time announced)
+{
+    this->jobs.try_emplace(job, searched_job {announced, {}});
+}
+
+bool remote_runs::must_answer(agent_record const& agent, searched_job const& job)
+{
+    return !agent.replaced && agent.last_report != base::steady_time {}
+    && agent.last_report + agent_silence >= job.announced;
+}
+
+bool remote_runs::ended(std::string const& id) const
+{
+    auto const found = this->jobs.find(id);
+    if (found == this->jobs.end())
+        return false;
+    // Without any agent nothing is proven: an entry that has just started has not heard them yet.
+    bool any_answer = false;
+    for (auto const& agent : this->components.agents.all()) {
+        if (!remote_runs::must_answer(agent, found->second))
+            continue;
+        auto const answer = found->second.answers.find(*this->components.agents.slot_of(agent.id));
+        if (answer == found->second.answers.end() || !answer->second.ended)
+            return false;
+        any_answer = true;
+    }
+    return any_answer;
+}
+
+void remote_runs::forget(std::string const& job)
+{
+    this->jobs.erase(job);
+}
+
+void remote_runs::tick(base::steady_time now)
+{
+    if (this->jobs.empty())
+        return;
+    for (auto const& agent : this->components.agents.all()) {
+        auto const slot = *this->components.agents.slot_of(agent.id);
+        for (auto& [id, job] : this->jobs) {
+            if (!remote_runs::must_answer(agent, job))
+                continue;
+            auto& answer = job.answers[slot];
+            if (answer.ended || now < answer.next_query)
+                continue;
+            answer.next_query = now + answer_timeout;
+            this->components.outbox.add_query(slot, id, fencing_epoch);
+        }
+    }
+}
+
+void remote_runs::on_report(protocol::outcome_report const& report, base::steady_time now)
+{
+    auto const* const query = this->components.outbox.find_query(report.query_id);
+    auto const slot = this->components.agents.slot_of(report.agent);
+    if (this->jobs.empty() || query == nullptr || !slot || query->agent != *slot)
+        return;
+    for (auto const& id : query->jobs) {
+        if (auto const found = this->jobs.find(id); found != this->jobs.end())
+            this->record_answer(id, found->second, *slot, report, query->sent, now);
+    }
+}
+
+void remote_runs::record_answer(std::string const& id, searched_job& job, agent_slot slot,
+                                protocol::outcome_report const& report, base::steady_time asked,
+                                base::steady_time now)
+{
+    auto& answer = job.answers[slot];
+    bool running = false;
+    for (auto const& outcome : report.outcomes) {
+        if (outcome.task.job != id || outcome.kind != protocol::outcome_kind::running)
+            continue;
+        running = true;
+        this->components.outbox.add_cancel(slot, {outcome.task, outcome.attempt});
+    }
+    if (running) {
+        answer.next_query = now + repeat_delay;
+        return;
+    }
+    // A former incarnation of the agent may have left runs, which this one does not know.
+    auto const former_ended
+        = this->components.agents.at(slot).current_since + policy::longest_run_end;
+    if (asked < former_ended)
+        answer.next_query = std::max(answer.next_query, former_ended);
+    else
+        answer.ended = true;
+}
+
+} // namespace greengagehead::entry
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -71,7 +71,7 @@
 
 } // namespace
 
-resubmissions::resubmissions(entry_components& shared) : components(shared) { }
+resubmissions::resubmissions(entry_components& shared) : components(shared), runs(shared) { }
 
 void resubmissions::record_admitted(job const& job)
 {
@@ -110,6 +110,7 @@
 void resubmissions::tick(base::steady_time now)
 {
     this->record_tick(now);
+    this->runs.tick(now);
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
@@ -205,7 +206,7 @@
     std::vector<protocol::process_id> present;
     for (auto const& entry : this->components.leases.applied().entries)
         present.push_back(entry.id);
-    this->known.record_view(present, now);
+    this->known.record_view(present);
     this->proceed_all(now);
 }
 
@@ -386,11 +387,42 @@
         return this->wait_until(item, now + repeat_delay);
     if (!elsewhere)
         return this->start_here(item, now);
+    if (elsewhere->out_of_contact)
+        return this->search(item, *elsewhere, now);
+    this->end_search(item);
     if (elsewhere->connected)
         return this->ask(item, elsewhere->entry, now);
     this->wait_until(item, elsewhere->ends_by);
 }
 
+void resubmissions::search(held_submission& item, policy::remote_submission const& elsewhere,
+                           base::steady_time now)
+{
+    auto const job = ephemeral_job_id(item.request.team, item.request.submission, elsewhere.entry);
+    if (item.searched_job != job) {
+        this->end_search(item);
+        item.searched_job = job;
+    }
+    this->runs.search(job, elsewhere.announced);
+    if (!this->runs.ended(job))
+        return this->wait_until(item, now + repeat_delay);
+    this->end_search(item);
+    this->known.record_ended(elsewhere.entry, item.key);
+    this->proceed(item, now);
+}
+
+void resubmissions::end_search(held_submission& item)
+{
+    if (!item.searched_job.empty())
+        this->runs.forget(item.searched_job);
+    item.searched_job.clear();
+}
+
+void resubmissions::on_report(protocol::outcome_report const& report, base::steady_time now)
+{
+    this->runs.on_report(report, now);
+}
+
 bool resubmissions::must_wait_for_newer(held_submission const& item, base::steady_time now) const
 {
     return this->known.has_newer_holder(item.key, item.submitted, this->components.settings.id.name,
@@ -488,6 +520,7 @@
 resubmissions::held_submission resubmissions::release(held_submission& item,
                                                       std::string_view outcome)
 {
+    this->end_search(item);
     auto released = std::move(item);
     this->held.erase(released.id);
     base::log_record(base::log_event::submission_released)
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "entry/remote_runs.h"
 #include "entry/waiter.h"
 #include "policy/remote_submissions.h"
 #include "policy/start_confirmations.h"
@@ -70,6 +71,8 @@
     /// Also for queries of `ask_before_starts`. Returns false when the reply is not for this
     /// component.
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
+    /// An agent states what it has of some jobs, also of other entries.
+    void on_report(protocol::outcome_report const& report, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
@@ -92,6 +95,7 @@
         base::steady_time deadline;
         protocol::process_id asked; ///< Entry that was asked last; empty name if none was.
         std::string asked_job; ///< Id of the job there.
+        std::string searched_job; ///< Id of the job that the agents are asked for.
         base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
     };
 
@@ -100,6 +104,9 @@
     /// Asks the entry that may run the job, or waits for its runs to end, or admits the job here.
     void proceed(held_submission& item, base::steady_time now);
     void ask(held_submission& item, protocol::process_id const& entry, base::steady_time now);
+    /// Asks the agents for runs of an entry that cannot be asked.
+    void search(held_submission& item, policy::remote_submission const& elsewhere,
+                base::steady_time now);
     void on_state(held_submission& item, protocol::job_answer const* state, base::steady_time now);
     void start_here(held_submission& item, base::steady_time now);
     void give_up(held_submission& item, std::string const& reason);
@@ -107,6 +114,7 @@
 
     /// Ends the hold and returns the submission.
     held_submission release(held_submission& item, std::string_view outcome);
+    void end_search(held_submission& item);
     void wait_until(held_submission& item, base::steady_time time);
     [[nodiscard]] bool must_wait_for_newer(held_submission const& item,
                                            base::steady_time now) const;
@@ -142,6 +150,7 @@
 
     entry_components& components;
     policy::remote_submissions known;
+    remote_runs runs;
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
     std::unordered_map<std::string, std::uint64_t> jobs_by_key; ///< Local numbers of jobs.
     policy::start_confirmations confirmations;
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -52,8 +52,8 @@
     if (!announced.held)
         this->remove(entry, announced.key, false);
     if (remaining > milliseconds(0))
-        this->running[announced.key].push_back(
-            {entry, true, announced.held, now - age, now + remaining + longest_run_end});
+        this->running[announced.key].push_back({entry, true, false, announced.held, now, now - age,
+                                                now + remaining + longest_run_end});
 }
 
 void remote_submissions::record_ended(protocol::process_id const& entry, std::string const& key)
@@ -82,19 +82,13 @@
     }
 }
 
-void remote_submissions::record_view(std::vector<protocol::process_id> const& view_entries,
-                                     steady_time now)
+void remote_submissions::record_view(std::vector<protocol::process_id> const& view_entries)
 {
-    auto const has_ended = [&view_entries](remote_submission const& item) {
-        return !item.connected
-            && std::find(view_entries.begin(), view_entries.end(), item.entry)
-            == view_entries.end();
-    };
     for (auto& [key, entries] : this->running) {
-        for (auto& item : entries) {
-            if (has_ended(item))
-                item.ends_by = std::min(item.ends_by, now + longest_run_end);
-        }
+        for (auto& item : entries)
+            item.out_of_contact = !item.connected
+                && std::find(view_entries.begin(), view_entries.end(), item.entry)
+                    == view_entries.end();
     }
 }
 
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -63,7 +63,10 @@
 struct remote_submission {
     protocol::process_id entry;
     bool connected = true; ///< False when the link to the entry has closed since.
+    /// Neither connected nor in the view. Its agents may hear it none the less.
+    bool out_of_contact = false;
     bool held = false; ///< The entry has started nothing of it, and may start it later.
+    base::steady_time announced; ///< When the entry has announced it last.
     base::steady_time submitted; ///< When it arrived there.
     base::steady_time ends_by; ///< Its runs have ended by then.
 };
@@ -85,9 +88,8 @@
     void record_ended(protocol::process_id const& entry, std::string const& key);
     /// The link to the entry has closed. Its runs may go on, because agents may still hear it.
     void record_disconnected(std::string const& entry_name);
-    /// The entries of the present view. An incarnation that is neither in the view nor connected
-    /// has ended.
-    void record_view(std::vector<protocol::process_id> const& entries, steady_time now);
+    /// The entries of the present view.
+    void record_view(std::vector<protocol::process_id> const& entries);
     /// A caller has cancelled the submission, here or, if the name is empty, at another entry.
     void record_cancelled(std::string const& key, submission_name name, steady_time now);
     /// Keys of the submissions that were cancelled here a short time ago.
--- a/tests/entry/absence_test.cpp
+++ b/tests/entry/absence_test.cpp
@@ -299,7 +299,7 @@
         }
     }
 }
-SCENARIO("an entry is neither linked nor in the view", "[entry][absence][known-red]")
+SCENARIO("an entry is neither linked nor in the view", "[entry][absence]")
 {
     GIVEN("an entry that runs a job, and is cut off from control and the other entry")
     {
--- a/tests/policy/remote_submissions_test.cpp
+++ b/tests/policy/remote_submissions_test.cpp
@@ -47,21 +47,28 @@
         WHEN("the link to the entry closes")
         {
             known.record_disconnected("entry.a");
-            known.record_view({entry}, now);
+            known.record_view({entry});
             // Guards against a closed link that is taken for the end of the entry's runs.
             THEN("it is known for as long as before")
             {
                 REQUIRE(known.find("key", now + 1s));
                 CHECK_FALSE(known.find("key", now + 1s)->connected);
+                CHECK_FALSE(known.find("key", now + 1s)->out_of_contact);
             }
             AND_WHEN("the entry leaves the view")
             {
-                known.record_view({{"entry.a", 8}}, now - 500ms);
+                known.record_view({{"entry.a", 8}});
+                // Guards against a view that is taken for the end of the entry's runs.
+                THEN("it is known for as long as before")
+                {
+                    REQUIRE(known.find("key", now + 1s + policy::longest_run_end - 1ms));
+                }
                 // Guards against callers that wait for the deadline of a job whose entry is gone.
-                THEN("it is known until the runs of a lost entry have ended")
+                THEN("the agents are to be asked for its runs, until the view lists it again")
                 {
-                    CHECK(known.find("key", now - 500ms + policy::longest_run_end - 1ms));
-                    CHECK_FALSE(known.find("key", now - 500ms + policy::longest_run_end));
+                    CHECK(known.find("key", now)->out_of_contact);
+                    known.record_view({entry});
+                    CHECK_FALSE(known.find("key", now)->out_of_contact);
                 }
             }
             AND_WHEN("the entry announces it again")
