--- a/tests/entry/remote_runs_test.cpp
+++ b/tests/entry/remote_runs_test.cpp
@@ -106,6 +106,35 @@
                 CHECK(fleet.violations == std::vector<std::string> {});
             }
         }
+        WHEN("an order of the first entry to start it once more arrives after the agents' answers")
+        {
+            std::optional<protocol::start_batch> order;
+            fleet.on_send = [&order](auto const& from, auto const&, protocol::message const& body) {
+                auto const* const sent = std::get_if<protocol::start_batch>(&body);
+                if (from == "entry.b" && sent != nullptr)
+                    order = *sent;
+            };
+            fleet.start_job();
+            fleet.cut_off_and_submit_again();
+            fleet.set_run_time(never);
+            fleet.wait_for_view();
+            fleet.run(milliseconds(300));
+            REQUIRE(fleet.running() == 1);
+            REQUIRE(order);
+            for (auto& [name, agent] : fleet.agents) {
+                order->agent_incarnation = agent.id.incarnation;
+                order->lease.expires_at
+                    = base::to_reading(fleet.now + agent.clock_offset + milliseconds(500));
+                ++order->starts.front().attempt;
+                agent.receive(fleet, "entry.b", *order);
+            }
+            // Guards against an agent that has stated that it has no run, and starts one later.
+            THEN("no agent carries it out")
+            {
+                CHECK(fleet.running() == 1);
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+        }
         WHEN("the agent that runs it is heard by the first entry only")
         {
             fleet.start_job();
