--- a/tests/agent/later_life_test.cpp
+++ b/tests/agent/later_life_test.cpp
@@ -115,6 +115,24 @@
                 CHECK(fixture.results.size() == 1);
             }
         }
+        WHEN("it lists the run once, and then leaves it out for a while")
+        {
+            fixture.restart("i-9", first_born + 1);
+            fixture.carry_out_start("a.0.0.0", 1);
+            fixture.announce();
+            fixture.advance(milliseconds(60));
+            fixture.worker.lists_runs = false;
+            fixture.advance(milliseconds(100));
+            fixture.worker.lists_runs = true;
+            // Guards against a run that was taken up and is given up because a list lacks it.
+            THEN("the run goes on")
+            {
+                CHECK(fixture.results.empty());
+                fixture.advance(work);
+                REQUIRE(fixture.results.size() == 1);
+                CHECK(fixture.results.front().kind == outcome_kind::succeeded);
+            }
+        }
         WHEN("the run is given up, and its task starts again")
         {
             fixture.restart("i-9", first_born + 1);
