Give up no run by a start that contradicts the worker's clock

The agent took the start for that of a later life under another id, and the first list without a run for its end. The same after an earlier wrong start and an announcement of another id.

The clock of another life starts anew, so a reading that is not below the last known one shows that nothing has ended. Then a list without a run does not prove its end; a confirmed stop and 100 ms do, as after a restart under the same id. Only a life that is older than the former one was at its last answer is noticed that much later.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -1,5 +1,6 @@
 // Which incarnation of the worker the runner works with.
 
+#include <optional>
 #include <utility>
 
 #include "agent/leased_runner.h"
@@ -23,6 +24,12 @@
                                                                  : incarnation_answer::refuted;
 }
 
+/// The clock of another life starts anew. If it goes on, a start was misstated, and nothing ended.
+bool clock_goes_on(std::optional<worker_clock> reading, std::optional<worker_clock> known)
+{
+    return reading && known && *reading >= *known;
+}
+
 } // namespace
 
 void leased_runner::ask_incarnation(worker_incarnation const& announced,
@@ -65,7 +72,8 @@
         this->identity.replace(current);
         this->next_report = this->now();
     } else {
-        bool const other_life = !same_id && current.born > present.born;
+        bool const other_life = !same_id && current.born > present.born
+            && !clock_goes_on(reading, this->lease.clock());
         this->on_life_ended(current,
                             other_life ? former_orders::refused : former_orders::may_arrive);
     }
@@ -88,7 +96,8 @@
         return false;
     case answer_origin::other_life: {
         bool const later = *reply.born > named.born;
-        bool const has_other_id = named.id.empty() && was_denied && later;
+        bool const has_other_id = named.id.empty() && was_denied && later
+            && !clock_goes_on(reply.clock, this->lease.clock());
         this->on_life_ended({named.id, *reply.born},
                             has_other_id ? former_orders::answered_only
                                          : former_orders::may_arrive);
--- a/tests/agent/later_life_test.cpp
+++ b/tests/agent/later_life_test.cpp
@@ -48,6 +48,16 @@
                                              this->worker.clock + milliseconds(900))
                 == worker_answer::accepted);
     }
+    /// The first run is on the worker, and is the only one.
+    void check_given_up_after_end()
+    {
+        while (this->worker.runs("a.0.0.0")) {
+            CHECK(this->results.empty());
+            this->advance(milliseconds(10));
+        }
+        this->advance(milliseconds(1500));
+        CHECK(this->results.size() == 1);
+    }
     /// One of two runs is on the worker.
     void check_given_up_after_end(std::string const& name)
     {
@@ -94,6 +104,37 @@
     }
 }
 
+// Guards against a wrong start that is taken for a later life while the worker's clock goes on.
+SCENARIO("answers of a live worker state a later start", "[agent][leased]")
+{
+    GIVEN("a worker with a run, whose lists leave it out")
+    {
+        later_life_fixture fixture;
+        fixture.worker.lists_runs = false;
+        WHEN("it denies its id, and its other answers state a later start")
+        {
+            fixture.worker.denies = [](auto const& call) { return !call.incarnation.id.empty(); };
+            fixture.worker.stated_born = [](std::uint64_t born) { return born + 1; };
+            THEN("the run is not given up while it is on the worker")
+            {
+                fixture.check_given_up_after_end();
+            }
+        }
+        WHEN("it states an earlier start, and then announces another id with its true one")
+        {
+            fixture.worker.stated_born = [](std::uint64_t born) { return born - 1; };
+            fixture.advance(milliseconds(10));
+            fixture.worker.stated_born = {};
+            fixture.worker.id = "i-9";
+            fixture.runner.announced({"i-9", first_born}, fixture.worker.clock);
+            THEN("the run is not given up while it is on the worker")
+            {
+                fixture.check_given_up_after_end();
+            }
+        }
+    }
+}
+
 SCENARIO("a later life of the worker is asked what it runs", "[agent][leased]")
 {
     GIVEN("a worker with a run")
