Do not tell a waiting caller that its job was cancelled when another entry runs it

Cause: a job that was stopped because another entry announces a later submission ended as "every caller has left". The age in an announcement that is late makes an earlier submission look like the later one, so the caller may still wait here.

--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -83,13 +83,6 @@
         return;
     if (now < job.wanted_until)
         return this->add_timer(job, timer_kind::abandoned_check, job.wanted_until);
-    this->stop_superseded(job, now);
-}
-
-void job_lifecycle::stop_superseded(job& job, base::steady_time now)
-{
-    if (job.phase != job_phase::running)
-        return;
     base::log_record(base::log_event::job_abandoned)
         .with("job", job.id)
         .with("submission", job.submission);
@@ -99,11 +92,11 @@
                now);
 }
 
-void job_lifecycle::stop_unacknowledged(job& job, std::string const& entry, base::steady_time now)
+void job_lifecycle::stop_for_other_entry(job& job, std::string const& entry,
+                                         std::string const& reason, base::steady_time now)
 {
     if (job.phase != job_phase::running)
         return;
-    std::string const reason = "the entry has not acknowledged the announcement";
     base::log_record(base::log_event::job_abandoned)
         .with("job", job.id)
         .with("submission", job.submission)
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -37,10 +37,10 @@
     /// Stops an ephemeral job that every caller at this entry has left, once no other entry waits
     /// for it.
     void stop_abandoned(job& job, base::steady_time now);
-    /// Stops an ephemeral job that another entry has started for a later submission.
-    void stop_superseded(job& job, base::steady_time now);
-    /// Ends a job of which the entry may not know, so that its caller may return there.
-    void stop_unacknowledged(job& job, std::string const& entry, base::steady_time now);
+    /// Stops an ephemeral job that the other entry runs too, or may start. Its caller may still
+    /// wait.
+    void stop_for_other_entry(job& job, std::string const& entry, std::string const& reason,
+                              base::steady_time now);
     /// Moves the deadline of a running job to `time` if that is later.
     void extend_deadline(job& job, base::steady_time time);
     /// Adds a waiter, or answers it at once when the job is final.
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -155,7 +155,8 @@
         bool const has_read = found != this->acknowledged.end() && found->second >= job.announced
             && job.announced != base::steady_time {};
         if (!has_read && this->linked.contains(entry.id.name))
-            return this->components.lifecycle.stop_unacknowledged(job, entry.id.name, now);
+            return this->components.lifecycle.stop_for_other_entry(
+                job, entry.id.name, "the entry has not acknowledged the announcement", now);
     }
 }
 
@@ -284,7 +285,8 @@
     if (job == nullptr || announced.held || announced.remaining <= milliseconds(0)
         || !policy::is_later(now - announced.age, peer, job->submitted, self))
         return;
-    this->components.lifecycle.stop_superseded(*job, now);
+    this->components.lifecycle.stop_for_other_entry(
+        *job, peer, "the entry has a later submission of the job", now);
 }
 
 bool resubmissions::may_start(job const& job, base::steady_time now)
--- a/tests/entry/acknowledgement_test.cpp
+++ b/tests/entry/acknowledgement_test.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "entry/job_id.h"
 #include "entry/resubmission_fixture.h"
 
 namespace {
@@ -154,3 +155,33 @@
         }
     }
 }
+
+SCENARIO("a job is stopped for another entry while its caller waits", "[entry][acknowledgement]")
+{
+    GIVEN("a job that runs")
+    {
+        announcing_fleet fleet;
+        fleet.submit_job();
+        fleet.run(milliseconds(500));
+
+        WHEN("another entry announces the same submission as the later one")
+        {
+            auto const key = entry::job_id_of("recife", "s1");
+            fleet.entries.at("entry.a")->receive(
+                "entry.c",
+                protocol::submissions_running {fleet.entries.at("entry.c")->status(fleet.now).id,
+                                               {{key, milliseconds(0), milliseconds(5000), false}},
+                                               false},
+                fleet.now);
+            fleet.run(milliseconds(100));
+            // Guards against a caller that is told, by the answer to a cancellation, that its job
+            // is not wanted, and does not send it again. The announcement may be late, so that the
+            // job which it is about is the earlier one.
+            THEN("the caller may send it again")
+            {
+                REQUIRE(fleet.job->replies.size() == 1);
+                CHECK(fleet.job->replies.front().answer.state == job_state::failed);
+            }
+        }
+    }
+}
