--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -83,13 +83,6 @@
         return;
     if (now < job.wanted_until)
         return this->add_timer(job, timer_kind::abandoned_check, job.wanted_until);
-    this->stop_superseded(job, now);
-}
-
-void job_lifecycle::stop_superseded(job& job, base::steady_time now)
-{
-    if (job.phase != job_phase::running)
-        return;
     base::log_record(base::log_event::job_abandoned)
         .with("job", job.id)
         .with("submission", job.submission);
@@ -99,6 +92,21 @@
                now);
 }
 
+void job_lifecycle::stop_for_other_entry(job& job, std::string const& entry,
+                                         std::string const& reason, base::steady_time now)
+{
+    if (job.phase != job_phase::running)
+        return;
+    base::log_record(base::log_event::job_abandoned)
+        .with("job", job.id)
+        .with("submission", job.submission)
+        .with("entry", entry);
+    job.record_decision({now, decision_kind::cancelled, -1, 0, entry, reason, 0});
+    // Not cancelled: a caller that still waits sends the job again.
+    this->stop(job, job_state::failed,
+               {base::error_code::abandoned, base::error_step::run, entry, reason}, now);
+}
+
 void job_lifecycle::extend_deadline(job& job, base::steady_time time)
 {
     if (job.phase != job_phase::running || time <= job.deadline)
