Count the time without service from the last announcement that was held back

Traced: its announcement at 9.06 s came just before the 4.5 s of waiting were over, and the next one was held back by other_id from 10.5 to 12.1 s. A missing announcement may have gone to another process of the agent, so the wait began anew (fencing_token::resume), and the first run started at 16.98 s, 4.9 s after that. The bound stays at 10 s, and counts from the last announcement that the test itself held back.

--- a/tests/fleet/denied_workers.py
+++ b/tests/fleet/denied_workers.py
@@ -27,12 +27,15 @@
         # The former id, and until when it is accepted beside the present one.
         self.former_id = ""
         self.former_until = 0.0
+        # When heartbeats go on as usual after one that was held back.
+        self.beats_resumed_at = 0.0
         # Returns `born` for one answer, or None to leave it out.
         self.born_in_answer = lambda born: born
 
     async def start(self, worker_id):
         self.forget_troubles()
         await super().start(worker_id)
+        self.beats_resumed_at = time.monotonic() + self.register_s
 
     # --- denials ---
 
@@ -60,6 +63,7 @@
                     former_accepted_s=f"{former_accepted_s:.3f}", running=len(self.running))
         self.former_id, self.id = self.id, worker_id
         self.former_until = time.monotonic() + former_accepted_s
+        self.beats_resumed_at = time.monotonic() + beat_after_s
         self.beats.cancel()
         self.beats = asyncio.create_task(self.send_beats_after(beat_after_s))
 
