--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")"
 python3 -B -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 is needed"'
-python3 -B -c 'from lib2 import fleet, http, worker'
+python3 -B -c 'from lib2 import fleet, forwarder, http, worker'
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -209,7 +209,7 @@
             reply = await http.call("GET", entry.ready, "/ready")
             if reply.status != 200:
                 return False
-            job = await self.submit(entry.name, new_id(), tasks=2 * len(self.workers), ms=10)
+            job = await self.submit(entry.name, new_id(), tasks=2 * len(self.workers), ms=300)
             if job != 200:
                 return False
         return True
@@ -251,12 +251,15 @@
 
     # --- callers ---
 
-    async def submit(self, entry, job, tasks=2, ms=100, deadline_ms=1500, cpu=6200):
-        """Returns the status; 0 when the caller got no reply within its deadline."""
+    async def submit(self, entry, job, tasks=2, ms=100, deadline_ms=1500, cpu=6200, via=None):
+        """Returns the status; 0 when the caller got no reply within its deadline.
+
+        `via` is the address of a forwarder in front of the entry.
+        """
         body = {"spec": json.dumps({"ms": ms}), "best_effort": True,
                 "steps": [{"count": tasks, "cpu": cpu, "mem_mb": 64, "estimate_ms": ms}]}
         self.record("post", job=job, at=entry)
-        reply = await http.call("POST", self.machines[entry].front, PREFIX + job, body,
+        reply = await http.call("POST", via or self.machines[entry].front, PREFIX + job, body,
                                 {"Host": HOST, "Greengagehead-Deadline-Ms": deadline_ms},
                                 timeout_s=deadline_ms / 1000)
         self.record("answer", job=job, at=entry, status=reply.status,
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -17,8 +17,8 @@
 class Run:
     def __init__(self, task, number, work_s, now):
         self.task, self.number, self.work_s, self.began = task, number, work_s, now
+        self.ended = None
         self.stopping = None
-        self.ended = asyncio.Event()
 
     def percent(self, now):
         return min(99, int(100 * (now - self.began) / self.work_s))
@@ -40,6 +40,8 @@
         self.fence = 0
         self.lease_end = 0
         self.runs, self.highest, self.ends = {}, {}, []
+        # All runs that were started, also those that have ended.
+        self.periods = []
         self.last_end = 0
         self.changed = asyncio.Event()
         self.beats = None
@@ -89,6 +91,7 @@
                                 None, timeout_s=1.0)
         self.record("deregister", worker=self.name, status=reply.status)
         for run in self.runs.values():
+            run.ended = time.monotonic()
             run.work.cancel()
             self.record("lost", worker=self.name, task=run.task, run=run.number)
         self.runs.clear()
@@ -142,6 +145,7 @@
         self.highest[task] = number
         run = Run(task, number, json.loads(order["spec"])["ms"] / 1000, time.monotonic())
         self.runs[task] = run
+        self.periods.append(run)
         run.work = asyncio.create_task(self.work(run))
         self.record("start", worker=self.name, task=task, run=number, state=self.state)
         return self.reply(200)
@@ -154,6 +158,7 @@
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
+        run.ended = time.monotonic()
         run.work.cancel()
         self.last_end += 1
         self.ends.append([self.last_end, run.task, run.number, how, ""])
