--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -24,6 +24,11 @@
 SERVICE = "desk"
 
 
+# run.sh turns this into 1; Python itself ends with 1 on an error.
+EXIT_BROKEN = 10
+EXIT_CANNOT_RUN = 2
+
+
 class CannotRun(Exception):
     """The case could not be set up."""
 
@@ -158,7 +163,9 @@
             raise CannotRun(f"{words[0]} is not built")
         log = open(folder / "log", "ab")
         machine.process = subprocess.Popen([program, *words[1:]], stdout=log,
-                                           stderr=subprocess.STDOUT, cwd=ROOT)
+                                           stderr=subprocess.STDOUT, cwd=ROOT,
+                                           env={"PATH": os.environ.get("PATH", "")})
+        log.close()
         machine.bootstrap = False
         self.record("process", name=name, pid="started")
 
@@ -315,7 +322,7 @@
     except (CannotRun, TimeoutError, OSError) as error:
         record("cannot run", reason=repr(error))
         print(f"cannot run: {error!r}")
-        return 2
+        return EXIT_CANNOT_RUN
     finally:
         fleet.stop()
     for finding in findings:
@@ -324,4 +331,4 @@
     if not findings:
         record("held")
         print("held")
-    return 1 if findings else 0
+    return EXIT_BROKEN if findings else 0
