Review case 7: runs on a suspended machine go on beside their second runs

Cause: an entry gives up the runs of a silent agent by its own clock, while the worker's lease is measured on a steady clock that stands still when the machine is suspended.

Sequence: a side machine (agent and worker) is suspended for 3.8 s while jobs run there; their callers send them again, and they start elsewhere shortly before the machine wakes.

The cases are numbered anew, the gravest first: 8, 10, 7, 9 and 6 are 6, 7, 8, 9 and 10 now.

--- a/review/6/play.py
+++ b/review/6/play.py
@@ -1,4 +1,5 @@
-"""A malformed heartbeat of another writer; then the worker says that it is draining."""
+"""The connection of an answer is reset, so its caller sends the job again; the same job also arrives
+at a third entry, seconds after its first 2xx response."""
 
 import asyncio
 import pathlib
@@ -7,53 +8,58 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from lib2 import fleet, http  # noqa: E402
+from lib2.forwarder import Forwarder  # noqa: E402
 
-DRAIN_S = 2.0
-# PROTOCOL.md: the worker goes on for `drain_ms` after the acknowledgement "and a little longer (at
-# times many seconds)".
-LEAVES_AFTER_S = 4.0
+RESEND_S = 1.3
+LATE_S = 1.4
+JOBS = 4
+TASKS, TASK_MS, DEADLINE_MS = 2, 350, 1500
+
+
+async def play_job(system, record, forwarder, job):
+    status = await system.submit("entry-0", job, TASKS, TASK_MS, DEADLINE_MS, via=forwarder.address)
+    record("first answer", job=job, status=status)
+
+    async def send_again():
+        if status == 0:
+            await asyncio.sleep(RESEND_S)
+            await system.submit("entry-1", job, TASKS, TASK_MS, DEADLINE_MS)
+
+    async def arrive_late():
+        await asyncio.sleep(LATE_S)
+        await system.submit("entry-2", job, TASKS, TASK_MS, DEADLINE_MS)
+
+    await asyncio.gather(send_again(), arrive_late())
 
 
 async def play(system, record, trouble):
-    worker = system.workers["agent-0"]
-    began = record.now()
-    load = asyncio.create_task(system.load(began + 9))
-    await asyncio.sleep(3)
-    if trouble:
-        # It has the worker's id, and lacks a field that each heartbeat has.
-        odd = worker.heartbeat() | {"seq": 100_000}
-        del odd["cold_left_ms"]
-        reply = await http.call("POST", worker.machine.control,
-                                f"/Instances.Heartbeat/{worker.id}", odd)
-        record("odd heartbeat", worker=worker.name, seq=odd["seq"], status=reply.status)
-    await asyncio.sleep(0.3)
-    worker.state = "draining"
-    status = await worker.send_heartbeat()
-    acknowledged = record.now()
-    starts = []
-    start = worker.start
-
-    def watched_start(order):
-        reply = start(order)
-        if reply[0] == 200:
-            starts.append(record.now())
-        return reply
-
-    worker.start = watched_start
-    await asyncio.sleep(LEAVES_AFTER_S)
-    lost = len(worker.runs)
-    await worker.leave()
-    statuses = await load
-    if status != 200:
-        raise fleet.CannotRun("the draining heartbeat was not acknowledged")
-    late = [time for time in starts if time > acknowledged + DRAIN_S]
-    record("summary", served=statuses.count(200), of=len(statuses), starts=len(starts),
-           late=len(late), ended_with_the_worker=lost)
-    if late:
-        return [f"DRAIN: {len(late)} tasks started on {worker.name} later than {DRAIN_S} s after its "
-                f"draining was acknowledged, the last {late[-1] - acknowledged:.1f} s after it; "
-                f"{lost} runs ended with the worker"]
-    return []
+    await asyncio.sleep(1)
+    jobs = [fleet.new_id() for _ in range(JOBS)]
+    front = system.machines["entry-0"].front
+    port = fleet.free_ports(1)[0]
+    forwarder = Forwarder(record, f"{http.split(front)[0]}:{port}", front)
+    forwarder.reset_answers = trouble
+    await forwarder.open()
+    for job in jobs:
+        await play_job(system, record, forwarder, job)
+    forwarder.close()
+    await asyncio.sleep(1)
+    periods = [period for worker in system.workers.values() for period in worker.periods]
+    return overlaps(record, [period for period in periods if period.task[:16] in jobs])
+
+
+def overlaps(record, periods):
+    longest = {}
+    for first in periods:
+        for second in periods:
+            if first is second or first.task != second.task or first.began > second.began:
+                continue
+            both = min(first.ended, second.ended) - second.began
+            if both > 0:
+                longest[first.task] = max(longest.get(first.task, 0), both)
+    record("summary", runs=len(periods), twice=len(longest))
+    return [f"TWICE: {task} ran twice at the same time for {both * 1000:.0f} ms"
+            for task, both in longest.items()]
 
 
 sys.exit(fleet.main(pathlib.Path(__file__).parent, play))
--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,56 +1,82 @@
-"""A cancelled job is handed in once more by a request that arrives seconds after the 2xx response."""
+"""A side machine is suspended for some seconds, with its agent and its worker."""
 
 import asyncio
 import pathlib
+import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
 
 from lib2 import fleet  # noqa: E402
 
-CANCEL_S = 3.0
-ARRIVES_AFTER_S = 6.0
-JOBS = 5
-DEADLINE_MS = 3000
+AGENTS = 11
+SUSPENDED_S = 3.8
+RESEND_S = 1.3
+TASKS, TASK_MS, DEADLINE_MS = 4, 450, 1500
+JOBS_PER_S = 40
+SUSPENSIONS = 3
+
+
+async def hand_in(system, job, number):
+    """A caller, which sends its job again at another entry while it gets no clear answer."""
+    for attempt in range(3):
+        entry = f"entry-{(number + attempt) % 3}"
+        status = await system.submit(entry, job, TASKS, TASK_MS, DEADLINE_MS, cpu=1600)
+        if status not in (0, 502, 504):
+            return
+        await asyncio.sleep(RESEND_S)
+
+
+async def load(system, until):
+    jobs = []
+    while system.record.now() < until:
+        jobs.append(asyncio.create_task(hand_in(system, fleet.new_id(), len(jobs))))
+        await asyncio.sleep(1 / JOBS_PER_S)
+    await asyncio.gather(*jobs)
+
+
+async def suspend(system, agent):
+    system.signal(agent, signal.SIGSTOP)
+    await system.workers[agent].suspend(SUSPENDED_S)
+    system.signal(agent, signal.SIGCONT)
 
 
 async def play(system, record, trouble):
-    starts = {}
-    for worker in system.workers.values():
-        watch(worker, starts, record)
-    jobs = [fleet.new_id() for _ in range(JOBS)]
-    callers = [asyncio.create_task(system.submit("entry-0", job, 2, 1500, DEADLINE_MS))
-               for job in jobs]
-    await asyncio.sleep(0.4)
-    acknowledged = {}
-    for job in jobs:
-        if await system.cancel("entry-0", job) not in (200, 410):
-            raise fleet.CannotRun("a cancel was not acknowledged")
-        acknowledged[job] = record.now()
-    await asyncio.gather(*callers)
-    await asyncio.sleep(ARRIVES_AFTER_S)
-    if trouble:
-        await asyncio.gather(*(system.submit("entry-1", job, 2, 300, DEADLINE_MS) for job in jobs))
-    await asyncio.sleep(1)
-    late = [task for task, time in starts.items()
-            if time > acknowledged[task.split(".")[0]] + CANCEL_S]
-    record("summary", cancelled=len(jobs), starts=len(starts), late=len(late))
-    if late:
-        return [f"UNASKED: {len(late)} tasks of cancelled jobs started later than {CANCEL_S} s after "
-                f"the cancelling was acknowledged, {late[0]} among them"]
-    return []
-
-
-def watch(worker, starts, record):
-    start = worker.start
-
-    def watched_start(order):
-        reply = start(order)
-        if reply[0] == 200:
-            starts[order["task"]] = record.now()
-        return reply
-
-    worker.start = watched_start
-
-
-sys.exit(fleet.main(pathlib.Path(__file__).parent, play))
+    calls = asyncio.create_task(load(system, record.now() + 2 + SUSPENSIONS * 9))
+    await asyncio.sleep(2)
+    findings = {}
+    for number in range(SUSPENSIONS):
+        worker = system.workers[f"agent-{number}"]
+        if trouble:
+            await suspend(system, f"agent-{number}")
+        else:
+            await asyncio.sleep(SUSPENDED_S)
+        await asyncio.sleep(2)
+        if trouble:
+            findings |= overlaps(system, worker)
+        await asyncio.sleep(9 - 2 - SUSPENDED_S)
+    await calls
+    record("summary", twice=len(findings))
+    return [f"TWICE: {task} ran on a worker that was awake again, beside another run, "
+            f"for {both * 1000:.0f} ms" for task, both in findings.items()]
+
+
+def overlaps(system, suspended):
+    """Runs of tasks that went on when the worker was awake again, beside another run of the task.
+    The time in which the worker was suspended doesn't count."""
+    found = {}
+    for first in suspended.periods:
+        if first.began > suspended.woke or first.ended and first.ended <= suspended.woke:
+            continue
+        for worker in system.workers.values():
+            for second in worker.periods:
+                if second is first or second.task != first.task or not first.ended:
+                    continue
+                both = min(first.ended, second.ended or first.ended) \
+                    - max(suspended.woke, second.began)
+                if both > 0:
+                    found[first.task] = max(found.get(first.task, 0), both)
+    return found
+
+
+sys.exit(fleet.main(pathlib.Path(__file__).parent, play, agents=AGENTS))
--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -183,9 +183,6 @@
                 if machine.process and machine.process.poll() is not None]
 
     def stop(self):
-        for worker in self.workers.values():
-            if worker.beats:
-                worker.close()
         for machine in self.machines.values():
             process = machine.process
             if process and process.poll() is None:
@@ -315,9 +312,13 @@
     try:
         async def limited():
             async with asyncio.timeout(110):
-                await fleet.begin()
-                record("begun", trouble=trouble)
-                return await play(fleet, record, trouble)
+                try:
+                    await fleet.begin()
+                    record("begun", trouble=trouble)
+                    return await play(fleet, record, trouble)
+                finally:
+                    for worker in fleet.workers.values():
+                        worker.close()
         findings = asyncio.run(limited())
     except (CannotRun, TimeoutError, OSError) as error:
         record("cannot run", reason=repr(error))
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -17,6 +17,7 @@
 class Run:
     def __init__(self, task, number, work_s, now):
         self.task, self.number, self.work_s, self.began = task, number, work_s, now
+        self.resumed = now
         self.ended = None
         self.stopping = None
 
@@ -44,9 +45,11 @@
         self.periods = []
         self.last_end = 0
         self.changed = asyncio.Event()
-        self.beats = None
-        # Calls that wait before they are carried out or before their reply is sent, in seconds.
-        self.delay = lambda path: (0.0, 0.0)
+        self.beats = self.expiry = None
+        # While the worker's machine is suspended, nothing runs and its steady clock stands still.
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.woke = 0.0
 
     async def open(self):
         await self.server.open()
@@ -55,12 +58,30 @@
 
     def close(self):
         for task in (self.beats, self.expiry):
-            task.cancel()
+            if task:
+                task.cancel()
         self.server.close()
 
     def clock_ms(self):
         return int((time.monotonic() - self.zero) * 1000) + 1000
 
+    async def suspend(self, seconds):
+        """The machine is suspended. Its steady clock doesn't count that time."""
+        began = time.monotonic()
+        self.record("suspended", worker=self.name, runs=len(self.runs))
+        self.awake.clear()
+        for run in self.runs.values():
+            run.work.cancel()
+            run.work_s -= began - run.resumed
+        await asyncio.sleep(seconds)
+        self.woke = time.monotonic()
+        self.zero += self.woke - began
+        for run in self.runs.values():
+            run.resumed = self.woke
+            run.work = asyncio.create_task(self.work(run))
+        self.awake.set()
+        self.record("awake", worker=self.name, runs=len(self.runs))
+
     # --- heartbeats ---
 
     def heartbeat(self):
@@ -81,6 +102,7 @@
 
     async def send_heartbeats(self):
         while True:
+            await self.awake.wait()
             await self.send_heartbeat()
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -100,15 +122,12 @@
     # --- calls of the agent ---
 
     async def handle(self, method, path, headers, body):
-        before, after = self.delay(path)
-        if before:
-            await asyncio.sleep(before)
+        await self.awake.wait()
         if headers.get("greengagehead-expect-instance", self.id) != self.id:
             return 421, {"clock_ms": self.clock_ms(), "born": self.born}
         order = json.loads(body or b"{}")
         reply = await self.carry_out(path, order)
-        if after:
-            await asyncio.sleep(after)
+        await self.awake.wait()
         return reply
 
     def reply(self, status, **fields):
@@ -191,6 +210,6 @@
     async def expire(self):
         while True:
             await asyncio.sleep(0.005)
-            if self.runs and self.clock_ms() >= self.lease_end:
+            if self.awake.is_set() and self.runs and self.clock_ms() >= self.lease_end:
                 for run in list(self.runs.values()):
                     self.end(run, "lapsed")
