--- a/review/lib2/fleet.py
+++ b/review/lib2/fleet.py
@@ -311,6 +311,9 @@
     fleet = Fleet(record, **options)
     try:
         async def limited():
+            playing = asyncio.current_task()
+            for number in (signal.SIGTERM, signal.SIGINT):
+                asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
             async with asyncio.timeout(110):
                 try:
                     await fleet.begin()
@@ -320,7 +323,7 @@
                     for worker in fleet.workers.values():
                         worker.close()
         findings = asyncio.run(limited())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError, asyncio.CancelledError) as error:
         record("cannot run", reason=repr(error))
         print(f"cannot run: {error!r}")
         return EXIT_CANNOT_RUN
