--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -119,6 +119,26 @@
         self.runs.clear()
         self.close()
 
+    def crash(self):
+        """Ends at once; what runs is lost."""
+        self.record("crash", worker=self.name, runs=len(self.runs))
+        self.beats.cancel()
+        self.server.close()
+        for run in self.runs.values():
+            run.ended = time.monotonic()
+            run.work.cancel()
+        self.runs.clear()
+
+    async def start_again(self, first_calls):
+        """The next life, under the same id. `first_calls` reach it before all others."""
+        self.born, self.zero = int(time.time() * 1000), time.monotonic()
+        self.seq = self.fence = self.lease_end = self.last_end = 0
+        self.highest, self.ends = {}, []
+        self.record("started again", worker=self.name)
+        await first_calls()
+        await self.server.open()
+        self.beats = asyncio.create_task(self.send_heartbeats())
+
     # --- calls of the agent ---
 
     async def handle(self, method, path, headers, body):
