Let a majority of witnesses decide which entry starts a submission

A hold could be booked twice.

Cause: an entry started a submission because it had heard no announcement of it. Announcements come 400 to 510 ms after the start, and ends of shorter jobs are never told, so silence proves nothing. An earlier announcement would only narrow the window.

Change: before any task starts, two of three witnesses have to grant the submission to one entry. The witnesses are entries of the view, one a zone, which every entry computes from the key. The entry that is denied holds the submission and asks the holder. Two majorities have a common member, so this holds for any gap, run length, cut link and for the loss of an entry. Rules for a view that changes, an entry that has just started, a consent that is read after a pause and claims that deny each other: docs/design.md 3.4.1. A start after another entry's claim has ended is logged with its reason (3030) and counted.

A submission that was held and is refused then is answered as unknown and not as "not run": an earlier start may have run. An abandoned job is kept until its successor starts, for the same reason.

--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -69,6 +69,7 @@
     submission_held = 3027,
     submission_released = 3028,
     restarts_counted = 3029,
+    submission_restarted = 3030,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -21,6 +21,7 @@
 #include "entry/remote_jobs.h"
 #include "entry/restart_counts.h"
 #include "entry/resubmissions.h"
+#include "entry/submission_claims.h"
 #include "entry/takeover.h"
 #include "entry/team_table.h"
 #include "entry/timer_queue.h"
@@ -87,6 +88,7 @@
     job_lifecycle lifecycle;
     remote_jobs remote;
     resubmissions resubmitted;
+    submission_claims submission_consent;
     takeover takeovers;
 };
 
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -54,7 +54,8 @@
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
       placement(policy_of(this->settings)), jobs(this->settings.finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
-      monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this), takeovers(*this)
+      monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
+      submission_consent(*this), takeovers(*this)
 {
 }
 
@@ -121,6 +122,7 @@
     for (auto const& item : view.entries)
         entry_names.push_back(item.id.name);
     this->endpoints.set_entries(std::move(entry_names), this->settings.id.name);
+    this->submission_consent.on_view(now);
     this->resubmitted.on_view(now);
     this->dispatch.capacity_changed();
 }
@@ -187,6 +189,9 @@
         case timer_kind::held_submission:
             this->resubmitted.on_timer(due->job, now);
             break;
+        case timer_kind::submission_claim:
+            this->submission_consent.on_timer(due->job, now);
+            break;
         case timer_kind::attachment:
             this->remote.on_timer(due->job, now);
             break;
@@ -247,7 +252,8 @@
             } else if constexpr (std::is_same_v<type, protocol::job_query>) {
                 // No answer is correct then: "not known" would be taken for the end of the runs.
                 if (!this->may_be_of_former_incarnation(message.job, now)
-                    && !this->resubmitted.on_query(peer, message, now))
+                    && !this->resubmitted.on_query(peer, message, now)
+                    && !this->submission_consent.on_query(peer, message))
                     this->remote.on_query(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::job_reply>) {
                 if (!this->resubmitted.on_reply(peer, message, now))
@@ -271,6 +277,12 @@
                 this->monitor.on_lagging(message, now);
             } else if constexpr (std::is_same_v<type, protocol::submissions_running>) {
                 this->resubmitted.on_announcement(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::submission_claim>) {
+                this->submission_consent.on_claim(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::claim_verdict>) {
+                this->submission_consent.on_verdict(peer, message, now);
+            } else if constexpr (std::is_same_v<type, protocol::claim_release>) {
+                this->submission_consent.on_release(peer, message);
             }
         },
         body);
@@ -281,6 +293,7 @@
     : pimpl(std::make_unique<impl>(std::move(settings), sender))
 {
     this->pimpl->started = now;
+    this->pimpl->submission_consent.set_started(now);
     this->pimpl->connect();
     this->pimpl->view_applied.connect(
         [this](protocol::view const& view) { this->view_applied.emit(view); });
@@ -341,6 +354,8 @@
 {
     if (auto* existing = this->pimpl->jobs.find(job))
         this->pimpl->lifecycle.stop_abandoned(*existing, now);
+    else
+        this->pimpl->submission_consent.abandon(job, now);
     this->pimpl->place_and_send(now);
 }
 
@@ -387,6 +402,7 @@
     this->pimpl->check_agents(now);
     this->pimpl->run_timers(now);
     this->pimpl->resubmitted.tick(now);
+    this->pimpl->submission_consent.tick(now);
     this->pimpl->takeovers.tick(now);
     // An excluded endpoint becomes usable again after a time, without any message.
     this->pimpl->dispatch.capacity_changed();
@@ -427,14 +443,15 @@
 {
     this->pimpl->lifecycle.answer_all_waiters(now);
     this->pimpl->resubmitted.answer_all();
+    this->pimpl->submission_consent.answer_all(now);
     this->pimpl->place_and_send(now);
 }
 
 bool entry_core::idle() const
 {
     return this->pimpl->jobs.unfinished() == 0 && this->pimpl->remote.idle()
-        && this->pimpl->resubmitted.idle() && this->pimpl->claims.idle()
-        && this->pimpl->control.idle();
+        && this->pimpl->resubmitted.idle() && this->pimpl->submission_consent.idle()
+        && this->pimpl->claims.idle() && this->pimpl->control.idle();
 }
 
 bool entry_core::has_endpoints() const
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -123,6 +123,11 @@
     /// Whether no attempt of any task has been made.
     [[nodiscard]] bool nothing_started() const;
     void record_decision(decision entry) { this->decisions.add(std::move(entry)); }
+    /// Whether it was stopped although nobody has cancelled it.
+    [[nodiscard]] bool abandoned() const
+    {
+        return this->failure && this->failure->code == base::error_code::abandoned;
+    }
     [[nodiscard]] bool is_final() const
     {
         return this->phase == job_phase::finished || this->phase == job_phase::abandoned;
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -70,7 +70,7 @@
 
 void job_lifecycle::cancel_submission(job& job, base::steady_time now)
 {
-    if (job.failure && job.failure->code == base::error_code::abandoned) {
+    if (job.abandoned()) {
         job.failure->code = base::error_code::refused;
         job.answer.failure = job.failure;
     }
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -22,6 +22,8 @@
 constexpr milliseconds claim_retry_pause {50};
 constexpr milliseconds refusal_lookup_timeout {1000};
 constexpr milliseconds shutdown_retry_after {1000};
+/// The other entries have mostly agreed on who has left by then.
+constexpr milliseconds unclaimed_retry_after {1000};
 /// Assumed run time of a job during a shutdown, relative to the estimate: its tasks may have to
 /// wait or run again.
 constexpr int shutdown_time_percent = 150;
@@ -61,15 +63,13 @@
 
 job_lifecycle::job_lifecycle(entry_components& shared) : components(shared) { }
 
-void job_lifecycle::submit(protocol::job_request request, waiter caller, base::steady_time now,
-                           std::optional<base::steady_time> held_since)
+void job_lifecycle::submit(protocol::job_request request, waiter caller, base::steady_time now)
 {
     auto const id = this->job_id_for(request);
     // The id of an ephemeral submission identifies it; a digest would not be used.
     auto digest = request.ephemeral ? std::string() : content_digest(request);
     auto* const resubmitted = this->components.jobs.find(id);
-    bool const abandoned = resubmitted != nullptr && resubmitted->failure
-        && resubmitted->failure->code == base::error_code::abandoned;
+    bool const abandoned = resubmitted != nullptr && resubmitted->abandoned();
     if (resubmitted != nullptr && !abandoned) {
         if (resubmitted->digest == digest || resubmitted->digest.empty())
             return this->attach(*resubmitted, std::move(caller), now);
@@ -86,26 +86,87 @@
         request.deadline = deadline;
         if (this->components.resubmitted.take(request, caller, abandoned, now))
             return;
+        auto const sent = this->components.resubmitted.earliest_sent(now);
+        return this->claim_or_refuse(
+            {std::move(request), std::move(caller), now, sent, now + deadline, {}, {}, {}, false},
+            now);
     }
-    auto refusal = this->check_admission(request, deadline, now);
-    auto const target = this->make_target_request(request, deadline, now);
-    if (!refusal && request.ephemeral)
+    if (auto const refusal = this->check_admission(request, deadline, now))
+        return this->refuse(request, id, std::move(caller), *refusal, now);
+    auto& added = this->add_job(std::move(request), std::move(caller), now + deadline, now);
+    added.digest = std::move(digest);
+    added.earliest_sent = now;
+    added.claim_deadline = std::min(added.deadline, now + this->components.settings.claim_timeout);
+    this->add_timer(added, timer_kind::claim_timeout, added.claim_deadline);
+    added.backup = this->choose_backup();
+    this->send_claim(added, now);
+    this->send_copy(added, now);
+}
+
+void job_lifecycle::claim_or_refuse(unstarted_submission submission, base::steady_time now)
+{
+    auto const& request = submission.request;
+    auto const remaining = std::chrono::ceil<milliseconds>(submission.deadline - now);
+    auto refusal = this->check_admission(request, remaining, now);
+    auto const target = this->make_target_request(request, remaining, now);
+    if (!refusal)
         refusal = policy::check_target(target, this->components.endpoints,
                                        this->components.ephemeral_queue, now);
     if (refusal)
-        return this->refuse(request, id, std::move(caller), *refusal, now);
+        return this->refuse_ephemeral(std::move(submission), *refusal, now);
+    submission.latest_start = target.latest_start;
+    this->components.submission_consent.begin(std::move(submission), now);
+}
 
-    auto& added = this->components.jobs.add(id);
-    added.latest_start = target.latest_start;
-    added.digest = std::move(digest);
+void job_lifecycle::admit(unstarted_submission submission, base::steady_time now)
+{
+    // The answer of an abandoned job serves nobody, and the submission gets a job of its own.
+    if (auto* const abandoned = this->components.jobs.find(this->job_id_for(submission.request)))
+        this->drop(*abandoned);
+    auto& added = this->add_job(std::move(submission.request), std::move(submission.caller),
+                                submission.deadline, now);
+    added.latest_start = submission.latest_start;
+    added.submitted = submission.was_held ? now : submission.submitted;
+    added.earliest_sent = submission.earliest_sent;
+    added.claim_committed = true;
+    added.copy_settled = true;
+    this->components.resubmitted.record_admitted(added);
+    this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
+    this->add_timer(added, timer_kind::acknowledgement_check, now + policy::acknowledgement_age);
+    this->start_if_ready(added, now);
+}
+
+void job_lifecycle::refuse_unclaimed(unstarted_submission submission, std::string const& reason,
+                                     base::steady_time now)
+{
+    this->refuse_ephemeral(
+        std::move(submission),
+        policy::make_refusal(base::error_code::unavailable, reason, unclaimed_retry_after), now);
+}
+
+void job_lifecycle::refuse_ephemeral(unstarted_submission submission,
+                                     policy::refusal const& refusal, base::steady_time now)
+{
+    auto const& request = submission.request;
+    auto const id = this->job_id_for(request);
+    if (!submission.was_held)
+        return this->refuse(request, id, std::move(submission.caller), refusal, now);
+    this->components.resubmitted.announce_end(job_id_of(request.team, request.submission));
+    // An earlier start of the submission may have run.
+    deliver_unknown(submission.caller, answer_for(id, request.team, request.submission),
+                    refusal.reason);
+}
+
+job& job_lifecycle::add_job(protocol::job_request request, waiter caller,
+                            base::steady_time deadline, base::steady_time now)
+{
+    auto& added = this->components.jobs.add(this->job_id_for(request));
     added.team = request.team;
     added.ephemeral = request.ephemeral;
     added.submission = request.submission;
     added.submitted = now;
-    added.earliest_sent = held_since.value_or(this->components.resubmitted.earliest_sent(now));
     added.callers_seen_at = now;
-    added.deadline = now + deadline;
-    added.claim_deadline = std::min(added.deadline, now + this->components.settings.claim_timeout);
+    added.deadline = deadline;
     added.content = std::make_shared<protocol::job_request const>(std::move(request));
     added.decisions.set_limit(decisions_per_job + decisions_per_task * added.content->tasks.size());
     this->prepare_tasks(added);
@@ -115,23 +176,11 @@
     ++this->components.counters.jobs_accepted;
     added.record_decision({now, decision_kind::admitted, -1, 0, {}, {}, 0});
     base::log_record(base::log_event::job_accepted)
-        .with("job", id)
+        .with("job", added.id)
         .with("team", added.team)
         .with("submission", added.submission)
         .with("tasks", added.tasks.size());
-    if (added.ephemeral) {
-        added.claim_committed = true;
-        added.copy_settled = true;
-        this->components.resubmitted.record_admitted(added);
-        this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
-        this->add_timer(added, timer_kind::acknowledgement_check,
-                        now + policy::acknowledgement_age);
-        return this->start_if_ready(added, now);
-    }
-    this->add_timer(added, timer_kind::claim_timeout, added.claim_deadline);
-    added.backup = this->choose_backup();
-    this->send_claim(added, now);
-    this->send_copy(added, now);
+    return added;
 }
 
 std::optional<policy::refusal> job_lifecycle::check_admission(protocol::job_request const& request,
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -22,15 +22,21 @@
 struct entry_components;
 struct job;
 struct timer;
+struct unstarted_submission;
 enum class timer_kind : std::uint8_t;
 
 class job_lifecycle {
 public:
     explicit job_lifecycle(entry_components& components);
 
-    /// @param held_since when the submission arrived, if it was held at this entry.
-    void submit(protocol::job_request request, waiter caller, base::steady_time now,
-                std::optional<base::steady_time> held_since = std::nullopt);
+    void submit(protocol::job_request request, waiter caller, base::steady_time now);
+    /// Starts an ephemeral submission when the other entries agree, unless it is refused.
+    void claim_or_refuse(unstarted_submission submission, base::steady_time now);
+    /// Makes a job of an ephemeral submission that only this entry may start.
+    void admit(unstarted_submission submission, base::steady_time now);
+    /// Refuses an ephemeral submission to which the other entries have not agreed.
+    void refuse_unclaimed(unstarted_submission submission, std::string const& reason,
+                          base::steady_time now);
     void cancel(job& job, base::steady_time now);
     /// Cancels an ephemeral job. One that was abandoned before counts as cancelled from now on.
     void cancel_submission(job& job, base::steady_time now);
@@ -92,6 +98,10 @@
     [[nodiscard]] std::chrono::microseconds longest_task(protocol::job_request const& request);
     void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
                 policy::refusal const& refusal, base::steady_time now);
+    job& add_job(protocol::job_request request, waiter caller, base::steady_time deadline,
+                 base::steady_time now);
+    void refuse_ephemeral(unstarted_submission submission, policy::refusal const& refusal,
+                          base::steady_time now);
     void add_timer(job const& job, timer_kind kind, base::steady_time due_at);
     void send_claim(job& job, base::steady_time now);
     void send_copy(job& job, base::steady_time now);
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -233,16 +233,22 @@
     if (!peer.starts_with(entry_peer_prefix))
         return;
     this->linked.erase(peer);
+    this->incarnations.erase(peer);
     this->known.record_disconnected(peer);
     this->on_view(now);
 }
 
-void resubmissions::on_view(base::steady_time now)
+void resubmissions::record_present_entries()
 {
     std::vector<protocol::process_id> present;
     for (auto const& entry : this->components.leases.applied().entries)
         present.push_back(entry.id);
     this->known.record_view(present);
+}
+
+void resubmissions::on_view(base::steady_time now)
+{
+    this->record_present_entries();
     this->proceed_all(now);
 }
 
@@ -263,6 +269,8 @@
 {
     if (message.entry.name != peer)
         return;
+    this->incarnations[peer] = message.entry.incarnation;
+    this->known.record_incarnation(message.entry);
     for (auto const& item : message.submissions) {
         this->known.record(message.entry, item, now);
         if (auto const* const cancelled = this->known.cancelled(item.key, now))
@@ -331,9 +339,12 @@
     protocol::job_reply reply;
     reply.query_id = query.query_id;
     auto const* const job = this->find_job(query.job.substr(submission_prefix.size()));
-    if (job != nullptr && (!job->is_final() || !job->unconfirmed.empty())) {
+    bool const claimed
+        = this->components.submission_consent.contains(query.job.substr(submission_prefix.size()));
+    if (claimed || (job != nullptr && (!job->is_final() || !job->unconfirmed.empty()))) {
         // The entry that asks stops its job when this one is the later one.
-        auto const running = this->describe_jobs({job->number}, now);
+        auto const running = job != nullptr ? this->describe_jobs({job->number}, now)
+                                            : protocol::submissions_running {};
         if (!running.submissions.empty())
             this->components.sender.send(peer, running);
         reply.answer.emplace();
@@ -384,24 +395,67 @@
     auto const elsewhere = this->known.find(key, now);
     if (!elsewhere && !abandoned_here)
         return false;
+    auto const entry = elsewhere ? elsewhere->entry.name : this->components.settings.id.name;
+    auto const deadline = now + request.deadline;
+    unstarted_submission submission {std::move(request),
+                                     std::move(caller),
+                                     now,
+                                     this->earliest_sent(now),
+                                     deadline,
+                                     {},
+                                     {},
+                                     {},
+                                     true};
+    this->proceed(this->add_hold(std::move(submission), entry, now), now);
+    return true;
+}
+
+resubmissions::held_submission& resubmissions::add_hold(unstarted_submission submission,
+                                                        std::string const& entry,
+                                                        base::steady_time now)
+{
     ++this->components.counters.submissions_held;
     auto const id = this->components.remote.allocate_id();
     auto& item = this->held[id];
     item.id = id;
-    item.key = key;
-    item.submitted = now;
-    item.deadline = now + request.deadline;
-    item.request = std::move(request);
-    item.caller = std::move(caller);
+    item.key = key_of(submission.request);
+    item.submitted = submission.submitted;
+    item.earliest_sent = submission.earliest_sent;
+    item.deadline = submission.deadline;
+    item.request = std::move(submission.request);
+    item.caller = std::move(submission.caller);
+    item.ended_claims = std::move(submission.ended_claims);
+    item.ended_reason = std::move(submission.ended_reason);
     base::log_record(base::log_event::submission_held)
         .with("submission", item.request.submission)
         .with("team", item.request.team)
-        .with("entry", elsewhere ? elsewhere->entry.name : this->components.settings.id.name);
+        .with("entry", entry);
     // Another entry that holds it since earlier must not start it at the same time as this one.
     this->send_to_all(
         {this->components.settings.id, {resubmissions::describe_hold(item, now)}, false});
-    this->proceed(item, now);
-    return true;
+    return item;
+}
+
+void resubmissions::hold(unstarted_submission submission, protocol::claim_ref const& holder,
+                         base::steady_time now)
+{
+    auto const key = key_of(submission.request);
+    auto const found = this->incarnations.find(holder.entry.name);
+    bool const replaced
+        = found != this->incarnations.end() && found->second != holder.entry.incarnation;
+    bool const connected = this->linked.contains(holder.entry.name) && !replaced;
+    this->known.record_claim(key, holder, connected, now);
+    this->record_present_entries();
+    this->proceed(this->add_hold(std::move(submission), holder.entry.name, now), now);
+}
+
+void resubmissions::record_ended(held_submission& item, protocol::process_id const& entry,
+                                 std::string const& reason)
+{
+    if (auto const number = this->known.claim_number(entry, item.key))
+        item.ended_claims.push_back({entry, *number});
+    item.ended_reason = reason;
+    this->known.record_ended(entry, item.key);
 }
 
 void resubmissions::proceed(held_submission& item, base::steady_time now)
@@ -416,8 +470,6 @@
         auto const state = settled_answer(*abandoned, now);
         if (!abandoned->is_final() || policy::next_step(&state) == resubmission_step::ask_again)
             return this->wait_until(item, now + repeat_delay);
-        // Its answer serves nobody, and the submission gets a job of its own.
-        this->components.lifecycle.drop(*abandoned);
     }
     auto const elsewhere = this->known.find(item.key, now);
     if (!elsewhere && this->must_wait_for_newer(item, now))
@@ -444,7 +496,7 @@
     if (!this->runs.ended(job))
         return this->wait_until(item, now + repeat_delay);
     this->end_search(item);
-    this->known.record_ended(elsewhere.entry, item.key);
+    this->record_ended(item, elsewhere.entry, "the agents run nothing of a lost entry");
     this->proceed(item, now);
 }
 
@@ -496,6 +548,10 @@
     auto& item = found->second;
     if (peer != item.asked.name || (reply.answer && reply.answer->job != item.asked_job))
         return true;
+    // Another incarnation of the entry knows nothing of the job.
+    if (auto const now_there = this->incarnations.find(peer);
+        now_there != this->incarnations.end() && now_there->second != item.asked.incarnation)
+        return true;
     this->on_state(item, reply.answer ? &*reply.answer : nullptr, now);
     return true;
 }
@@ -509,7 +565,7 @@
     case resubmission_step::answer:
         return this->finish(item, *state);
     case resubmission_step::start_here:
-        this->known.record_ended(item.asked, item.key);
+        this->record_ended(item, item.asked, "its entry has stated the end");
         item.asked = {};
         // Somebody else may run or start it by now.
         if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now))
@@ -524,17 +580,34 @@
         return this->give_up(item, "the caller has left");
     if (now >= item.deadline)
         return this->give_up(item, "the deadline has passed");
-    auto released = this->release(item, "admitted");
-    auto const id = ephemeral_job_id(released.request.team, released.request.submission,
-                                     this->components.settings.id);
+    auto released = this->release(item, "claimed");
     released.request.deadline = std::chrono::ceil<milliseconds>(released.deadline - now);
-    this->components.lifecycle.submit(std::move(released.request), std::move(released.caller), now,
-                                      released.submitted);
+    this->components.lifecycle.claim_or_refuse(
+        {std::move(released.request),
+         std::move(released.caller),
+         released.submitted,
+         std::min(released.earliest_sent, released.submitted),
+         released.deadline,
+         {},
+         std::move(released.ended_claims),
+         std::move(released.ended_reason),
+         true},
+        now);
+}
+
+void resubmissions::announce_start(std::string const& key, std::string const& job,
+                                   base::steady_time now)
+{
     // A third entry may get the submission before the job has reached the age of announcements.
-    auto const* const started = this->components.jobs.find(id);
+    auto const* const started = this->components.jobs.find(job);
     if (started != nullptr && !started->is_final())
         return this->send_to_all(this->describe_jobs({started->number}, now));
-    this->announce_end(released.key);
+    this->announce_end(key);
+}
+
+void resubmissions::deliver_cancelled(unstarted_submission const& submission) const
+{
+    deliver(submission.caller, cancelled_answer(submission.request), {});
 }
 
 void resubmissions::announce_end(std::string const& key)
@@ -600,7 +673,8 @@
     // Its caller may have sent it to an entry that has not announced it yet, or may do so.
     for (auto const& entry : this->other_entries())
         this->components.sender.send(entry, protocol::job_cancel {submission_id(key)});
-    return this->end_holds(key) || elsewhere.has_value();
+    bool const claimed = this->components.submission_consent.cancel(key);
+    return this->end_holds(key) || claimed || elsewhere.has_value();
 }
 
 void resubmissions::on_cancelled_elsewhere(std::string const& peer, std::string const& id,
@@ -612,6 +686,7 @@
     this->known.record_cancelled(key, {}, now);
     if (auto* const job = this->find_job(key))
         this->components.lifecycle.cancel_submission(*job, now);
+    this->components.submission_consent.cancel(key);
     this->end_holds(key);
 }
 
@@ -642,9 +717,7 @@
 {
     auto* const job = this->components.jobs.find(
         ephemeral_job_id(request.team, request.submission, this->components.settings.id));
-    bool const abandoned
-        = job != nullptr && job->failure && job->failure->code == base::error_code::abandoned;
-    return abandoned ? job : nullptr;
+    return job != nullptr && job->abandoned() ? job : nullptr;
 }
 
 void resubmissions::answer_all()
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -23,6 +23,7 @@
 
 struct entry_components;
 struct job;
+struct unstarted_submission;
 
 class resubmissions {
 public:
@@ -78,6 +79,15 @@
     /// An agent states what it has of some jobs, also of other entries.
     void on_report(protocol::outcome_report const& report, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
+    /// Holds a submission that a witness has granted to another entry.
+    void hold(unstarted_submission submission, protocol::claim_ref const& holder,
+              base::steady_time now);
+    /// A submission that was held here has become a job, or was refused.
+    void announce_start(std::string const& key, std::string const& job, base::steady_time now);
+    /// Tells the other entries that this one holds the submission no longer and has not started it.
+    void announce_end(std::string const& key);
+    /// Tells the caller that the submission was cancelled before it started.
+    void deliver_cancelled(unstarted_submission const& submission) const;
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
@@ -99,10 +109,20 @@
         base::steady_time deadline;
         protocol::process_id asked; ///< Entry that was asked last; empty name if none was.
         std::string asked_job; ///< Id of the job there.
+        /// Claims of other entries that have ended since, and why that is known.
+        std::vector<protocol::claim_ref> ended_claims;
+        std::string ended_reason;
+        base::steady_time earliest_sent; ///< As in `job`.
         std::string searched_job; ///< Id of the job that the agents are asked for.
         base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
     };
 
+    held_submission& add_hold(unstarted_submission submission, std::string const& entry,
+                              base::steady_time now);
+    /// Nothing of the submission runs at the entry any more, and it will start nothing.
+    void record_ended(held_submission& item, protocol::process_id const& entry,
+                      std::string const& reason);
+    void record_present_entries();
     void proceed_all(base::steady_time now);
     // These may end the hold, after which `item` no longer exists.
     /// Asks the entry that may run the job, or waits for its runs to end, or admits the job here.
@@ -131,8 +151,6 @@
     [[nodiscard]] protocol::submissions_running describe_all(base::steady_time now);
     [[nodiscard]] static protocol::submissions_running::submission
     describe_hold(held_submission const& item, base::steady_time now);
-    /// Tells the other entries that this one holds the submission no longer and has not started it.
-    void announce_end(std::string const& key);
     void send_to_all(protocol::submissions_running const& message);
     /// The other entries. One may serve callers without being in the view, and be in it without a
     /// link.
@@ -171,6 +189,8 @@
     base::steady_time pause_began; ///< Of the last pause of this entry.
     base::steady_time pause_ended;
     std::set<std::string> linked; ///< Other entries with a link.
+    /// The incarnation that has last announced something through a present link, by name.
+    std::unordered_map<std::string, protocol::incarnation_number> incarnations;
     bool closing = false; ///< The process ends: nothing is held any more.
     base::steady_time next_announcement;
     base::steady_time next_expiry;
--- /dev/null
+++ b/src/entry/submission_claims.cpp
@@ -0,0 +1,347 @@
+// Claims of this entry, and its verdicts on those of other entries.
+
+#include "entry/submission_claims.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "base/log_record.h"
+#include "entry/entry_components.h"
+#include "entry/job_id.h"
+#include "policy/remote_submissions.h"
+
+namespace greengagehead::entry {
+
+namespace {
+
+using std::chrono::milliseconds;
+using verdict_kind = protocol::claim_verdict::kind;
+
+/// All witnesses are asked when those that were asked first have not consented by then, and again
+/// at this interval.
+constexpr milliseconds repeat_interval {40};
+/// A submission without a majority is refused after this time. An entry that is asked for the job
+/// is waited for longer, so that a claim never becomes a job after another entry has taken over.
+constexpr milliseconds claim_limit {500};
+/// A witness that owes an answer for this long is asked only where others are not enough.
+constexpr milliseconds slow_answer {100};
+/// It is then tried again.
+constexpr milliseconds slow_witness_pause {1000};
+constexpr milliseconds expiry_interval {1000};
+
+} // namespace
+
+submission_claims::submission_claims(entry_components& shared) : components(shared) { }
+
+void submission_claims::set_started(base::steady_time now)
+{
+    this->started = now;
+}
+
+bool submission_claims::contains(std::string const& key) const
+{
+    return this->numbers.contains(key);
+}
+
+submission_claims::open_claim* submission_claims::find(std::string const& key)
+{
+    auto const found = this->numbers.find(key);
+    return found == this->numbers.end() ? nullptr : &this->claims.at(found->second);
+}
+
+void submission_claims::begin(unstarted_submission submission, base::steady_time now)
+{
+    auto const key = job_id_of(submission.request.team, submission.request.submission);
+    if (auto* const open = this->find(key)) {
+        open->further.push_back(std::move(submission));
+        return;
+    }
+    auto const job = ephemeral_job_id(submission.request.team, submission.request.submission,
+                                      this->components.settings.id);
+    // Started here since it was held.
+    if (auto const* const started = this->components.jobs.find(job);
+        started != nullptr && !started->abandoned()) {
+        if (submission.was_held)
+            this->components.resubmitted.announce_end(key);
+        return this->components.lifecycle.submit(std::move(submission.request),
+                                                 std::move(submission.caller), now);
+    }
+    auto const number = this->components.remote.allocate_id();
+    auto const expires_at = std::min(submission.deadline, now + claim_limit);
+    this->numbers[key] = number;
+    auto& claim = this->claims
+                      .emplace(number,
+                               open_claim {number,
+                                           key,
+                                           job,
+                                           std::move(submission),
+                                           {},
+                                           policy::claim_quorum(this->witnesses.find(key, now)),
+                                           expires_at})
+                      .first->second;
+    this->proceed(claim, now);
+}
+
+void submission_claims::proceed(open_claim& claim, base::steady_time now)
+{
+    auto const number = claim.number;
+    for (auto const& witness : claim.quorum.missing(this->responsive(now))) {
+        this->ask(claim, witness, now);
+        // The verdict of this entry itself may have ended the claim.
+        if (!this->claims.contains(number))
+            return;
+    }
+    if (claim.quorum.complete())
+        return this->on_granted(claim, now);
+    this->set_timer(claim, now);
+}
+
+void submission_claims::ask(open_claim& claim, std::string const& witness, base::steady_time now)
+{
+    auto const& self = this->components.settings.id;
+    protocol::submission_claim const request {
+        claim.key, {self, claim.number}, claim.submission.ended_claims};
+    claim.quorum.record_asked(witness);
+    if (witness == self.name)
+        return this->record_verdict(witness, this->decide(request, now), now);
+    auto& since = this->unanswered_since.try_emplace(witness, now).first->second;
+    if (now - since > slow_witness_pause)
+        since = now;
+    this->components.sender.send(witness, request);
+}
+
+void submission_claims::set_timer(open_claim const& claim, base::steady_time now)
+{
+    this->components.timers.add({std::min(now + repeat_interval, claim.expires_at),
+                                 timer_kind::submission_claim, claim.number, 0, 0});
+}
+
+void submission_claims::on_timer(std::uint64_t number, base::steady_time now)
+{
+    auto const found = this->claims.find(number);
+    if (found == this->claims.end())
+        return;
+    auto& claim = found->second;
+    if (now >= claim.expires_at)
+        return this->refuse(claim, "the other entries have not agreed in time", now);
+    for (auto const& witness : claim.quorum.without_consent()) {
+        this->ask(claim, witness, now);
+        if (!this->claims.contains(number))
+            return;
+    }
+    if (claim.quorum.complete())
+        return this->on_granted(claim, now);
+    this->set_timer(claim, now);
+}
+
+std::set<std::string> submission_claims::responsive(base::steady_time now) const
+{
+    std::set<std::string> names;
+    for (auto const& entry : this->components.leases.applied().entries) {
+        auto const found = this->unanswered_since.find(entry.id.name);
+        auto const waited
+            = found == this->unanswered_since.end() ? milliseconds(0) : now - found->second;
+        if (waited <= slow_answer || waited > slow_witness_pause)
+            names.insert(entry.id.name);
+    }
+    return names;
+}
+
+void submission_claims::on_verdict(std::string const& peer, protocol::claim_verdict const& verdict,
+                                   base::steady_time now)
+{
+    this->unanswered_since.erase(peer);
+    this->record_verdict(peer, verdict, now);
+    auto const found = this->claims.find(verdict.number);
+    if (found != this->claims.end() && found->second.quorum.complete())
+        this->on_granted(found->second, now);
+}
+
+void submission_claims::record_verdict(std::string const& witness,
+                                       protocol::claim_verdict const& verdict,
+                                       base::steady_time now)
+{
+    auto const found = this->claims.find(verdict.number);
+    if (found == this->claims.end() || !found->second.quorum.contains(witness))
+        return;
+    auto& claim = found->second;
+    switch (verdict.verdict) {
+    case verdict_kind::granted:
+        return claim.quorum.record_consent(witness);
+    case verdict_kind::held:
+        // Of an earlier claim of this entry, the answer to which was late.
+        if (verdict.holder.entry == this->components.settings.id)
+            return;
+        return this->on_denied(claim, verdict.holder, now);
+    case verdict_kind::not_ready:
+        return;
+    }
+}
+
+void submission_claims::on_granted(open_claim& claim, base::steady_time now)
+{
+    // Read after a pause of this entry: another one may have taken over.
+    if (now >= claim.expires_at)
+        return this->refuse(claim, "the consent of the other entries has expired", now);
+    auto const& caller = claim.submission.caller;
+    if (caller.has_left && caller.has_left())
+        return this->refuse(claim, "the caller has left", now);
+    auto ended = this->take(claim);
+    if (!ended.submission.ended_reason.empty())
+        this->log_permission(ended);
+    bool const was_held = ended.submission.was_held;
+    this->components.lifecycle.admit(std::move(ended.submission), now);
+    if (was_held)
+        this->components.resubmitted.announce_start(ended.key, ended.job, now);
+    for (auto& further : ended.further)
+        this->components.lifecycle.submit(std::move(further.request), std::move(further.caller),
+                                          now);
+}
+
+void submission_claims::log_permission(open_claim const& claim)
+{
+    this->components.restarts.record(claim.submission.ended_reason);
+    base::log_record(base::log_event::submission_restarted)
+        .with("job", claim.job)
+        .with("submission", claim.submission.request.submission)
+        .with("team", claim.submission.request.team)
+        .with("reason", claim.submission.ended_reason);
+}
+
+void submission_claims::on_denied(open_claim& claim, protocol::claim_ref const& holder,
+                                  base::steady_time now)
+{
+    this->release(claim);
+    auto denied = this->take(claim);
+    this->components.resubmitted.hold(std::move(denied.submission), holder, now);
+    for (auto& further : denied.further)
+        this->components.lifecycle.submit(std::move(further.request), std::move(further.caller),
+                                          now);
+}
+
+submission_claims::open_claim submission_claims::take(open_claim& claim)
+{
+    auto taken = std::move(claim);
+    this->numbers.erase(taken.key);
+    this->claims.erase(taken.number);
+    return taken;
+}
+
+void submission_claims::release(open_claim const& claim)
+{
+    protocol::claim_release const message {claim.key, {this->components.settings.id, claim.number}};
+    for (auto const& witness : claim.quorum.asked_witnesses()) {
+        if (witness == this->components.settings.id.name)
+            this->grants.release(claim.key, message.claim);
+        else
+            this->components.sender.send(witness, message);
+    }
+}
+
+void submission_claims::refuse(open_claim& claim, std::string const& reason, base::steady_time now)
+{
+    this->release(claim);
+    auto refused = this->take(claim);
+    this->components.lifecycle.refuse_unclaimed(std::move(refused.submission), reason, now);
+    for (auto& further : refused.further)
+        this->components.lifecycle.refuse_unclaimed(std::move(further), reason, now);
+}
+
+bool submission_claims::cancel(std::string const& key)
+{
+    auto* const claim = this->find(key);
+    if (claim == nullptr)
+        return false;
+    this->release(*claim);
+    auto cancelled = this->take(*claim);
+    this->components.resubmitted.deliver_cancelled(cancelled.submission);
+    for (auto const& further : cancelled.further)
+        this->components.resubmitted.deliver_cancelled(further);
+    return true;
+}
+
+void submission_claims::abandon(std::string const& job, base::steady_time now)
+{
+    auto const found = std::find_if(this->claims.begin(), this->claims.end(),
+                                    [&job](auto const& item) { return item.second.job == job; });
+    if (found != this->claims.end())
+        this->refuse(found->second, "the caller has left", now);
+}
+
+void submission_claims::answer_all(base::steady_time now)
+{
+    while (!this->claims.empty())
+        this->refuse(this->claims.begin()->second, "the entry is shutting down", now);
+}
+
+bool submission_claims::on_query(std::string const& peer, protocol::job_query const& query)
+{
+    auto const found = std::find_if(this->claims.begin(), this->claims.end(),
+                                    [&](auto const& item) { return item.second.job == query.job; });
+    if (found == this->claims.end())
+        return false;
+    protocol::job_reply reply;
+    reply.query_id = query.query_id;
+    reply.answer.emplace();
+    reply.answer->job = query.job;
+    reply.answer->state = protocol::job_state::running;
+    reply.answer->ran = protocol::ran_extent::unknown;
+    this->components.sender.send(peer, reply);
+    return true;
+}
+
+// --- as a witness ---
+
+bool submission_claims::may_have_forgotten(base::steady_time now) const
+{
+    bool const alone = this->components.leases.applied().entries.size() < 2;
+    return !alone && now < this->started + policy::longest_run_end;
+}
+
+protocol::claim_verdict submission_claims::decide(protocol::submission_claim const& claim,
+                                                  base::steady_time now)
+{
+    if (this->may_have_forgotten(now))
+        return {claim.claim.number, verdict_kind::not_ready, {}};
+    auto const holder = this->grants.grant(claim.key, claim.claim, claim.ended, now);
+    bool const granted = holder.entry == claim.claim.entry && holder.number == claim.claim.number;
+    if (granted)
+        return {claim.claim.number, verdict_kind::granted, {}};
+    return {claim.claim.number, verdict_kind::held, holder};
+}
+
+void submission_claims::on_claim(std::string const& peer, protocol::submission_claim const& claim,
+                                 base::steady_time now)
+{
+    if (claim.claim.entry.name == peer)
+        this->components.sender.send(peer, this->decide(claim, now));
+}
+
+void submission_claims::on_release(std::string const& peer, protocol::claim_release const& release)
+{
+    if (release.claim.entry.name == peer)
+        this->grants.release(release.key, release.claim);
+}
+
+void submission_claims::on_view(base::steady_time now)
+{
+    std::vector<policy::witness_candidate> entries;
+    for (auto const& entry : this->components.leases.applied().entries) {
+        policy::witness_candidate candidate {entry.id.name, entry.zone};
+        // Two incarnations of an entry may be in the view for a moment.
+        if (std::find(entries.begin(), entries.end(), candidate) == entries.end())
+            entries.push_back(std::move(candidate));
+    }
+    this->witnesses.set_entries(std::move(entries), now);
+}
+
+void submission_claims::tick(base::steady_time now)
+{
+    if (now < this->next_expiry)
+        return;
+    this->next_expiry = now + expiry_interval;
+    this->grants.expire(now);
+}
+
+} // namespace greengagehead::entry
--- a/src/entry/timer_queue.h
+++ b/src/entry/timer_queue.h
@@ -27,6 +27,7 @@
     acknowledgement_check, ///< All other entries are to have an announced job by now.
     abandoned_check, ///< No other entry may wait any more for a job whose callers have left.
     held_submission, ///< `job` is the id of a submission that another entry may run.
+    submission_claim, ///< `job` is the number of a claim whose witnesses are to be asked again.
     attachment, ///< `job` is the id of an attachment to a job of another entry.
 };
 
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -47,13 +47,52 @@
 {
     auto const age = std::clamp(announced.age, milliseconds(0), max_stated_time);
     auto const remaining = std::clamp(announced.remaining, milliseconds(0), max_stated_time);
+    auto const claim = this->claim_number(entry, announced.key).value_or(0);
     // An entry may hold a submission whose earlier runs there have not ended yet.
     this->remove(entry, announced.key, true);
     if (!announced.held)
         this->remove(entry, announced.key, false);
     if (remaining > milliseconds(0))
         this->running[announced.key].push_back({entry, true, false, announced.held, now, now - age,
-                                                now + remaining + longest_run_end});
+                                                now + remaining + longest_run_end,
+                                                announced.held ? 0 : claim, false});
+}
+
+void remote_submissions::record_claim(std::string const& key, protocol::claim_ref const& holder,
+                                      bool connected, steady_time now)
+{
+    auto& items = this->running[key];
+    auto const found = std::find_if(items.begin(), items.end(), [&holder](auto const& item) {
+        return item.entry == holder.entry && !item.held;
+    });
+    if (found != items.end()) {
+        found->claim = std::max(found->claim, holder.number);
+        return;
+    }
+    items.push_back({holder.entry, connected, false, false, now, now, now + claimed_run_limit,
+                     holder.number, false});
+}
+
+std::optional<std::uint64_t> remote_submissions::claim_number(protocol::process_id const& entry,
+                                                              std::string const& key) const
+{
+    auto const found = this->running.find(key);
+    if (found == this->running.end())
+        return std::nullopt;
+    for (auto const& item : found->second) {
+        if (item.entry == entry && !item.held && item.claim != 0)
+            return item.claim;
+    }
+    return std::nullopt;
+}
+
+void remote_submissions::record_incarnation(protocol::process_id const& entry)
+{
+    for (auto& [key, items] : this->running) {
+        for (auto& item : items)
+            item.replaced = item.replaced
+                || (item.entry.name == entry.name && item.entry.incarnation != entry.incarnation);
+    }
 }
 
 void remote_submissions::record_ended(protocol::process_id const& entry, std::string const& key)
@@ -86,9 +125,10 @@
 {
     for (auto& [key, entries] : this->running) {
         for (auto& item : entries)
-            item.out_of_contact = !item.connected
-                && std::find(view_entries.begin(), view_entries.end(), item.entry)
-                    == view_entries.end();
+            item.out_of_contact = item.replaced
+                || (!item.connected
+                    && std::find(view_entries.begin(), view_entries.end(), item.entry)
+                        == view_entries.end());
     }
 }
 
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -37,6 +37,8 @@
 /// not stop it: the entry sends stamps until the agent has been silent for 1.1 s, they last 780 ms,
 /// and the run ends `longest_run_after_permission` later.
 constexpr std::chrono::milliseconds listed_run_limit {2200};
+/// How long a submission is held for an entry of which only its claim is known.
+constexpr std::chrono::milliseconds claimed_run_limit {15'000};
 /// Times of submissions that differ by less are not told apart: one of them is estimated from a
 /// message of unknown delay.
 constexpr std::chrono::milliseconds submission_time_error {500};
@@ -73,6 +75,9 @@
     base::steady_time announced; ///< When the entry has announced it last.
     base::steady_time submitted; ///< When it arrived there.
     base::steady_time ends_by; ///< Its runs have ended by then.
+    /// Of the claim under which the entry may run it; 0 when only announced.
+    std::uint64_t claim = 0;
+    bool replaced = false; ///< A later incarnation of the entry has been heard.
 };
 
 /// Whether the first of two submissions of one job, at two entries, is the later one. Entry names
@@ -88,6 +93,15 @@
     /// The entry has announced that it runs or holds the submission for at most `remaining`.
     void record(protocol::process_id const& entry,
                 protocol::submissions_running::submission const& announced, steady_time now);
+    /// A witness has granted the submission to the entry.
+    /// @param connected whether this incarnation of the entry has a link.
+    void record_claim(std::string const& key, protocol::claim_ref const& holder, bool connected,
+                      steady_time now);
+    /// Number of the claim under which the entry may run the submission; empty if it is not known.
+    [[nodiscard]] std::optional<std::uint64_t> claim_number(protocol::process_id const& entry,
+                                                            std::string const& key) const;
+    /// This incarnation of the entry is heard, so that former ones are not any more.
+    void record_incarnation(protocol::process_id const& entry);
     /// The entry has stated that it does not know the submission, or that all its runs have ended.
     void record_ended(protocol::process_id const& entry, std::string const& key);
     /// The link to the entry has closed. Its runs may go on, because agents may still hear it.
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -298,6 +298,18 @@
 template <> struct field_list<submissions_running> {
     static auto of(auto& m) { return std::tie(m.entry, m.submissions, m.asks_for_all); }
 };
+template <> struct field_list<claim_ref> {
+    static auto of(auto& m) { return std::tie(m.entry, m.number); }
+};
+template <> struct field_list<submission_claim> {
+    static auto of(auto& m) { return std::tie(m.key, m.claim, m.ended); }
+};
+template <> struct field_list<claim_verdict> {
+    static auto of(auto& m) { return std::tie(m.number, m.verdict, m.holder); }
+};
+template <> struct field_list<claim_release> {
+    static auto of(auto& m) { return std::tie(m.key, m.claim); }
+};
 template <> struct field_list<lease_stamp> {
     static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at, m.leased); }
 };
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -164,6 +164,39 @@
     bool asks_for_all = false; ///< The sender has just connected and needs all of the receiver.
 };
 
+/// One attempt of an entry to become the only one that starts an ephemeral submission.
+struct claim_ref {
+    process_id entry;
+    std::uint64_t number = 0; ///< Higher than that of each earlier claim of the entry.
+};
+
+/// Asks a witness to grant a submission to the sender.
+struct submission_claim {
+    std::string key; ///< The same at every entry.
+    claim_ref claim;
+    /// Claims under which nothing runs any more and nothing will start. The sender knows that from
+    /// their entries or from the agents.
+    std::vector<claim_ref> ended;
+};
+
+/// Answer of a witness to a submission_claim.
+struct claim_verdict {
+    enum class kind : std::uint8_t {
+        granted,
+        held, ///< Another claim holds the submission.
+        not_ready, ///< The witness may have forgotten what it granted before it started.
+    };
+    std::uint64_t number = 0; ///< Of the claim.
+    kind verdict = kind::not_ready;
+    claim_ref holder; ///< Only when held.
+};
+
+/// Nothing was started under the claim, and nothing will be.
+struct claim_release {
+    std::string key;
+    claim_ref claim;
+};
+
 // --- entry and agent ---
 
 /// Permission to start tasks. Its expiry is given in the clock of the agent that receives it.
@@ -324,6 +357,7 @@
                    control_reply, takeover_notice, job_copy, job_copy_ack, job_finished_copy,
                    job_finished_ack, job_query, job_reply, job_cancel, start_batch, lease_update,
                    cancel_batch, outcome_query, outcome_batch, outcome_ack, outcome_report,
-                   agent_report, directory_request, directory, lagging_run, submissions_running>;
+                   agent_report, directory_request, directory, lagging_run, submissions_running,
+                   submission_claim, claim_verdict, claim_release>;
 
 } // namespace greengagehead::protocol
--- a/tests/entry/resubmission_fixture.h
+++ b/tests/entry/resubmission_fixture.h
@@ -6,12 +6,16 @@
 #include <variant>
 
 #include "entry/simulated_fleet.h"
+#include "policy/remote_submissions.h"
 
 namespace greengagehead::test {
 
 /// Callers send a job again this long after they have got no answer.
 constexpr milliseconds resend_delay {1300};
 
+/// An entry takes part in decisions on submissions this long after its start.
+constexpr milliseconds entry_start_time {policy::longest_run_end + milliseconds(100)};
+
 /// An ephemeral job whose tasks have the same names wherever it is sent.
 inline protocol::job_request make_submission(std::string const& submission, std::size_t tasks)
 {
@@ -31,7 +35,7 @@
         this->connect_entries();
         this->add_agent("agent.1", "recife");
         this->add_agent("agent.2", "fortaleza");
-        this->run(milliseconds(500));
+        this->run(entry_start_time);
     }
     void connect_entries()
     {
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -126,3 +126,35 @@
         }
     }
 }
+
+SCENARIO("an entry claims a submission at a witness")
+{
+    GIVEN("a claim that names an ended one, and its verdict")
+    {
+        claim_ref const ended {{"entry.recife-2", 9}, 4};
+        submission_claim const claim {"00ff", {{"entry.recife-1", 7}, 12}, {ended}};
+        claim_verdict const verdict {12, claim_verdict::kind::held, ended};
+
+        WHEN("a process of this version decodes them")
+        {
+            auto const decoded = decode_message(encode(message(claim)));
+            auto const decoded_verdict = decode_message(encode(message(verdict)));
+            THEN("every field has its original value")
+            {
+                REQUIRE(decoded);
+                auto const& body = std::get<submission_claim>(decoded.value());
+                CHECK(body.key == "00ff");
+                CHECK(body.claim.entry == claim.claim.entry);
+                CHECK(body.claim.number == 12);
+                REQUIRE(body.ended.size() == 1);
+                CHECK(body.ended[0].entry == ended.entry);
+                CHECK(body.ended[0].number == 4);
+                REQUIRE(decoded_verdict);
+                auto const& answer = std::get<claim_verdict>(decoded_verdict.value());
+                CHECK(answer.number == 12);
+                CHECK(answer.verdict == claim_verdict::kind::held);
+                CHECK(answer.holder.entry == ended.entry);
+            }
+        }
+    }
+}
