Start no task again while its machine is not heard

Cause: an entry gave up the runs of a silent agent after 2.0 or 2.2 s by its own clock, and started the tasks elsewhere. A suspended machine keeps its leases, whatever their length, and goes on with its runs when it wakes. Time was taken for the proof of an end.

Change: a task that may run at an agent which is not heard has no second start, in its job or in another one. Jobs that end with open runs ask the agents for their ends, and are kept and announced until they have answered. The caller that returns meanwhile is told after 0.5 s that the state of its job is not known (504). A search for runs of a lost entry waits for silent agents too.

--- a/src/agent/leased_identity.cpp
+++ b/src/agent/leased_identity.cpp
@@ -56,6 +56,7 @@
 void leased_runner::announced(worker_incarnation const& current,
                               std::optional<worker_clock> reading)
 {
+    this->discount_pause();
     this->resume_if_due();
     // Ignores delayed announcements of earlier incarnations.
     auto const present = this->identity.present();
@@ -84,6 +85,7 @@
 
 bool leased_runner::is_current(worker_incarnation const& named, worker_reply const& reply)
 {
+    this->discount_pause();
     if (reply.answer == worker_answer::accepted)
         this->on_token_accepted();
     bool const before = this->available();
--- a/src/agent/leased_runner.cpp
+++ b/src/agent/leased_runner.cpp
@@ -26,6 +26,8 @@
 /// An order without an answer may be carried out this long after it was sent.
 constexpr std::chrono::seconds longest_order_delay {30};
 constexpr milliseconds unreachable_timeout {700};
+/// A longer time without a call is a pause of this process. Ticks come every 10 ms.
+constexpr milliseconds min_pause {200};
 /// When the permission of a run has ended, orders to stop have this long before the lease ends all
 /// runs of the worker. With the validity of a stamp (780 ms) it must stay below 1.3 s, after which
 /// a caller may hand its job in at another entry.
@@ -79,7 +81,7 @@
 leased_runner::leased_runner(leased_worker& target, lease_limits worker_limits,
                              std::uint64_t initial_fence, clock_source time_source)
     : worker(target), limits(worker_limits), now(std::move(time_source)), created(this->now()),
-      token(initial_fence, this->created), last_contact(this->created),
+      token(initial_fence, this->created), last_contact(this->created), last_call(this->created),
       lease(worker_limits, this->created), alive(std::make_shared<bool>(true))
 {
 }
@@ -96,6 +98,7 @@
 
 void leased_runner::start(run_request const& request, callback done)
 {
+    this->discount_pause();
     auto const name = name_of(request.task);
     if (auto const reason = this->reason_not_to_start(request, name); !reason.empty())
         return done({outcome_kind::not_run, {}, std::string(reason)}, this->now());
@@ -371,6 +374,17 @@
         this->token.advance();
 }
 
+void leased_runner::discount_pause()
+{
+    auto const time = this->now();
+    auto const pause = time - std::exchange(this->last_call, time);
+    if (pause < min_pause)
+        return;
+    this->lease.on_paused(pause);
+    this->last_contact += pause;
+    this->start_lease_end += pause;
+}
+
 void leased_runner::record_contact()
 {
     this->last_contact = this->now();
@@ -380,6 +394,7 @@
 
 void leased_runner::tick()
 {
+    this->discount_pause();
     if (this->token.superseded())
         return;
     auto const time = this->now();
--- a/src/agent/leased_runner.h
+++ b/src/agent/leased_runner.h
@@ -147,6 +147,9 @@
     [[nodiscard]] base::steady_time latest_lease_end() const;
     /// A command did not reach the worker, which may be between two incarnations.
     void on_not_sent(worker_lease::grants const& before, worker_lease::grants const& after);
+    /// To be called first in each call. Time in which this process did not run says nothing of the
+    /// worker: the whole machine may have been suspended, and the worker's leases go on then.
+    void discount_pause();
     /// Latest end of the lease that the permission of this run allows.
     [[nodiscard]] base::steady_time latest_lease_end(active_run const& active) const;
     /// Why a run cannot start now; empty if it can.
@@ -254,6 +257,7 @@
     incarnation_tracker identity;
     bool is_announced = false; ///< The present incarnation has announced itself.
     base::steady_time last_contact;
+    base::steady_time last_call; ///< To this runner.
     worker_lease lease;
     foreign_runs foreign;
     bool lease_withheld = false; ///< The last renewal could not extend the lease.
--- a/src/agent/worker_lease.cpp
+++ b/src/agent/worker_lease.cpp
@@ -48,6 +48,12 @@
     this->current.end = worker_clock(0);
 }
 
+void worker_lease::on_paused(base::steady_time::duration duration)
+{
+    this->current.named_until += duration;
+    this->current.expire_at += duration;
+}
+
 void worker_lease::record_clock(worker_clock reading, base::steady_time now)
 {
     if (this->last_reading && reading <= this->worker_time(now))
--- a/src/agent/worker_lease.h
+++ b/src/agent/worker_lease.h
@@ -68,6 +68,9 @@
     /// The worker has answered a call with a token that was raised after `on_restarted` or
     /// `on_resumed`.
     void on_fenced(worker_clock reading, base::steady_time now);
+    /// This process has not run for `duration`. The worker may not have run either, and its clock
+    /// may have stood still, so leases may last longer by that.
+    void on_paused(base::steady_time::duration duration);
     /// A reading that is older than what is known has no effect: answers may arrive out of order,
     /// and may be read long after they were sent, because the agent was paused.
     void record_clock(worker_clock reading, base::steady_time now);
--- a/src/entry/agent_table.cpp
+++ b/src/entry/agent_table.cpp
@@ -113,7 +113,6 @@
         if (has_valid_stamp)
             continue;
         record.lost = true;
-        record.lost_since = now;
         found.lost.push_back(slot);
     }
     return found;
--- a/src/entry/agent_table.h
+++ b/src/entry/agent_table.h
@@ -27,7 +27,6 @@
     bool replaced = false; ///< Another incarnation of the same agent has reported since.
     bool silent = false; ///< No report within the silence limit; gets no new work.
     bool lost = false; ///< Silent, and every stamp issued to it has expired.
-    base::steady_time lost_since; ///< Of the last loss.
     base::steady_time last_report;
     base::steady_time current_since; ///< First report after that of another incarnation.
     base::clock_reading clock {0}; ///< Reading of the agent's own clock in its last report.
@@ -43,7 +42,8 @@
     /// When the last stamp expires that was sent to the agent, with or without a lease. In the
     /// entry's clock.
     base::steady_time permitted_until;
-    /// When the ephemeral runs of this entry have ended at the latest, if no further stamp is sent.
+    /// When the ephemeral runs of this entry have ended at the latest, if no further stamp is sent
+    /// and the machine is not suspended. Only counts once the machine has been heard again.
     [[nodiscard]] base::steady_time runs_end_by() const
     {
         return this->permitted_until + policy::longest_run_after_permission;
--- a/src/entry/attempt_monitor.cpp
+++ b/src/entry/attempt_monitor.cpp
@@ -199,12 +199,10 @@
     this->for_each_attempt(agent, [&](job& job, std::uint32_t index, attempt& open) {
         if (open.superseded || job.content == nullptr)
             return;
-        if (job.ephemeral)
-            return this->components.timers.add({now + policy::unconfirmed_run_limit,
-                                                timer_kind::lost_attempt_expired, job.number, index,
-                                                open.number});
-        // Only the agent knows the outcome of a task that must not run twice.
-        if (!job.content->tasks[index].idempotent)
+        // Only the agent knows the outcome of a task that must not run twice. A run of an ephemeral
+        // task must have ended before the next one: its machine may be suspended, and goes on with
+        // the run when it wakes.
+        if (job.ephemeral || !job.content->tasks[index].idempotent)
             return;
         auto const endpoint = open.endpoint;
         auto& task = job.tasks[index];
@@ -227,7 +225,17 @@
     });
 }
 
-void attempt_monitor::on_lost_attempt_expired(timer const& due, base::steady_time now)
+bool attempt_monitor::waits_for_lost_agent(job const& job) const
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(), [this](auto const& task) {
+        return !task.done()
+            && std::any_of(task.attempts.begin(), task.attempts.end(), [this](auto const& open) {
+                   return this->components.agents.at(open.agent).lost;
+               });
+    });
+}
+
+void attempt_monitor::on_replaced_attempt_expired(timer const& due, base::steady_time now)
 {
     auto* job = this->components.jobs.find(due.job);
     if (job == nullptr || due.index >= job->tasks.size())
@@ -238,12 +246,7 @@
         return;
     auto const& agent = this->components.agents.at(open->agent);
     if (agent.replaced && now >= agent.runs_end_by())
-        return this->close_as_unknown(*job, due.index, *open, due.attempt,
-                                      "the agent was restarted", now);
-    // An agent that has returned is queried for the outcome instead. Each loss has its own timer.
-    if (!agent.lost || now < agent.lost_since + policy::unconfirmed_run_limit)
-        return;
-    this->close_as_unknown(*job, due.index, *open, due.attempt, "the agent was lost", now);
+        this->close_as_unknown(*job, due.index, *open, due.attempt, "the agent was restarted", now);
 }
 
 void attempt_monitor::close_as_unknown(job& job, std::uint32_t index, attempt const& open,
@@ -267,8 +270,7 @@
     this->components.lifecycle.end_if_stopped(job, now);
 }
 
-void attempt_monitor::cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot,
-                                          base::steady_time now)
+void attempt_monitor::cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot)
 {
     for (auto const& reported : report.ephemeral_runs) {
         auto* const job = this->components.jobs.find(reported.task.job);
@@ -281,8 +283,6 @@
         if (known)
             continue;
         this->components.outbox.add_cancel(slot, reported);
-        if (job != nullptr)
-            this->components.lifecycle.on_unconfirmed_run_listed(*job, reported, slot, now);
     }
 }
 
@@ -294,7 +294,7 @@
     this->for_each_attempt(agent, [&](job& job, std::uint32_t index, attempt& open) {
         if (job.ephemeral && now < ended)
             return this->components.timers.add(
-                {ended, timer_kind::lost_attempt_expired, job.number, index, open.number});
+                {ended, timer_kind::replaced_attempt_expired, job.number, index, open.number});
         this->close_as_unknown(job, index, open, job.tasks[index].last_attempt,
                                "the agent was restarted", now);
     });
--- a/src/entry/attempt_monitor.h
+++ b/src/entry/attempt_monitor.h
@@ -27,8 +27,11 @@
 
     void on_check(timer const& due, base::steady_time now);
     void on_requeue(timer const& due);
-    /// The run time limit of an ephemeral attempt at a lost agent has passed, so its run has ended.
-    void on_lost_attempt_expired(timer const& due, base::steady_time now);
+    /// The run of an attempt at a replaced agent is no longer permitted. The machine has been heard
+    /// since.
+    void on_replaced_attempt_expired(timer const& due, base::steady_time now);
+    /// Whether a task of the job can end or start again only when a lost agent is heard again.
+    [[nodiscard]] bool waits_for_lost_agent(job const& job) const;
 
     /// Queries the agent for its open attempts, because it is reachable again or may have lost
     /// messages.
@@ -43,8 +46,7 @@
     void on_lagging(protocol::lagging_run const& notice, base::steady_time now);
     /// Cancels reported ephemeral runs that match no attempt of this entry at the agent in `slot`,
     /// for example because a cancellation was lost with its connection.
-    void cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot,
-                             base::steady_time now);
+    void cancel_unknown_runs(protocol::agent_report const& report, agent_slot slot);
 
 private:
     void add_check_timer(base::steady_time time, job const& job, std::uint32_t index,
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -86,6 +86,8 @@
     }
     for (auto const& id : original_query.jobs) {
         auto* job = this->components.jobs.find(id);
+        if (job != nullptr && job->is_final())
+            attempt_tracker::confirm_ends(*job, *slot, report, original_query.sent);
         if (job == nullptr || job->phase != job_phase::running || job->content == nullptr)
             continue;
         for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
@@ -99,6 +101,19 @@
     }
 }
 
+void attempt_tracker::confirm_ends(job& job, agent_slot agent,
+                                   protocol::outcome_report const& report, base::steady_time asked)
+{
+    std::erase_if(job.unconfirmed, [&](auto const& run) {
+        bool const goes_on
+            = std::any_of(report.outcomes.begin(), report.outcomes.end(), [&](auto const& outcome) {
+                  return outcome.task.job == job.id && outcome.task.index == run.index
+                      && outcome.attempt == run.attempt && outcome.kind == outcome_kind::running;
+              });
+        return run.agent == agent && asked >= run.since && !goes_on;
+    });
+}
+
 void attempt_tracker::confirm_end(job& job, protocol::process_id const& agent,
                                   protocol::task_outcome const& outcome)
 {
--- a/src/entry/attempt_tracker.h
+++ b/src/entry/attempt_tracker.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "entry/agent_table.h"
 #include "protocol/message.h"
 
 namespace greengagehead::entry {
@@ -45,6 +46,10 @@
 
 private:
     /// Notes that a run that was cancelled at the end of its job has ended.
+    /// Removes the runs that the agent no longer has from the unconfirmed ones of a final job.
+    /// @param asked when the agent was asked.
+    static void confirm_ends(job& job, agent_slot agent, protocol::outcome_report const& report,
+                             base::steady_time asked);
     void confirm_end(job& job, protocol::process_id const& agent,
                      protocol::task_outcome const& outcome);
     void record_run(job const& job, std::uint32_t index, protocol::task_outcome const& outcome,
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -148,7 +148,7 @@
         this->monitor.on_agent_replaced(*previous, now);
     if (kind == report_kind::returned)
         this->monitor.query_attempts(*this->agents.slot_of(report.agent));
-    this->monitor.cancel_unknown_runs(report, *this->agents.slot_of(report.agent), now);
+    this->monitor.cancel_unknown_runs(report, *this->agents.slot_of(report.agent));
     this->leases.on_report(record, now);
     this->dispatch.capacity_changed();
 }
@@ -175,8 +175,8 @@
         case timer_kind::requeue:
             this->monitor.on_requeue(*due);
             break;
-        case timer_kind::lost_attempt_expired:
-            this->monitor.on_lost_attempt_expired(*due, now);
+        case timer_kind::replaced_attempt_expired:
+            this->monitor.on_replaced_attempt_expired(*due, now);
             break;
         case timer_kind::announcement:
             if (auto const* job = this->jobs.find(due->job))
@@ -283,6 +283,10 @@
                 this->submission_consent.on_verdict(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::claim_release>) {
                 this->submission_consent.on_release(peer, message);
+            } else if constexpr (std::is_same_v<type, protocol::claims_ended>) {
+                this->submission_consent.on_claims_ended(peer, message);
+            } else if constexpr (std::is_same_v<type, protocol::claims_held>) {
+                this->submission_consent.on_claims_held(peer, message, now);
             }
         },
         body);
@@ -420,6 +424,7 @@
     this->pimpl->agents.on_up(peer, now);
     this->pimpl->control.on_peer_up(peer);
     this->pimpl->resubmitted.peer_up(peer, now);
+    this->pimpl->submission_consent.peer_up(peer);
     if (!this->pimpl->leases.valid(now))
         this->pimpl->leases.renew_soon();
     if (auto const* agent = this->pimpl->agents.find(peer))
--- a/src/entry/job.cpp
+++ b/src/entry/job.cpp
@@ -83,10 +83,10 @@
     return answer_of(job, false);
 }
 
-protocol::job_answer settled_answer(job const& job, base::steady_time now)
+protocol::job_answer settled_answer(job const& job)
 {
     auto answer = job.answer;
-    if (!job.unconfirmed.empty() && now < job.runs_end_by)
+    if (!job.unconfirmed.empty())
         return answer;
     for (auto& task : answer.tasks) {
         if (task.state == protocol::task_state::may_have_run)
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -38,6 +38,7 @@
     std::uint32_t index = 0; ///< Task index.
     std::uint32_t attempt = 1;
     agent_slot agent = 0;
+    base::steady_time since; ///< When it was cancelled.
 };
 
 struct task {
@@ -82,6 +83,8 @@
     std::string backup; ///< Peer name; empty when there is no backup.
     protocol::job_epoch epoch = 1;
 
+    std::uint64_t claim_number = 0; ///< Of an ephemeral job, at its witnesses.
+
     base::steady_time submitted;
     /// When its caller has sent it at the earliest. Before `submitted` when it was held, or when it
     /// waited while this entry was paused.
@@ -108,8 +111,10 @@
     std::size_t awaited = 0; ///< Attempts of all tasks whose outcome is awaited.
     std::uint32_t refused_starts = 0; ///< Attempts that an agent did not admit; logged at the end.
 
-    std::vector<unconfirmed_run> unconfirmed; ///< Of a final ephemeral job.
-    base::steady_time runs_end_by; ///< When the `unconfirmed` runs have ended at the latest.
+    /// Of a final ephemeral job. Only a statement about a run removes it: no time that passes
+    /// proves its end, because a machine that was suspended goes on with its runs.
+    std::vector<unconfirmed_run> unconfirmed;
+    base::steady_time unconfirmed_announced; ///< Last announcement of `unconfirmed`.
 
     protocol::job_state final_state = protocol::job_state::running;
     std::optional<base::error> failure;
@@ -140,8 +145,8 @@
 /// Final answer; contains results only when the final state is complete.
 [[nodiscard]] protocol::job_answer make_answer(job& job);
 
-/// The final answer as it is at `now`: runs that have surely ended count as cancelled.
-[[nodiscard]] protocol::job_answer settled_answer(job const& job, base::steady_time now);
+/// The final answer as it is now: runs that have surely ended count as cancelled.
+[[nodiscard]] protocol::job_answer settled_answer(job const& job);
 
 /// Answer of a job that is not final: state running, without results.
 [[nodiscard]] protocol::job_answer current_answer(job const& job);
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -25,8 +25,8 @@
 /// Wait for the outcomes of cancelled tasks, so that the answer can say what has run.
 constexpr milliseconds stop_grace {500};
 constexpr milliseconds refused_retry_after {500};
-/// The end of a run that agents go on to list is moved by steps, and announced at each of them.
-constexpr milliseconds listed_run_extension {500};
+/// Pause before an agent that has not confirmed the end of a run is asked for it again.
+constexpr milliseconds confirmation_interval {250};
 /// Longest wait for control when a claim was given up.
 constexpr milliseconds claim_lookup_timeout {500};
 /// A submission that is resent to the same entry within this time gets the same answer.
@@ -158,9 +158,12 @@
     case timer_kind::waiter:
         return this->answer_expired_waiters(*job, now);
     case timer_kind::answer_expired:
-        if (!job->unconfirmed.empty() && now < job->runs_end_by)
-            return this->add_timer(*job, timer_kind::answer_expired, job->runs_end_by);
+        if (!job->unconfirmed.empty()
+            && now < job->submitted + this->components.settings.answer_retention)
+            return this->add_timer(*job, timer_kind::answer_expired, now + ephemeral_retention);
         return this->components.jobs.remove(*job);
+    case timer_kind::unconfirmed_check:
+        return this->check_unconfirmed(*job, now);
     default:
         return;
     }
@@ -339,26 +342,38 @@
 {
     for (std::uint32_t i = 0; i < job.tasks.size(); ++i) {
         for (auto const& open : job.tasks[i].attempts)
-            job.unconfirmed.push_back({i, open.number, open.agent});
+            job.unconfirmed.push_back({i, open.number, open.agent, now});
     }
     if (job.unconfirmed.empty())
         return;
-    job.runs_end_by = now + policy::listed_run_limit;
+    job.unconfirmed_announced = now;
     this->components.resubmitted.announce(job);
+    this->add_timer(job, timer_kind::unconfirmed_check, now + confirmation_interval);
 }
 
-void job_lifecycle::on_unconfirmed_run_listed(job& job, protocol::attempt_ref const& run,
-                                              agent_slot agent, base::steady_time now)
+void job_lifecycle::check_unconfirmed(job& job, base::steady_time now)
 {
-    auto const unconfirmed
-        = std::any_of(job.unconfirmed.begin(), job.unconfirmed.end(), [&](auto const& item) {
-              return item.index == run.task.index && item.attempt == run.attempt
-                  && item.agent == agent;
-          });
-    if (!unconfirmed || job.runs_end_by >= now + policy::listed_run_limit)
-        return;
-    job.runs_end_by = now + policy::listed_run_limit + listed_run_extension;
-    this->components.resubmitted.announce(job);
+    // The machine of a replaced agent has been heard again.
+    std::erase_if(job.unconfirmed, [this, now](auto const& run) {
+        auto const& agent = this->components.agents.at(run.agent);
+        return agent.replaced && now >= agent.runs_end_by();
+    });
+    if (job.unconfirmed.empty())
+        return this->components.submission_consent.record_ended(job);
+    for (auto const& run : job.unconfirmed) {
+        auto const& agent = this->components.agents.at(run.agent);
+        if (agent.replaced || agent.silent)
+            continue;
+        // A start that arrives after the cancellation is refused, so the answer to the query is
+        // final.
+        this->components.outbox.add_cancel(run.agent, {{job.id, run.index}, run.attempt});
+        this->components.outbox.add_query(run.agent, job.id, job.epoch);
+    }
+    if (now - job.unconfirmed_announced >= policy::unconfirmed_announcement / 2) {
+        job.unconfirmed_announced = now;
+        this->components.resubmitted.announce(job);
+    }
+    this->add_timer(job, timer_kind::unconfirmed_check, now + confirmation_interval);
 }
 
 void job_lifecycle::adopt_answer(job& job, protocol::job_answer const& answer,
@@ -392,6 +407,8 @@
                          0});
     if (job.ephemeral) {
         this->add_timer(job, timer_kind::answer_expired, now + ephemeral_retention);
+        if (job.unconfirmed.empty())
+            this->components.submission_consent.record_ended(job);
     } else {
         job.finish_sent = true;
         this->components.claims.finish({job.id, job.epoch, job.answer.state, job.answer.ran});
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -126,6 +126,7 @@
     auto& added = this->add_job(std::move(submission.request), std::move(submission.caller),
                                 submission.deadline, now);
     added.latest_start = submission.latest_start;
+    added.claim_number = submission.claim_number;
     added.submitted = submission.was_held ? now : submission.submitted;
     added.earliest_sent = submission.earliest_sent;
     added.claim_committed = true;
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -65,9 +65,6 @@
     /// Stops a job that can no longer succeed: dequeues its waiting tasks and cancels its running
     /// ones.
     void fail(job& job, base::error failure, base::steady_time now);
-    /// An agent has listed a run of a final ephemeral job: if its end is not confirmed, it goes on.
-    void on_unconfirmed_run_listed(job& job, protocol::attempt_ref const& run, agent_slot agent,
-                                   base::steady_time now);
     /// Ends a stopping job once no outcome is awaited.
     void end_if_stopped(job& job, base::steady_time now);
     /// Creates the task states and estimates from the content.
@@ -118,6 +115,8 @@
     void stop(job& job, protocol::job_state state, base::error failure, base::steady_time now);
     void finalize(job& job, base::steady_time now);
     void record_unconfirmed_runs(job& job, base::steady_time now);
+    /// Asks the agents for the ends of the runs that were cancelled when the job ended.
+    void check_unconfirmed(job& job, base::steady_time now);
     void publish(job& job, base::steady_time now);
     void on_deadline(job& job, base::steady_time now);
     void answer_waiters(job& job);
--- a/src/entry/remote_jobs.cpp
+++ b/src/entry/remote_jobs.cpp
@@ -286,9 +286,19 @@
         caller.on_query = reply;
         if (job->ephemeral && job->is_final()) {
             protocol::job_reply ended;
-            ended.answer = settled_answer(*job, now);
+            ended.answer = settled_answer(*job);
             return reply(ended);
         }
+        // Nobody is to wait longer for a run on a machine that is not heard.
+        if (job->ephemeral && this->components.monitor.waits_for_lost_agent(*job)) {
+            protocol::job_reply waiting;
+            waiting.answer = current_answer(*job);
+            waiting.answer->failure = base::error {base::error_code::unavailable,
+                                                   base::error_step::run,
+                                                   {},
+                                                   "a run goes on at an agent that is not heard"};
+            return reply(waiting);
+        }
         // A caller that waits at the other entry needs the answer after the deadline of the first.
         if (job->ephemeral) {
             job->wanted_until = caller.wait_until + answer_timeout;
--- a/src/entry/remote_runs.cpp
+++ b/src/entry/remote_runs.cpp
@@ -20,8 +20,9 @@
 constexpr milliseconds answer_timeout {250};
 /// Pause before an agent that still has a run of the job is asked again.
 constexpr milliseconds repeat_delay {50};
-/// An agent without a report for this long is silent.
-constexpr milliseconds agent_silence {1000};
+/// An entry starts nothing at an agent that it has not heard for this long: 1.1 s, and the times of
+/// two messages.
+constexpr milliseconds longest_use_unheard {1500};
 
 } // namespace
 
@@ -35,7 +36,7 @@
 bool remote_runs::must_answer(agent_record const& agent, searched_job const& job)
 {
     return !agent.replaced && agent.last_report != base::steady_time {}
-    && agent.last_report + agent_silence >= job.announced;
+    && agent.last_report + longest_use_unheard >= job.announced;
 }
 
 bool remote_runs::ended(std::string const& id) const
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -185,7 +185,9 @@
         auto const* const job = this->components.jobs.find(number);
         if (job == nullptr)
             continue;
-        auto const end = job->is_final() ? job->runs_end_by : job->deadline;
+        if (job->is_final() && job->unconfirmed.empty())
+            continue;
+        auto const end = job->is_final() ? now + policy::unconfirmed_announcement : job->deadline;
         if (end <= now)
             continue;
         auto const key = job_id_of(job->team, job->submission);
@@ -437,14 +439,14 @@
 }
 
 void resubmissions::hold(unstarted_submission submission, protocol::claim_ref const& holder,
-                         base::steady_time now)
+                         base::steady_time granted, base::steady_time now)
 {
     auto const key = key_of(submission.request);
     auto const found = this->incarnations.find(holder.entry.name);
     bool const replaced
         = found != this->incarnations.end() && found->second != holder.entry.incarnation;
     bool const connected = this->linked.contains(holder.entry.name) && !replaced;
-    this->known.record_claim(key, holder, connected, now);
+    this->known.record_claim(key, holder, connected, granted, now);
     this->record_present_entries();
     this->proceed(this->add_hold(std::move(submission), holder.entry.name, now), now);
 }
@@ -467,9 +469,9 @@
     if (now >= item.deadline)
         return this->give_up(item, "the deadline has passed");
     if (auto* const abandoned = this->find_abandoned(item.request)) {
-        auto const state = settled_answer(*abandoned, now);
+        auto const state = settled_answer(*abandoned);
         if (!abandoned->is_final() || policy::next_step(&state) == resubmission_step::ask_again)
-            return this->wait_until(item, now + repeat_delay);
+            return this->wait_for_ends(item, now);
     }
     auto const elsewhere = this->known.find(item.key, now);
     if (!elsewhere && this->must_wait_for_newer(item, now))
@@ -494,7 +496,7 @@
     }
     this->runs.search(job, elsewhere.announced);
     if (!this->runs.ended(job))
-        return this->wait_until(item, now + repeat_delay);
+        return this->wait_for_ends(item, now);
     this->end_search(item);
     this->record_ended(item, elsewhere.entry, "the agents run nothing of a lost entry");
     this->proceed(item, now);
@@ -561,6 +563,9 @@
 {
     switch (policy::next_step(state)) {
     case resubmission_step::ask_again:
+        if (state->state != protocol::job_state::running || state->failure)
+            return this->wait_for_ends(item, now);
+        item.ends_awaited_since.reset();
         return this->wait_until(item, now + repeat_delay);
     case resubmission_step::answer:
         return this->finish(item, *state);
@@ -649,6 +654,15 @@
     return released;
 }
 
+void resubmissions::wait_for_ends(held_submission& item, base::steady_time now)
+{
+    if (!item.ends_awaited_since)
+        item.ends_awaited_since = now;
+    if (now >= *item.ends_awaited_since + policy::unconfirmed_end_wait)
+        return this->give_up(item, "a run may go on at a machine that is not heard");
+    this->wait_until(item, now + repeat_delay);
+}
+
 void resubmissions::wait_until(held_submission& item, base::steady_time time)
 {
     item.next_step_at = std::min(time, item.deadline);
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -80,8 +80,9 @@
     void on_report(protocol::outcome_report const& report, base::steady_time now);
     void on_timer(std::uint64_t id, base::steady_time now);
     /// Holds a submission that a witness has granted to another entry.
+    /// @param granted when it was granted.
     void hold(unstarted_submission submission, protocol::claim_ref const& holder,
-              base::steady_time now);
+              base::steady_time granted, base::steady_time now);
     /// A submission that was held here has become a job, or was refused.
     void announce_start(std::string const& key, std::string const& job, base::steady_time now);
     /// Tells the other entries that this one holds the submission no longer and has not started it.
@@ -113,6 +114,8 @@
         std::vector<protocol::claim_ref> ended_claims;
         std::string ended_reason;
         base::steady_time earliest_sent; ///< As in `job`.
+        /// Since when only the ends of runs are awaited that are to stop.
+        std::optional<base::steady_time> ends_awaited_since;
         std::string searched_job; ///< Id of the job that the agents are asked for.
         base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
     };
@@ -139,6 +142,9 @@
     /// Ends the hold and returns the submission.
     held_submission release(held_submission& item, std::string_view outcome);
     void end_search(held_submission& item);
+    /// Waits for the ends of runs that are to stop, but not for long: their machine may not be
+    /// heard for a while. This may end the hold.
+    void wait_for_ends(held_submission& item, base::steady_time now);
     void wait_until(held_submission& item, base::steady_time time);
     [[nodiscard]] bool must_wait_for_newer(held_submission const& item,
                                            base::steady_time now) const;
--- a/src/entry/submission_claims.cpp
+++ b/src/entry/submission_claims.cpp
@@ -18,9 +18,13 @@
 using std::chrono::milliseconds;
 using verdict_kind = protocol::claim_verdict::kind;
 
-/// All witnesses are asked when those that were asked first have not consented by then, and again
-/// at this interval.
-constexpr milliseconds repeat_interval {40};
+/// All witnesses are asked when those that were asked first have not consented by then. Each
+/// further time is twice as long.
+constexpr milliseconds first_repeat_interval {40};
+/// Claims that have ended in this interval share one message to each witness.
+constexpr milliseconds ended_interval {250};
+/// Names of entries as peers begin so.
+constexpr std::string_view entry_peer_prefix = "entry.";
 /// A submission without a majority is refused after this time. An entry that is asked for the job
 /// is waited for longer, so that a claim never becomes a job after another entry has taken over.
 constexpr milliseconds claim_limit {500};
@@ -29,6 +33,8 @@
 /// It is then tried again.
 constexpr milliseconds slow_witness_pause {1000};
 constexpr milliseconds expiry_interval {1000};
+/// A longer time in a verdict counts as this.
+constexpr milliseconds max_stated_age {std::chrono::hours(24)};
 
 } // namespace
 
@@ -78,7 +84,8 @@
                                            std::move(submission),
                                            {},
                                            policy::claim_quorum(this->witnesses.find(key, now)),
-                                           expires_at})
+                                           expires_at,
+                                           first_repeat_interval})
                       .first->second;
     this->proceed(claim, now);
 }
@@ -111,10 +118,11 @@
     this->components.sender.send(witness, request);
 }
 
-void submission_claims::set_timer(open_claim const& claim, base::steady_time now)
+void submission_claims::set_timer(open_claim& claim, base::steady_time now)
 {
-    this->components.timers.add({std::min(now + repeat_interval, claim.expires_at),
+    this->components.timers.add({std::min(now + claim.next_interval, claim.expires_at),
                                  timer_kind::submission_claim, claim.number, 0, 0});
+    claim.next_interval *= 2;
 }
 
 void submission_claims::on_timer(std::uint64_t number, base::steady_time now)
@@ -173,7 +181,7 @@
         // Of an earlier claim of this entry, the answer to which was late.
         if (verdict.holder.entry == this->components.settings.id)
             return;
-        return this->on_denied(claim, verdict.holder, now);
+        return this->on_denied(claim, verdict, now);
     case verdict_kind::not_ready:
         return;
     }
@@ -187,14 +195,15 @@
     auto const& caller = claim.submission.caller;
     if (caller.has_left && caller.has_left())
         return this->refuse(claim, "the caller has left", now);
-    auto ended = this->take(claim);
-    if (!ended.submission.ended_reason.empty())
-        this->log_permission(ended);
-    bool const was_held = ended.submission.was_held;
-    this->components.lifecycle.admit(std::move(ended.submission), now);
+    auto granted = this->take(claim);
+    if (!granted.submission.ended_reason.empty())
+        this->log_permission(granted);
+    bool const was_held = granted.submission.was_held;
+    granted.submission.claim_number = granted.number;
+    this->components.lifecycle.admit(std::move(granted.submission), now);
     if (was_held)
-        this->components.resubmitted.announce_start(ended.key, ended.job, now);
-    for (auto& further : ended.further)
+        this->components.resubmitted.announce_start(granted.key, granted.job, now);
+    for (auto& further : granted.further)
         this->components.lifecycle.submit(std::move(further.request), std::move(further.caller),
                                           now);
 }
@@ -209,12 +218,13 @@
         .with("reason", claim.submission.ended_reason);
 }
 
-void submission_claims::on_denied(open_claim& claim, protocol::claim_ref const& holder,
+void submission_claims::on_denied(open_claim& claim, protocol::claim_verdict const& verdict,
                                   base::steady_time now)
 {
     this->release(claim);
     auto denied = this->take(claim);
-    this->components.resubmitted.hold(std::move(denied.submission), holder, now);
+    auto const age = std::clamp(verdict.age, milliseconds(0), max_stated_age);
+    this->components.resubmitted.hold(std::move(denied.submission), verdict.holder, now - age, now);
     for (auto& further : denied.further)
         this->components.lifecycle.submit(std::move(further.request), std::move(further.caller),
                                           now);
@@ -230,10 +240,11 @@
 
 void submission_claims::release(open_claim const& claim)
 {
-    protocol::claim_release const message {claim.key, {this->components.settings.id, claim.number}};
+    protocol::claim_release const message {
+        {claim.key, {this->components.settings.id, claim.number}}};
     for (auto const& witness : claim.quorum.asked_witnesses()) {
         if (witness == this->components.settings.id.name)
-            this->grants.release(claim.key, message.claim);
+            this->grants.release(claim.key, message.released.claim);
         else
             this->components.sender.send(witness, message);
     }
@@ -293,22 +304,33 @@
 
 // --- as a witness ---
 
-bool submission_claims::may_have_forgotten(base::steady_time now) const
+bool submission_claims::may_have_forgotten(base::steady_time now)
 {
-    bool const alone = this->components.leases.applied().entries.size() < 2;
-    return !alone && now < this->started + policy::longest_run_end;
+    if (this->knows_all)
+        return false;
+    auto const& entries = this->components.leases.applied().entries;
+    // What another entry has not told may have been granted to it, or by it.
+    bool const all_have_told = !entries.empty()
+        && std::all_of(entries.begin(), entries.end(), [this](auto const& entry) {
+               return entry.id.name == this->components.settings.id.name
+                   || this->informants.contains(entry.id.name);
+           });
+    this->knows_all = all_have_told || now >= this->started + policy::longest_run_end;
+    return !this->knows_all;
 }
 
 protocol::claim_verdict submission_claims::decide(protocol::submission_claim const& claim,
                                                   base::steady_time now)
 {
     if (this->may_have_forgotten(now))
-        return {claim.claim.number, verdict_kind::not_ready, {}};
-    auto const holder = this->grants.grant(claim.key, claim.claim, claim.ended, now);
-    bool const granted = holder.entry == claim.claim.entry && holder.number == claim.claim.number;
+        return {claim.claim.number, verdict_kind::not_ready, {}, {}};
+    auto const& held = this->grants.grant(claim.key, claim.claim, claim.ended, now);
+    bool const granted
+        = held.claim.entry == claim.claim.entry && held.claim.number == claim.claim.number;
     if (granted)
-        return {claim.claim.number, verdict_kind::granted, {}};
-    return {claim.claim.number, verdict_kind::held, holder};
+        return {claim.claim.number, verdict_kind::granted, {}, {}};
+    return {claim.claim.number, verdict_kind::held, held.claim,
+            std::chrono::ceil<milliseconds>(now - held.since)};
 }
 
 void submission_claims::on_claim(std::string const& peer, protocol::submission_claim const& claim,
@@ -320,8 +342,67 @@
 
 void submission_claims::on_release(std::string const& peer, protocol::claim_release const& release)
 {
-    if (release.claim.entry.name == peer)
-        this->grants.release(release.key, release.claim);
+    auto const& [key, claim] = release.released;
+    if (claim.entry.name == peer)
+        this->grants.release(key, claim);
+}
+
+void submission_claims::on_claims_ended(std::string const& peer,
+                                        protocol::claims_ended const& message)
+{
+    for (auto const& [key, claim] : message.claims) {
+        if (claim.entry.name == peer)
+            this->grants.record_ended(key, claim);
+    }
+}
+
+void submission_claims::on_claims_held(std::string const& peer,
+                                       protocol::claims_held const& message, base::steady_time now)
+{
+    if (message.entry.name != peer)
+        return;
+    for (auto const& [key, claim] : message.claims)
+        this->grants.adopt(key, claim, now);
+    this->informants.insert(peer);
+}
+
+void submission_claims::peer_up(std::string const& peer)
+{
+    if (!peer.starts_with(entry_peer_prefix))
+        return;
+    auto const& self = this->components.settings.id;
+    protocol::claims_held message {self, this->grants.held()};
+    for (auto const& [number, claim] : this->claims)
+        message.claims.push_back({claim.key, {self, number}});
+    for (auto const& [number, job] : this->components.jobs.all()) {
+        if (job->ephemeral && (!job->is_final() || !job->unconfirmed.empty()))
+            message.claims.push_back(
+                {job_id_of(job->team, job->submission), {self, job->claim_number}});
+    }
+    this->components.sender.send(peer, message);
+}
+
+void submission_claims::record_ended(job const& job)
+{
+    this->ended.push_back(
+        {job_id_of(job.team, job.submission), {this->components.settings.id, job.claim_number}});
+}
+
+void submission_claims::send_ended(base::steady_time now)
+{
+    std::map<std::string, protocol::claims_ended> messages; // By witness.
+    for (auto const& item : std::exchange(this->ended, {})) {
+        for (auto const& set : this->witnesses.find(item.key, now)) {
+            for (auto const& witness : set)
+                messages[witness].claims.push_back(item);
+        }
+    }
+    for (auto const& [witness, message] : messages) {
+        if (witness == this->components.settings.id.name)
+            this->on_claims_ended(witness, message);
+        else
+            this->components.sender.send(witness, message);
+    }
 }
 
 void submission_claims::on_view(base::steady_time now)
@@ -338,6 +419,10 @@
 
 void submission_claims::tick(base::steady_time now)
 {
+    if (!this->ended.empty() && now >= this->next_ended) {
+        this->next_ended = now + ended_interval;
+        this->send_ended(now);
+    }
     if (now < this->next_expiry)
         return;
     this->next_expiry = now + expiry_interval;
--- a/src/entry/submission_claims.h
+++ b/src/entry/submission_claims.h
@@ -21,6 +21,7 @@
 namespace greengagehead::entry {
 
 struct entry_components;
+struct job;
 
 /// An ephemeral submission that was admitted and has not started.
 struct unstarted_submission {
@@ -34,6 +35,7 @@
     std::vector<protocol::claim_ref> ended_claims;
     std::string ended_reason;
     bool was_held = false; ///< The other entries were told that this one holds it.
+    std::uint64_t claim_number = 0; ///< Of the claim that was granted.
 };
 
 class submission_claims {
@@ -52,8 +54,15 @@
     void on_verdict(std::string const& peer, protocol::claim_verdict const& verdict,
                     base::steady_time now);
     void on_release(std::string const& peer, protocol::claim_release const& release);
+    void on_claims_ended(std::string const& peer, protocol::claims_ended const& message);
+    void on_claims_held(std::string const& peer, protocol::claims_held const& message,
+                        base::steady_time now);
+    /// Tells an entry that has connected what may run.
+    void peer_up(std::string const& peer);
     /// A new view has been applied.
     void on_view(base::steady_time now);
+    /// Nothing of the job runs any more. Its witnesses are told at the next tick.
+    void record_ended(job const& job);
     /// Another entry asks for the job with this id, which has no job here. Returns false when no
     /// claim for it is open.
     bool on_query(std::string const& peer, protocol::job_query const& query);
@@ -80,13 +89,15 @@
         std::vector<unstarted_submission> further;
         policy::claim_quorum quorum;
         base::steady_time expires_at;
+        std::chrono::milliseconds next_interval {0}; ///< Until the witnesses are asked again.
     };
 
     /// Asks further witnesses, and ends the claim when its quorum is complete.
     void proceed(open_claim& claim, base::steady_time now);
     void ask(open_claim& claim, std::string const& witness, base::steady_time now);
     void on_granted(open_claim& claim, base::steady_time now);
-    void on_denied(open_claim& claim, protocol::claim_ref const& holder, base::steady_time now);
+    void on_denied(open_claim& claim, protocol::claim_verdict const& verdict,
+                   base::steady_time now);
     /// A denial ends the claim.
     void record_verdict(std::string const& witness, protocol::claim_verdict const& verdict,
                         base::steady_time now);
@@ -96,13 +107,14 @@
     open_claim take(open_claim& claim);
     /// Tells the witnesses that nothing was started under the claim.
     void release(open_claim const& claim);
-    void set_timer(open_claim const& claim, base::steady_time now);
+    void set_timer(open_claim& claim, base::steady_time now);
     [[nodiscard]] open_claim* find(std::string const& key);
     /// Decision of this entry as a witness.
     [[nodiscard]] protocol::claim_verdict decide(protocol::submission_claim const& claim,
                                                  base::steady_time now);
-    /// Whether grants of a former incarnation of this entry may still count.
-    [[nodiscard]] bool may_have_forgotten(base::steady_time now) const;
+    /// Whether grants of a former incarnation of this entry may still count that it does not know.
+    [[nodiscard]] bool may_have_forgotten(base::steady_time now);
+    void send_ended(base::steady_time now);
     /// Witnesses that do not owe an answer for long.
     [[nodiscard]] std::set<std::string> responsive(base::steady_time now) const;
 
@@ -114,6 +126,11 @@
     /// When the oldest claim was sent to an entry that has not answered since.
     std::unordered_map<std::string, base::steady_time> unanswered_since;
     base::steady_time started;
+    /// Entries that have told what they know of the claims that this one has forgotten.
+    std::set<std::string> informants;
+    bool knows_all = false; ///< What a former incarnation has granted.
+    std::vector<protocol::submission_ref> ended; ///< The witnesses are not told yet.
+    base::steady_time next_ended;
     base::steady_time next_expiry;
 };
 
--- a/src/entry/timer_queue.h
+++ b/src/entry/timer_queue.h
@@ -21,7 +21,8 @@
     waiter,
     attempt_check, ///< Hedge a slow attempt, or query its agent.
     requeue, ///< A refused task may be placed again.
-    lost_attempt_expired, ///< The run of an attempt at a lost agent has certainly ended.
+    replaced_attempt_expired, ///< The run of an attempt at a replaced agent has ended.
+    unconfirmed_check, ///< Ask for the ends of runs of a final ephemeral job.
     answer_expired, ///< The answer of an ephemeral job is dropped.
     announcement, ///< An unfinished ephemeral job is announced to the other entries.
     acknowledgement_check, ///< All other entries are to have an announced job by now.
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -59,7 +59,7 @@
 }
 
 void remote_submissions::record_claim(std::string const& key, protocol::claim_ref const& holder,
-                                      bool connected, steady_time now)
+                                      bool connected, steady_time granted, steady_time now)
 {
     auto& items = this->running[key];
     auto const found = std::find_if(items.begin(), items.end(), [&holder](auto const& item) {
@@ -69,8 +69,8 @@
         found->claim = std::max(found->claim, holder.number);
         return;
     }
-    items.push_back({holder.entry, connected, false, false, now, now, now + claimed_run_limit,
-                     holder.number, false});
+    items.push_back({holder.entry, connected, false, false, granted, granted,
+                     now + claimed_run_limit, holder.number, false});
 }
 
 std::optional<std::uint64_t> remote_submissions::claim_number(protocol::process_id const& entry,
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -23,11 +23,13 @@
 constexpr std::chrono::milliseconds announcement_age {400};
 /// Longest time from the deadline of a job, or from the end of its entry, until its runs have
 /// ended: agents stop the runs of an entry whose link is down after 300 ms, and workers end those
-/// of a frozen agent within 1.02 s.
+/// of a frozen agent within 1.02 s. Not true of a machine that was suspended meanwhile, so nothing
+/// starts on this ground alone.
 constexpr std::chrono::milliseconds longest_run_end {1400};
 /// Longest time from the loss of an agent until its runs have ended: no stamp is sent to it any
 /// more, the last one expires within 780 ms, and the worker ends the runs
-/// `longest_run_after_permission` later, also when the agent is frozen or gone.
+/// `longest_run_after_permission` later, also when the agent is frozen or gone. A bound on work
+/// that nobody waits for, and no proof: the machine may be suspended.
 constexpr std::chrono::milliseconds unconfirmed_run_limit {2000};
 /// Longest time from the expiry of the last stamp of an entry at an agent until the worker has
 /// ended its runs: the agent does not extend the lease beyond 300 ms, and the worker's clock may be
@@ -35,8 +37,14 @@
 constexpr std::chrono::milliseconds longest_run_after_permission {310};
 /// Longest time from the last report that lists a run until it has ended, although its worker does
 /// not stop it: the entry sends stamps until the agent has been silent for 1.1 s, they last 780 ms,
-/// and the run ends `longest_run_after_permission` later.
+/// and the run ends `longest_run_after_permission` later. No proof either.
 constexpr std::chrono::milliseconds listed_run_limit {2200};
+/// A job that has ended with runs whose end is not confirmed is announced for this time, and again
+/// before it has passed.
+constexpr std::chrono::milliseconds unconfirmed_announcement {2000};
+/// A caller is told that the state of its job is not known when the end of the runs, which are to
+/// stop, is not confirmed by then: their machine is not heard. A stop takes some 50 ms.
+constexpr std::chrono::milliseconds unconfirmed_end_wait {500};
 /// How long a submission is held for an entry of which only its claim is known.
 constexpr std::chrono::milliseconds claimed_run_limit {15'000};
 /// Times of submissions that differ by less are not told apart: one of them is estimated from a
@@ -74,7 +82,8 @@
     bool held = false; ///< The entry has started nothing of it, and may start it later.
     base::steady_time announced; ///< When the entry has announced it last.
     base::steady_time submitted; ///< When it arrived there.
-    base::steady_time ends_by; ///< Its runs have ended by then.
+    /// It is forgotten then. Its runs may go on, which the witnesses of the submission know.
+    base::steady_time ends_by;
     /// Of the claim under which the entry may run it; 0 when only announced.
     std::uint64_t claim = 0;
     bool replaced = false; ///< A later incarnation of the entry has been heard.
@@ -95,8 +104,9 @@
                 protocol::submissions_running::submission const& announced, steady_time now);
     /// A witness has granted the submission to the entry.
     /// @param connected whether this incarnation of the entry has a link.
+    /// @param granted when the witness has granted it.
     void record_claim(std::string const& key, protocol::claim_ref const& holder, bool connected,
-                      steady_time now);
+                      steady_time granted, steady_time now);
     /// Number of the claim under which the entry may run the submission; empty if it is not known.
     [[nodiscard]] std::optional<std::uint64_t> claim_number(protocol::process_id const& entry,
                                                             std::string const& key) const;
--- a/src/policy/submission_grants.cpp
+++ b/src/policy/submission_grants.cpp
@@ -16,36 +16,70 @@
     });
 }
 
+bool is_same(protocol::claim_ref const& a, protocol::claim_ref const& b)
+{
+    return a.entry == b.entry && a.number == b.number;
+}
+
 } // namespace
 
-protocol::claim_ref submission_grants::grant(std::string const& key,
-                                             protocol::claim_ref const& claim,
-                                             std::vector<protocol::claim_ref> const& ended,
-                                             steady_time now)
+submission_grants::granted const&
+submission_grants::grant(std::string const& key, protocol::claim_ref const& claim,
+                         std::vector<protocol::claim_ref> const& ended, steady_time now)
 {
     auto const found = this->grants.find(key);
-    if (found == this->grants.end()) {
-        if (this->grants.size() >= max_grants)
-            this->drop_oldest();
-        this->grants[key] = {claim, now + grant_retention};
-        return claim;
-    }
+    if (found == this->grants.end())
+        return this->add(key, claim, now);
     auto& held = found->second;
     // A holder knows its own earlier runs. A late claim of it must not take the place of a newer
     // one.
     bool const replaces = held.claim.entry == claim.entry ? held.claim.number <= claim.number
                                                           : covers(ended, held.claim);
-    if (replaces)
+    if (replaces) {
         held.claim = claim;
+        held.since = now;
+        held.ended = false;
+    }
     held.kept_until = now + grant_retention;
-    return held.claim;
+    return held;
+}
+
+submission_grants::granted&
+submission_grants::add(std::string const& key, protocol::claim_ref const& claim, steady_time now)
+{
+    if (this->grants.size() >= max_grants)
+        this->drop_oldest();
+    return this->grants[key] = {claim, now, now + grant_retention, false};
+}
+
+void submission_grants::record_ended(std::string const& key, protocol::claim_ref const& claim)
+{
+    auto const found = this->grants.find(key);
+    if (found != this->grants.end() && is_same(found->second.claim, claim))
+        found->second.ended = true;
+}
+
+void submission_grants::adopt(std::string const& key, protocol::claim_ref const& claim,
+                              steady_time now)
+{
+    if (!this->grants.contains(key))
+        this->add(key, claim, now);
+}
+
+std::vector<protocol::submission_ref> submission_grants::held() const
+{
+    std::vector<protocol::submission_ref> result;
+    for (auto const& [key, item] : this->grants) {
+        if (!item.ended)
+            result.push_back({key, item.claim});
+    }
+    return result;
 }
 
 void submission_grants::release(std::string const& key, protocol::claim_ref const& claim)
 {
     auto const found = this->grants.find(key);
-    if (found != this->grants.end() && found->second.claim.entry == claim.entry
-        && found->second.claim.number == claim.number)
+    if (found != this->grants.end() && is_same(found->second.claim, claim))
         this->grants.erase(found);
 }
 
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -305,11 +305,20 @@
     static auto of(auto& m) { return std::tie(m.key, m.claim, m.ended); }
 };
 template <> struct field_list<claim_verdict> {
-    static auto of(auto& m) { return std::tie(m.number, m.verdict, m.holder); }
+    static auto of(auto& m) { return std::tie(m.number, m.verdict, m.holder, m.age); }
 };
-template <> struct field_list<claim_release> {
+template <> struct field_list<submission_ref> {
     static auto of(auto& m) { return std::tie(m.key, m.claim); }
 };
+template <> struct field_list<claim_release> {
+    static auto of(auto& m) { return std::tie(m.released); }
+};
+template <> struct field_list<claims_ended> {
+    static auto of(auto& m) { return std::tie(m.claims); }
+};
+template <> struct field_list<claims_held> {
+    static auto of(auto& m) { return std::tie(m.entry, m.claims); }
+};
 template <> struct field_list<lease_stamp> {
     static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at, m.leased); }
 };
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -189,14 +189,32 @@
     std::uint64_t number = 0; ///< Of the claim.
     kind verdict = kind::not_ready;
     claim_ref holder; ///< Only when held.
+    std::chrono::milliseconds age {0}; ///< Time since the holder has got it. Only when held.
 };
 
-/// Nothing was started under the claim, and nothing will be.
-struct claim_release {
+/// A submission and the claim that holds it.
+struct submission_ref {
     std::string key;
     claim_ref claim;
 };
 
+/// Nothing was started under the claim, and nothing will be.
+struct claim_release {
+    submission_ref released;
+};
+
+/// What was started under these claims has ended.
+struct claims_ended {
+    std::vector<submission_ref> claims;
+};
+
+/// The claims under which something may run, as far as the sender knows. Sent to each entry that
+/// connects: it may have forgotten what it has granted before it started.
+struct claims_held {
+    process_id entry;
+    std::vector<submission_ref> claims;
+};
+
 // --- entry and agent ---
 
 /// Permission to start tasks. Its expiry is given in the clock of the agent that receives it.
@@ -358,6 +376,6 @@
                    job_finished_ack, job_query, job_reply, job_cancel, start_batch, lease_update,
                    cancel_batch, outcome_query, outcome_batch, outcome_ack, outcome_report,
                    agent_report, directory_request, directory, lagging_run, submissions_running,
-                   submission_claim, claim_verdict, claim_release>;
+                   submission_claim, claim_verdict, claim_release, claims_ended, claims_held>;
 
 } // namespace greengagehead::protocol
--- a/tests/agent/run_bounds_test.cpp
+++ b/tests/agent/run_bounds_test.cpp
@@ -72,6 +72,43 @@
     }
 }
 
+// Guards against runs that an agent takes as ended when it wakes, because of its own clock, while
+// the worker, whose clock stood still, goes on with them.
+SCENARIO("a machine is suspended with its agent and its worker", "[agent][leased]")
+{
+    GIVEN("a run on its worker")
+    {
+        run_bounds_fixture fixture;
+        fixture.send_start(fixture.entry_a, "a.0.0.0");
+        fixture.advance(milliseconds(400));
+        REQUIRE(fixture.worker.runs("a.0.0.0"));
+        auto const time = GENERATE(milliseconds(800), milliseconds(1500), milliseconds(3800),
+                                   milliseconds(60'000));
+        bool const entry_is_gone = GENERATE(false, true);
+        CAPTURE(time.count(), entry_is_gone);
+        WHEN("it wakes")
+        {
+            if (entry_is_gone)
+                fixture.update_interval["entry.a"] = milliseconds(0);
+            fixture.in_transit.clear();
+            fixture.now += time;
+            bool ended_too_early = false;
+            for (int step = 0; step < 3000; ++step) {
+                fixture.advance(milliseconds(1));
+                auto const outcomes = fixture.outcomes(fixture.entry_a, outcome_kind::unknown)
+                    + fixture.outcomes(fixture.entry_a, outcome_kind::cancelled)
+                    + fixture.outcomes(fixture.entry_a, outcome_kind::not_run);
+                ended_too_early
+                    = ended_too_early || (outcomes > 0 && fixture.worker.runs("a.0.0.0"));
+            }
+            THEN("no end of the run is told while it goes on")
+            {
+                CHECK_FALSE(ended_too_early);
+            }
+        }
+    }
+}
+
 // Guards against a low estimate of the worker's clock after a pause, by which leases are too short.
 SCENARIO("an agent gets the processor for a part of the time only", "[agent][leased]")
 {
