Remember cancellations for two minutes, and let witnesses refuse them

Cause: every entry forgot a cancellation after 5 s, and an entry that starts again was told only of cancellations that came from others.

Change: cancellations are kept for 120 s, the time for which the state of a job can be asked for, at most 20,000 of them, in order of their times. A witness answers a claim for a cancelled submission with that, so whoever has started again learns it from an entry that it has to ask anyway. Other entries that connect are told of the last 5 s only, as before.

--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -696,7 +696,16 @@
 {
     if (!peer.starts_with(entry_peer_prefix) || !id.starts_with(submission_prefix))
         return;
-    auto const key = id.substr(submission_prefix.size());
+    this->record_cancelled(id.substr(submission_prefix.size()), now);
+}
+
+bool resubmissions::is_cancelled(std::string const& key, base::steady_time now) const
+{
+    return this->known.cancelled(key, now) != nullptr;
+}
+
+void resubmissions::record_cancelled(std::string const& key, base::steady_time now)
+{
     this->known.record_cancelled(key, {}, now);
     if (auto* const job = this->find_job(key))
         this->components.lifecycle.cancel_submission(*job, now);
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -92,6 +92,11 @@
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
+    /// A caller has cancelled the submission, here or elsewhere, a while ago at most.
+    [[nodiscard]] bool is_cancelled(std::string const& key, base::steady_time now) const;
+    /// Another entry states that a caller has cancelled the submission: stops what this entry has
+    /// of it, and refuses it from now on.
+    void record_cancelled(std::string const& key, base::steady_time now);
     /// Stops what this entry has of a submission that was cancelled at another one, and refuses it
     /// when it arrives. Ids of single jobs have no effect.
     void on_cancelled_elsewhere(std::string const& peer, std::string const& id,
--- a/src/entry/submission_claims.cpp
+++ b/src/entry/submission_claims.cpp
@@ -184,6 +184,11 @@
         return this->on_denied(claim, verdict, now);
     case verdict_kind::not_ready:
         return;
+    case verdict_kind::cancelled: {
+        // The claim ends with it.
+        auto const key = claim.key;
+        return this->components.resubmitted.record_cancelled(key, now);
+    }
     }
 }
 
@@ -322,6 +327,9 @@
 protocol::claim_verdict submission_claims::decide(protocol::submission_claim const& claim,
                                                   base::steady_time now)
 {
+    // Whoever has started again since the cancellation does not know of it.
+    if (this->components.resubmitted.is_cancelled(claim.key, now))
+        return {claim.claim.number, verdict_kind::cancelled, {}, {}};
     if (this->may_have_forgotten(now))
         return {claim.claim.number, verdict_kind::not_ready, {}, {}};
     auto const& held = this->grants.grant(claim.key, claim.claim, claim.ended, now);
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -139,23 +139,31 @@
     if (found != this->cancellations.end()) {
         if (!name.submission.empty())
             found->second.name = std::move(name);
-        found->second.kept_until = now + cancellation_memory;
-        return;
+        return this->set_cancelled_at(key, found->second, now);
+    }
+    if (this->cancellations.size() >= max_cancellations) {
+        auto const oldest = this->cancellation_order.begin();
+        this->cancellations.erase(oldest->second);
+        this->cancellation_order.erase(oldest);
     }
-    if (this->cancellations.size() >= max_cancellations)
-        this->cancellations.erase(
-            std::min_element(this->cancellations.begin(), this->cancellations.end(),
-                             [](auto const& a, auto const& b) {
-                                 return a.second.kept_until < b.second.kept_until;
-                             }));
-    this->cancellations[key] = {std::move(name), now + cancellation_memory};
+    auto& added = this->cancellations[key];
+    added.name = std::move(name);
+    this->set_cancelled_at(key, added, now);
+}
+
+void remote_submissions::set_cancelled_at(std::string const& key, cancellation& item,
+                                          steady_time now)
+{
+    this->cancellation_order.erase({item.since, key});
+    item.since = now;
+    this->cancellation_order.emplace(now, key);
 }
 
 std::vector<std::string> remote_submissions::cancelled_here(steady_time now) const
 {
     std::vector<std::string> keys;
     for (auto const& [key, item] : this->cancellations) {
-        if (!item.name.submission.empty() && item.kept_until > now)
+        if (!item.name.submission.empty() && item.since + cancellation_repeat > now)
             keys.push_back(key);
     }
     return keys;
@@ -188,7 +196,7 @@
 submission_name const* remote_submissions::cancelled(std::string const& key, steady_time now) const
 {
     auto const found = this->cancellations.find(key);
-    if (found == this->cancellations.end() || found->second.kept_until <= now)
+    if (found == this->cancellations.end() || found->second.since + cancellation_memory <= now)
         return nullptr;
     return &found->second.name;
 }
@@ -198,8 +206,11 @@
     for (auto& [key, entries] : this->running)
         std::erase_if(entries, [now](auto const& entry) { return entry.ends_by <= now; });
     std::erase_if(this->running, [](auto const& item) { return item.second.empty(); });
-    std::erase_if(this->cancellations,
-                  [now](auto const& item) { return item.second.kept_until <= now; });
+    while (!this->cancellation_order.empty()
+           && this->cancellation_order.begin()->first + cancellation_memory <= now) {
+        this->cancellations.erase(this->cancellation_order.begin()->second);
+        this->cancellation_order.erase(this->cancellation_order.begin());
+    }
 }
 
 resubmission_step next_step(protocol::job_answer const* state)
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -7,8 +7,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "base/clock.h"
@@ -50,11 +52,14 @@
 /// Times of submissions that differ by less are not told apart: one of them is estimated from a
 /// message of unknown delay.
 constexpr std::chrono::milliseconds submission_time_error {500};
-/// How long a cancelled submission is refused, and stopped at entries that announce it.
-constexpr std::chrono::milliseconds cancellation_memory {5000};
-/// Cancellations that are remembered, for 800 a second; one takes about 200 bytes. Beyond it the
-/// oldest one is forgotten.
-constexpr std::size_t max_cancellations {4000};
+/// How long a cancelled submission is refused, and stopped at entries that announce it. No request
+/// of it is expected later.
+constexpr std::chrono::milliseconds cancellation_memory {120'000};
+/// An entry that connects within this time may have missed a cancellation, and is told again.
+constexpr std::chrono::milliseconds cancellation_repeat {5000};
+/// Cancellations that are remembered, for 160 a second; one takes about 200 bytes. Beyond it the
+/// oldest ones are forgotten.
+constexpr std::size_t max_cancellations {20'000};
 
 /// A submission is announced this long after its arrival at the latest: those that reach the age
 /// within 100 ms share a message, which is sent at the next tick.
@@ -120,7 +125,7 @@
     void record_view(std::vector<protocol::process_id> const& entries);
     /// A caller has cancelled the submission, here or, if the name is empty, at another entry.
     void record_cancelled(std::string const& key, submission_name name, steady_time now);
-    /// Keys of the submissions that were cancelled here a short time ago.
+    /// Keys of the submissions that were cancelled here within `cancellation_repeat`.
     [[nodiscard]] std::vector<std::string> cancelled_here(steady_time now) const;
 
     /// The entry that may still run the submission; empty if there is none.
@@ -150,9 +155,12 @@
     std::unordered_map<std::string, std::vector<remote_submission>> running;
     struct cancellation {
         submission_name name;
-        steady_time kept_until;
+        steady_time since;
     };
+    void set_cancelled_at(std::string const& key, cancellation& item, steady_time now);
     std::unordered_map<std::string, cancellation> cancellations; ///< By key.
+    /// The keys of `cancellations` by `since`.
+    std::set<std::pair<steady_time, std::string>> cancellation_order;
 };
 
 /// What follows from the state of a submission at the entry that it was sent to first.
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -185,6 +185,7 @@
         granted,
         held, ///< Another claim holds the submission.
         not_ready, ///< The witness may have forgotten what it granted before it started.
+        cancelled, ///< A caller has cancelled the submission.
     };
     std::uint64_t number = 0; ///< Of the claim.
     kind verdict = kind::not_ready;
--- a/tests/entry/resubmission_review_test.cpp
+++ b/tests/entry/resubmission_review_test.cpp
@@ -323,6 +323,56 @@
             }
         }
     }
+    GIVEN("a job that was cancelled at its entry, and which a late request hands in again")
+    {
+        three_entries fleet;
+        fleet.set_run_time(milliseconds(4000));
+        fleet.submit("entry.a", make_submission("s1", 1));
+        fleet.run(milliseconds(200));
+        REQUIRE(fleet.cancel("entry.a", "s1"));
+        fleet.run(milliseconds(500));
+        REQUIRE(fleet.runs.size() == 1);
+        auto const arrives = GENERATE("entry.a", "entry.b");
+
+        WHEN("the request arrives some seconds or a minute after the cancellation")
+        {
+            auto const delay = GENERATE(4000, 6000, 20'000, 60'000);
+            fleet.run(milliseconds(delay));
+            auto const late = fleet.submit(arrives, make_submission("s1", 1));
+            fleet.run(milliseconds(500));
+            // Guards against a cancellation that is forgotten after 5 s.
+            THEN("nothing starts, and the caller is told that the job was cancelled")
+            {
+                INFO("after " << delay << " ms at " << arrives);
+                CHECK(fleet.runs.size() == 1);
+                REQUIRE(late->replies.size() == 1);
+                CHECK(late->replies.front().answer.state == job_state::cancelled);
+            }
+        }
+        WHEN("an entry has started again before")
+        {
+            auto const restarted = GENERATE("entry.a", "entry.b");
+            fleet.run(milliseconds(5500));
+            for (auto const* const other : {"entry.a", "entry.b", "entry.c"}) {
+                if (std::string(other) != restarted)
+                    fleet.close_link(restarted, other);
+            }
+            fleet.add_entry(restarted, "recife");
+            fleet.connect_entries();
+            auto const delay = GENERATE(100, 3000);
+            fleet.run(milliseconds(delay));
+            auto const late = fleet.submit(arrives, make_submission("s1", 1));
+            fleet.run(milliseconds(1000));
+            // Guards against an entry that has forgotten a cancellation and starts the job.
+            THEN("nothing starts")
+            {
+                INFO(restarted << " restarted, late request at " << arrives << " after " << delay);
+                CHECK(fleet.runs.size() == 1);
+                REQUIRE(late->replies.size() == 1);
+                CHECK(late->replies.front().answer.state != job_state::complete);
+            }
+        }
+    }
     GIVEN("a job that is cancelled at its entry while the link to another one is closed")
     {
         three_entries fleet;
