Refuse announcements without the fields that each one has, and let draining stand

Cause: `cold_left_ms`, `capacity.gpus`, `labels` and `clock_ms` were not checked; and a sequence number that anybody can send decided whether the worker was heard at all.

Change: an announcement without these fields, or with another type, is refused. One with a lower number than the last still shows that the worker is there, and if it says that it drains, that stands: an incarnation that drains goes on draining. So a well-formed announcement of another writer cannot hide it either.

Tests: decoding_test and worker_adapter_test, "with a high sequence number".

--- a/tests/platform/decoding_test.cpp
+++ b/tests/platform/decoding_test.cpp
@@ -233,5 +233,32 @@
                 CHECK_FALSE(read_announcement("i-1", "u", "\xff\xfe{"));
             }
         }
+        // Guards against an announcement of another writer that is taken for the worker's: its
+        // sequence number then hides those of the worker.
+        for (std::string const field : {"service", "address", "zone", "version", "slots", "state",
+                                        "cold_left_ms", "capacity", "labels", "clock_ms", "seq"}) {
+            WHEN("it lacks the field " + field + ", or has it of another type")
+            {
+                auto other_type = announcement;
+                announcement.erase(field);
+                other_type[field] = {{"odd", true}};
+                THEN("it is refused")
+                {
+                    CHECK_FALSE(read());
+                    announcement = other_type;
+                    CHECK_FALSE(read());
+                }
+            }
+        }
+        for (std::string const field : {"cpu", "mem_mb", "gpus"}) {
+            WHEN("its capacity lacks " + field)
+            {
+                announcement["capacity"].erase(field);
+                THEN("it is refused")
+                {
+                    CHECK_FALSE(read());
+                }
+            }
+        }
     }
 }
--- a/tests/platform/worker_adapter_test.cpp
+++ b/tests/platform/worker_adapter_test.cpp
@@ -205,6 +205,48 @@
     }
 }
 
+// Guards against an announcement of another writer that hides all later ones of the worker.
+SCENARIO("another writer announces a worker with a high sequence number", "[platform][worker]")
+{
+    GIVEN("a worker that was announced as ready by another writer too")
+    {
+        agent_fixture agent;
+        auto odd = agent.worker.announcement();
+        odd.body["seq"] = 100'000;
+        REQUIRE(agent.announce(odd) == 200);
+        auto const drains = [&agent] {
+            agent.core->peer_up("entry.a", base::steady_now());
+            auto const report = agent.sender.to<protocol::agent_report>("entry.a").back();
+            REQUIRE(report.endpoints.size() == 1);
+            return report.endpoints.front().draining;
+        };
+        REQUIRE_FALSE(drains());
+
+        WHEN("the worker says that it drains")
+        {
+            auto draining = agent.worker.announcement();
+            draining.body["state"] = "draining";
+            CHECK(agent.announce(draining) == 200);
+            THEN("it gets no new work")
+            {
+                CHECK(drains());
+            }
+            AND_WHEN("an earlier announcement of it arrives late, or the other writer's again")
+            {
+                odd.body["seq"] = 100'001;
+                CHECK(agent.announce(odd) == 200);
+                auto late = agent.worker.announcement();
+                late.body["seq"] = 1;
+                CHECK(agent.announce(late) == 200);
+                THEN("it still gets no new work")
+                {
+                    CHECK(drains());
+                }
+            }
+        }
+    }
+}
+
 // Guards against a worker that is refused for good because another writer was the first to announce
 // its incarnation.
 SCENARIO("another writer announces a service for a worker that has just started",
