Queue the tasks of a submission while its witnesses are asked

Cause: a submission was admitted, and became a job, only after the consent.

Change: the job is made at once and its tasks wait in the queue, where they count for admission; none starts before the consent. A denial turns its callers into holds, a refusal answers them. One job now also has all callers of a submission that come in the meantime, and is cancelled, abandoned and refused as any other.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -138,6 +138,8 @@
             job->tasks[taken->task.index].queued = false;
             if (this->callers_left(*job, now))
                 this->components.lifecycle.stop_abandoned(*job, now);
+            else if (job->consent_pending) // Queued again with the consent.
+                continue;
             else if (!this->components.resubmitted.may_start(*job, now))
                 this->put_aside(*job, now);
             else if (!this->try_start(*job, taken->task.index, taken->placement_class, now)) {
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -358,8 +358,6 @@
 {
     if (auto* existing = this->pimpl->jobs.find(job))
         this->pimpl->lifecycle.stop_abandoned(*existing, now);
-    else
-        this->pimpl->submission_consent.abandon(job, now);
     this->pimpl->place_and_send(now);
 }
 
@@ -448,15 +446,14 @@
 {
     this->pimpl->lifecycle.answer_all_waiters(now);
     this->pimpl->resubmitted.answer_all();
-    this->pimpl->submission_consent.answer_all(now);
     this->pimpl->place_and_send(now);
 }
 
 bool entry_core::idle() const
 {
     return this->pimpl->jobs.unfinished() == 0 && this->pimpl->remote.idle()
-        && this->pimpl->resubmitted.idle() && this->pimpl->submission_consent.idle()
-        && this->pimpl->claims.idle() && this->pimpl->control.idle();
+        && this->pimpl->resubmitted.idle() && this->pimpl->claims.idle()
+        && this->pimpl->control.idle();
 }
 
 bool entry_core::has_endpoints() const
--- a/src/entry/job.cpp
+++ b/src/entry/job.cpp
@@ -47,17 +47,17 @@
             return protocol::ran_extent::unknown;
     }
     if (ran == 0)
-        return protocol::ran_extent::none;
+        return job.may_have_run_before ? protocol::ran_extent::unknown : protocol::ran_extent::none;
     return ran == job.tasks.size() ? protocol::ran_extent::all : protocol::ran_extent::some;
 }
 
 namespace {
 
-protocol::task_state visible_state(task const& task, bool over)
+protocol::task_state visible_state(job const& job, task const& task, bool over)
 {
     if (task.done())
         return task.state;
-    if (task.may_have_run())
+    if (task.may_have_run() || (over && job.may_have_run_before))
         return over ? protocol::task_state::may_have_run : protocol::task_state::starting;
     return over ? protocol::task_state::not_run : protocol::task_state::waiting;
 }
@@ -72,7 +72,7 @@
     answer.tasks.reserve(job.tasks.size());
     for (std::size_t i = 0; i < job.tasks.size(); ++i)
         answer.tasks.push_back(
-            {static_cast<std::uint32_t>(i), visible_state(job.tasks[i], over), {}});
+            {static_cast<std::uint32_t>(i), visible_state(job, job.tasks[i], over), {}});
     return answer;
 }
 
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -84,6 +84,11 @@
     protocol::job_epoch epoch = 1;
 
     std::uint64_t claim_number = 0; ///< Of an ephemeral job, at its witnesses.
+    /// The witnesses have not granted an ephemeral job yet: its tasks may wait, and none starts.
+    bool consent_pending = false;
+    /// An ephemeral job that was held: an earlier job of the submission, here or elsewhere, may have
+    /// run, so that "not run" would be false.
+    bool may_have_run_before = false;
 
     base::steady_time submitted;
     /// When its caller has sent it at the earliest. Before `submitted` when it was held, or when it
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -252,6 +252,9 @@
 
 void job_lifecycle::refuse_unstarted(job& job, base::steady_time now)
 {
+    if (job.may_have_run_before)
+        return this->stop_for_other_entry(job, {}, "no endpoint had room in time for the target",
+                                          now);
     job.final_state = job_state::refused;
     job.failure = base::error {base::error_code::unavailable,
                                base::error_step::placement,
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -126,17 +126,25 @@
     auto& added = this->add_job(std::move(submission.request), std::move(submission.caller),
                                 submission.deadline, now);
     added.latest_start = submission.latest_start;
-    added.claim_number = submission.claim_number;
     added.submitted = submission.was_held ? now : submission.submitted;
     added.earliest_sent = submission.earliest_sent;
     added.claim_committed = true;
     added.copy_settled = true;
-    this->components.resubmitted.record_admitted(added);
-    this->add_timer(added, timer_kind::announcement, now + policy::announcement_age);
-    this->add_timer(added, timer_kind::acknowledgement_check, now + policy::acknowledgement_age);
+    added.consent_pending = true;
+    added.may_have_run_before = submission.was_held;
     this->start_if_ready(added, now);
 }
 
+void job_lifecycle::start_claimed(job& job, base::steady_time now)
+{
+    job.consent_pending = false;
+    this->components.resubmitted.record_admitted(job);
+    this->add_timer(job, timer_kind::announcement, now + policy::announcement_age);
+    this->add_timer(job, timer_kind::acknowledgement_check, now + policy::acknowledgement_age);
+    this->enqueue_waiting(job);
+    this->components.dispatch.run(now);
+}
+
 void job_lifecycle::refuse_unclaimed(unstarted_submission submission, std::string const& reason,
                                      base::steady_time now)
 {
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -32,8 +32,10 @@
     void submit(protocol::job_request request, waiter caller, base::steady_time now);
     /// Starts an ephemeral submission when the other entries agree, unless it is refused.
     void claim_or_refuse(unstarted_submission submission, base::steady_time now);
-    /// Makes a job of an ephemeral submission that only this entry may start.
+    /// Makes a job of an ephemeral submission. None of its tasks starts before `start_claimed`.
     void admit(unstarted_submission submission, base::steady_time now);
+    /// The other entries agree that the job starts here.
+    void start_claimed(job& job, base::steady_time now);
     /// Refuses an ephemeral submission to which the other entries have not agreed.
     void refuse_unclaimed(unstarted_submission submission, std::string const& reason,
                           base::steady_time now);
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -610,11 +610,6 @@
     this->announce_end(key);
 }
 
-void resubmissions::deliver_cancelled(unstarted_submission const& submission) const
-{
-    deliver(submission.caller, cancelled_answer(submission.request), {});
-}
-
 void resubmissions::announce_end(std::string const& key)
 {
     protocol::submissions_running::submission ended;
@@ -687,7 +682,7 @@
     // Its caller may have sent it to an entry that has not announced it yet, or may do so.
     for (auto const& entry : this->other_entries())
         this->components.sender.send(entry, protocol::job_cancel {submission_id(key)});
-    bool const claimed = this->components.submission_consent.cancel(key);
+    bool const claimed = this->components.submission_consent.cancel(key, now);
     return this->end_holds(key) || claimed || elsewhere.has_value();
 }
 
@@ -709,7 +704,7 @@
     this->known.record_cancelled(key, {}, now);
     if (auto* const job = this->find_job(key))
         this->components.lifecycle.cancel_submission(*job, now);
-    this->components.submission_consent.cancel(key);
+    this->components.submission_consent.cancel(key, now);
     this->end_holds(key);
 }
 
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -87,8 +87,6 @@
     void announce_start(std::string const& key, std::string const& job, base::steady_time now);
     /// Tells the other entries that this one holds the submission no longer and has not started it.
     void announce_end(std::string const& key);
-    /// Tells the caller that the submission was cancelled before it started.
-    void deliver_cancelled(unstarted_submission const& submission) const;
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
--- a/src/entry/submission_claims.cpp
+++ b/src/entry/submission_claims.cpp
@@ -59,34 +59,32 @@
 void submission_claims::begin(unstarted_submission submission, base::steady_time now)
 {
     auto const key = job_id_of(submission.request.team, submission.request.submission);
-    if (auto* const open = this->find(key)) {
-        open->further.push_back(std::move(submission));
-        return;
-    }
-    auto const job = ephemeral_job_id(submission.request.team, submission.request.submission,
-                                      this->components.settings.id);
-    // Started here since it was held.
-    if (auto const* const started = this->components.jobs.find(job);
-        started != nullptr && !started->abandoned()) {
+    auto const id = ephemeral_job_id(submission.request.team, submission.request.submission,
+                                     this->components.settings.id);
+    // It came here again since it was held.
+    if (auto const* const known = this->components.jobs.find(id);
+        known != nullptr && !known->abandoned()) {
         if (submission.was_held)
             this->components.resubmitted.announce_end(key);
         return this->components.lifecycle.submit(std::move(submission.request),
                                                  std::move(submission.caller), now);
     }
+    // The claim of an abandoned job, which has not ended yet.
+    if (auto* const former = this->find(key))
+        this->end(*former);
     auto const number = this->components.remote.allocate_id();
-    auto const expires_at = std::min(submission.deadline, now + claim_limit);
     this->numbers[key] = number;
-    auto& claim = this->claims
-                      .emplace(number,
-                               open_claim {number,
-                                           key,
-                                           job,
-                                           std::move(submission),
-                                           {},
-                                           policy::claim_quorum(this->witnesses.find(key, now)),
-                                           expires_at,
-                                           first_repeat_interval})
-                      .first->second;
+    auto& claim = this->claims[number];
+    claim.number = number;
+    claim.key = key;
+    claim.job = id;
+    claim.ended_claims = std::move(submission.ended_claims);
+    claim.ended_reason = std::move(submission.ended_reason);
+    claim.was_held = submission.was_held;
+    claim.quorum = policy::claim_quorum(this->witnesses.find(key, now));
+    claim.expires_at = std::min(submission.deadline, now + claim_limit);
+    claim.next_interval = first_repeat_interval;
+    this->components.lifecycle.admit(std::move(submission), now);
     this->proceed(claim, now);
 }
 
@@ -107,8 +105,7 @@
 void submission_claims::ask(open_claim& claim, std::string const& witness, base::steady_time now)
 {
     auto const& self = this->components.settings.id;
-    protocol::submission_claim const request {
-        claim.key, {self, claim.number}, claim.submission.ended_claims};
+    protocol::submission_claim const request {claim.key, {self, claim.number}, claim.ended_claims};
     claim.quorum.record_asked(witness);
     if (witness == self.name)
         return this->record_verdict(witness, this->decide(request, now), now);
@@ -194,53 +191,79 @@
 
 void submission_claims::on_granted(open_claim& claim, base::steady_time now)
 {
+    auto* const job = this->unstarted_job(claim);
+    if (job == nullptr)
+        return this->withdraw(claim);
     // Read after a pause of this entry: another one may have taken over.
     if (now >= claim.expires_at)
         return this->refuse(claim, "the consent of the other entries has expired", now);
-    auto const& caller = claim.submission.caller;
-    if (caller.has_left && caller.has_left())
-        return this->refuse(claim, "the caller has left", now);
-    auto granted = this->take(claim);
-    if (!granted.submission.ended_reason.empty())
-        this->log_permission(granted);
-    bool const was_held = granted.submission.was_held;
-    granted.submission.claim_number = granted.number;
-    this->components.lifecycle.admit(std::move(granted.submission), now);
-    if (was_held)
+    auto const granted = this->end(claim);
+    if (!granted.ended_reason.empty())
+        this->log_permission(*job, granted.ended_reason);
+    job->claim_number = granted.number;
+    this->components.lifecycle.start_claimed(*job, now);
+    if (granted.was_held)
         this->components.resubmitted.announce_start(granted.key, granted.job, now);
-    for (auto& further : granted.further)
-        this->components.lifecycle.submit(std::move(further.request), std::move(further.caller),
-                                          now);
 }
 
-void submission_claims::log_permission(open_claim const& claim)
+void submission_claims::log_permission(job const& started, std::string const& reason)
 {
-    this->components.restarts.record(claim.submission.ended_reason);
+    this->components.restarts.record(reason);
     base::log_record(base::log_event::submission_restarted)
-        .with("job", claim.job)
-        .with("submission", claim.submission.request.submission)
-        .with("team", claim.submission.request.team)
-        .with("reason", claim.submission.ended_reason);
+        .with("job", started.id)
+        .with("submission", started.submission)
+        .with("team", started.team)
+        .with("reason", reason);
+}
+
+job* submission_claims::unstarted_job(open_claim const& claim)
+{
+    auto* const job = this->components.jobs.find(claim.job);
+    bool const waits = job != nullptr && job->phase == job_phase::running && job->consent_pending;
+    return waits ? job : nullptr;
+}
+
+std::vector<unstarted_submission> submission_claims::take_callers(open_claim const& claim,
+                                                                  job& denied)
+{
+    std::vector<unstarted_submission> callers;
+    for (auto& caller : std::exchange(denied.waiters, {})) {
+        if (caller.on_submit)
+            callers.push_back({*denied.content, std::move(caller), denied.submitted,
+                               denied.earliest_sent, denied.deadline, denied.latest_start,
+                               claim.ended_claims, claim.ended_reason, claim.was_held});
+        else
+            deliver(caller, current_answer(denied), {});
+    }
+    this->components.lifecycle.drop(denied);
+    return callers;
 }
 
 void submission_claims::on_denied(open_claim& claim, protocol::claim_verdict const& verdict,
                                   base::steady_time now)
 {
-    this->release(claim);
-    auto denied = this->take(claim);
+    auto* const job = this->unstarted_job(claim);
+    if (job == nullptr)
+        return this->withdraw(claim);
+    auto callers = this->take_callers(claim, *job);
+    this->withdraw(claim);
     auto const age = std::clamp(verdict.age, milliseconds(0), max_stated_age);
-    this->components.resubmitted.hold(std::move(denied.submission), verdict.holder, now - age, now);
-    for (auto& further : denied.further)
-        this->components.lifecycle.submit(std::move(further.request), std::move(further.caller),
-                                          now);
+    for (auto& caller : callers)
+        this->components.resubmitted.hold(std::move(caller), verdict.holder, now - age, now);
 }
 
-submission_claims::open_claim submission_claims::take(open_claim& claim)
+submission_claims::open_claim submission_claims::end(open_claim& claim)
 {
-    auto taken = std::move(claim);
-    this->numbers.erase(taken.key);
-    this->claims.erase(taken.number);
-    return taken;
+    auto ended = std::move(claim);
+    this->numbers.erase(ended.key);
+    this->claims.erase(ended.number);
+    return ended;
+}
+
+void submission_claims::withdraw(open_claim& claim)
+{
+    this->release(claim);
+    (void)this->end(claim);
 }
 
 void submission_claims::release(open_claim const& claim)
@@ -257,46 +280,43 @@
 
 void submission_claims::refuse(open_claim& claim, std::string const& reason, base::steady_time now)
 {
-    this->release(claim);
-    auto refused = this->take(claim);
-    this->components.lifecycle.refuse_unclaimed(std::move(refused.submission), reason, now);
-    for (auto& further : refused.further)
-        this->components.lifecycle.refuse_unclaimed(std::move(further), reason, now);
+    auto* const job = this->unstarted_job(claim);
+    if (job == nullptr)
+        return this->withdraw(claim);
+    if (claim.was_held) {
+        this->components.resubmitted.announce_end(claim.key);
+        this->withdraw(claim);
+        return this->components.lifecycle.stop_for_other_entry(*job, {}, reason, now);
+    }
+    auto callers = this->take_callers(claim, *job);
+    this->withdraw(claim);
+    for (auto& caller : callers)
+        this->components.lifecycle.refuse_unclaimed(std::move(caller), reason, now);
 }
 
-bool submission_claims::cancel(std::string const& key)
+bool submission_claims::cancel(std::string const& key, base::steady_time now)
 {
     auto* const claim = this->find(key);
     if (claim == nullptr)
         return false;
-    this->release(*claim);
-    auto cancelled = this->take(*claim);
-    this->components.resubmitted.deliver_cancelled(cancelled.submission);
-    for (auto const& further : cancelled.further)
-        this->components.resubmitted.deliver_cancelled(further);
+    auto* const job = this->components.jobs.find(claim->job);
+    this->withdraw(*claim);
+    if (job != nullptr)
+        this->components.lifecycle.cancel_submission(*job, now);
     return true;
 }
 
-void submission_claims::abandon(std::string const& job, base::steady_time now)
-{
-    auto const found = std::find_if(this->claims.begin(), this->claims.end(),
-                                    [&job](auto const& item) { return item.second.job == job; });
-    if (found != this->claims.end())
-        this->refuse(found->second, "the caller has left", now);
-}
-
-void submission_claims::answer_all(base::steady_time now)
-{
-    while (!this->claims.empty())
-        this->refuse(this->claims.begin()->second, "the entry is shutting down", now);
-}
-
 bool submission_claims::on_query(std::string const& peer, protocol::job_query const& query)
 {
     auto const found = std::find_if(this->claims.begin(), this->claims.end(),
                                     [&](auto const& item) { return item.second.job == query.job; });
     if (found == this->claims.end())
         return false;
+    // The job has ended without a start.
+    if (this->unstarted_job(found->second) == nullptr) {
+        this->withdraw(found->second);
+        return false;
+    }
     protocol::job_reply reply;
     reply.query_id = query.query_id;
     reply.answer.emplace();
@@ -383,7 +403,8 @@
     for (auto const& [number, claim] : this->claims)
         message.claims.push_back({claim.key, {self, number}});
     for (auto const& [number, job] : this->components.jobs.all()) {
-        if (job->ephemeral && (!job->is_final() || !job->unconfirmed.empty()))
+        bool const may_run = !job->is_final() || !job->unconfirmed.empty();
+        if (job->ephemeral && !job->consent_pending && may_run)
             message.claims.push_back(
                 {job_id_of(job->team, job->submission), {self, job->claim_number}});
     }
@@ -392,6 +413,8 @@
 
 void submission_claims::record_ended(job const& job)
 {
+    if (job.consent_pending)
+        return;
     this->ended.push_back(
         {job_id_of(job.team, job.submission), {this->components.settings.id, job.claim_number}});
 }
--- a/src/entry/submission_claims.h
+++ b/src/entry/submission_claims.h
@@ -35,7 +35,6 @@
     std::vector<protocol::claim_ref> ended_claims;
     std::string ended_reason;
     bool was_held = false; ///< The other entries were told that this one holds it.
-    std::uint64_t claim_number = 0; ///< Of the claim that was granted.
 };
 
 class submission_claims {
@@ -45,8 +44,9 @@
     /// What this entry has granted before is not known to it.
     void set_started(base::steady_time now);
 
-    /// Asks the witnesses. The submission then becomes a job, or is held for the entry that has it,
-    /// or is refused when no majority answers in time.
+    /// Makes a job of the submission and asks the witnesses. Its tasks wait in the queue meanwhile.
+    /// The job starts, or is held for the entry that has it, or is refused when no majority answers
+    /// in time.
     void begin(unstarted_submission submission, base::steady_time now);
 
     void on_claim(std::string const& peer, protocol::submission_claim const& claim,
@@ -71,23 +71,20 @@
 
     /// Whether a claim for the submission is open. The job may start at any time.
     [[nodiscard]] bool contains(std::string const& key) const;
-    /// Answers and drops the open claims of the submission. Returns whether there were any.
-    bool cancel(std::string const& key);
-    /// All callers of the job have left.
-    void abandon(std::string const& job, base::steady_time now);
-    /// Refuses all submissions, none of which has started.
-    void answer_all(base::steady_time now);
-    [[nodiscard]] bool idle() const { return this->claims.empty(); }
+    /// Cancels the job that waits for consent. Returns whether there is one.
+    bool cancel(std::string const& key, base::steady_time now);
 
 private:
+    /// Ends with the consent, or when its job does.
     struct open_claim {
         std::uint64_t number = 0;
         std::string key;
-        std::string job; ///< Id of the job here.
-        unstarted_submission submission;
-        /// The same submission, sent again to this entry.
-        std::vector<unstarted_submission> further;
-        policy::claim_quorum quorum;
+        std::string job; ///< Id of the job here, which waits for the consent.
+        /// As in `unstarted_submission`.
+        std::vector<protocol::claim_ref> ended_claims;
+        std::string ended_reason;
+        bool was_held = false;
+        policy::claim_quorum quorum {{}};
         base::steady_time expires_at;
         std::chrono::milliseconds next_interval {0}; ///< Until the witnesses are asked again.
     };
@@ -101,10 +98,15 @@
     /// A denial ends the claim.
     void record_verdict(std::string const& witness, protocol::claim_verdict const& verdict,
                         base::steady_time now);
-    void log_permission(open_claim const& claim);
+    void log_permission(job const& started, std::string const& reason);
     void refuse(open_claim& claim, std::string const& reason, base::steady_time now);
-    /// Ends the claim. The submission is still in `claim`, which ends with it.
-    open_claim take(open_claim& claim);
+    /// The job of the claim; null when it has ended.
+    [[nodiscard]] job* unstarted_job(open_claim const& claim);
+    /// Drops the job of the claim, and returns what its callers have submitted.
+    std::vector<unstarted_submission> take_callers(open_claim const& claim, job& denied);
+    open_claim end(open_claim& claim);
+    /// Ends the claim, under which nothing was started.
+    void withdraw(open_claim& claim);
     /// Tells the witnesses that nothing was started under the claim.
     void release(open_claim const& claim);
     void set_timer(open_claim& claim, base::steady_time now);
