--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -86,8 +86,8 @@
     std::uint64_t claim_number = 0; ///< Of an ephemeral job, at its witnesses.
     /// The witnesses have not granted an ephemeral job yet: its tasks may wait, and none starts.
     bool consent_pending = false;
-    /// An ephemeral job that was held: an earlier job of the submission, here or elsewhere, may have
-    /// run, so that "not run" would be false.
+    /// An ephemeral job that was held: an earlier job of the submission, here or elsewhere, may
+    /// have run, so that "not run" would be false.
     bool may_have_run_before = false;
 
     base::steady_time submitted;
