Keep a denied claim from being repeated without end

Cause: an entry that is itself the witness denied its own claim, held the submission, found that the announcement of the holder had expired, and claimed again, in one call. A claim that is named as holder did not extend an expired announcement.

Change: the name of a holder extends what is known of it, and a held submission is looked at 10 ms after a denial and not at once. A former process of the same entry counts as gone without a view that says so.

Test: submission_claim_test, "after the announcement of its first entry has expired"; it ended with a segmentation fault before.

--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -27,6 +27,8 @@
 /// Longest wait in one query, so that a lost entry is noticed.
 constexpr milliseconds max_query_wait {1000};
 constexpr milliseconds answer_timeout {500};
+/// Pause after the denial of a claim.
+constexpr milliseconds denial_delay {10};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
 /// A later acknowledgement is of no use: the job has been stopped.
@@ -447,8 +449,13 @@
         = found != this->incarnations.end() && found->second != holder.entry.incarnation;
     bool const connected = this->linked.contains(holder.entry.name) && !replaced;
     this->known.record_claim(key, holder, connected, granted, now);
+    // A former process of this entry, which is certainly gone.
+    if (holder.entry.name == this->components.settings.id.name)
+        this->known.record_incarnation(this->components.settings.id);
     this->record_present_entries();
-    this->proceed(this->add_hold(std::move(submission), holder.entry.name, now), now);
+    // Not at once: this entry itself may be the witness, and a denial is to cost some time.
+    this->wait_until(this->add_hold(std::move(submission), holder.entry.name, now),
+                     now + denial_delay);
 }
 
 void resubmissions::record_ended(held_submission& item, protocol::process_id const& entry,
--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -67,6 +67,7 @@
     });
     if (found != items.end()) {
         found->claim = std::max(found->claim, holder.number);
+        found->ends_by = std::max(found->ends_by, now + claimed_run_limit);
         return;
     }
     items.push_back({holder.entry, connected, false, false, granted, granted,
--- a/tests/entry/submission_claim_test.cpp
+++ b/tests/entry/submission_claim_test.cpp
@@ -206,6 +206,45 @@
     }
 }
 
+SCENARIO("a submission arrives after the announcement of its first entry has expired",
+         "[entry][submission_claim]")
+{
+    GIVEN("jobs that their entry has announced, and whose deadline has long passed")
+    {
+        three_entries fleet;
+        fleet.set_run_time(milliseconds(700));
+        std::vector<std::string> const names {"s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7"};
+        for (auto& [name, agent] : fleet.agents)
+            agent.slots = 32;
+        for (auto const& name : names) {
+            auto request = make_submission(name, 1);
+            request.deadline = milliseconds(1500);
+            fleet.submit("entry.a", request, milliseconds(1500));
+        }
+        fleet.run(milliseconds(800));
+        bool const cut = GENERATE(false, true);
+        if (cut)
+            fleet.cut("entry.a", "entry.b");
+        fleet.run(milliseconds(2300));
+
+        WHEN("they arrive at another entry, which is a witness of some")
+        {
+            std::vector<std::shared_ptr<simulated_fleet::submission>> requests;
+            for (auto const& name : names)
+                requests.push_back(fleet.submit("entry.b", make_submission(name, 1)));
+            fleet.run(milliseconds(6000));
+            // Guards against an entry that denies its own claim, and claims again, without end.
+            THEN("each request is answered once")
+            {
+                INFO("the entries are cut off from each other: " << cut);
+                for (auto const& request : requests)
+                    CHECK(request->replies.size() == 1);
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+        }
+    }
+}
+
 SCENARIO("a submission is cancelled or left while the other entries are asked",
          "[entry][submission_claim]")
 {
