Send fewer messages between entries for each submission

Cause: ten entries with 0.12 of a core each get 84 submissions a second. Claims and verdicts, lists of ended claims, and tasks that were queued, taken and put back for each submission, took the processor that the tasks needed.

Change: - Announcements are not acknowledged any more, which took two of three messages of each announcement, and no job is stopped because an acknowledgement is missing. A second entry does not depend on them: the witnesses name the entry that has the job. - Ends of claims are not told. An entry that connects gets the claims of its peer, and those granted to entries without a link and to its own former process. - A job is queued before the consent only if the queue is not empty. - The hash of an entry's name is computed once a view.

Tests: acknowledgement_test wanted a job stopped when a link is silent; now it wants the job to go on, the job not to start at the other entry, and its second caller not to be told that it has not run. Its two cases of answers that count for another entry, or for an earlier announcement, are gone with the answers.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -182,10 +182,6 @@
             if (auto const* job = this->jobs.find(due->job))
                 this->resubmitted.announce(*job);
             break;
-        case timer_kind::acknowledgement_check:
-            if (auto* job = this->jobs.find(due->job))
-                this->resubmitted.check_acknowledged(*job, now);
-            break;
         case timer_kind::held_submission:
             this->resubmitted.on_timer(due->job, now);
             break;
@@ -283,8 +279,6 @@
                 this->submission_consent.on_verdict(peer, message, now);
             } else if constexpr (std::is_same_v<type, protocol::claim_release>) {
                 this->submission_consent.on_release(peer, message);
-            } else if constexpr (std::is_same_v<type, protocol::claims_ended>) {
-                this->submission_consent.on_claims_ended(peer, message);
             } else if constexpr (std::is_same_v<type, protocol::claims_held>) {
                 this->submission_consent.on_claims_held(peer, message, now);
             }
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -94,7 +94,6 @@
     /// When its caller has sent it at the earliest. Before `submitted` when it was held, or when it
     /// waited while this entry was paused.
     base::steady_time earliest_sent;
-    base::steady_time announced; ///< First announcement to the other entries.
     base::steady_time deadline;
     base::steady_time claim_deadline;
     base::steady_time latest_start; ///< Ephemeral jobs only: a later start misses the target.
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -362,7 +362,7 @@
         return agent.replaced && now >= agent.runs_end_by();
     });
     if (job.unconfirmed.empty())
-        return this->components.submission_consent.record_ended(job);
+        return;
     for (auto const& run : job.unconfirmed) {
         auto const& agent = this->components.agents.at(run.agent);
         if (agent.replaced || agent.silent)
@@ -410,8 +410,6 @@
                          0});
     if (job.ephemeral) {
         this->add_timer(job, timer_kind::answer_expired, now + ephemeral_retention);
-        if (job.unconfirmed.empty())
-            this->components.submission_consent.record_ended(job);
     } else {
         job.finish_sent = true;
         this->components.claims.finish({job.id, job.epoch, job.answer.state, job.answer.ran});
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -140,7 +140,6 @@
     job.consent_pending = false;
     this->components.resubmitted.record_admitted(job);
     this->add_timer(job, timer_kind::announcement, now + policy::announcement_age);
-    this->add_timer(job, timer_kind::acknowledgement_check, now + policy::acknowledgement_age);
     this->enqueue_waiting(job);
     this->components.dispatch.run(now);
 }
@@ -483,6 +482,9 @@
         this->components.teams.retries(job.team).record_first_attempt();
         this->components.teams.hedges(job.team).record_first_attempt();
     }
+    // With an empty queue its tasks would be taken at once, and put back.
+    if (job.consent_pending && this->components.ephemeral_queue.size() == 0)
+        return;
     this->enqueue_waiting(job);
     this->components.dispatch.run(now);
 }
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -31,8 +31,6 @@
 constexpr milliseconds denial_delay {10};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
-/// A later acknowledgement is of no use: the job has been stopped.
-constexpr milliseconds acknowledgement_retention {2000};
 /// Names of entries as peers begin so.
 constexpr std::string_view entry_peer_prefix = "entry.";
 /// Entries name a submission to each other by this and its key, because the id of an ephemeral job
@@ -119,9 +117,6 @@
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
         this->confirmations.expire(now);
-        std::erase_if(this->acknowledgement_queries, [now](auto const& query) {
-            return now - query.second.sent > acknowledgement_retention;
-        });
         std::erase_if(this->jobs_by_key, [this](auto const& item) {
             return this->components.jobs.find(item.second) == nullptr;
         });
@@ -130,36 +125,7 @@
         return;
     this->next_announcement = now + announcement_interval;
     auto const numbers = std::exchange(this->unannounced, {});
-    for (auto const number : numbers) {
-        if (auto* const job = this->components.jobs.find(number);
-            job != nullptr && job->announced == base::steady_time {})
-            job->announced = now;
-    }
     this->send_to_all(this->describe_jobs(numbers, now));
-    for (auto const& entry : this->other_entries())
-        this->ask_for_acknowledgement(entry, now);
-}
-
-void resubmissions::ask_for_acknowledgement(std::string const& entry, base::steady_time now)
-{
-    auto const id = this->components.remote.allocate_id();
-    this->acknowledgement_queries[id] = {entry, now};
-    // No job has an empty id, so the answer is sent at once.
-    this->components.sender.send(entry, protocol::job_query {id, {}, false, milliseconds(0)});
-}
-
-void resubmissions::check_acknowledged(job& job, base::steady_time now)
-{
-    if (job.phase != job_phase::running)
-        return;
-    for (auto const& entry : this->components.leases.applied().entries) {
-        auto const found = this->acknowledged.find(entry.id.name);
-        bool const has_read = found != this->acknowledged.end() && found->second >= job.announced
-            && job.announced != base::steady_time {};
-        if (!has_read && this->linked.contains(entry.id.name))
-            return this->components.lifecycle.stop_for_other_entry(
-                job, entry.id.name, "the entry has not acknowledged the announcement", now);
-    }
 }
 
 void resubmissions::send_to_all(protocol::submissions_running const& message)
@@ -227,7 +193,6 @@
     auto message = this->describe_all(now);
     message.asks_for_all = true;
     this->components.sender.send(peer, message);
-    this->ask_for_acknowledgement(peer, now);
     for (auto const& key : this->known.cancelled_here(now))
         this->components.sender.send(peer, protocol::job_cancel {submission_id(key)});
 }
@@ -542,15 +507,6 @@
 bool resubmissions::on_reply(std::string const& peer, protocol::job_reply const& reply,
                              base::steady_time now)
 {
-    if (auto const query = this->acknowledgement_queries.find(reply.query_id);
-        query != this->acknowledgement_queries.end()) {
-        if (peer == query->second.entry) {
-            auto& read_until = this->acknowledged[peer];
-            read_until = std::max(read_until, query->second.sent);
-            this->acknowledgement_queries.erase(query);
-        }
-        return true;
-    }
     auto const found = this->held.find(reply.query_id);
     if (found == this->held.end())
         return this->on_start_reply(peer, reply);
@@ -701,6 +657,14 @@
     this->record_cancelled(id.substr(submission_prefix.size()), now);
 }
 
+bool resubmissions::is_linked(protocol::process_id const& entry) const
+{
+    auto const found = this->incarnations.find(entry.name);
+    return entry == this->components.settings.id
+        || (this->linked.contains(entry.name) && found != this->incarnations.end()
+            && found->second == entry.incarnation);
+}
+
 bool resubmissions::is_cancelled(std::string const& key, base::steady_time now) const
 {
     return this->known.cancelled(key, now) != nullptr;
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -48,10 +48,6 @@
 
     // --- jobs of this entry that may have gone elsewhere ---
 
-    /// Stops the job when an entry of the view with a link has not acknowledged its announcement:
-    /// its caller, who may have left unnoticed, can return there from now on.
-    void check_acknowledged(job& job, base::steady_time now);
-
     /// Whether tasks of the job may be started. If not, the other entries are asked for it, and its
     /// tasks are queued again when none of them runs it.
     [[nodiscard]] bool may_start(job const& job, base::steady_time now);
@@ -90,6 +86,8 @@
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
+    /// Whether this entry, or this incarnation of another one, has a link.
+    [[nodiscard]] bool is_linked(protocol::process_id const& entry) const;
     /// A caller has cancelled the submission, here or elsewhere, a while ago at most.
     [[nodiscard]] bool is_cancelled(std::string const& key, base::steady_time now) const;
     /// Another entry states that a caller has cancelled the submission: stops what this entry has
@@ -167,8 +165,6 @@
     /// Job of this entry with this key; null if there is none.
     [[nodiscard]] job* find_job(std::string const& key) const;
     void record_tick(base::steady_time now);
-    /// Asks an entry for an answer, which it sends after it has read all earlier announcements.
-    void ask_for_acknowledgement(std::string const& entry, base::steady_time now);
     /// Queues the tasks of a job that waits when all entries have answered. Returns false when the
     /// reply is not about such a job.
     bool on_start_reply(std::string const& peer, protocol::job_reply const& reply);
@@ -185,13 +181,6 @@
     policy::remote_submissions known;
     remote_runs runs;
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
-    struct acknowledgement_query {
-        std::string entry;
-        base::steady_time sent;
-    };
-    std::unordered_map<std::uint64_t, acknowledgement_query> acknowledgement_queries; ///< By id.
-    /// What was announced until then has been read, by entry.
-    std::unordered_map<std::string, base::steady_time> acknowledged;
     std::unordered_map<std::string, std::uint64_t> jobs_by_key; ///< Local numbers of jobs.
     policy::start_confirmations confirmations;
     base::steady_time last_tick;
--- a/src/entry/submission_claims.cpp
+++ b/src/entry/submission_claims.cpp
@@ -21,8 +21,6 @@
 /// All witnesses are asked when those that were asked first have not consented by then. Each
 /// further time is twice as long.
 constexpr milliseconds first_repeat_interval {40};
-/// Claims that have ended in this interval share one message to each witness.
-constexpr milliseconds ended_interval {250};
 /// Names of entries as peers begin so.
 constexpr std::string_view entry_peer_prefix = "entry.";
 /// A submission without a majority is refused after this time. An entry that is asked for the job
@@ -375,15 +373,6 @@
         this->grants.release(key, claim);
 }
 
-void submission_claims::on_claims_ended(std::string const& peer,
-                                        protocol::claims_ended const& message)
-{
-    for (auto const& [key, claim] : message.claims) {
-        if (claim.entry.name == peer)
-            this->grants.record_ended(key, claim);
-    }
-}
-
 void submission_claims::on_claims_held(std::string const& peer,
                                        protocol::claims_held const& message, base::steady_time now)
 {
@@ -399,7 +388,14 @@
     if (!peer.starts_with(entry_peer_prefix))
         return;
     auto const& self = this->components.settings.id;
-    protocol::claims_held message {self, this->grants.held()};
+    // Whoever is linked tells its own claims. The others can't, nor can the former process of this
+    // peer.
+    protocol::claims_held message {self, {}};
+    for (auto const& item : this->grants.all()) {
+        if (item.claim.entry.name == peer
+            || !this->components.resubmitted.is_linked(item.claim.entry))
+            message.claims.push_back(item);
+    }
     for (auto const& [number, claim] : this->claims)
         message.claims.push_back({claim.key, {self, number}});
     for (auto const& [number, job] : this->components.jobs.all()) {
@@ -411,31 +407,6 @@
     this->components.sender.send(peer, message);
 }
 
-void submission_claims::record_ended(job const& job)
-{
-    if (job.consent_pending)
-        return;
-    this->ended.push_back(
-        {job_id_of(job.team, job.submission), {this->components.settings.id, job.claim_number}});
-}
-
-void submission_claims::send_ended(base::steady_time now)
-{
-    std::map<std::string, protocol::claims_ended> messages; // By witness.
-    for (auto const& item : std::exchange(this->ended, {})) {
-        for (auto const& set : this->witnesses.find(item.key, now)) {
-            for (auto const& witness : set)
-                messages[witness].claims.push_back(item);
-        }
-    }
-    for (auto const& [witness, message] : messages) {
-        if (witness == this->components.settings.id.name)
-            this->on_claims_ended(witness, message);
-        else
-            this->components.sender.send(witness, message);
-    }
-}
-
 void submission_claims::on_view(base::steady_time now)
 {
     std::vector<policy::witness_candidate> entries;
@@ -450,10 +421,6 @@
 
 void submission_claims::tick(base::steady_time now)
 {
-    if (!this->ended.empty() && now >= this->next_ended) {
-        this->next_ended = now + ended_interval;
-        this->send_ended(now);
-    }
     if (now < this->next_expiry)
         return;
     this->next_expiry = now + expiry_interval;
--- a/src/entry/submission_claims.h
+++ b/src/entry/submission_claims.h
@@ -54,15 +54,12 @@
     void on_verdict(std::string const& peer, protocol::claim_verdict const& verdict,
                     base::steady_time now);
     void on_release(std::string const& peer, protocol::claim_release const& release);
-    void on_claims_ended(std::string const& peer, protocol::claims_ended const& message);
     void on_claims_held(std::string const& peer, protocol::claims_held const& message,
                         base::steady_time now);
     /// Tells an entry that has connected what may run.
     void peer_up(std::string const& peer);
     /// A new view has been applied.
     void on_view(base::steady_time now);
-    /// Nothing of the job runs any more. Its witnesses are told at the next tick.
-    void record_ended(job const& job);
     /// Another entry asks for the job with this id, which has no job here. Returns false when no
     /// claim for it is open.
     bool on_query(std::string const& peer, protocol::job_query const& query);
@@ -116,7 +113,6 @@
                                                  base::steady_time now);
     /// Whether grants of a former incarnation of this entry may still count that it does not know.
     [[nodiscard]] bool may_have_forgotten(base::steady_time now);
-    void send_ended(base::steady_time now);
     /// Witnesses that do not owe an answer for long.
     [[nodiscard]] std::set<std::string> responsive(base::steady_time now) const;
 
@@ -131,8 +127,6 @@
     /// Entries that have told what they know of the claims that this one has forgotten.
     std::set<std::string> informants;
     bool knows_all = false; ///< What a former incarnation has granted.
-    std::vector<protocol::submission_ref> ended; ///< The witnesses are not told yet.
-    base::steady_time next_ended;
     base::steady_time next_expiry;
 };
 
--- a/src/entry/timer_queue.h
+++ b/src/entry/timer_queue.h
@@ -25,7 +25,6 @@
     unconfirmed_check, ///< Ask for the ends of runs of a final ephemeral job.
     answer_expired, ///< The answer of an ephemeral job is dropped.
     announcement, ///< An unfinished ephemeral job is announced to the other entries.
-    acknowledgement_check, ///< All other entries are to have an announced job by now.
     abandoned_check, ///< No other entry may wait any more for a job whose callers have left.
     held_submission, ///< `job` is the id of a submission that another entry may run.
     submission_claim, ///< `job` is the number of a claim whose witnesses are to be asked again.
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -67,10 +67,6 @@
                                                         + std::chrono::milliseconds(110)};
 /// Callers that get no answer send a job to another entry after this time at the earliest.
 constexpr std::chrono::milliseconds caller_return_delay {1300};
-/// At this age, all linked entries have to have the announcement of a job. Leaves 590 ms for a
-/// round trip, and 200 ms to stop the runs before its caller returns.
-constexpr std::chrono::milliseconds acknowledgement_age {1100};
-static_assert(announcement_delay < acknowledgement_age);
 
 /// What callers call a submission.
 struct submission_name {
--- a/src/policy/submission_grants.cpp
+++ b/src/policy/submission_grants.cpp
@@ -38,7 +38,6 @@
     if (replaces) {
         held.claim = claim;
         held.since = now;
-        held.ended = false;
     }
     held.kept_until = now + grant_retention;
     return held;
@@ -49,14 +48,7 @@
 {
     if (this->grants.size() >= max_grants)
         this->drop_oldest();
-    return this->grants[key] = {claim, now, now + grant_retention, false};
-}
-
-void submission_grants::record_ended(std::string const& key, protocol::claim_ref const& claim)
-{
-    auto const found = this->grants.find(key);
-    if (found != this->grants.end() && is_same(found->second.claim, claim))
-        found->second.ended = true;
+    return this->grants[key] = {claim, now, now + grant_retention};
 }
 
 void submission_grants::adopt(std::string const& key, protocol::claim_ref const& claim,
@@ -66,12 +58,11 @@
         this->add(key, claim, now);
 }
 
-std::vector<protocol::submission_ref> submission_grants::held() const
+std::vector<protocol::submission_ref> submission_grants::all() const
 {
     std::vector<protocol::submission_ref> result;
     for (auto const& [key, item] : this->grants) {
-        if (!item.ended)
-            result.push_back({key, item.claim});
+        result.push_back({key, item.claim});
     }
     return result;
 }
--- a/src/policy/submission_grants.h
+++ b/src/policy/submission_grants.h
@@ -30,7 +30,6 @@
         protocol::claim_ref claim;
         steady_time since;
         steady_time kept_until;
-        bool ended = false; ///< Nothing runs under the claim any more. Its answer may be known.
     };
     /// Grants the submission unless another entry holds it.
     /// @param ended claims under which nothing runs any more and nothing will start.
@@ -39,13 +38,10 @@
                          std::vector<protocol::claim_ref> const& ended, steady_time now);
     /// The claim was withdrawn before anything started under it.
     void release(std::string const& key, protocol::claim_ref const& claim);
-    /// What was started under the claim has ended.
-    void record_ended(std::string const& key, protocol::claim_ref const& claim);
     /// Another entry states that the claim holds the submission. Has no effect on a submission of
     /// which this witness knows more.
     void adopt(std::string const& key, protocol::claim_ref const& claim, steady_time now);
-    /// What may still run.
-    [[nodiscard]] std::vector<protocol::submission_ref> held() const;
+    [[nodiscard]] std::vector<protocol::submission_ref> all() const;
     /// Drops what has expired.
     void expire(steady_time now);
     [[nodiscard]] std::size_t size() const { return this->grants.size(); }
--- a/src/policy/submission_witnesses.cpp
+++ b/src/policy/submission_witnesses.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace greengagehead::policy {
@@ -46,39 +47,47 @@
 
 } // namespace
 
+witness_candidate::witness_candidate(std::string entry_name, std::string entry_zone)
+    : name(std::move(entry_name)), zone(std::move(entry_zone)), name_hash(mix(hash_of(this->name)))
+{
+}
+
 witness_set choose_witnesses(std::string const& key, std::vector<witness_candidate> const& entries)
 {
-    struct ranked {
-        std::uint64_t rank;
-        witness_candidate const* entry;
-    };
     auto const key_hash = hash_of(key);
-    std::vector<ranked> order;
-    order.reserve(entries.size());
+    auto const size = std::min(entries.size(), witnesses_per_submission);
+    std::vector<std::uint64_t> ranks;
+    ranks.reserve(entries.size());
     for (auto const& entry : entries)
-        order.push_back({mix(key_hash ^ mix(hash_of(entry.name))), &entry});
-    std::sort(order.begin(), order.end(), [](auto const& a, auto const& b) {
-        return std::pair(a.rank, std::string_view(a.entry->name))
-            < std::pair(b.rank, std::string_view(b.entry->name));
-    });
-    auto const size = std::min(order.size(), witnesses_per_submission);
-    std::vector<witness_candidate const*> chosen;
-    auto const zone_is_new = [&chosen](witness_candidate const& entry) {
-        return std::none_of(chosen.begin(), chosen.end(),
-                            [&entry](auto const* other) { return other->zone == entry.zone; });
+        ranks.push_back(mix(key_hash ^ entry.name_hash));
+    std::vector<std::size_t> chosen;
+    auto const is_chosen = [&chosen](std::size_t index) {
+        return std::find(chosen.begin(), chosen.end(), index) != chosen.end();
     };
-    for (auto const& item : order) {
-        if (chosen.size() < size && zone_is_new(*item.entry))
-            chosen.push_back(item.entry);
-    }
-    for (auto const& item : order) {
-        if (chosen.size() < size
-            && std::find(chosen.begin(), chosen.end(), item.entry) == chosen.end())
-            chosen.push_back(item.entry);
-    }
+    auto const zone_is_used = [&](std::size_t index) {
+        return std::any_of(chosen.begin(), chosen.end(), [&](auto const other) {
+            return entries[other].zone == entries[index].zone;
+        });
+    };
+    auto const choose_lowest = [&](bool only_new_zones) {
+        auto best = entries.size();
+        for (std::size_t i = 0; i < entries.size(); ++i) {
+            if (is_chosen(i) || (only_new_zones && zone_is_used(i)))
+                continue;
+            if (best == entries.size()
+                || std::tie(ranks[i], entries[i].name) < std::tie(ranks[best], entries[best].name))
+                best = i;
+        }
+        if (best == entries.size())
+            return false;
+        chosen.push_back(best);
+        return true;
+    };
+    while (chosen.size() < size && (choose_lowest(true) || choose_lowest(false)))
+        continue;
     witness_set names;
-    for (auto const* const entry : chosen)
-        names.push_back(entry->name);
+    for (auto const index : chosen)
+        names.push_back(entries[index].name);
     return names;
 }
 
--- a/src/policy/submission_witnesses.h
+++ b/src/policy/submission_witnesses.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,11 @@
 constexpr std::chrono::milliseconds witness_transition {3000};
 
 struct witness_candidate {
+    witness_candidate(std::string entry_name, std::string entry_zone);
+
     std::string name; ///< Peer name of the entry; the same for all its incarnations.
     std::string zone;
+    std::uint64_t name_hash;
 
     bool operator==(witness_candidate const&) const = default;
 };
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -313,9 +313,6 @@
 template <> struct field_list<claim_release> {
     static auto of(auto& m) { return std::tie(m.released); }
 };
-template <> struct field_list<claims_ended> {
-    static auto of(auto& m) { return std::tie(m.claims); }
-};
 template <> struct field_list<claims_held> {
     static auto of(auto& m) { return std::tie(m.entry, m.claims); }
 };
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -204,11 +204,6 @@
     submission_ref released;
 };
 
-/// What was started under these claims has ended.
-struct claims_ended {
-    std::vector<submission_ref> claims;
-};
-
 /// The claims under which something may run, as far as the sender knows. Sent to each entry that
 /// connects: it may have forgotten what it has granted before it started.
 struct claims_held {
@@ -377,6 +372,6 @@
                    job_finished_ack, job_query, job_reply, job_cancel, start_batch, lease_update,
                    cancel_batch, outcome_query, outcome_batch, outcome_ack, outcome_report,
                    agent_report, directory_request, directory, lagging_run, submissions_running,
-                   submission_claim, claim_verdict, claim_release, claims_ended, claims_held>;
+                   submission_claim, claim_verdict, claim_release, claims_held>;
 
 } // namespace greengagehead::protocol
--- a/src/protocol/message_kind.cpp
+++ b/src/protocol/message_kind.cpp
@@ -16,7 +16,7 @@
     "lease_update",  "cancel_batch",    "outcome_query",       "outcome_batch",
     "outcome_ack",   "outcome_report",  "agent_report",        "directory_request",
     "directory",     "lagging_run",     "submissions_running", "submission_claim",
-    "claim_verdict", "claim_release",   "claims_ended",        "claims_held",
+    "claim_verdict", "claim_release",   "claims_held",
 };
 static_assert(!names.back().empty(), "a message has no name");
 
