--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -230,15 +230,33 @@
 
 // --- message.h ---
 
+template <> struct field_list<account_use> {
+    static auto of(auto& m) { return std::tie(m.account, m.asked, m.served); }
+};
+template <> struct field_list<entry_demand> {
+    static auto of(auto& m) { return std::tie(m.arriving, m.applied_table, m.accounts); }
+};
+template <> struct field_list<entry_weight> {
+    static auto of(auto& m) { return std::tie(m.entry, m.weight); }
+};
+template <> struct field_list<account_share> {
+    static auto of(auto& m) { return std::tie(m.account, m.asked, m.served); }
+};
+template <> struct field_list<capacity_shares> {
+    static auto of(auto& m) { return std::tie(m.number, m.settled, m.entries, m.accounts); }
+};
 template <> struct field_list<renew_lease> {
     static auto of(auto& m)
     {
         return std::tie(m.entry, m.zone, m.http_address, m.entry_clock, m.applied_view,
-                        m.settled_view, m.seen_takeover, m.link_address);
+                        m.settled_view, m.seen_takeover, m.link_address, m.demand);
     }
 };
 template <> struct field_list<grant_lease> {
-    static auto of(auto& m) { return std::tie(m.incarnation, m.expires_at, m.view, m.group); }
+    static auto of(auto& m)
+    {
+        return std::tie(m.incarnation, m.expires_at, m.view, m.group, m.shares);
+    }
 };
 template <> struct field_list<directory_request> {
     static auto of(auto& m) { return std::tie(m.from, m.known_view); }
--- a/src/protocol/json_fields.h
+++ b/src/protocol/json_fields.h
@@ -46,14 +46,34 @@
 template <typename R, typename P> struct is_duration<std::chrono::duration<R, P>> : std::true_type {
 };
 
+/// Number of leading fields up to the last one that is not optional. Later ones may be left out,
+/// so that processes without them can still be understood.
+template <typename Fields> constexpr std::size_t required_fields()
+{
+    return []<std::size_t... Index>(std::index_sequence<Index...> /*positions*/)
+    {
+        std::size_t count = 0;
+        ((is_optional<std::remove_cvref_t<std::tuple_element_t<Index, Fields>>>::value
+              ? void()
+              : void(count = Index + 1)),
+         ...);
+        return count;
+    }
+    (std::make_index_sequence<std::tuple_size_v<Fields>> {});
+}
+
 /// Returns the JSON form of `value`: structs and vectors as arrays, optionals as arrays of at most
 /// one element, variants as pairs of index and value, durations as counts, enumerators as numbers.
+/// Empty optional fields at the end of a struct are left out.
 template <typename T> json to_value(T const& value)
 {
     if constexpr (has_fields<T const>) {
         json array = json::array();
+        auto const fields = field_list<T>::of(value);
         std::apply([&array](auto const&... field) { (array.push_back(to_value(field)), ...); },
-                   field_list<T>::of(value));
+                   fields);
+        while (array.size() > required_fields<decltype(fields)>() && array.back().empty())
+            array.erase(array.size() - 1);
         return array;
     } else if constexpr (is_vector<T>::value) {
         json array = json::array();
@@ -93,11 +113,20 @@
     }
 }
 
+/// An optional field that was left out is empty.
+template <typename T> void read_field(json const& array, std::size_t index, T& field)
+{
+    if (index < array.size())
+        return from_value(array[index], field);
+    if constexpr (is_optional<T>::value)
+        field.reset();
+}
+
 template <typename Tuple, std::size_t... Index>
 void read_fields(json const& array, Tuple const& fields,
                  std::index_sequence<Index...> /*positions*/)
 {
-    (from_value(array.at(Index), std::get<Index>(fields)), ...);
+    (read_field(array, Index, std::get<Index>(fields)), ...);
 }
 
 /// Reads `value`, the result of to_value, into `target`.
@@ -107,7 +136,8 @@
     if constexpr (has_fields<T>) {
         auto fields = field_list<T>::of(target);
         constexpr auto count = std::tuple_size_v<decltype(fields)>;
-        if (!value.is_array() || value.size() != count)
+        constexpr auto required = required_fields<decltype(fields)>();
+        if (!value.is_array() || value.size() < required || value.size() > count)
             throw std::out_of_range("struct has the wrong number of fields");
         read_fields(value, fields, std::make_index_sequence<count> {});
     } else if constexpr (is_vector<T>::value) {
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -20,6 +20,42 @@
 
 // --- entry and control ---
 
+/// Slot time of one account at one entry since the last renewal that was answered.
+struct account_use {
+    std::string account;
+    std::chrono::microseconds asked {0}; ///< Of the jobs that arrived, refused ones included.
+    std::chrono::microseconds served {0}; ///< Of the tasks that were started.
+};
+
+/// Demand of an entry for slots.
+struct entry_demand {
+    /// Slot time that arrives each second, refused work included.
+    std::chrono::microseconds arriving {0};
+    std::uint64_t applied_table = 0; ///< `capacity_shares::number` that the entry acts on.
+    std::vector<account_use> accounts;
+};
+
+/// Share of one entry in the slots of the endpoints that it uses.
+struct entry_weight {
+    std::string entry; ///< Peer name.
+    std::uint32_t weight = 0; ///< In parts of 1,000.
+};
+
+/// Decaying sums over all entries of the slot time of one account.
+struct account_share {
+    std::string account;
+    std::chrono::microseconds asked {0};
+    std::chrono::microseconds served {0};
+};
+
+/// How the slots are divided among the entries, and what each account has had lately.
+struct capacity_shares {
+    std::uint64_t number = 0; ///< Of the table in `entries`; 0 for none. Increases.
+    std::uint64_t settled = 0; ///< Highest table that each live entry has applied.
+    std::vector<entry_weight> entries;
+    std::vector<account_share> accounts;
+};
+
 /// Asks the leader for a lease, and reports the state of the entry to it.
 struct renew_lease {
     process_id entry;
@@ -31,6 +67,7 @@
     view_number settled_view = 0;
     std::uint64_t seen_takeover = 0; ///< Highest `takeover_notice::sequence` received.
     std::string link_address; ///< Where agents and other entries reach the entry.
+    std::optional<entry_demand> demand; ///< Empty unless the settings of the entry ask for shares.
 };
 
 /// Allows an entry to start tasks until the lease expires.
@@ -39,6 +76,7 @@
     base::clock_reading expires_at {0}; ///< In the entry's clock.
     view_number view = 0;
     control_group group;
+    std::optional<capacity_shares> shares; ///< Only in answer to a renewal with a demand.
 };
 
 /// Answer of a control member that is not the leader. `group` names the leader if it is known.
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -158,3 +158,45 @@
         }
     }
 }
+
+SCENARIO("a renewal with and without a demand")
+{
+    GIVEN("a renewal without a demand")
+    {
+        renew_lease const plain {{"entry.recife-1", 7}, "recife", "h:1", {}, 3, 2, 1, "l:1", {}};
+
+        WHEN("it is encoded")
+        {
+            auto const bytes = encode(message(plain));
+
+            // Guards against a setting that is off and still changes what older processes read.
+            THEN("the demand takes no byte, and an empty one is read")
+            {
+                auto with_demand = plain;
+                with_demand.demand.emplace();
+                CHECK(bytes.size() < encode(message(with_demand)).size());
+                auto const decoded = decode_message(bytes);
+                REQUIRE(decoded);
+                CHECK_FALSE(std::get<renew_lease>(decoded.value()).demand);
+                CHECK(std::get<renew_lease>(decoded.value()).link_address == "l:1");
+            }
+        }
+        WHEN("it has a demand")
+        {
+            auto with_demand = plain;
+            with_demand.demand = entry_demand {std::chrono::seconds(2), 5, {{"hospital", {}, {}}}};
+            auto const decoded = decode_message(encode(message(with_demand)));
+
+            THEN("the demand is restored")
+            {
+                REQUIRE(decoded);
+                auto const& demand = std::get<renew_lease>(decoded.value()).demand;
+                REQUIRE(demand);
+                CHECK(demand->arriving == std::chrono::seconds(2));
+                CHECK(demand->applied_table == 5);
+                REQUIRE(demand->accounts.size() == 1);
+                CHECK(demand->accounts[0].account == "hospital");
+            }
+        }
+    }
+}
