Ask also the agents that only other entries have heard

Cause: an entry that holds a submission of a lost entry asks the agents for its runs, but only those that it has heard itself. One that has started while a machine is suspended has not heard that machine's agent, and took the answers of the others for the end of all runs.

Change: entries that connect tell each other which agents they have heard, and how long ago (claims_held::agents). An agent that was heard elsewhere, and that may have had a run when the submission was granted, must be heard and must answer first. Until then the caller is told that the state of its job is not known.

Why this works: the witness that names the former claim has told its agents on the same link before, so the list is known whenever the claim is.

--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -416,7 +416,7 @@
     this->pimpl->agents.on_up(peer, now);
     this->pimpl->control.on_peer_up(peer);
     this->pimpl->resubmitted.peer_up(peer, now);
-    this->pimpl->submission_consent.peer_up(peer);
+    this->pimpl->submission_consent.peer_up(peer, now);
     if (!this->pimpl->leases.valid(now))
         this->pimpl->leases.renew_soon();
     if (auto const* agent = this->pimpl->agents.find(peer))
--- a/src/entry/remote_runs.cpp
+++ b/src/entry/remote_runs.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/remote_runs.h"
 
+#include <algorithm>
 #include <chrono>
 
 #include "entry/entry_components.h"
@@ -23,6 +24,8 @@
 /// An entry starts nothing at an agent that it has not heard for this long: 1.1 s, and the times of
 /// two messages.
 constexpr milliseconds longest_use_unheard {1500};
+/// What another entry has heard for longer ago is forgotten: no submission is held for so long.
+constexpr milliseconds unheard_agent_retention {600'000};
 
 } // namespace
 
@@ -33,10 +36,52 @@
     this->jobs.try_emplace(job, searched_job {announced, {}});
 }
 
+bool remote_runs::may_have_run(base::steady_time heard, searched_job const& job)
+{
+    return heard + longest_use_unheard >= job.announced;
+}
+
 bool remote_runs::must_answer(agent_record const& agent, searched_job const& job)
 {
     return !agent.replaced && agent.last_report != base::steady_time {}
-    && agent.last_report + longest_use_unheard >= job.announced;
+    && remote_runs::may_have_run(agent.last_report, job);
+}
+
+bool remote_runs::unheard_agent_must_answer(searched_job const& job) const
+{
+    return std::any_of(this->heard_elsewhere.begin(), this->heard_elsewhere.end(),
+                       [this, &job](auto const& item) {
+                           return this->components.agents.find(item.first) == nullptr
+                               && remote_runs::may_have_run(item.second.heard, job);
+                       });
+}
+
+void remote_runs::record_heard_elsewhere(protocol::process_id const& agent, base::steady_time heard)
+{
+    auto& known = this->heard_elsewhere[agent.name];
+    if (known.heard < heard)
+        known = {agent, heard};
+    std::erase_if(this->heard_elsewhere, [heard](auto const& item) {
+        return item.second.heard + unheard_agent_retention < heard;
+    });
+}
+
+std::vector<protocol::agent_silence> remote_runs::known_agents(base::steady_time now) const
+{
+    std::vector<protocol::agent_silence> known;
+    auto const add = [&known, now](protocol::process_id const& id, base::steady_time heard) {
+        if (now - heard < unheard_agent_retention)
+            known.push_back({id, std::chrono::floor<milliseconds>(now - heard)});
+    };
+    for (auto const& agent : this->components.agents.all()) {
+        if (!agent.replaced && agent.last_report != base::steady_time {})
+            add(agent.id, agent.last_report);
+    }
+    for (auto const& [name, agent] : this->heard_elsewhere) {
+        if (this->components.agents.find(name) == nullptr)
+            add(agent.id, agent.heard);
+    }
+    return known;
 }
 
 bool remote_runs::ended(std::string const& id) const
@@ -44,6 +89,10 @@
     auto const found = this->jobs.find(id);
     if (found == this->jobs.end())
         return false;
+    // An entry that has started since the job does not hear a machine that has been suspended since
+    // before, and could not ask it.
+    if (this->unheard_agent_must_answer(found->second))
+        return false;
     // Without any agent nothing is proven: an entry that has just started has not heard them yet.
     bool any_answer = false;
     for (auto const& agent : this->components.agents.all()) {
--- a/src/entry/remote_runs.h
+++ b/src/entry/remote_runs.h
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/clock.h"
 #include "entry/agent_table.h"
@@ -27,6 +28,13 @@
     [[nodiscard]] bool ended(std::string const& job) const;
     void forget(std::string const& job);
 
+    /// Another entry has stated that it last heard the agent at `heard`. Until this entry hears an
+    /// agent of this name itself, that agent counts as one that must answer.
+    void record_heard_elsewhere(protocol::process_id const& agent, base::steady_time heard);
+    /// The agents that may have runs, and for how long they have not been heard by any entry that
+    /// has told this one.
+    [[nodiscard]] std::vector<protocol::agent_silence> known_agents(base::steady_time now) const;
+
     /// Asks the agents whose statements are missing.
     void tick(base::steady_time now);
     void on_report(protocol::outcome_report const& report, base::steady_time now);
@@ -40,13 +48,23 @@
         base::steady_time announced;
         std::unordered_map<agent_slot, agent_answer> answers;
     };
+    struct unheard_agent {
+        protocol::process_id id;
+        base::steady_time heard; ///< By another entry.
+    };
+    /// Whether the agent may have a run of the job, if it was last heard at `heard`.
+    [[nodiscard]] static bool may_have_run(base::steady_time heard, searched_job const& job);
     [[nodiscard]] static bool must_answer(agent_record const& agent, searched_job const& job);
+    /// Whether an agent must answer that only other entries have heard.
+    [[nodiscard]] bool unheard_agent_must_answer(searched_job const& job) const;
     void record_answer(std::string const& id, searched_job& job, agent_slot slot,
                        protocol::outcome_report const& report, base::steady_time asked,
                        base::steady_time now);
 
     entry_components& components;
     std::unordered_map<std::string, searched_job> jobs; ///< By id.
+    /// Agents that other entries have heard, by name.
+    std::unordered_map<std::string, unheard_agent> heard_elsewhere;
 };
 
 } // namespace greengagehead::entry
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -27,6 +27,8 @@
 /// Longest wait in one query, so that a lost entry is noticed.
 constexpr milliseconds max_query_wait {1000};
 constexpr milliseconds answer_timeout {500};
+/// A longer silence in a statement counts as this.
+constexpr milliseconds max_stated_silence {std::chrono::hours(24)};
 /// Pause after the denial of a claim.
 constexpr milliseconds denial_delay {10};
 /// Pause before a job that is still in progress is looked at again.
@@ -487,6 +489,15 @@
     this->runs.on_report(report, now);
 }
 
+void resubmissions::record_agents(std::vector<protocol::agent_silence> const& agents,
+                                  base::steady_time now)
+{
+    for (auto const& [agent, silence] : agents) {
+        auto const stated = std::clamp(silence, milliseconds(0), max_stated_silence);
+        this->runs.record_heard_elsewhere(agent, now - stated);
+    }
+}
+
 bool resubmissions::must_wait_for_newer(held_submission const& item, base::steady_time now) const
 {
     return this->known.has_newer_holder(item.key, item.submitted, this->components.settings.id.name,
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -87,6 +87,13 @@
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
+    /// Another entry has stated how long it has not heard its agents.
+    void record_agents(std::vector<protocol::agent_silence> const& agents, base::steady_time now);
+    /// The agents that may have runs, as far as this entry knows.
+    [[nodiscard]] std::vector<protocol::agent_silence> known_agents(base::steady_time now) const
+    {
+        return this->runs.known_agents(now);
+    }
     /// Whether this entry, or this incarnation of another one, has a link.
     [[nodiscard]] bool is_linked(protocol::process_id const& entry) const;
     /// A caller has cancelled the submission, here or elsewhere, a while ago at most.
--- a/src/entry/submission_claims.cpp
+++ b/src/entry/submission_claims.cpp
@@ -378,17 +378,18 @@
         return;
     for (auto const& [key, claim] : message.claims)
         this->grants.adopt(key, claim, now);
+    this->components.resubmitted.record_agents(message.agents, now);
     this->informants.insert(peer);
 }
 
-void submission_claims::peer_up(std::string const& peer)
+void submission_claims::peer_up(std::string const& peer, base::steady_time now)
 {
     if (!peer.starts_with(entry_peer_prefix))
         return;
     auto const& self = this->components.settings.id;
     // Whoever is linked tells its own claims. The others can't, nor can the former process of this
     // peer.
-    protocol::claims_held message {self, {}};
+    protocol::claims_held message {self, {}, this->components.resubmitted.known_agents(now)};
     for (auto const& item : this->grants.all()) {
         if (item.claim.entry.name == peer
             || !this->components.resubmitted.is_linked(item.claim.entry))
--- a/src/entry/submission_claims.h
+++ b/src/entry/submission_claims.h
@@ -59,7 +59,7 @@
     void on_claims_held(std::string const& peer, protocol::claims_held const& message,
                         base::steady_time now);
     /// Tells an entry that has connected what may run.
-    void peer_up(std::string const& peer);
+    void peer_up(std::string const& peer, base::steady_time now);
     /// A new view has been applied.
     void on_view(base::steady_time now);
     /// Another entry asks for the job with this id, which has no job here. Returns false when no
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -313,8 +313,11 @@
 template <> struct field_list<claim_release> {
     static auto of(auto& m) { return std::tie(m.released); }
 };
+template <> struct field_list<agent_silence> {
+    static auto of(auto& m) { return std::tie(m.agent, m.silence); }
+};
 template <> struct field_list<claims_held> {
-    static auto of(auto& m) { return std::tie(m.entry, m.claims); }
+    static auto of(auto& m) { return std::tie(m.entry, m.claims, m.agents); }
 };
 template <> struct field_list<lease_stamp> {
     static auto of(auto& m) { return std::tie(m.entry, m.view, m.expires_at, m.leased); }
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -204,11 +204,19 @@
     submission_ref released;
 };
 
-/// The claims under which something may run, as far as the sender knows. Sent to each entry that
-/// connects: it may have forgotten what it has granted before it started.
+/// An agent, and how long the sender has not heard it.
+struct agent_silence {
+    process_id agent;
+    std::chrono::milliseconds silence {0};
+};
+
+/// The claims under which something may run, and the agents where it may, as far as the sender
+/// knows. Sent to each entry that connects: it may have forgotten what it granted before it
+/// started, and may not have heard some of the agents since.
 struct claims_held {
     process_id entry;
     std::vector<submission_ref> claims;
+    std::vector<agent_silence> agents;
 };
 
 // --- entry and agent ---
--- a/tests/entry/suspended_machine_test.cpp
+++ b/tests/entry/suspended_machine_test.cpp
@@ -57,6 +57,19 @@
         }
     }
 
+    /// The entry starts again and connects to the others.
+    void restart(std::string const& entry)
+    {
+        this->isolated.erase(entry);
+        this->add_entry(entry, "recife");
+        for (auto const& [name, core] : this->entries) {
+            if (name == entry)
+                continue;
+            core->peer_up(entry, this->now);
+            this->entries.at(entry)->peer_up(name, this->now);
+        }
+    }
+
     steady_time suspended_at;
 };
 
@@ -156,3 +169,50 @@
         }
     }
 }
+
+SCENARIO("the entry of the runs starts again while their machine is suspended",
+         "[entry][suspended]")
+{
+    GIVEN("jobs with runs there, whose entry has ended and started again")
+    {
+        suspended_fleet fleet;
+        std::vector<std::string> const names {"s0", "s1", "s2", "s3"};
+        for (auto const& name : names)
+            fleet.send("entry.a", name);
+        REQUIRE(fleet.run_until([&fleet] { return fleet.running() == 8; }));
+        fleet.suspend("agent.1");
+        fleet.run(milliseconds(300));
+        fleet.kill("entry.a");
+        fleet.run(milliseconds(1000));
+        fleet.restart("entry.a");
+
+        WHEN("the callers send them again, also to that entry, until the machine wakes")
+        {
+            auto const time = GENERATE(1400, 2000, 2600, 3200, 3800);
+            auto const wakes = fleet.now + milliseconds(time);
+            while (fleet.now < wakes) {
+                for (auto const& name : names)
+                    fleet.send("entry.a", name);
+                fleet.run(milliseconds(200));
+            }
+            fleet.wake("agent.1");
+            fleet.run(deadline);
+            // Guards against an entry that asks only the agents that it has heard since its start,
+            // and takes their answers for the end of all runs.
+            THEN("no task ran twice at the same time")
+            {
+                INFO("woken " << time << " ms after the start of the entry");
+                CHECK(fleet.violations == std::vector<std::string> {});
+            }
+            THEN("all jobs are served after it has woken")
+            {
+                std::vector<std::shared_ptr<simulated_fleet::submission>> last;
+                for (auto const& name : names)
+                    last.push_back(fleet.send("entry.a", name));
+                fleet.run(deadline + resend_delay);
+                for (auto& request : last)
+                    CHECK(complete(*request));
+            }
+        }
+    }
+}
