Hold requests that arrive while an entry recovers its state

Cause: after a power loss of all machines an entry refused 958 requests as "no configuration yet" and 110 for missing endpoints, although most callers waited for longer than the recovery took. Change: entry::held_requests keeps them, in the order of their deadlines and under one bound of bytes. The adapter of the platform uses it without a routing document, job_lifecycle when no endpoint of the kind is known or accepts tasks. Held requests pass the ordinary admission; their age and target count from their arrival, and one that can only meet its deadline is queued behind those that can meet their targets. New settings entry.recovery_hold_ms (default 0, off) and entry.recovery_hold_bytes, events 3040 to 3043, and metrics. Event 3043 states when an entry had its first control link, leader, lease, view and endpoint. The effect on a load after a power loss is not measured yet.

--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -72,6 +72,21 @@
                     &entry::entry_counters::retries},
     counter_metric {"hedges_total", "Second attempts of stragglers.",
                     &entry::entry_counters::hedges},
+    counter_metric {"requests_held_total", "Requests held while the entry recovered its state.",
+                    &entry::entry_counters::requests_held},
+    counter_metric {"held_requests_resumed_total", "Held requests that were continued.",
+                    &entry::entry_counters::held_requests_resumed},
+    counter_metric {"held_requests_expired_total", "Held requests whose time was up.",
+                    &entry::entry_counters::held_requests_expired},
+    counter_metric {"held_requests_left_total", "Held requests whose callers left.",
+                    &entry::entry_counters::held_requests_left},
+    counter_metric {"held_requests_shut_down_total", "Held requests that a shutdown ended.",
+                    &entry::entry_counters::held_requests_shut_down},
+    counter_metric {"hold_overflows_total", "Requests not held for lack of memory.",
+                    &entry::entry_counters::hold_overflows},
+    counter_metric {"hold_time_refusals_total",
+                    "Requests not held because too little time was left.",
+                    &entry::entry_counters::hold_time_refusals},
     counter_metric {"messages_sent_total", "Messages to other processes.",
                     &entry::entry_counters::messages_sent},
     counter_metric {"submissions_held_total",
@@ -161,6 +176,10 @@
     append_sample(text, "lease_valid", "", status.lease_valid ? 1 : 0);
     text += "# TYPE greengagehead_running_jobs gauge\n";
     append_sample(text, "running_jobs", "", status.running_jobs);
+    text += "# TYPE greengagehead_held_requests gauge\n";
+    append_sample(text, "held_requests", "", status.held_requests);
+    text += "# TYPE greengagehead_held_request_bytes gauge\n";
+    append_sample(text, "held_request_bytes", "", status.held_request_bytes);
     text += "# TYPE greengagehead_waiting_tasks gauge\n";
     for (auto const& team : status.teams)
         append_sample(text, "waiting_tasks", "team=\"" + team.team + "\"", team.waiting);
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -28,6 +28,7 @@
     core.placement = settings.placement;
     core.seed = core.id.incarnation;
     core.answer_retention = settings.timing.claim_retention;
+    core.recovery_hold = {settings.recovery_hold, settings.recovery_hold_bytes};
     return core;
 }
 
@@ -119,6 +120,7 @@
 {
     if (this->adapter)
         this->adapter->begin_shutdown(now);
+    this->core.stop_holding(now);
     this->leave_pending = true;
     this->routes.begin_shutdown();
     auto const limit = this->settings.timing.shutdown_limit;
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -15,6 +15,7 @@
 #include "entry/copy_store.h"
 #include "entry/dispatcher.h"
 #include "entry/entry_core.h"
+#include "entry/held_requests.h"
 #include "entry/job_lifecycle.h"
 #include "entry/job_table.h"
 #include "entry/lease_manager.h"
@@ -81,6 +82,7 @@
     job_table jobs;
     copy_store copies;
     agent_outbox outbox;
+    held_requests held;
 
     dispatcher dispatch;
     attempt_tracker attempts;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -10,6 +10,7 @@
 
 #include "entry/entry_components.h"
 #include "entry/job_id.h"
+#include "entry/recovery_logger.h"
 
 namespace greengagehead::entry {
 
@@ -53,7 +54,8 @@
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
       placement(policy_of(this->settings)), jobs(this->settings.finished_bytes), copies(copy_bytes),
-      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
+      outbox(this->sender, this->leases, this->agents),
+      held(this->settings.recovery_hold, this->counters), dispatch(*this), attempts(*this),
       monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
       submission_consent(*this), takeovers(*this)
 {
@@ -72,11 +74,16 @@
     /// Whether runs of the job may be in progress that a former incarnation of this entry, under
     /// whose name it is asked, has started.
     [[nodiscard]] bool may_be_of_former_incarnation(std::string const& job, base::steady_time now);
+    /// Whether the entry has what it needs to serve callers: its configuration and an endpoint.
+    [[nodiscard]] bool state_complete() const;
+    [[nodiscard]] state_parts present_parts(base::steady_time now) const;
     /// Called after each input: places waiting tasks and sends the collected messages.
     void place_and_send(base::steady_time now);
 
     view_signal view_applied;
     controls_signal control_group_changed;
+    recovery_logger recovery;
+    bool control_linked = false; ///< A link to a control member was ready.
     base::steady_time started;
     base::steady_time next_agent_check;
     base::steady_time next_expiry;
@@ -203,6 +210,17 @@
         && this->jobs.find(job) == nullptr && this->copies.find(job) == nullptr;
 }
 
+bool entry_core::impl::state_complete() const
+{
+    return this->leases.applied().number > 0 && this->endpoints.usable_endpoints() > 0;
+}
+
+state_parts entry_core::impl::present_parts(base::steady_time now) const
+{
+    return {this->control_linked, !this->control.leader().empty(), this->leases.valid(now),
+            this->leases.applied().number > 0, this->endpoints.usable_endpoints() > 0};
+}
+
 void entry_core::impl::place_and_send(base::steady_time now)
 {
     this->dispatch.run(now);
@@ -292,6 +310,8 @@
 {
     this->pimpl->started = now;
     this->pimpl->submission_consent.set_started(now);
+    this->pimpl->held.set_started(now);
+    this->pimpl->recovery.set_started(now);
     this->pimpl->connect();
     this->pimpl->view_applied.connect(
         [this](protocol::view const& view) { this->view_applied.emit(view); });
@@ -307,16 +327,32 @@
 
 void entry_core::submit(protocol::job_request request, milliseconds wait,
                         std::function<void(submit_reply const&)> reply, base::steady_time now,
-                        std::function<bool()> caller_left)
+                        std::function<bool()> caller_left, std::optional<base::steady_time> arrived)
 {
     waiter caller;
     caller.wait_until = now + wait;
     caller.on_submit = std::move(reply);
     caller.has_left = std::move(caller_left);
+    caller.arrived = arrived;
     this->pimpl->lifecycle.submit(std::move(request), std::move(caller), now);
     this->pimpl->place_and_send(now);
 }
 
+bool entry_core::recovering(base::steady_time now) const
+{
+    return this->pimpl->held.recovering(now);
+}
+
+bool entry_core::hold(held_request& request, base::steady_time now)
+{
+    return this->pimpl->held.hold(request, now);
+}
+
+void entry_core::stop_holding(base::steady_time now)
+{
+    this->pimpl->held.close(now);
+}
+
 void entry_core::query(std::string const& job, bool explain, milliseconds wait,
                        std::function<void(protocol::job_reply const&)> reply, base::steady_time now)
 {
@@ -400,6 +436,8 @@
     this->pimpl->resubmitted.tick(now);
     this->pimpl->submission_consent.tick(now);
     this->pimpl->takeovers.tick(now);
+    this->pimpl->recovery.tick(this->pimpl->present_parts(now), now);
+    this->pimpl->held.tick(this->pimpl->state_complete(), now);
     // An excluded endpoint becomes usable again after a time, without any message.
     this->pimpl->dispatch.capacity_changed();
     if (now >= this->pimpl->next_expiry) {
@@ -415,6 +453,8 @@
 {
     this->pimpl->agents.on_up(peer, now);
     this->pimpl->control.on_peer_up(peer);
+    if (peer.starts_with("control."))
+        this->pimpl->control_linked = true;
     this->pimpl->resubmitted.peer_up(peer, now);
     this->pimpl->submission_consent.peer_up(peer, now);
     if (!this->pimpl->leases.valid(now))
@@ -433,6 +473,7 @@
 
 void entry_core::begin_shutdown(base::steady_time now, std::chrono::milliseconds remaining)
 {
+    this->pimpl->held.close(now);
     this->pimpl->lifecycle.begin_shutdown(now + remaining);
 }
 
@@ -445,9 +486,9 @@
 
 bool entry_core::idle() const
 {
-    return this->pimpl->jobs.unfinished() == 0 && this->pimpl->remote.idle()
-        && this->pimpl->resubmitted.idle() && this->pimpl->claims.idle()
-        && this->pimpl->control.idle();
+    return this->pimpl->jobs.unfinished() == 0 && this->pimpl->held.empty()
+        && this->pimpl->remote.idle() && this->pimpl->resubmitted.idle()
+        && this->pimpl->claims.idle() && this->pimpl->control.idle();
 }
 
 bool entry_core::has_endpoints() const
@@ -465,6 +506,8 @@
     status.applied_view = components.leases.applied().number;
     status.settled_view = components.leases.settled();
     status.running_jobs = components.jobs.unfinished();
+    status.held_requests = components.held.size();
+    status.held_request_bytes = components.held.bytes();
     for (auto const& [name, settings] : components.teams.all())
         status.teams.push_back(
             {name, components.queue.size(name), components.queue.in_progress(name)});
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,12 +16,14 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "policy/recovery_hold.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 
 namespace greengagehead::entry {
 
 class restart_counts;
+struct held_request;
 
 struct entry_settings {
     protocol::process_id id; ///< Peer name, for example `entry.recife-1`, and a random incarnation.
@@ -38,6 +41,8 @@
     std::chrono::milliseconds answer_retention {900'000};
     /// Approximate memory limit for finished jobs; the oldest ones are dropped earlier.
     std::size_t finished_bytes {128U << 20U};
+    /// Requests that arrive while the entry recovers its state are held; by default none is.
+    policy::recovery_hold_limits recovery_hold;
 };
 
 /// Reply to a submission; exactly one per call.
@@ -76,6 +81,8 @@
     protocol::view_number applied_view = 0;
     protocol::view_number settled_view = 0;
     std::size_t running_jobs = 0;
+    std::size_t held_requests = 0;
+    std::size_t held_request_bytes = 0;
     std::vector<team_status> teams;
     std::vector<endpoint_status> endpoints;
 };
@@ -91,6 +98,13 @@
     std::uint64_t retries = 0;
     std::uint64_t hedges = 0;
     std::uint64_t submissions_held = 0; ///< Sent here while another entry might run them.
+    std::uint64_t requests_held = 0; ///< During a recovery of this entry.
+    std::uint64_t held_requests_resumed = 0;
+    std::uint64_t held_requests_expired = 0;
+    std::uint64_t held_requests_left = 0; ///< Their callers have closed their connections.
+    std::uint64_t held_requests_shut_down = 0;
+    std::uint64_t hold_overflows = 0; ///< Not held because of the limit of bytes.
+    std::uint64_t hold_time_refusals = 0; ///< Not held because too little time was left.
     std::uint64_t messages_sent = 0;
     std::uint64_t wasted_outcomes = 0; ///< Outcomes that contributed nothing to an answer.
 };
@@ -105,9 +119,18 @@
     /// Calls `reply` once: with the final answer, or after `wait` with the current state.
     /// @param caller_left asked before tasks of an ephemeral job start: whether the caller no
     /// longer waits. Such a caller may have sent the job to another entry. May be empty.
+    /// @param arrived when the request has arrived, if it was held since; the target of the job
+    /// counts from then.
     void submit(protocol::job_request request, std::chrono::milliseconds wait,
                 std::function<void(submit_reply const&)> reply, base::steady_time now,
-                std::function<bool()> caller_left = {});
+                std::function<bool()> caller_left = {},
+                std::optional<base::steady_time> arrived = {});
+    /// Whether a request that lacks state of this entry may be held now.
+    [[nodiscard]] bool recovering(base::steady_time now) const;
+    /// Holds the request until its state is back, or leaves it unchanged and returns false.
+    bool hold(held_request& request, base::steady_time now);
+    /// Refuses the held requests, and holds none from now on.
+    void stop_holding(base::steady_time now);
     /// Answer or decisions of a job of any entry. An empty `answer` means that the job is not
     /// known.
     void query(std::string const& job, bool explain, std::chrono::milliseconds wait,
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -87,12 +87,13 @@
         auto const key = job_id_of(request.team, request.submission);
         if (this->components.resubmitted.take(request, caller, key, abandoned, now))
             return;
-        auto const sent = this->components.resubmitted.earliest_sent(now);
+        auto const arrived = caller.arrived.value_or(now);
+        auto const sent = std::min(this->components.resubmitted.earliest_sent(now), arrived);
         return this->claim_or_refuse({key,
                                       id,
                                       std::move(request),
                                       std::move(caller),
-                                      now,
+                                      arrived,
                                       sent,
                                       now + deadline,
                                       {},
@@ -114,18 +115,30 @@
 }
 
 void job_lifecycle::claim_or_refuse(unstarted_submission submission, base::steady_time now)
+{
+    auto const refusal = this->check_submission(submission, submission.latest_start, now);
+    if (refusal && this->hold_for_recovery(submission, now))
+        return;
+    if (refusal)
+        return this->refuse_ephemeral(std::move(submission), *refusal, now);
+    this->components.submission_consent.begin(std::move(submission), now);
+}
+
+std::optional<policy::refusal>
+job_lifecycle::check_submission(unstarted_submission const& submission,
+                                base::steady_time& latest_start, base::steady_time now)
 {
     auto const& request = submission.request;
     auto const remaining = std::chrono::ceil<milliseconds>(submission.deadline - now);
     auto refusal = this->check_admission(request, remaining, now);
-    auto const target = this->make_target_request(request, remaining, now);
+    auto const arrived = submission.caller.arrived.value_or(now);
+    auto const target = this->make_target_request(request, remaining, arrived, now);
     if (!refusal)
         refusal = policy::check_target(target, this->components.endpoints,
                                        this->components.ephemeral_queue, now);
-    if (refusal)
-        return this->refuse_ephemeral(std::move(submission), *refusal, now);
-    submission.latest_start = target.latest_start;
-    this->components.submission_consent.begin(std::move(submission), now);
+    if (!refusal)
+        latest_start = target.latest_start;
+    return refusal;
 }
 
 void job_lifecycle::admit(unstarted_submission submission, base::steady_time now)
@@ -237,6 +250,7 @@
 
 policy::target_request job_lifecycle::make_target_request(protocol::job_request const& request,
                                                           milliseconds deadline,
+                                                          base::steady_time arrived,
                                                           base::steady_time now)
 {
     policy::target_request target {&request, {}, now + deadline};
@@ -244,10 +258,15 @@
     for (auto const& task : request.tasks)
         target.work += this->expected_time(request, task) * task.slots;
     auto target_time = std::chrono::duration_cast<microseconds>(deadline);
-    if (request.target_stretch_percent > 0)
-        target_time = std::min(
-            target_time, longest * request.target_stretch_percent / 100 + request.target_extra);
     auto const needed = longest * (100 + speed_margin_percent) / 100;
+    auto const waited = std::chrono::duration_cast<microseconds>(now - arrived);
+    auto const stretched
+        = longest * request.target_stretch_percent / 100 + request.target_extra - waited;
+    // A held request that can no longer meet its target only has its deadline. It must not delay
+    // those that arrive now, whose answers are worth more.
+    bool const target_missed = waited.count() > 0 && stretched < needed;
+    if (request.target_stretch_percent > 0 && !target_missed)
+        target_time = std::min(target_time, stretched);
     target.latest_start = now + std::max(target_time - needed, microseconds(0));
     return target;
 }
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -23,6 +23,7 @@
 struct job;
 struct timer;
 struct unstarted_submission;
+enum class hold_end : std::uint8_t;
 enum class timer_kind : std::uint8_t;
 
 class job_lifecycle {
@@ -34,6 +35,8 @@
     void claim_or_refuse(unstarted_submission submission, base::steady_time now);
     /// Makes a job of an ephemeral submission. None of its tasks starts before `start_claimed`.
     void admit(unstarted_submission submission, base::steady_time now);
+    /// Ends the hold of a submission that this entry could not place while it recovered.
+    void end_hold(unstarted_submission submission, hold_end reason, base::steady_time now);
     /// The other entries agree that the job starts here.
     void start_claimed(job& job, base::steady_time now);
     /// Refuses an ephemeral submission to which the other entries have not agreed.
@@ -99,6 +102,18 @@
                 policy::refusal const& refusal, base::steady_time now);
     job& add_job(std::string const& id, protocol::job_request request, waiter caller,
                  base::steady_time deadline, base::steady_time now);
+    /// Refusal of an ephemeral submission, if its tasks cannot be queued now.
+    /// @param latest_start set if there is no refusal.
+    [[nodiscard]] std::optional<policy::refusal>
+    check_submission(unstarted_submission const& submission, base::steady_time& latest_start,
+                     base::steady_time now);
+    /// Whether a task has no endpoint that may get it.
+    [[nodiscard]] bool lacks_endpoint(protocol::job_request const& request) const;
+    /// Holds a refused submission if its endpoints are expected to come back in time. Otherwise
+    /// leaves it unchanged and returns false.
+    bool hold_for_recovery(unstarted_submission& submission, base::steady_time now);
+    /// Submits it again, with the time that is left.
+    void resume(unstarted_submission submission, base::steady_time now);
     void refuse_ephemeral(unstarted_submission submission, policy::refusal const& refusal,
                           base::steady_time now);
     void add_timer(job const& job, timer_kind kind, base::steady_time due_at);
@@ -129,6 +144,7 @@
                                                           protocol::task_request const& task);
     [[nodiscard]] policy::target_request make_target_request(protocol::job_request const& request,
                                                              std::chrono::milliseconds deadline,
+                                                             base::steady_time arrived,
                                                              base::steady_time now);
     [[nodiscard]] std::string job_id_for(protocol::job_request const& request) const;
 
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -367,12 +367,13 @@
         return false;
     auto const entry = elsewhere ? elsewhere->entry.name : this->components.settings.id.name;
     auto const deadline = now + request.deadline;
+    auto const arrived = caller.arrived.value_or(now);
     unstarted_submission submission {key,
                                      {},
                                      std::move(request),
                                      std::move(caller),
-                                     now,
-                                     this->earliest_sent(now),
+                                     arrived,
+                                     std::min(this->earliest_sent(now), arrived),
                                      deadline,
                                      {},
                                      {},
--- a/src/entry/waiter.h
+++ b/src/entry/waiter.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "base/clock.h"
@@ -19,6 +20,10 @@
     std::function<void(protocol::job_reply const&)> on_query;
     /// Whether the caller no longer waits, although no event has told so yet; may be empty.
     std::function<bool()> has_left;
+    /// When a request that was held during a recovery has arrived; empty if it was not held.
+    std::optional<base::steady_time> arrived;
+    /// Its hold has ended: it is admitted or refused, and not held again.
+    bool hold_ended = false;
 };
 
 /// Passes on an answer, whatever its state.
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -66,6 +66,10 @@
     std::string agent_announce; ///< Loopback address for endpoint announcements.
     std::string fleet_key; ///< Secret shared by all processes; empty accepts links from anyone.
     std::string placement = "least_loaded";
+    /// Time after the start in which an entry holds requests that lack its configuration or its
+    /// endpoints; 0 refuses them at once.
+    std::chrono::milliseconds recovery_hold {0};
+    std::uint64_t recovery_hold_bytes = 4'194'304;
     /// Control members. If `control_link_port` is set, these are only the initial contacts, reached
     /// at that port.
     std::vector<peer_settings> controls;
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -110,6 +110,15 @@
                               &settings::entry_http, "HTTP address for callers and operators."));
     rules.push_back(choice_rule("entry.placement", {"least_loaded", "random"}, &settings::placement,
                                 "Placement policy."));
+    rules.push_back(number_rule("entry.recovery_hold_ms", value_kind::duration, 0, 10'000,
+                                make_number_setter(&settings::recovery_hold),
+                                "Longest time that an entry is expected to take from its start "
+                                "until it has its configuration and endpoints. Requests that "
+                                "arrive meanwhile are held if they can end in time; 0 refuses "
+                                "them."));
+    rules.push_back(number_rule("entry.recovery_hold_bytes", value_kind::number, 65'536,
+                                1'073'741'824, make_number_setter(&settings::recovery_hold_bytes),
+                                "Largest memory of all requests that are held."));
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
--- a/tests/platform/entry_adapter_test.cpp
+++ b/tests/platform/entry_adapter_test.cpp
@@ -32,11 +32,12 @@
 
 struct entry_fixture {
     // The simulated control acts at multiples of 200 ms, so the clock starts at a whole second.
-    entry_fixture()
+    explicit entry_fixture(policy::recovery_hold_limits hold = {})
         : fleet(1,
                 base::steady_time(std::chrono::floor<std::chrono::seconds>(
                     std::chrono::steady_clock::now().time_since_epoch())))
     {
+        this->fleet.recovery_hold = hold;
         auto& core = this->fleet.add_entry("entry.a", "recife");
         for (auto const* name : {"agent.1", "agent.2"})
             this->fleet.add_agent(name, "recife").run_time = milliseconds(1500);
@@ -116,6 +117,11 @@
         return code.value_or(0);
     }
 
+    [[nodiscard]] std::size_t held_requests()
+    {
+        return this->fleet.entries.at("entry.a")->status(this->fleet.now).held_requests;
+    }
+
     [[nodiscard]] std::size_t active_runs() const
     {
         std::size_t all = 0;
@@ -168,6 +174,91 @@
     }
 }
 
+SCENARIO("a request arrives before the routing document", "[platform][entry][recovery]")
+{
+    GIVEN("an entry that holds requests for up to 3 s after its start")
+    {
+        entry_fixture entry({milliseconds(3000), 1U << 20U});
+        auto const answer = entry.post("/q/0123456789abcdef", milliseconds(4000));
+        auto const elsewhere = entry.post("/other/0123456789abcdef", milliseconds(4000));
+        REQUIRE(entry.run_until([&] { return entry.held_requests() == 2; }));
+
+        // Guards against refusing callers during a recovery that ends in time.
+        WHEN("the document arrives")
+        {
+            entry.configure();
+            THEN("the job runs, and a request without a route gets 404")
+            {
+                REQUIRE(
+                    entry.run_until([&] { return answer->has_value() && elsewhere->has_value(); }));
+                CHECK((*answer)->code == 200);
+                CHECK((*elsewhere)->code == 404);
+                CHECK(entry.fleet.runs.size() == 2);
+            }
+        }
+        // Guards against callers that wait although the entry stops.
+        WHEN("the entry stops")
+        {
+            entry.fleet.entries.at("entry.a")->stop_holding(entry.fleet.now);
+            THEN("both are refused at once")
+            {
+                REQUIRE(
+                    entry.run_until([&] { return answer->has_value() && elsewhere->has_value(); }));
+                CHECK((*answer)->code == 503);
+                CHECK((*elsewhere)->code == 503);
+            }
+        }
+    }
+    GIVEN("an entry that holds requests for up to 600 ms")
+    {
+        entry_fixture entry({milliseconds(600), 1U << 20U});
+        // Guards against running a job for a caller that has gone to another entry.
+        WHEN("the caller closes its connection and the document arrives")
+        {
+            auto const answer = entry.post("/q/0123456789abcdef", milliseconds(200));
+            REQUIRE(entry.run_until([&] { return answer->has_value(); }));
+            REQUIRE(entry.run_until([&] { return entry.held_requests() == 0; }));
+            entry.configure();
+            THEN("nothing runs")
+            {
+                entry.run_for(milliseconds(100));
+                CHECK(entry.fleet.runs.empty());
+            }
+        }
+        // Guards against callers that wait for control members which do not come back.
+        WHEN("the document does not arrive")
+        {
+            auto const answer = entry.post("/q/0123456789abcdef");
+            THEN("the caller is refused when the time of a recovery is over")
+            {
+                REQUIRE(entry.run_until([&] { return answer->has_value(); }));
+                CHECK((*answer)->code == 503);
+                CHECK((*answer)->headers.count("retry-after") == 1);
+                CHECK(entry.fleet.runs.empty());
+            }
+        }
+    }
+    // Guards against holding requests that no configuration will serve.
+    GIVEN("an entry with a routing document whose agents are not heard")
+    {
+        entry_fixture entry({milliseconds(3000), 1U << 20U});
+        for (auto const& [name, agent] : entry.fleet.agents)
+            entry.fleet.isolated.insert(name);
+        entry.fleet.control.view.routing = {7, routing_text};
+        entry.fleet.control.new_view(entry.fleet);
+        entry.run_for(milliseconds(300));
+        THEN("a request without a route gets 404 at once, and a job is held")
+        {
+            auto const unknown = entry.post("/other/0123456789abcdef");
+            auto const job = entry.post("/q/0123456789abcdef");
+            REQUIRE(entry.run_until([&] { return unknown->has_value(); }));
+            CHECK((*unknown)->code == 404);
+            CHECK(entry.held_requests() == 1);
+            CHECK_FALSE(job->has_value());
+        }
+    }
+}
+
 SCENARIO("callers of a running job disconnect", "[platform][entry]")
 {
     GIVEN("a job that runs")
