Simulate endpoints of unequal speed, wrong declared times and long runs

The simulation of jobs with targets had equal endpoints and entries that know the mean run times, so it could not show what unequal speeds cost. Entries can now learn run times as they do in service; endpoints have speeds, declared times are off, some runs take seven times as long, and callers leave after a deadline. placement_report has rows for 1, 3 and 13 entries.

--- a/bench/policy/placement_report.cpp
+++ b/bench/policy/placement_report.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 
 #include "policy/placement_simulation.h"
 #include "policy/target_simulation.h"
@@ -29,6 +30,19 @@
     return total / static_cast<double>(result.kinds.size());
 }
 
+void print_target_row(char const* name, target_simulation_settings const& settings)
+{
+    auto const result = run_target_simulation(settings);
+    std::printf("%s, %2zu entries %3.0f%% load: credit %.3f", name, settings.entry_weights.size(),
+                settings.load * 100, mean_credit(result));
+    for (auto const& kind : result.kinds)
+        std::printf("  in %.3f late %.3f refused %.3f", kind.in_target_share(),
+                    static_cast<double>(kind.late) / kind.submitted_jobs,
+                    static_cast<double>(kind.refused) / kind.submitted_jobs);
+    std::printf("  refused starts %.2f per task, slots used %.2f\n", result.refused_starts,
+                result.utilization);
+}
+
 /// Prints the outcomes of each kind of job in the users' mix of jobs with targets.
 void print_target_table(std::uint64_t seed)
 {
@@ -47,15 +61,32 @@
             settings.mean_task_slots = size.mean_task_slots;
             if (size.entries != settings.entry_weights.size())
                 settings.entry_weights.assign(size.entries, 1);
-            auto const result = run_target_simulation(settings);
-            std::printf("targets, %2zu entries %3.0f%% load: credit %.3f", size.entries, load * 100,
-                        mean_credit(result));
-            for (auto const& kind : result.kinds)
-                std::printf("  in %.3f late %.3f refused %.3f", kind.in_target_share(),
-                            static_cast<double>(kind.late) / kind.submitted_jobs,
-                            static_cast<double>(kind.refused) / kind.submitted_jobs);
-            std::printf("  refused starts %.2f per task, slots used %.2f\n", result.refused_starts,
-                        result.utilization);
+            print_target_row("targets", settings);
+        }
+    }
+}
+
+/// Prints the outcomes with endpoints of unequal speed, declared times that are wrong and a few
+/// long runs.
+void print_speed_table(std::uint64_t seed)
+{
+    for (std::size_t const entries : {1U, 3U, 13U}) {
+        for (double const load : {0.5, 0.7, 0.8, 0.9, 1.0, 1.2}) {
+            target_simulation_settings settings;
+            settings.seed = seed;
+            settings.load = load;
+            settings.entry_weights.assign(entries, 1);
+            settings.endpoints = entries == 13 ? 71 : 12;
+            settings.slots = 320;
+            settings.mean_task_slots = 36;
+            settings.run_time_factor = 0.85;
+            settings.declared_error = 0.4;
+            settings.deadline = std::chrono::milliseconds(1500);
+            settings.long_run_share = 0.03;
+            settings.knowledge = run_time_knowledge::learned;
+            print_target_row("equal speeds, learned times", settings);
+            settings.speeds = {0.55, 1.2, 1.2, 1.2};
+            print_target_row("speeds 0.55 1.2 1.2 1.2, learned times", settings);
         }
     }
 }
@@ -64,11 +95,15 @@
 
 int main(int argc, char** argv)
 {
-    print_target_table(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1);
+    auto const seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+    print_speed_table(seed);
+    if (argc > 2 && std::string_view(argv[2]) == "speeds")
+        return 0;
+    print_target_table(seed);
     for (std::uint32_t const endpoints : {12U, 120U}) {
         for (double const load : {0.3, 0.7, 0.9}) {
             placement_simulation_settings settings;
-            settings.seed = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+            settings.seed = seed;
             settings.load = load;
             settings.endpoints = endpoints;
             settings.tasks = endpoints * 5000;
--- a/bench/policy/target_simulation.cpp
+++ b/bench/policy/target_simulation.cpp
@@ -17,6 +17,7 @@
 #include "policy/entry_subset.h"
 #include "policy/event_queue.h"
 #include "policy/placement_policy.h"
+#include "policy/run_time_estimator.h"
 #include "policy/target_admission.h"
 #include "policy/target_queue.h"
 #include "protocol/job.h"
@@ -57,7 +58,8 @@
 constexpr microseconds target_extra_time(60'000);
 
 struct simulated_task {
-    microseconds run_time {0};
+    microseconds run_time {0}; ///< At the nominal speed.
+    bool long_run = false;
     std::uint32_t slots = 1;
     std::uint32_t refusals = 0;
 };
@@ -67,6 +69,8 @@
     std::size_t kind = 0; ///< Index in `job_mix`.
     steady_time submitted;
     steady_time target; ///< An answer after this time is late.
+    microseconds declared {0}; ///< Run time of a task as the caller declares it.
+    microseconds expected {0}; ///< Run time of a task as the entry expects it.
     steady_time latest_start; ///< By the expected run time; the entry does not know the real one.
     std::vector<simulated_task> tasks;
     std::size_t unfinished_tasks = 0;
@@ -79,6 +83,7 @@
     endpoint_health health;
     std::unique_ptr<placement_policy> placement;
     target_queue waiting;
+    run_time_estimator estimator;
 };
 
 struct simulated_agent {
@@ -98,6 +103,12 @@
 private:
     void schedule_arrival();
     simulated_job make_job(std::size_t kind);
+    void draw_unevenness(simulated_job& job, microseconds mean_run_time);
+    [[nodiscard]] steady_time target_for(microseconds run_time) const;
+    void expect(simulated_job& job);
+    [[nodiscard]] microseconds mean_run_time(std::size_t kind) const;
+    [[nodiscard]] microseconds time_of_run(std::size_t agent_index,
+                                           simulated_task const& task) const;
     [[nodiscard]] std::size_t draw_index(std::vector<double> const& weights);
     void submit(std::string const& id);
     void enqueue(protocol::task_ref const& task);
@@ -122,6 +133,7 @@
 
     target_simulation_settings settings;
     std::mt19937_64 random;
+    std::mt19937_64 unevenness; ///< Separate, so that the jobs are the same with and without it.
     event_queue events;
     steady_time arrivals_end; ///< No job arrives from this time on.
     std::deque<simulated_entry> entries;
@@ -135,6 +147,13 @@
     target_simulation_result result;
 };
 
+constexpr char const* team_name = "t";
+
+std::string kind_name(std::size_t kind)
+{
+    return std::to_string(kind);
+}
+
 std::string endpoint_name(std::size_t agent_index)
 {
     return "endpoint." + std::to_string(agent_index);
@@ -152,6 +171,7 @@
 
 target_simulation::target_simulation(target_simulation_settings const& initial_settings)
     : settings(initial_settings), random(initial_settings.seed),
+      unevenness(initial_settings.seed + 1),
       arrivals_end(this->events.now() + initial_settings.length),
       entries(initial_settings.entry_weights.size()), agents(initial_settings.endpoints)
 {
@@ -199,7 +219,7 @@
     std::vector<double> weights;
     for (auto const& kind : job_mix) {
         work += kind.arrival_weight * kind.mean_tasks * kind.mean_run_ms
-            * this->settings.mean_task_slots;
+            * this->settings.run_time_factor * this->settings.mean_task_slots;
         rate += kind.arrival_weight;
         weights.push_back(kind.arrival_weight);
     }
@@ -231,8 +251,8 @@
                                        4 * job_mix.at(kind).mean_tasks);
     job.tasks.resize(static_cast<std::size_t>(task_count + 0.5));
     job.unfinished_tasks = job.tasks.size();
-    auto const job_run_ms = std::min(lognormal(job_mix.at(kind).mean_run_ms, job_sigma),
-                                     4 * job_mix.at(kind).mean_run_ms);
+    auto const mean_run_ms = job_mix.at(kind).mean_run_ms * this->settings.run_time_factor;
+    auto const job_run_ms = std::min(lognormal(mean_run_ms, job_sigma), 4 * mean_run_ms);
     microseconds longest {0};
     for (auto& task : job.tasks) {
         task.run_time
@@ -242,17 +262,53 @@
                                                     1.0, 1.5 * this->settings.mean_task_slots));
         longest = std::max(longest, task.run_time);
     }
-    auto const expected
-        = microseconds(static_cast<std::int64_t>(job_mix.at(kind).mean_run_ms * 1000));
-    auto const target_for = [this](microseconds run_time) {
-        return this->events.now() + duration_cast<microseconds>(run_time * target_stretch)
-            + target_extra_time;
-    };
-    job.target = target_for(longest);
-    job.latest_start = target_for(expected) - expected * (100 + speed_margin_percent) / 100;
+    job.target = this->target_for(longest);
+    this->draw_unevenness(job, microseconds(static_cast<std::int64_t>(job_run_ms * 1000)));
+    this->expect(job);
     return job;
 }
 
+void target_simulation::draw_unevenness(simulated_job& job, microseconds mean_run_time)
+{
+    auto const fraction
+        = [this] { return std::uniform_real_distribution<double>()(this->unevenness); };
+    auto const error = (2 * fraction() - 1) * this->settings.declared_error;
+    job.declared = duration_cast<microseconds>(mean_run_time * (1 + error));
+    for (auto& task : job.tasks)
+        task.long_run = fraction() < this->settings.long_run_share;
+}
+
+microseconds target_simulation::mean_run_time(std::size_t kind) const
+{
+    return microseconds(static_cast<std::int64_t>(job_mix.at(kind).mean_run_ms
+                                                  * this->settings.run_time_factor * 1000));
+}
+
+steady_time target_simulation::target_for(microseconds run_time) const
+{
+    return this->events.now() + duration_cast<microseconds>(run_time * target_stretch)
+        + target_extra_time;
+}
+
+void target_simulation::expect(simulated_job& job)
+{
+    job.expected = this->mean_run_time(job.kind);
+    if (this->settings.knowledge == run_time_knowledge::learned)
+        job.expected = this->entries[job.entry]
+                           .estimator.estimate(team_name, kind_name(job.kind), job.declared)
+                           .typical;
+    job.latest_start
+        = this->target_for(job.expected) - job.expected * (100 + speed_margin_percent) / 100;
+}
+
+microseconds target_simulation::time_of_run(std::size_t agent_index,
+                                            simulated_task const& task) const
+{
+    auto const speed = this->settings.speeds.at(agent_index % this->settings.speeds.size());
+    auto const factor = task.long_run ? this->settings.long_run_factor : 1;
+    return duration_cast<microseconds>(task.run_time * (factor / speed));
+}
+
 void target_simulation::submit(std::string const& id)
 {
     auto& job = this->jobs.at(id);
@@ -265,7 +321,7 @@
     request.priority = job_mix.at(job.kind).priority;
     slot_time work {0};
     for (auto const& simulated : job.tasks)
-        work += milliseconds(static_cast<int>(job_mix.at(job.kind).mean_run_ms)) * simulated.slots;
+        work += job.expected * simulated.slots;
     if (check_target({&request, work, job.latest_start}, entry_state.endpoints, entry_state.waiting,
                      this->events.now())) {
         ++this->result.kinds.at(job.kind).refused;
@@ -285,9 +341,8 @@
 {
     auto const& job = this->jobs.at(task.job);
     auto const slots = this->task_at(task).slots;
-    auto const run_time = milliseconds(static_cast<int>(job_mix.at(job.kind).mean_run_ms));
     this->entries[job.entry].waiting.push(
-        {task, std::to_string(slots / class_step_slots * class_step_slots), run_time * slots,
+        {task, std::to_string(slots / class_step_slots * class_step_slots), job.expected * slots,
          job.latest_start});
 }
 
@@ -376,11 +431,10 @@
     while (auto const key = agent_state.slots->pop_startable()) {
         auto const& task = this->task_at(key->task);
         agent_state.slots->acquire(*key, task.slots);
-        this->busy_slot_seconds
-            += task.slots * std::chrono::duration<double>(task.run_time).count();
-        this->events.after(task.run_time, [this, agent_index, key = *key] {
-            this->finish(agent_index, key.task);
-        });
+        auto const run_time = this->time_of_run(agent_index, task);
+        this->busy_slot_seconds += task.slots * std::chrono::duration<double>(run_time).count();
+        this->events.after(
+            run_time, [this, agent_index, key = *key] { this->finish(agent_index, key.task); });
     }
     this->report_level_change(agent_index);
 }
@@ -423,9 +477,14 @@
     auto const entry = job.entry;
     this->entries[entry].endpoints.record_outcome(endpoint_name(agent_index),
                                                   this->task_at(task).slots);
+    this->entries[entry].estimator.record(team_name, kind_name(job.kind),
+                                          this->time_of_run(agent_index, this->task_at(task)));
     if (--job.unfinished_tasks == 0) {
         auto& counts = this->result.kinds.at(job.kind);
-        ++(this->events.now() <= job.target ? counts.in_target : counts.late);
+        auto const now = this->events.now();
+        bool const expired
+            = this->settings.deadline.count() > 0 && now > job.submitted + this->settings.deadline;
+        ++(expired ? counts.expired : now <= job.target ? counts.in_target : counts.late);
         this->jobs.erase(task.job);
     }
     this->place(entry);
--- a/bench/policy/target_simulation.h
+++ b/bench/policy/target_simulation.h
@@ -14,6 +14,12 @@
 
 constexpr std::size_t job_kind_count = 3;
 
+/// What the entries expect of the run times.
+enum class run_time_knowledge : std::uint8_t {
+    exact_means, ///< The mean of each kind.
+    learned, ///< As run_time_estimator learns them.
+};
+
 /// The defaults are the users' site after its growth: 60 endpoints of 64 cores, ten entries, tasks
 /// of 5.7 cores.
 struct target_simulation_settings {
@@ -23,6 +29,16 @@
     std::uint32_t endpoints = 60;
     std::uint32_t slots = 640; ///< Per endpoint.
     double mean_task_slots = 57; ///< 5.7 cores at ten slots a core.
+    /// Speeds of the endpoints relative to the nominal one; the endpoints have them in turn.
+    std::vector<double> speeds {1};
+    double run_time_factor = 1; ///< Multiplies all run times of the mix.
+    /// A caller declares the mean run time of its job, too high or too low by this fraction.
+    double declared_error = 0;
+    double long_run_share = 0; ///< Runs that take `long_run_factor` times as long.
+    double long_run_factor = 7;
+    /// Callers leave this long after their job has arrived; 0 if they wait for any answer.
+    std::chrono::milliseconds deadline {0};
+    run_time_knowledge knowledge = run_time_knowledge::exact_means;
     std::chrono::microseconds latency {3000}; ///< One way, between entry and agent.
     std::chrono::seconds length {12}; ///< Jobs arrive during this time.
     std::uint64_t seed = 1;
@@ -34,6 +50,7 @@
     std::uint32_t in_target = 0; ///< Answered within their target.
     std::uint32_t late = 0; ///< Answered after their target.
     std::uint32_t refused = 0;
+    std::uint32_t expired = 0; ///< Ended after the deadline of their callers.
 
     /// Jobs answered within their target relative to the submitted ones. 1 without jobs.
     [[nodiscard]] double in_target_share() const
