--- a/bench/policy/placement_report.cpp
+++ b/bench/policy/placement_report.cpp
@@ -1,5 +1,6 @@
 // Prints the comparison of placement policies that docs/measurements.md quotes.
 
+#include <array>
 #include <cstdio>
 #include <cstdlib>
 
@@ -60,10 +61,44 @@
     }
 }
 
+/// Prints what each account gets, with and without fair shares, when each kind of job is an
+/// account.
+void print_account_table(std::uint64_t seed)
+{
+    struct demand {
+        char const* name;
+        std::array<double, job_kind_count> rates;
+    };
+    for (auto const& kinds : {demand {"even", {1, 1, 1}}, demand {"short x3", {3, 1, 1}},
+                              demand {"middle x3", {1, 3, 1}}, demand {"long x3", {1, 1, 3}}}) {
+        for (double const load : {0.9, 1.2, 1.6}) {
+            for (bool const fair : {false, true}) {
+                target_simulation_settings settings;
+                settings.seed = seed;
+                settings.load = load;
+                settings.endpoints = 76;
+                settings.mean_task_slots = 72;
+                settings.entry_weights.assign(14, 1);
+                settings.kind_rates = kinds.rates;
+                settings.fair_accounts = fair;
+                auto const result = run_target_simulation(settings);
+                std::printf("accounts, %-9s %3.0f%% load, %s: credit %.3f", kinds.name, load * 100,
+                            fair ? "fair" : "off ", mean_credit(result));
+                for (auto const& kind : result.kinds)
+                    std::printf("  in %.3f late %.3f refused %.3f", kind.in_target_share(),
+                                static_cast<double>(kind.late) / kind.submitted_jobs,
+                                static_cast<double>(kind.refused) / kind.submitted_jobs);
+                std::printf("  slots used %.2f\n", result.utilization);
+            }
+        }
+    }
+}
+
 } // namespace
 
 int main(int argc, char** argv)
 {
+    print_account_table(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1);
     print_target_table(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1);
     for (std::uint32_t const endpoints : {12U, 120U}) {
         for (double const load : {0.3, 0.7, 0.9}) {
--- a/bench/policy/target_simulation.h
+++ b/bench/policy/target_simulation.h
@@ -25,6 +25,10 @@
     double mean_task_slots = 57; ///< 5.7 cores at ten slots a core.
     std::chrono::microseconds latency {3000}; ///< One way, between entry and agent.
     std::chrono::seconds length {12}; ///< Jobs arrive during this time.
+    /// Arrival rates of the kinds relative to the users' mix, at the same load.
+    std::array<double, job_kind_count> kind_rates {1, 1, 1};
+    /// Each kind is an account, and entries report their use as with `entry.fair_accounts`.
+    bool fair_accounts = false;
     std::uint64_t seed = 1;
 };
 
--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -3,6 +3,7 @@
 #include "policy/admission.h"
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <tuple>
 #include <vector>
@@ -66,13 +67,14 @@
                                 "no endpoint of kind " + task.kind + " has "
                                     + std::to_string(task.cpu) + " processors and "
                                     + std::to_string(task.memory_mb) + " MB of memory",
-                                milliseconds(0));
+                                milliseconds(0), refusal_cause::no_endpoint);
         auto message = "no endpoint of kind " + task.kind + " is known";
         if (!task.region.empty())
             message += " in region " + task.region;
         if (!task.zone.empty())
             message += " in zone " + task.zone;
-        return make_refusal(base::error_code::unavailable, message, unknown_kind_retry_after);
+        return make_refusal(base::error_code::unavailable, message, unknown_kind_retry_after,
+                            refusal_cause::no_endpoint);
     }
     return std::nullopt;
 }
@@ -129,9 +131,18 @@
 
 } // namespace
 
-refusal make_refusal(base::error_code code, std::string message, milliseconds retry_after)
+std::string_view to_string(refusal_cause cause)
 {
-    return {{code, base::error_step::admission, {}, std::move(message)}, retry_after};
+    constexpr std::array<std::string_view, refusal_cause_count> names {
+        "no_configuration", "no_endpoint",   "target_missed", "account_above_share",
+        "recovery",         "shutting_down", "other"};
+    return names.at(static_cast<std::size_t>(cause));
+}
+
+refusal make_refusal(base::error_code code, std::string message, milliseconds retry_after,
+                     refusal_cause cause)
+{
+    return {{code, base::error_step::admission, {}, std::move(message)}, retry_after, cause};
 }
 
 std::optional<refusal> check_admission(protocol::job_request const& request, milliseconds deadline,
@@ -150,7 +161,8 @@
     auto const wait
         = std::clamp(duration_cast<milliseconds>(end - deadline), min_retry_after, max_retry_after);
     return make_refusal(base::error_code::refused,
-                        "the deadline cannot be met: too much work is waiting", wait);
+                        "the deadline cannot be met: too much work is waiting", wait,
+                        refusal_cause::target_missed);
 }
 
 } // namespace greengagehead::policy
--- a/src/policy/admission.h
+++ b/src/policy/admission.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -23,13 +24,30 @@
     std::size_t team_tasks = 50'000; ///< Waiting tasks of the job's team.
 };
 
+/// Fixed set of reasons for metrics and log lines.
+enum class refusal_cause : std::uint8_t {
+    no_configuration,
+    no_endpoint,
+    target_missed, ///< The target or the deadline cannot be met.
+    account_above_share,
+    recovery, ///< State that the entry has lost is not back in time.
+    shutting_down,
+    other,
+};
+constexpr std::size_t refusal_cause_count = 7;
+
+/// Value of the label `reason` in metrics and log lines.
+[[nodiscard]] std::string_view to_string(refusal_cause cause);
+
 struct refusal {
     base::error reason;
     std::chrono::milliseconds retry_after {0}; ///< 0 when retrying cannot help.
+    refusal_cause cause = refusal_cause::other;
 };
 
 [[nodiscard]] refusal make_refusal(base::error_code code, std::string message,
-                                   std::chrono::milliseconds retry_after);
+                                   std::chrono::milliseconds retry_after,
+                                   refusal_cause cause = refusal_cause::other);
 
 /// Checks, in this order: for each task a known endpoint that could ever run it (kind, region,
 /// zone, cpu, memory), the queue limits, and the deadline against the backlog and the known slots.
--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -31,6 +31,30 @@
         / (100 * (half_share_priority + priority));
 }
 
+/// Longest wait of a job of an account with this standing, given the one of an account with its
+/// fair part.
+microseconds max_wait_of_account(microseconds slack, microseconds usual,
+                                 account_standing const& standing)
+{
+    if (standing.newcomer)
+        return std::max(slack, usual);
+    return std::min(usual * standing.wait_percent / 100, std::max(slack, usual));
+}
+
+refusal make_wait_refusal(microseconds wait, microseconds limit, microseconds usual_limit)
+{
+    auto const excess
+        = std::clamp(duration_cast<milliseconds>(wait - limit), min_retry_after, max_retry_after);
+    auto const wait_text = std::to_string(duration_cast<milliseconds>(wait).count()) + " ms";
+    if (wait <= usual_limit)
+        return make_refusal(base::error_code::unavailable,
+                            "the account has more than its share: waiting work takes " + wait_text,
+                            excess, refusal_cause::account_above_share);
+    return make_refusal(base::error_code::unavailable,
+                        "the target cannot be met: waiting work takes " + wait_text, excess,
+                        refusal_cause::target_missed);
+}
+
 } // namespace
 
 std::optional<refusal> check_target(target_request const& request, endpoint_table const& endpoints,
@@ -41,7 +65,7 @@
         = endpoints.capacity_for({task.kind, task.region, task.zone, task.cpu, task.memory_mb});
     if (capacity.usable_slots == 0)
         return make_refusal(base::error_code::unavailable, "no endpoint accepts tasks now",
-                            no_endpoint_retry_after);
+                            no_endpoint_retry_after, refusal_cause::no_endpoint);
     auto const work_ahead = queue.work_before(request.latest_start);
     if (work_ahead.count() == 0)
         return std::nullopt;
@@ -49,15 +73,12 @@
     auto const share = std::max<std::uint64_t>(capacity.entry_slots, 1);
     auto const wait
         = microseconds((work_ahead + request.work).count() / static_cast<std::int64_t>(share));
-    auto const limit
-        = max_wait(duration_cast<microseconds>(request.latest_start - now), request.job->priority);
+    auto const slack = duration_cast<microseconds>(request.latest_start - now);
+    auto const usual_limit = max_wait(slack, request.job->priority);
+    auto const limit = max_wait_of_account(slack, usual_limit, request.standing);
     if (wait <= limit)
         return std::nullopt;
-    auto const excess = duration_cast<milliseconds>(wait - limit);
-    return make_refusal(base::error_code::unavailable,
-                        "the target cannot be met: waiting work takes "
-                            + std::to_string(duration_cast<milliseconds>(wait).count()) + " ms",
-                        std::clamp(excess, min_retry_after, max_retry_after));
+    return make_wait_refusal(wait, limit, usual_limit);
 }
 
 } // namespace greengagehead::policy
