--- a/src/policy/endpoint_table.cpp
+++ b/src/policy/endpoint_table.cpp
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "policy/capacity_shares.h"
 #include "policy/entry_subset.h"
 
 namespace greengagehead::policy {
@@ -34,6 +35,7 @@
     std::uint32_t member_count = 0;
     std::size_t sharing = 1; ///< Entries that use each member.
     std::uint64_t usable_slots = 0;
+    std::uint64_t entry_slots = 0; ///< Share of this entry in `usable_slots`.
     std::vector<endpoint_record const*> free_endpoints; ///< Exactly the members with a free slot.
     /// Points to `membership::position` of each element of `free_endpoints`.
     std::vector<std::size_t*> positions;
@@ -44,11 +46,30 @@
     std::size_t position = 0; ///< In `free_endpoints`; valid while the endpoint is indexed.
 };
 
+/// Indexes of the entries in the order in which they are chosen for the endpoints of an agent.
+using entry_orders = std::unordered_map<std::string, std::vector<std::size_t>>;
+
+/// A division of the slots among entries.
+struct share_table {
+    entry_shares shares;
+    /// By agent; filled on demand. Tables with the same names have the same orders.
+    std::shared_ptr<entry_orders> orders = std::make_shared<entry_orders>();
+
+    std::vector<std::size_t> const& order_for(std::string const& agent)
+    {
+        auto const [found, added] = this->orders->try_emplace(agent);
+        if (added)
+            found->second = order_of_entries(agent, this->shares.names);
+        return found->second;
+    }
+};
+
 /// Index state of one endpoint, in addition to its public record.
 struct endpoint_details {
     endpoint_record* record = nullptr;
     std::list<membership> groups; ///< A list, because groups keep pointers to elements.
     std::uint32_t counted_slots = 0; ///< Slots added to `usable_slots` of its groups.
+    std::uint32_t counted_share = 0; ///< Slots added to `entry_slots` of its groups.
     bool indexed = false; ///< Is in `free_endpoints` of all its groups.
     bool usable = false;
     bool ramp_up_due = false; ///< The slots are ramped up when it becomes usable.
@@ -96,7 +117,10 @@
     std::set<std::string> zones_out;
     std::set<std::string> draining;
     std::size_t usable_count = 0; ///< Usable endpoints.
-    std::vector<std::string> entries; ///< Names of the live entries.
+    std::vector<std::string> entries; ///< Names of the entries that use the endpoints.
+    /// Tables that limit the share of this entry; empty if the slots are divided equally among
+    /// `entries`. The last one has their names.
+    std::vector<share_table> tables;
     std::string self; ///< Name of this entry.
     std::unordered_map<std::string, std::size_t> rank_by_agent; ///< Of this entry.
     /// The number of entries that use an endpoint has changed for some group since the last call of
@@ -120,6 +144,14 @@
     /// Assigns or withdraws endpoints after a change of the entries or of the size of a group.
     void update_assignments();
     [[nodiscard]] std::size_t rank_for(std::string const& agent);
+    /// Whether some table would divide the endpoints of a group among another number of entries.
+    [[nodiscard]] bool divides_differently(std::size_t members_before, std::size_t members) const;
+    /// Sets the entries that use the endpoints, and updates all shares.
+    void replace_entries(std::vector<std::string> names, std::string name);
+    /// Share of this entry in the slots of the endpoint.
+    [[nodiscard]] std::uint32_t share_of(endpoint_details const& endpoint, std::size_t sharing);
+    /// Part of this entry in the slots of the endpoint by one table.
+    [[nodiscard]] std::uint32_t part_in(share_table& table, endpoint_details const& endpoint) const;
     /// Adds the slots of a start, or subtracts those of an outcome.
     void adjust_outstanding(std::string const& name, std::uint32_t slots, bool start);
 };
@@ -141,13 +173,22 @@
     return sharing;
 }
 
-std::uint32_t entry_share_of(endpoint_record const& record, std::size_t sharing)
+std::uint32_t equal_part(std::uint32_t slots, std::size_t rank, std::size_t sharing)
 {
-    if (sharing == 1 || record.entry_rank >= sharing)
+    if (rank >= sharing)
         return 0;
     // The remaining slots go to the first entries in an order that differs between endpoints.
-    auto const extra = record.entry_rank < record.state.slots % sharing ? 1U : 0U;
-    return static_cast<std::uint32_t>(record.state.slots / sharing) + extra;
+    auto const extra = rank < slots % sharing ? 1U : 0U;
+    return static_cast<std::uint32_t>(slots / sharing) + extra;
+}
+
+/// Entries among `count` that use the endpoint.
+std::size_t sharing_among(std::size_t count, endpoint_details const& endpoint)
+{
+    std::size_t sharing = 1;
+    for (auto const& member : endpoint.groups)
+        sharing = std::max(sharing, sharing_entries(count, member.group->member_count));
+    return sharing;
 }
 
 std::uint32_t count_free_slots(endpoint_record const& record)
@@ -199,7 +240,7 @@
     if (found != groups.end())
         return *found;
     groups.push_back(
-        {record.region, record.zone, record.state.cpu, record.state.memory_mb, 0, 1, 0, {}, {}});
+        {record.region, record.zone, record.state.cpu, record.state.memory_mb, 0, 1, 0, 0, {}, {}});
     return groups.back();
 }
 
@@ -223,8 +264,10 @@
     for (auto const& member : endpoint.groups) {
         this->resize(*member.group, -1);
         member.group->usable_slots -= endpoint.counted_slots;
+        member.group->entry_slots -= endpoint.counted_share;
     }
     endpoint.counted_slots = 0;
+    endpoint.counted_share = 0;
     endpoint.groups.clear();
     for (auto const& kind : endpoint.record->state.kinds) {
         auto const found = this->groups_by_kind.find(kind);
@@ -264,7 +307,7 @@
     auto& record = *endpoint.record;
     auto const sharing = sharing_entries_of(endpoint);
     record.assigned = record.entry_rank < sharing;
-    record.entry_share = entry_share_of(record, sharing);
+    record.entry_share = this->share_of(endpoint, sharing);
     bool const usable = may_receive_tasks(record);
     if (usable && !endpoint.usable)
         endpoint.ramp_up_start
@@ -283,9 +326,14 @@
         = (record.state.slots + initial_slots_divisor - 1) / initial_slots_divisor;
     record.usable_slots = std::max(static_cast<std::uint32_t>(ramped_slots), initial_slots);
     auto const counted = usable ? record.state.slots : 0;
-    for (auto const& member : endpoint.groups)
+    auto const counted_share
+        = sharing == 1 && this->tables.size() < 2 ? counted : std::min(counted, record.entry_share);
+    for (auto const& member : endpoint.groups) {
         member.group->usable_slots += std::uint64_t {counted} - endpoint.counted_slots;
+        member.group->entry_slots += std::uint64_t {counted_share} - endpoint.counted_share;
+    }
     endpoint.counted_slots = counted;
+    endpoint.counted_share = counted_share;
     this->set_indexed(endpoint, count_free_slots(record) > 0);
 }
 
@@ -318,9 +366,11 @@
 
 void endpoint_table::implementation::resize(endpoint_group& group, int change)
 {
+    auto const before = group.member_count;
     group.member_count += static_cast<std::uint32_t>(change);
     auto const sharing = sharing_entries(this->entries.size(), group.member_count);
-    this->sharing_changed = this->sharing_changed || sharing != group.sharing;
+    this->sharing_changed = this->sharing_changed || sharing != group.sharing
+        || this->divides_differently(before, group.member_count);
     group.sharing = sharing;
 }
 
@@ -340,6 +390,70 @@
     return found->second;
 }
 
+bool endpoint_table::implementation::divides_differently(std::size_t members_before,
+                                                         std::size_t members) const
+{
+    return std::any_of(this->tables.begin(), this->tables.end(), [&](share_table const& table) {
+        auto const count = table.shares.names.size();
+        return sharing_entries(count, members_before) != sharing_entries(count, members);
+    });
+}
+
+std::uint32_t endpoint_table::implementation::share_of(endpoint_details const& endpoint,
+                                                       std::size_t sharing)
+{
+    auto const& record = *endpoint.record;
+    if (this->tables.empty())
+        return sharing == 1 ? 0 : equal_part(record.state.slots, record.entry_rank, sharing);
+    // As without weights, a single entry goes by the reports alone.
+    if (sharing == 1 && this->tables.size() == 1)
+        return 0;
+    auto smallest = record.state.slots;
+    for (auto& table : this->tables)
+        smallest = std::min(smallest, this->part_in(table, endpoint));
+    return smallest;
+}
+
+std::uint32_t endpoint_table::implementation::part_in(share_table& table,
+                                                      endpoint_details const& endpoint) const
+{
+    auto const& names = table.shares.names;
+    auto const& weights = table.shares.weights;
+    auto const& order = table.order_for(endpoint.record->agent.name);
+    auto const sharing = std::min(sharing_among(names.size(), endpoint), order.size());
+    auto const users_end = order.begin() + static_cast<std::ptrdiff_t>(sharing);
+    auto const found = std::find_if(order.begin(), users_end, [&, this](std::size_t index) {
+        return names[index] == this->self;
+    });
+    if (found == users_end)
+        return 0;
+    auto const position = static_cast<std::size_t>(found - order.begin());
+    if (weights.empty())
+        return equal_part(endpoint.record->state.slots, position, sharing);
+    std::vector<weighted_user> users;
+    users.reserve(sharing);
+    for (auto index = order.begin(); index != users_end; ++index)
+        users.push_back({&names[*index], weights[*index]});
+    return part_of(users, position, endpoint.record->state.slots);
+}
+
+void endpoint_table::implementation::replace_entries(std::vector<std::string> names,
+                                                     std::string name)
+{
+    if (names != this->entries || name != this->self)
+        this->rank_by_agent.clear();
+    this->entries = std::move(names);
+    this->self = std::move(name);
+    for (auto& [kind, groups] : this->groups_by_kind) {
+        for (auto& group : groups)
+            this->resize(group, 0);
+    }
+    for (auto& [endpoint_name, endpoint] : this->details_by_name)
+        endpoint.record->entry_rank = this->rank_for(endpoint.record->agent.name);
+    this->sharing_changed = true;
+    this->update_assignments();
+}
+
 void endpoint_table::implementation::adjust_outstanding(std::string const& name,
                                                         std::uint32_t slots, bool start)
 {
@@ -405,6 +519,8 @@
         this->impl->erase(name);
     this->impl->endpoints_by_agent.erase(found);
     this->impl->rank_by_agent.erase(agent);
+    for (auto const& table : this->impl->tables)
+        table.orders->erase(agent);
     this->impl->update_assignments();
 }
 
@@ -467,19 +583,30 @@
 void endpoint_table::set_entries(std::vector<std::string> names, std::string self)
 {
     auto& state = *this->impl;
-    if (names == state.entries && self == state.self)
+    if (names == state.entries && self == state.self && state.tables.empty())
         return;
-    state.entries = std::move(names);
-    state.self = std::move(self);
-    state.rank_by_agent.clear();
-    for (auto& [kind, groups] : state.groups_by_kind) {
-        for (auto& group : groups)
-            state.resize(group, 0);
+    state.tables.clear();
+    state.replace_entries(std::move(names), std::move(self));
+}
+
+void endpoint_table::set_entries(std::vector<entry_shares> tables, std::string self)
+{
+    auto& state = *this->impl;
+    auto const previous = std::exchange(state.tables, {});
+    for (auto& shares : tables) {
+        auto const same_names
+            = std::find_if(previous.begin(), previous.end(), [&shares](share_table const& table) {
+                  return table.shares.names == shares.names;
+              });
+        state.tables.push_back({std::move(shares)});
+        if (same_names != previous.end())
+            state.tables.back().orders = same_names->orders;
     }
-    for (auto& [name, endpoint] : state.details_by_name)
-        endpoint.record->entry_rank = state.rank_for(endpoint.record->agent.name);
-    state.sharing_changed = true;
-    state.update_assignments();
+    auto names = state.tables.back().shares.names;
+    // An entry that has no part yet may still use slots that are reported as free.
+    if (std::find(names.begin(), names.end(), self) == names.end())
+        names.push_back(self);
+    state.replace_entries(std::move(names), std::move(self));
 }
 
 endpoint_record const* endpoint_table::find(std::string const& endpoint) const
@@ -534,7 +661,8 @@
             continue;
         sum.matching_endpoints += group.member_count;
         sum.usable_slots += group.usable_slots;
-        sum.entry_slots += group.usable_slots / group.sharing;
+        sum.entry_slots
+            += this->impl->tables.empty() ? group.usable_slots / group.sharing : group.entry_slots;
     }
     return sum;
 }
--- a/src/policy/endpoint_table.h
+++ b/src/policy/endpoint_table.h
@@ -44,6 +44,13 @@
 /// Slots in use at the endpoint: those of other entries as last reported, plus this entry's own.
 [[nodiscard]] std::uint64_t slots_in_use(endpoint_record const& endpoint);
 
+/// Names of entries and their weights.
+struct entry_shares {
+    std::vector<std::string> names;
+    /// In the order of `names`; empty for equal parts that differ by at most one slot.
+    std::vector<std::uint32_t> weights;
+};
+
 /// What a task requires of an endpoint. Empty and zero fields mean no requirement.
 struct requirement {
     std::string_view kind;
@@ -102,6 +109,12 @@
     /// share, because reports lag and other entries use the same endpoints. Initially there is one
     /// entry.
     void set_entries(std::vector<std::string> names, std::string self);
+    /// Divides the slots by weights instead of equally. While a table of weights is being replaced,
+    /// `tables` has several: the share of this entry is its smallest part in them. A table that
+    /// does not list this entry gives it no part. The last one decides which endpoints it uses,
+    /// also when it is not listed. The parts of one table in an endpoint add up to its slots.
+    /// @param tables not empty.
+    void set_entries(std::vector<entry_shares> tables, std::string self);
 
     [[nodiscard]] endpoint_record const* find(std::string const& endpoint) const;
     [[nodiscard]] std::map<std::string, endpoint_record> const& all() const;
--- a/src/policy/entry_subset.cpp
+++ b/src/policy/entry_subset.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <utility>
 
 namespace greengagehead::policy {
@@ -63,4 +64,18 @@
         }));
 }
 
+std::vector<std::size_t> order_of_entries(std::string_view agent,
+                                          std::vector<std::string> const& entries)
+{
+    auto const agent_hash = add_to_hash(add_to_hash(fnv_offset, agent), "|");
+    std::vector<std::pair<std::pair<std::uint64_t, std::string_view>, std::size_t>> weighted;
+    for (std::size_t index = 0; index < entries.size(); ++index)
+        weighted.emplace_back(weight(agent_hash, entries[index]), index);
+    std::sort(weighted.begin(), weighted.end(), std::greater<>());
+    std::vector<std::size_t> order;
+    for (auto const& element : weighted)
+        order.push_back(element.second);
+    return order;
+}
+
 } // namespace greengagehead::policy
--- a/src/policy/entry_subset.h
+++ b/src/policy/entry_subset.h
@@ -29,4 +29,9 @@
 [[nodiscard]] std::size_t rank_of_entry(std::string_view agent, std::string_view entry,
                                         std::vector<std::string> const& entries);
 
+/// Returns the indexes of `entries` in the order in which they are chosen for the endpoints of
+/// `agent`.
+[[nodiscard]] std::vector<std::size_t> order_of_entries(std::string_view agent,
+                                                        std::vector<std::string> const& entries);
+
 } // namespace greengagehead::policy
