Add the fleet setting share_percent of a team

Operators could set the weight of a team, but not the largest part that it may get while others wait. /teams/TEAM/share_percent takes 1 to 100; other values, and a team without any other setting, are refused with a clear error.

--- a/src/entry/team_table.cpp
+++ b/src/entry/team_table.cpp
@@ -12,6 +12,7 @@
 
 /// Retries or hedges that a team may start before it has made any first attempt.
 constexpr std::uint32_t budget_reserve = 10;
+constexpr std::uint32_t max_share_percent = 100;
 constexpr std::string_view teams_prefix = "/teams/";
 
 std::optional<std::uint32_t> parse_number(std::string_view text)
@@ -45,6 +46,8 @@
         team.share.weight = value;
     else if (name == "quota_slots")
         team.share.quota_slots = value;
+    else if (name == "share_percent" && value > 0 && value <= max_share_percent)
+        team.share_percent = value;
     else if (name == "queue_limit")
         team.queue_limit = value;
     else if (name == "deadline_ms")
@@ -88,6 +91,14 @@
     return found == this->teams.end() ? this->defaults : found->second;
 }
 
+std::map<std::string, policy::account_limits> team_table::account_limits() const
+{
+    std::map<std::string, policy::account_limits> limits;
+    for (auto const& [name, values] : this->teams)
+        limits[name] = {values.share.weight, values.share_percent};
+    return limits;
+}
+
 kind_settings team_table::kind(std::string const& team, std::string const& kind) const
 {
     auto const& kinds = this->settings_for(team).kinds;
--- a/src/entry/team_table.h
+++ b/src/entry/team_table.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "policy/account_fairness.h"
 #include "policy/fair_queue.h"
 #include "policy/retry_budget.h"
 #include "protocol/command.h"
@@ -24,6 +25,8 @@
 /// Settings below `/teams/TEAM`. The initial values are the documented defaults.
 struct team_settings {
     policy::team_share share; ///< `weight` 1, `quota_slots` 0 (no limit).
+    /// `share_percent`, largest part of the fleet's served slot time while others wait.
+    std::uint32_t share_percent = 100;
     std::size_t queue_limit = 50'000; ///< `queue_limit`, in waiting tasks.
     std::chrono::milliseconds deadline {0}; ///< `deadline_ms`; 0 for the default of the process.
     std::uint32_t hedge_percent = 5;
@@ -41,6 +44,8 @@
     [[nodiscard]] kind_settings kind(std::string const& team, std::string const& kind) const;
     [[nodiscard]] policy::retry_budget& retries(std::string const& team);
     [[nodiscard]] policy::retry_budget& hedges(std::string const& team);
+    /// Settings that decide the fair parts, of the teams with settings.
+    [[nodiscard]] std::map<std::string, policy::account_limits> account_limits() const;
     [[nodiscard]] std::map<std::string, team_settings> const& all() const { return this->teams; }
 
 private:
--- a/src/state/setting_schema.cpp
+++ b/src/state/setting_schema.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::array rules {
     setting_rule {"/teams/TEAM/weight", 1, 1000, "share of slots relative to other teams"},
+    setting_rule {"/teams/TEAM/share_percent", 1, 100,
+                  "most of the fleet's served slot time while other teams wait"},
     setting_rule {"/teams/TEAM/quota_slots", 0, 100'000, "most slots used at once, 0 for no limit"},
     setting_rule {"/teams/TEAM/queue_limit", 1, 1'000'000, "most tasks waiting at one entry"},
     setting_rule {"/teams/TEAM/deadline_ms", 1, 600'000, "deadline of jobs that declare none"},
--- a/src/state/settings_tree.cpp
+++ b/src/state/settings_tree.cpp
@@ -27,6 +27,13 @@
     return request.expected_version ? content + std::to_string(*request.expected_version) : content;
 }
 
+/// The path of a team's settings, if this is its `share_percent`; otherwise empty.
+std::string_view team_of_share(std::string_view path)
+{
+    constexpr std::string_view name = "share_percent";
+    return path.ends_with(name) ? path.substr(0, path.size() - name.size()) : std::string_view();
+}
+
 bool at_or_below(std::string_view path, std::string_view prefix)
 {
     while (!prefix.empty() && prefix.back() == '/')
@@ -66,6 +73,12 @@
             : change_status::invalid;
         return {rejected(status, this->current(request.path), checked.error().message)};
     }
+    // A share divides what others wait for, so a misspelt team would be limited without notice.
+    auto const team = team_of_share(request.path);
+    if (!team.empty() && this->list(team).empty())
+        return {
+            rejected(change_status::unknown_path, this->current(request.path),
+                     "no team has settings below " + std::string(team) + "; set its weight first")};
     auto const before = this->current(request.path);
     if (request.expected_version && *request.expected_version != before.version)
         return {rejected(change_status::version_mismatch, before,
--- a/tests/state/settings_test.cpp
+++ b/tests/state/settings_test.cpp
@@ -48,6 +48,44 @@
     }
 }
 
+SCENARIO("an operator limits the share of a team")
+{
+    state::control_state state;
+    put(state, "/teams/t/weight", "1");
+    put(state, "/teams/tt/weight", "1");
+
+    // Guards against a share that is larger than the whole, negative or not a number, and is
+    // stored.
+    THEN("only whole numbers from 1 to 100 are accepted")
+    {
+        CHECK(put(state, "/teams/t/share_percent", "100").status == change_status::applied);
+        CHECK(put(state, "/teams/t/share_percent", "1").status == change_status::applied);
+        for (auto const* value : {"0", "101", "-1", "1.5", "", "nan", "50%"}) {
+            auto const refused = put(state, "/teams/t/share_percent", value);
+            CHECK(refused.status == change_status::invalid);
+            CHECK(refused.message == "/teams/t/share_percent must be a whole number from 1 to 100");
+            CHECK(refused.current.value == "1");
+        }
+    }
+    // Guards against a misspelt team whose share is stored and limits nobody.
+    THEN("the share of a team without settings is refused and changes nothing")
+    {
+        auto const refused = put(state, "/teams/u/share_percent", "50");
+        CHECK(refused.status == change_status::unknown_path);
+        CHECK(refused.message == "no team has settings below /teams/u/; set its weight first");
+        CHECK(state.settings().list("/teams/u").empty());
+        CHECK(put(state, "/teams/tt/share_percent", "50").status == change_status::applied);
+    }
+    // Guards against a share that is lost when a control member starts again from a snapshot.
+    THEN("a share survives a snapshot")
+    {
+        put(state, "/teams/t/share_percent", "30");
+        state::settings_tree restored;
+        restored.restore(state.settings().image());
+        CHECK(restored.list("/teams/t/share_percent").front().value == "30");
+    }
+}
+
 SCENARIO("operators change settings concurrently and resend changes")
 {
     state::control_state state;
