Count the use of accounts at entries and admit by their standing

An entry knew neither what an account had received from the fleet nor why its requests were refused. account_usage counts requested and served slot time and refusals by reason, gives the rows for renewals, puts back those without an answer, and turns the sums of a grant into the standing of an account. With entry.fair_accounts (default false) check_target uses it. Rows that are not reported decay like the sums of the leader, so that the use of an outage is not taken for recent. Refusals are logged once a second for each reason (3040).

--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -67,6 +67,7 @@
     event_description {log_event::submission_released, severity::info, "submission_released"},
     event_description {log_event::restarts_counted, severity::warning, "restarts_counted"},
     event_description {log_event::submission_restarted, severity::info, "submission_restarted"},
+    event_description {log_event::refusals_counted, severity::info, "refusals_counted"},
     event_description {log_event::endpoint_announced, severity::info, "endpoint_announced"},
     event_description {log_event::endpoint_left, severity::info, "endpoint_left"},
     event_description {log_event::start_refused, severity::info, "start_refused"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -70,6 +70,7 @@
     submission_released = 3028,
     restarts_counted = 3029,
     submission_restarted = 3030,
+    refusals_counted = 3040,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -139,11 +139,13 @@
     if (open == nullptr || this->components.agents.at(open->agent).id != agent)
         return false;
     auto const endpoint = open->endpoint;
+    auto const work = task.expected * open->slots;
     this->record_run(job, index, outcome, now);
     this->close(job, task, *open, outcome.run_time);
     if (refused_by_agent(outcome)) {
         ++this->components.counters.refused_starts;
         ++job.refused_starts;
+        this->components.accounts.record_refused_start(job.team, work);
         this->components.endpoints.mark_full(endpoint);
     }
     job.record_decision(
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -269,6 +269,7 @@
     task.state = protocol::task_state::starting;
     ++job.awaited;
     this->components.endpoints.record_start(choice.endpoint, added.slots);
+    this->components.accounts.record_served(job.team, task.expected * added.slots, now);
     job.record_decision({now, hedge ? decision_kind::hedged : decision_kind::placed,
                          static_cast<std::int32_t>(index), added.number, choice.endpoint,
                          choice.reason, choice.candidates});
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "entry/account_usage.h"
 #include "entry/agent_outbox.h"
 #include "entry/agent_table.h"
 #include "entry/attempt_monitor.h"
@@ -77,6 +78,7 @@
     std::unique_ptr<policy::placement_policy> placement;
 
     team_table teams;
+    account_usage accounts;
     timer_queue timers;
     job_table jobs;
     copy_store copies;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -116,6 +117,7 @@
     auto const& view = this->leases.applied();
     this->view_applied.emit(view);
     this->teams.apply(view.settings, this->queue);
+    this->accounts.set_limits(this->teams.account_limits());
     this->endpoints.set_zones_out(view.zones_out);
     this->endpoints.set_draining(view.draining_endpoints);
     std::vector<std::string> entry_names;
@@ -400,6 +402,7 @@
     this->pimpl->resubmitted.tick(now);
     this->pimpl->submission_consent.tick(now);
     this->pimpl->takeovers.tick(now);
+    this->pimpl->accounts.tick(now);
     // An excluded endpoint becomes usable again after a time, without any message.
     this->pimpl->dispatch.capacity_changed();
     if (now >= this->pimpl->next_expiry) {
@@ -486,6 +489,23 @@
     return this->pimpl->restarts;
 }
 
+account_metrics entry_core::accounts() const
+{
+    std::map<std::string, std::size_t> waiting;
+    for (auto const& [number, job] : this->pimpl->jobs.all()) {
+        auto const tasks = std::count_if(job->tasks.begin(), job->tasks.end(),
+                                         [](auto const& task) { return task.queued; });
+        if (tasks > 0)
+            waiting[job->team] += static_cast<std::size_t>(tasks);
+    }
+    return this->pimpl->accounts.metrics(waiting);
+}
+
+void entry_core::count_refusal(std::string const& team, policy::refusal_cause cause)
+{
+    this->pimpl->accounts.record_refusal(team, cause);
+}
+
 std::string entry_core::ephemeral_id(std::string const& team, std::string const& submission) const
 {
     return ephemeral_job_id(team, submission, this->pimpl->settings.id);
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -15,12 +15,14 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "policy/admission.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 
 namespace greengagehead::entry {
 
 class restart_counts;
+struct account_metrics;
 
 struct entry_settings {
     protocol::process_id id; ///< Peer name, for example `entry.recife-1`, and a random incarnation.
@@ -38,6 +40,8 @@
     std::chrono::milliseconds answer_retention {900'000};
     /// Approximate memory limit for finished jobs; the oldest ones are dropped earlier.
     std::size_t finished_bytes {128U << 20U};
+    /// While capacity is short, jobs of accounts below their fair part may wait longer.
+    bool fair_accounts = false;
 };
 
 /// Reply to a submission; exactly one per call.
@@ -150,6 +154,11 @@
     [[nodiscard]] entry_status status(base::steady_time now) const;
     [[nodiscard]] entry_counters const& counters() const;
     [[nodiscard]] restart_counts const& restarts() const;
+    /// Counters of accounts and what the fleet has served to them recently.
+    [[nodiscard]] account_metrics accounts() const;
+    /// Counts a request that was refused before it became a job.
+    /// @param team empty if it is not known.
+    void count_refusal(std::string const& team, policy::refusal_cause cause);
     [[nodiscard]] protocol::view const& applied_view() const;
     /// Job id of an ephemeral submission to this entry.
     [[nodiscard]] std::string ephemeral_id(std::string const& team,
--- a/src/entry/job_completion.cpp
+++ b/src/entry/job_completion.cpp
@@ -182,6 +182,7 @@
     job.content.reset();
     this->components.jobs.record_finished();
     ++this->components.counters.jobs_refused;
+    this->components.accounts.record_refusal(job.team, policy::refusal_cause::other);
     base::log_record(base::log_event::job_refused)
         .with("job", job.id)
         .with("team", job.team)
@@ -261,6 +262,7 @@
                                {},
                                "no endpoint had room in time for the target"};
     ++this->components.counters.jobs_refused;
+    this->components.accounts.record_refusal(job.team, policy::refusal_cause::target_missed);
     this->finalize(job, now);
 }
 
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -101,6 +101,7 @@
                                       false},
                                      now);
     }
+    this->components.accounts.record_asked(request.team, this->expected_work(request), now);
     if (auto const refusal = this->check_admission(request, deadline, now))
         return this->refuse(request, id, std::move(caller), *refusal, now);
     auto& added = this->add_job(id, std::move(request), std::move(caller), now + deadline, now);
@@ -118,7 +119,10 @@
     auto const& request = submission.request;
     auto const remaining = std::chrono::ceil<milliseconds>(submission.deadline - now);
     auto refusal = this->check_admission(request, remaining, now);
-    auto const target = this->make_target_request(request, remaining, now);
+    auto target = this->make_target_request(request, remaining, now);
+    this->components.accounts.record_asked(request.team, target.work, now);
+    if (this->components.settings.fair_accounts)
+        target.standing = this->components.accounts.standing(request.team, now);
     if (!refusal)
         refusal = policy::check_target(target, this->components.endpoints,
                                        this->components.ephemeral_queue, now);
@@ -210,7 +214,7 @@
         auto const needed = this->longest_task(request) * shutdown_time_percent / 100;
         if (this->waiting_disabled || now + needed + shutdown_margin > *this->shutdown_end)
             return policy::make_refusal(base::error_code::unavailable, "the entry is shutting down",
-                                        shutdown_retry_after);
+                                        shutdown_retry_after, policy::refusal_cause::shutting_down);
     }
     policy::admission_limits limits;
     limits.team_tasks = this->components.teams.settings_for(request.team).queue_limit;
@@ -218,6 +222,14 @@
                                    this->components.queue, this->components.estimator);
 }
 
+policy::slot_time job_lifecycle::expected_work(protocol::job_request const& request)
+{
+    policy::slot_time work {0};
+    for (auto const& task : request.tasks)
+        work += this->expected_time(request, task) * task.slots;
+    return work;
+}
+
 microseconds job_lifecycle::longest_task(protocol::job_request const& request)
 {
     microseconds longest {0};
@@ -239,10 +251,8 @@
                                                           milliseconds deadline,
                                                           base::steady_time now)
 {
-    policy::target_request target {&request, {}, now + deadline};
+    policy::target_request target {&request, this->expected_work(request), now + deadline, {}};
     auto const longest = this->longest_task(request);
-    for (auto const& task : request.tasks)
-        target.work += this->expected_time(request, task) * task.slots;
     auto target_time = std::chrono::duration_cast<microseconds>(deadline);
     if (request.target_stretch_percent > 0)
         target_time = std::min(
@@ -283,6 +293,7 @@
     answer.retry_after = refusal.retry_after;
     if (request.ephemeral) {
         ++this->components.counters.jobs_refused;
+        this->components.accounts.record_refusal(answer.team, refusal.cause);
         base::log_record(base::log_event::job_refused)
             .with("job", answer.job)
             .with("team", answer.team)
@@ -294,8 +305,8 @@
     auto shared_caller = std::make_shared<waiter>(std::move(caller));
     this->components.control.request(
         protocol::read_claim {id}, refusal_lookup_timeout,
-        [this, shared_caller, answer](protocol::control_result const& result,
-                                      base::steady_time later) {
+        [this, shared_caller, answer, cause = refusal.cause](protocol::control_result const& result,
+                                                             base::steady_time later) {
             auto const* lookup = std::get_if<protocol::claim_lookup>(&result);
             if (lookup == nullptr)
                 return deliver_unknown(
@@ -309,6 +320,7 @@
                 return this->components.remote.attach(answer.job, claim, std::move(*shared_caller),
                                                       false, later);
             ++this->components.counters.jobs_refused;
+            this->components.accounts.record_refusal(answer.team, cause);
             auto refused = answer;
             if (lookup->expired) {
                 // Its tasks may have run, so "not run" would be false.
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -94,6 +94,8 @@
     [[nodiscard]] std::optional<policy::refusal>
     check_admission(protocol::job_request const& request, std::chrono::milliseconds deadline,
                     base::steady_time now);
+    /// Expected run times of all tasks times their slots.
+    [[nodiscard]] policy::slot_time expected_work(protocol::job_request const& request);
     [[nodiscard]] std::chrono::microseconds longest_task(protocol::job_request const& request);
     void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
                 policy::refusal const& refusal, base::steady_time now);
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -110,6 +110,11 @@
                               &settings::entry_http, "HTTP address for callers and operators."));
     rules.push_back(choice_rule("entry.placement", {"least_loaded", "random"}, &settings::placement,
                                 "Placement policy."));
+    rules.push_back(number_rule("entry.fair_accounts", value_kind::flag, 0, 1,
+                                make_number_setter(&settings::fair_accounts),
+                                "Whether jobs of accounts below their fair part of the served "
+                                "slot time may wait longer, and those of accounts above it "
+                                "shorter."));
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
