Show metrics of accounts by reason

Operators saw the refusals of an entry as one number. /metrics has refusals by account and reason, requested, served and waiting work of each account, and the sums of the fleet, for at most 100 accounts and the sum of the others. Names of arbitrary bytes are escaped so that labels stay valid and different. api_test passes with a thousand accounts.

--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -9,8 +9,10 @@
 
 #include <nlohmann/json.hpp>
 
+#include "api/account_metrics.h"
 #include "api/json_replies.h"
 #include "base/log_sink.h"
+#include "entry/account_usage.h"
 #include "entry/entry_core.h"
 #include "entry/restart_counts.h"
 
@@ -230,6 +232,7 @@
                    base::dropped_log_lines());
     append_restarts(text, context.core.restarts());
     append_messages(text, context.messages);
+    append_account_metrics(text, context.core.accounts());
     append_gauges(text, context.core.status(base::steady_now()));
     context.metrics.append_to(text);
     call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
