--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -72,6 +72,7 @@
                        "hold_memory_exhausted"},
     event_description {log_event::state_missing, severity::info, "state_missing"},
     event_description {log_event::state_recovered, severity::info, "state_recovered"},
+    event_description {log_event::refusals_counted, severity::info, "refusals_counted"},
     event_description {log_event::endpoint_announced, severity::info, "endpoint_announced"},
     event_description {log_event::endpoint_left, severity::info, "endpoint_left"},
     event_description {log_event::start_refused, severity::info, "start_refused"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -74,6 +74,7 @@
     hold_memory_exhausted = 3041,
     state_missing = 3042,
     state_recovered = 3043,
+    refusals_counted = 3044,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "policy/admission.h"
 #include "policy/recovery_hold.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
@@ -24,6 +25,7 @@
 
 class restart_counts;
 struct held_request;
+struct account_metrics;
 
 struct entry_settings {
     protocol::process_id id; ///< Peer name, for example `entry.recife-1`, and a random incarnation.
@@ -43,6 +45,8 @@
     std::size_t finished_bytes {128U << 20U};
     /// Requests that arrive while the entry recovers its state are held; by default none is.
     policy::recovery_hold_limits recovery_hold;
+    /// While capacity is short, jobs of accounts below their fair part may wait longer.
+    bool fair_accounts = false;
 };
 
 /// Reply to a submission; exactly one per call.
@@ -173,6 +177,11 @@
     [[nodiscard]] entry_status status(base::steady_time now) const;
     [[nodiscard]] entry_counters const& counters() const;
     [[nodiscard]] restart_counts const& restarts() const;
+    /// Counters of accounts and what the fleet has served to them recently.
+    [[nodiscard]] account_metrics accounts() const;
+    /// Counts a request that was refused before it became a job.
+    /// @param team empty if it is not known.
+    void count_refusal(std::string const& team, policy::refusal_cause cause);
     [[nodiscard]] protocol::view const& applied_view() const;
     /// Job id of an ephemeral submission to this entry.
     [[nodiscard]] std::string ephemeral_id(std::string const& team,
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -102,6 +102,7 @@
                                       false},
                                      now);
     }
+    this->components.accounts.record_asked(request.team, this->expected_work(request), now);
     if (auto const refusal = this->check_admission(request, deadline, now))
         return this->refuse(request, id, std::move(caller), *refusal, now);
     auto& added = this->add_job(id, std::move(request), std::move(caller), now + deadline, now);
@@ -116,6 +117,9 @@
 
 void job_lifecycle::claim_or_refuse(unstarted_submission submission, base::steady_time now)
 {
+    if (!std::exchange(submission.caller.counted, true))
+        this->components.accounts.record_asked(submission.request.team,
+                                               this->expected_work(submission.request), now);
     auto const refusal = this->check_submission(submission, submission.latest_start, now);
     if (refusal && this->hold_for_recovery(submission, now))
         return;
@@ -132,7 +136,9 @@
     auto const remaining = std::chrono::ceil<milliseconds>(submission.deadline - now);
     auto refusal = this->check_admission(request, remaining, now);
     auto const arrived = submission.caller.arrived.value_or(now);
-    auto const target = this->make_target_request(request, remaining, arrived, now);
+    auto target = this->make_target_request(request, remaining, arrived, now);
+    if (this->components.settings.fair_accounts)
+        target.standing = this->components.accounts.standing(request.team, now);
     if (!refusal)
         refusal = policy::check_target(target, this->components.endpoints,
                                        this->components.ephemeral_queue, now);
@@ -223,7 +229,7 @@
         auto const needed = this->longest_task(request) * shutdown_time_percent / 100;
         if (this->waiting_disabled || now + needed + shutdown_margin > *this->shutdown_end)
             return policy::make_refusal(base::error_code::unavailable, "the entry is shutting down",
-                                        shutdown_retry_after);
+                                        shutdown_retry_after, policy::refusal_cause::shutting_down);
     }
     policy::admission_limits limits;
     limits.team_tasks = this->components.teams.settings_for(request.team).queue_limit;
@@ -231,6 +237,14 @@
                                    this->components.queue, this->components.estimator);
 }
 
+policy::slot_time job_lifecycle::expected_work(protocol::job_request const& request)
+{
+    policy::slot_time work {0};
+    for (auto const& task : request.tasks)
+        work += this->expected_time(request, task) * task.slots;
+    return work;
+}
+
 microseconds job_lifecycle::longest_task(protocol::job_request const& request)
 {
     microseconds longest {0};
@@ -253,10 +267,8 @@
                                                           base::steady_time arrived,
                                                           base::steady_time now)
 {
-    policy::target_request target {&request, {}, now + deadline};
+    policy::target_request target {&request, this->expected_work(request), now + deadline, {}};
     auto const longest = this->longest_task(request);
-    for (auto const& task : request.tasks)
-        target.work += this->expected_time(request, task) * task.slots;
     auto target_time = std::chrono::duration_cast<microseconds>(deadline);
     auto const needed = longest * (100 + speed_margin_percent) / 100;
     auto const waited = std::chrono::duration_cast<microseconds>(now - arrived);
@@ -302,6 +314,7 @@
     answer.retry_after = refusal.retry_after;
     if (request.ephemeral) {
         ++this->components.counters.jobs_refused;
+        this->components.accounts.record_refusal(answer.team, refusal.cause);
         base::log_record(base::log_event::job_refused)
             .with("job", answer.job)
             .with("team", answer.team)
@@ -313,8 +326,8 @@
     auto shared_caller = std::make_shared<waiter>(std::move(caller));
     this->components.control.request(
         protocol::read_claim {id}, refusal_lookup_timeout,
-        [this, shared_caller, answer](protocol::control_result const& result,
-                                      base::steady_time later) {
+        [this, shared_caller, answer, cause = refusal.cause](protocol::control_result const& result,
+                                                             base::steady_time later) {
             auto const* lookup = std::get_if<protocol::claim_lookup>(&result);
             if (lookup == nullptr)
                 return deliver_unknown(
@@ -328,6 +341,7 @@
                 return this->components.remote.attach(answer.job, claim, std::move(*shared_caller),
                                                       false, later);
             ++this->components.counters.jobs_refused;
+            this->components.accounts.record_refusal(answer.team, cause);
             auto refused = answer;
             if (lookup->expired) {
                 // Its tasks may have run, so "not run" would be false.
--- a/src/entry/waiter.h
+++ b/src/entry/waiter.h
@@ -24,6 +24,7 @@
     std::optional<base::steady_time> arrived;
     /// Its hold has ended: it is admitted or refused, and not held again.
     bool hold_ended = false;
+    bool counted = false; ///< The work of its job is counted as requested by the account.
 };
 
 /// Passes on an answer, whatever its state.
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -70,6 +70,8 @@
     /// endpoints; 0 refuses them at once.
     std::chrono::milliseconds recovery_hold {0};
     std::uint64_t recovery_hold_bytes = 4'194'304;
+    bool fair_accounts
+        = false; ///< Whether admission takes the recent use of accounts into account.
     /// Control members. If `control_link_port` is set, these are only the initial contacts, reached
     /// at that port.
     std::vector<peer_settings> controls;
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -119,6 +119,11 @@
     rules.push_back(number_rule("entry.recovery_hold_bytes", value_kind::number, 65'536,
                                 1'073'741'824, make_number_setter(&settings::recovery_hold_bytes),
                                 "Largest memory of all requests that are held."));
+    rules.push_back(number_rule("entry.fair_accounts", value_kind::flag, 0, 1,
+                                make_number_setter(&settings::fair_accounts),
+                                "Whether jobs of accounts below their fair part of the served "
+                                "slot time may wait longer, and those of accounts above it "
+                                "shorter."));
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
