--- a/bench/policy/target_simulation.cpp
+++ b/bench/policy/target_simulation.cpp
@@ -11,7 +11,6 @@
 #include <string>
 
 #include "agent/endpoint_slots.h"
-#include "policy/account_fairness.h"
 #include "policy/account_sums.h"
 #include "policy/endpoint_health.h"
 #include "policy/endpoint_table.h"
@@ -398,8 +397,9 @@
     while (auto const key = agent_state.slots->pop_startable()) {
         auto const& task = this->task_at(key->task);
         agent_state.slots->acquire(*key, task.slots);
-        this->busy_slot_seconds
-            += task.slots * std::chrono::duration<double>(task.run_time).count();
+        auto const served = task.slots * std::chrono::duration<double>(task.run_time).count();
+        this->busy_slot_seconds += served;
+        this->result.kinds.at(this->jobs.at(key->task.job).kind).served_slot_seconds += served;
         this->events.after(task.run_time, [this, agent_index, key = *key] {
             this->finish(agent_index, key.task);
         });
@@ -533,8 +533,10 @@
         this->sums.record(rows, this->events.now());
         auto const shares = this->sums.shares(this->events.now());
         this->events.after(this->settings.latency, [this, entry, shares] {
-            this->entries[entry].fairness
-                = account_fairness(shares, [](auto const&) { return account_limits {}; });
+            auto const limits_of = [this](std::string const& account) {
+                return this->settings.limits.at(std::stoul(account.substr(account.find(' '))));
+            };
+            this->entries[entry].fairness = account_fairness(shares, limits_of);
         });
     });
     if (this->events.now() < this->arrivals_end)
--- a/bench/policy/target_simulation.h
+++ b/bench/policy/target_simulation.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "policy/account_fairness.h"
+
 namespace greengagehead::policy {
 
 constexpr std::size_t job_kind_count = 3;
@@ -29,6 +31,7 @@
     std::array<double, job_kind_count> kind_rates {1, 1, 1};
     /// Each kind is an account, and entries report their use as with `entry.fair_accounts`.
     bool fair_accounts = false;
+    std::array<account_limits, job_kind_count> limits; ///< Fleet settings of the accounts.
     std::uint64_t seed = 1;
 };
 
@@ -38,6 +41,7 @@
     std::uint32_t in_target = 0; ///< Answered within their target.
     std::uint32_t late = 0; ///< Answered after their target.
     std::uint32_t refused = 0;
+    double served_slot_seconds = 0; ///< Slots times run time of the started tasks.
 
     /// Jobs answered within their target relative to the submitted ones. 1 without jobs.
     [[nodiscard]] double in_target_share() const
--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -41,12 +41,13 @@
     return std::min(usual * standing.wait_percent / 100, std::max(slack, usual));
 }
 
-refusal make_wait_refusal(microseconds wait, microseconds limit, microseconds usual_limit)
+/// @param usually_accepted whether the job of an account with its fair part would be accepted.
+refusal make_wait_refusal(microseconds wait, microseconds limit, bool usually_accepted)
 {
     auto const excess
         = std::clamp(duration_cast<milliseconds>(wait - limit), min_retry_after, max_retry_after);
     auto const wait_text = std::to_string(duration_cast<milliseconds>(wait).count()) + " ms";
-    if (wait <= usual_limit)
+    if (usually_accepted)
         return make_refusal(base::error_code::unavailable,
                             "the account has more than its share: waiting work takes " + wait_text,
                             excess, refusal_cause::account_above_share);
@@ -67,7 +68,10 @@
         return make_refusal(base::error_code::unavailable, "no endpoint accepts tasks now",
                             no_endpoint_retry_after, refusal_cause::no_endpoint);
     auto const work_ahead = queue.work_before(request.latest_start);
-    if (work_ahead.count() == 0)
+    // Without this, an account above its share passes all waiting work with a later latest start.
+    auto const& standing = request.standing;
+    bool const held_back = standing.wait_percent == 0 && !standing.newcomer && queue.size() > 0;
+    if (work_ahead.count() == 0 && !held_back)
         return std::nullopt;
     // The other entries are assumed to use the same endpoints equally.
     auto const share = std::max<std::uint64_t>(capacity.entry_slots, 1);
@@ -75,10 +79,10 @@
         = microseconds((work_ahead + request.work).count() / static_cast<std::int64_t>(share));
     auto const slack = duration_cast<microseconds>(request.latest_start - now);
     auto const usual_limit = max_wait(slack, request.job->priority);
-    auto const limit = max_wait_of_account(slack, usual_limit, request.standing);
-    if (wait <= limit)
+    auto const limit = max_wait_of_account(slack, usual_limit, standing);
+    if (wait <= limit && !held_back)
         return std::nullopt;
-    return make_wait_refusal(wait, limit, usual_limit);
+    return make_wait_refusal(wait, limit, work_ahead.count() == 0 || wait <= usual_limit);
 }
 
 } // namespace greengagehead::policy
--- a/tests/policy/account_fairness_test.cpp
+++ b/tests/policy/account_fairness_test.cpp
@@ -223,5 +223,12 @@
             queue.push({{"other", 0}, "c", 8ms, now + 50ms});
             CHECK(check(above_share)->cause == policy::refusal_cause::account_above_share);
         }
+        // Guards against short jobs that pass the long ones of others by their earlier target.
+        THEN("its job is refused while only work with a later target waits")
+        {
+            queue.push({{"other", 0}, "c", 8ms, now + 500ms});
+            CHECK(check(above_share)->cause == policy::refusal_cause::account_above_share);
+            CHECK_FALSE(check({}));
+        }
     }
 }
--- a/tests/policy/overload_test.cpp
+++ b/tests/policy/overload_test.cpp
@@ -139,9 +139,52 @@
     {
         CHECK(worst_credit(with) > worst_credit(without));
     }
-    // Guards against slots that are idle because of the shares of accounts.
+    // Guards against slots that are idle because of the standing of accounts.
     THEN("as much work is done")
     {
         CHECK(with.utilization >= without.utilization - 0.01);
     }
 }
+
+// Load: accounts that request 60% more than there is; one may have 30% while others wait, or has
+// three times the weight of the others.
+SCENARIO("accounts with fleet settings compete for the slots of many entries",
+         "[policy][overload][accounts]")
+{
+    target_simulation_settings settings;
+    settings.length = std::chrono::seconds(8);
+    settings.load = 1.6;
+    settings.fair_accounts = true;
+    auto const served_part = [](target_simulation_result const& result, std::size_t kind) {
+        double total = 0;
+        for (auto const& item : result.kinds)
+            total += item.served_slot_seconds;
+        return result.kinds.at(kind).served_slot_seconds / total;
+    };
+    auto const without = run_target_simulation(settings);
+
+    // Guards against a share that entries know and that has no effect on the fleet.
+    WHEN("the largest account may have 30%")
+    {
+        settings.limits.at(1).share_percent = 30;
+        auto const with = run_target_simulation(settings);
+        THEN("it gets about that, and nothing is idle")
+        {
+            CAPTURE(served_part(without, 1), served_part(with, 1));
+            CHECK(served_part(without, 1) > 0.36);
+            CHECK(served_part(with, 1) < 0.34);
+            CHECK(with.utilization >= without.utilization - 0.02);
+        }
+    }
+    // Guards against weights without effect.
+    WHEN("the largest account has three times the weight")
+    {
+        settings.limits.at(1).weight = 3;
+        auto const with = run_target_simulation(settings);
+        THEN("it gets more")
+        {
+            CAPTURE(served_part(without, 1), served_part(with, 1));
+            CHECK(served_part(with, 1) > served_part(without, 1) * 1.1);
+        }
+    }
+}
