--- a/bench/policy/target_simulation.h
+++ b/bench/policy/target_simulation.h
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <vector>
 
+#include "policy/account_fairness.h"
+
 namespace greengagehead::policy {
 
 constexpr std::size_t job_kind_count = 3;
@@ -45,6 +47,7 @@
     std::array<double, job_kind_count> kind_rates {1, 1, 1};
     /// Each kind is an account, and entries report their use as with `entry.fair_accounts`.
     bool fair_accounts = false;
+    std::array<account_limits, job_kind_count> limits; ///< Fleet settings of the accounts.
     std::uint64_t seed = 1;
 };
 
@@ -55,6 +58,7 @@
     std::uint32_t late = 0; ///< Answered after their target.
     std::uint32_t refused = 0;
     std::uint32_t expired = 0; ///< Ended after the deadline of their callers.
+    double served_slot_seconds = 0; ///< Slots times run time of the started tasks.
 
     /// Jobs answered within their target relative to the submitted ones. 1 without jobs.
     [[nodiscard]] double in_target_share() const
