Send the demands of entries to the control leader, and apply its tables

Cause: the tables of weights need the demands of all entries, and entries need the tables. Change: with entry.share_by_demand, renew_lease carries the slot time that arrives per second (refused work included) and the table in force, and grant_lease the newest table. control::demand_table keeps the demands as soft state of the leader; entry::slot_shares applies the tables, keeps the last shares for other components, and takes rows of accounts. entry_demand::shares_slots tells an entry that shares its slots from one that only reports accounts. Not run: fleet tests with real processes.

--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -155,6 +155,42 @@
     }
 }
 
+struct share_metric {
+    std::string_view name;
+    std::string_view type;
+    std::string_view help;
+    std::uint64_t (*value)(entry::share_status const& shares);
+};
+
+constexpr std::array share_metrics {
+    share_metric {"share_weight", "gauge",
+                  "Weight of this entry in the table of capacity shares, in parts of 1,000.",
+                  [](auto const& shares) { return std::uint64_t {shares.weight}; }},
+    share_metric {"share_table", "gauge", "Number of the table of capacity shares; 0 for none.",
+                  [](auto const& shares) { return shares.table; }},
+    share_metric {"share_table_settled", "gauge", "Whether the table is known to be settled.",
+                  [](auto const& shares) { return std::uint64_t {shares.settled}; }},
+    share_metric {"share_tables_applied_total", "counter", "Tables of capacity shares applied.",
+                  [](auto const& shares) { return shares.changes; }},
+    share_metric {"arriving_slot_ms", "gauge",
+                  "Slot time that arrives per second in milliseconds, refused work included.",
+                  [](auto const& shares) {
+                      return static_cast<std::uint64_t>(shares.arriving.count() / 1000);
+                  }},
+};
+
+void append_shares(std::string& text, entry::share_status const& shares)
+{
+    if (!shares.enabled)
+        return;
+    for (auto const& metric : share_metrics) {
+        text.append("# HELP greengagehead_").append(metric.name).append(" ").append(metric.help);
+        text.append("\n# TYPE greengagehead_").append(metric.name).append(" ");
+        text.append(metric.type).append("\n");
+        append_sample(text, metric.name, "", metric.value(shares));
+    }
+}
+
 void append_gauges(std::string& text, entry::entry_status const& status)
 {
     text += "# TYPE greengagehead_lease_valid gauge\n";
@@ -230,7 +266,9 @@
                    base::dropped_log_lines());
     append_restarts(text, context.core.restarts());
     append_messages(text, context.messages);
-    append_gauges(text, context.core.status(base::steady_now()));
+    auto const status = context.core.status(base::steady_now());
+    append_gauges(text, status);
+    append_shares(text, status.shares);
     context.metrics.append_to(text);
     call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
 }
--- a/src/control/control_core.cpp
+++ b/src/control/control_core.cpp
@@ -89,6 +89,8 @@
     if (registered->zone != renewal.zone || registered->http_address != renewal.http_address
         || registered->link_address != renewal.link_address)
         this->propose_join(renewal, now);
+    this->demands.record(renewal.entry, renewal.demand, now);
+    this->demands.update(this->state.entries().list(), now);
     this->advance_view_in_force(now);
     this->send_grant(peer, renewal, now);
 }
@@ -130,8 +132,10 @@
         return;
     auto const end = this->leases.grant(renewal.entry, renewal.entry_clock, view, now);
     log_record(log_event::lease_granted).with("entry", renewal.entry.name).with("view", view);
-    this->sender.send(
-        peer, protocol::grant_lease {renewal.entry.incarnation, end, view, this->log.group()});
+    this->sender.send(peer,
+                      protocol::grant_lease {renewal.entry.incarnation, end, view,
+                                             this->log.group(),
+                                             this->demands.answer_to(renewal.demand)});
 }
 
 bool control_core::authoritative(steady_time now) const
@@ -151,6 +155,7 @@
     this->claim_expiry_pending = false;
     this->seen_takeovers.clear();
     this->views.reset();
+    this->demands.reset(this->log.term());
     if (!leading) {
         log_record(log_event::leadership_lost).with("leader", this->log.leader());
         return this->redirect_all();
--- a/src/control/control_core.h
+++ b/src/control/control_core.h
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "consensus/replicated_log.h"
+#include "control/demand_table.h"
 #include "control/lease_table.h"
 #include "control/request_table.h"
 #include "control/view_sender.h"
@@ -121,6 +122,7 @@
     consensus::replicated_log& log;
     state::control_state state;
     lease_table leases;
+    demand_table demands;
     request_table requests;
     view_sender views;
 
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -21,6 +21,7 @@
 #include "entry/remote_jobs.h"
 #include "entry/restart_counts.h"
 #include "entry/resubmissions.h"
+#include "entry/slot_shares.h"
 #include "entry/submission_claims.h"
 #include "entry/takeover.h"
 #include "entry/team_table.h"
@@ -70,6 +71,7 @@
     claim_client claims;
 
     policy::endpoint_table endpoints;
+    slot_shares shares;
     policy::endpoint_health health;
     policy::fair_queue queue; ///< Tasks of stored jobs.
     policy::target_queue ephemeral_queue; ///< Tasks of ephemeral jobs.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -52,7 +52,8 @@
     : settings(std::move(initial_settings)), sender(output, this->counters.messages_sent),
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      placement(policy_of(this->settings)), jobs(this->settings.finished_bytes), copies(copy_bytes),
+      shares(this->settings, this->endpoints), placement(policy_of(this->settings)),
+      jobs(this->settings.finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
       monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
       submission_consent(*this), takeovers(*this)
@@ -66,6 +67,7 @@
     void handle(std::string const& peer, protocol::message const& body, base::steady_time now);
     void update_control_group(protocol::control_group const& group);
     void on_view(base::steady_time now);
+    void on_shares(protocol::grant_lease const& grant, base::steady_time now);
     void on_report(protocol::agent_report const& report, base::steady_time now);
     void check_agents(base::steady_time now);
     void run_timers(base::steady_time now);
@@ -84,6 +86,7 @@
 
 void entry_core::impl::connect()
 {
+    this->leases.demand = [this](base::steady_time now) { return this->shares.demand(now); };
     this->leases.view_applied.connect([this](base::steady_time now) { this->on_view(now); });
     this->leases.ownership_in_doubt.connect(
         [this](base::steady_time now) { this->lifecycle.check_ownership(now); });
@@ -121,12 +124,21 @@
     std::vector<std::string> entry_names;
     for (auto const& item : view.entries)
         entry_names.push_back(item.id.name);
-    this->endpoints.set_entries(std::move(entry_names), this->settings.id.name);
+    this->shares.on_view(std::move(entry_names));
     this->submission_consent.on_view(now);
     this->resubmitted.on_view(now);
     this->dispatch.capacity_changed();
 }
 
+void entry_core::impl::on_shares(protocol::grant_lease const& grant, base::steady_time now)
+{
+    if (grant.incarnation != this->settings.id.incarnation)
+        return;
+    this->shares.set_lease_valid(this->leases.valid(now));
+    this->shares.on_grant(grant);
+    this->dispatch.capacity_changed();
+}
+
 void entry_core::impl::on_report(protocol::agent_report const& report, base::steady_time now)
 {
     auto const previous = this->agents.find(report.agent.name) != nullptr
@@ -219,6 +231,7 @@
             using type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<type, protocol::grant_lease>) {
                 this->leases.on_grant(peer, message, now);
+                this->on_shares(message, now);
                 this->update_control_group(message.group);
             } else if constexpr (std::is_same_v<type, protocol::view_update>) {
                 this->control.record_leader(peer, now);
@@ -394,6 +407,7 @@
 void entry_core::tick(base::steady_time now)
 {
     this->pimpl->leases.tick(now);
+    this->pimpl->shares.set_lease_valid(this->pimpl->leases.valid(now));
     this->pimpl->control.tick(now);
     this->pimpl->check_agents(now);
     this->pimpl->run_timers(now);
@@ -465,6 +479,7 @@
     status.applied_view = components.leases.applied().number;
     status.settled_view = components.leases.settled();
     status.running_jobs = components.jobs.unfinished();
+    status.shares = components.shares.status(now);
     for (auto const& [name, settings] : components.teams.all())
         status.teams.push_back(
             {name, components.queue.size(name), components.queue.in_progress(name)});
@@ -472,7 +487,7 @@
         status.endpoints.push_back({name, endpoint.agent.name, endpoint.zone,
                                     std::string(name_of(components.health.state(name))),
                                     endpoint.state.slots, endpoint.state.used_slots,
-                                    endpoint.state.draining});
+                                    endpoint.state.draining, endpoint.entry_share});
     return status;
 }
 
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -15,6 +15,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "entry/slot_shares.h"
 #include "protocol/message.h"
 #include "protocol/message_sender.h"
 
@@ -30,6 +31,7 @@
     std::string link_address; ///< Address at which agents and other entries reach this one.
     std::vector<std::string> controls; ///< Peer names of the control members.
     std::string placement = "least_loaded";
+    bool share_by_demand = false; ///< Slots are divided by demand instead of equally.
     std::uint64_t seed = 1; ///< Seed of random choices.
     std::chrono::milliseconds renew_interval {300};
     std::chrono::milliseconds copy_timeout {20};
@@ -67,6 +69,7 @@
     std::uint32_t slots = 0;
     std::uint32_t used_slots = 0;
     bool draining = false;
+    std::uint32_t entry_share = 0; ///< Part of this entry in the slots; 0 with a single entry.
 };
 
 struct entry_status {
@@ -76,6 +79,7 @@
     protocol::view_number applied_view = 0;
     protocol::view_number settled_view = 0;
     std::size_t running_jobs = 0;
+    share_status shares;
     std::vector<team_status> teams;
     std::vector<endpoint_status> endpoints;
 };
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -101,6 +101,7 @@
                                       false},
                                      now);
     }
+    this->components.shares.record_arrival(this->work_of(request), now);
     if (auto const refusal = this->check_admission(request, deadline, now))
         return this->refuse(request, id, std::move(caller), *refusal, now);
     auto& added = this->add_job(id, std::move(request), std::move(caller), now + deadline, now);
@@ -119,6 +120,7 @@
     auto const remaining = std::chrono::ceil<milliseconds>(submission.deadline - now);
     auto refusal = this->check_admission(request, remaining, now);
     auto const target = this->make_target_request(request, remaining, now);
+    this->components.shares.record_arrival(target.work, now);
     if (!refusal)
         refusal = policy::check_target(target, this->components.endpoints,
                                        this->components.ephemeral_queue, now);
@@ -226,6 +228,14 @@
     return longest;
 }
 
+microseconds job_lifecycle::work_of(protocol::job_request const& request)
+{
+    microseconds work {0};
+    for (auto const& task : request.tasks)
+        work += this->expected_time(request, task) * task.slots;
+    return work;
+}
+
 microseconds job_lifecycle::expected_time(protocol::job_request const& request,
                                           protocol::task_request const& task)
 {
@@ -241,8 +251,7 @@
 {
     policy::target_request target {&request, {}, now + deadline};
     auto const longest = this->longest_task(request);
-    for (auto const& task : request.tasks)
-        target.work += this->expected_time(request, task) * task.slots;
+    target.work = this->work_of(request);
     auto target_time = std::chrono::duration_cast<microseconds>(deadline);
     if (request.target_stretch_percent > 0)
         target_time = std::min(
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -95,6 +95,8 @@
     check_admission(protocol::job_request const& request, std::chrono::milliseconds deadline,
                     base::steady_time now);
     [[nodiscard]] std::chrono::microseconds longest_task(protocol::job_request const& request);
+    /// Slot time that its tasks are expected to need.
+    [[nodiscard]] std::chrono::microseconds work_of(protocol::job_request const& request);
     void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
                 policy::refusal const& refusal, base::steady_time now);
     job& add_job(std::string const& id, protocol::job_request request, waiter caller,
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -152,7 +152,8 @@
                       protocol::renew_lease {this->settings.id, this->settings.zone,
                                              this->settings.http_address, base::to_reading(now),
                                              this->current.number, this->settled_view,
-                                             this->seen_takeover, this->settings.link_address});
+                                             this->seen_takeover, this->settings.link_address,
+                                             this->demand ? this->demand(now) : std::nullopt});
 }
 
 void lease_manager::record_takeover(std::uint64_t sequence)
--- a/src/entry/lease_manager.h
+++ b/src/entry/lease_manager.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -56,6 +57,8 @@
     [[nodiscard]] protocol::view_number settled() const { return this->settled_view; }
     [[nodiscard]] protocol::live_entry const* find_live_entry(protocol::process_id const& id) const;
 
+    /// Supplies the demand of a renewal; may be empty.
+    std::function<std::optional<protocol::entry_demand>(base::steady_time)> demand;
     /// A new view has been applied.
     sigc::signal<void(base::steady_time)> view_applied;
     /// The entry may have been removed from the view, and its jobs taken over.
--- a/src/policy/capacity_shares.cpp
+++ b/src/policy/capacity_shares.cpp
@@ -20,6 +20,7 @@
 std::vector<std::uint32_t> round_to_sum(std::vector<double> const& exact, std::uint32_t total)
 {
     std::vector<std::uint32_t> rounded;
+    rounded.reserve(exact.size());
     for (auto const value : exact)
         rounded.push_back(static_cast<std::uint32_t>(value));
     std::vector<std::size_t> order(exact.size());
@@ -44,6 +45,7 @@
     }
     auto const mean = count == 0 ? 0 : sum / static_cast<double>(count);
     std::vector<double> demands;
+    demands.reserve(members.size());
     for (auto const& member : members)
         demands.push_back(member.demand_settled ? static_cast<double>(member.arriving.count())
                                                 : mean);
--- a/src/policy/entry_subset.cpp
+++ b/src/policy/entry_subset.cpp
@@ -73,6 +73,7 @@
         weighted.emplace_back(weight(agent_hash, entries[index]), index);
     std::sort(weighted.begin(), weighted.end(), std::greater<>());
     std::vector<std::size_t> order;
+    order.reserve(entries.size());
     for (auto const& element : weighted)
         order.push_back(element.second);
     return order;
--- a/src/protocol/fields.h
+++ b/src/protocol/fields.h
@@ -234,7 +234,10 @@
     static auto of(auto& m) { return std::tie(m.account, m.asked, m.served); }
 };
 template <> struct field_list<entry_demand> {
-    static auto of(auto& m) { return std::tie(m.arriving, m.applied_table, m.accounts); }
+    static auto of(auto& m)
+    {
+        return std::tie(m.arriving, m.applied_table, m.accounts, m.shares_slots);
+    }
 };
 template <> struct field_list<entry_weight> {
     static auto of(auto& m) { return std::tie(m.entry, m.weight); }
--- a/src/protocol/message.h
+++ b/src/protocol/message.h
@@ -33,6 +33,8 @@
     std::chrono::microseconds arriving {0};
     std::uint64_t applied_table = 0; ///< `capacity_shares::number` that the entry acts on.
     std::vector<account_use> accounts;
+    /// The entry divides the slots by the tables of the leader. Otherwise it only reports accounts.
+    bool shares_slots = false;
 };
 
 /// Share of one entry in the slots of the endpoints that it uses.
--- a/tests/control/process_simulation.h
+++ b/tests/control/process_simulation.h
@@ -91,6 +91,7 @@
         settings.http_address = name + ":2";
         settings.link_address = name + ":1";
         settings.controls = this->configured_members;
+        settings.share_by_demand = this->share_by_demand;
         target.core = std::make_unique<entry::entry_core>(settings, target, this->now);
         target.core->control_group_changed.connect(
             [&target](auto const& group) { learn_addresses(target, group); });
@@ -177,6 +178,8 @@
         return this->entries.at(entry).core->applied_view().routing.version;
     }
 
+    bool share_by_demand = false; ///< As in entry_settings.
+    std::set<std::string> isolated; ///< All messages to and from these processes are lost.
     std::map<std::string, control_process> controls;
     std::map<std::string, entry_process> entries;
 
@@ -256,12 +259,14 @@
     void enqueue(simulated_process const& from, std::string const& to,
                  protocol::message const& body)
     {
-        if (!from.connected_peers.contains(to))
+        if (!from.connected_peers.contains(to) || this->isolated.contains(from.name)
+            || this->isolated.contains(to))
             return;
         auto const delay = std::chrono::milliseconds(1 + this->random() % 2);
         this->network.emplace(this->now + delay, delivery {from.name, from.incarnation, to, body});
     }
 
+protected:
     void step() override
     {
         while (!this->network.empty() && this->network.begin()->first <= this->now) {
@@ -275,6 +280,7 @@
             this->tick();
     }
 
+private:
     void tick()
     {
         auto const wall
--- a/tests/protocol/codec_test.cpp
+++ b/tests/protocol/codec_test.cpp
@@ -184,7 +184,8 @@
         WHEN("it has a demand")
         {
             auto with_demand = plain;
-            with_demand.demand = entry_demand {std::chrono::seconds(2), 5, {{"hospital", {}, {}}}};
+            with_demand.demand
+                = entry_demand {std::chrono::seconds(2), 5, {{"hospital", {}, {}}}, true};
             auto const decoded = decode_message(encode(message(with_demand)));
 
             THEN("the demand is restored")
@@ -193,6 +194,7 @@
                 auto const& demand = std::get<renew_lease>(decoded.value()).demand;
                 REQUIRE(demand);
                 CHECK(demand->arriving == std::chrono::seconds(2));
+                CHECK(demand->shares_slots);
                 CHECK(demand->applied_table == 5);
                 REQUIRE(demand->accounts.size() == 1);
                 CHECK(demand->accounts[0].account == "hospital");
--- a/tests/settings/settings_file_test.cpp
+++ b/tests/settings/settings_file_test.cpp
@@ -47,6 +47,23 @@
         }
     }
 
+    // Guards against a part that is on without its setting, or off because of a wrong value.
+    GIVEN("a file of an entry with and without entry.share_by_demand")
+    {
+        std::string text(entry_file);
+        CHECK_FALSE(read_settings_text(text, "entry.toml").settings.share_by_demand);
+        auto const with_value = [&text](std::string const& value) {
+            auto changed = text;
+            changed.insert(changed.find("listen = "), "share_by_demand = " + value + "\n");
+            return read_settings_text(changed, "entry.toml");
+        };
+        THEN("it is off by default, and must be true or false")
+        {
+            CHECK(with_value("true").settings.share_by_demand);
+            CHECK(has_problem(with_value("1"), "entry.share_by_demand", 7));
+        }
+    }
+
     // Guards against reporting only the first problem, so that a file must be fixed one error at a
     // time.
     GIVEN("a file with an unknown key, a value out of range and a malformed address")
