Report what shares by demand and moved jobs serve

Cause: it was not known how many callers the shares serve, and whether moving refused jobs between entries would serve more. Change: target_simulation divides the slots by demand or moves refused jobs once; `placement_report SEED shares` prints rows for 3 to 35 entries with equal and unequal arrivals.

--- a/bench/policy/placement_report.cpp
+++ b/bench/policy/placement_report.cpp
@@ -1,7 +1,9 @@
 // Prints the comparison of placement policies that docs/measurements.md quotes.
 
+#include <array>
 #include <cstdio>
 #include <cstdlib>
+#include <string_view>
 
 #include "policy/placement_simulation.h"
 #include "policy/target_simulation.h"
@@ -60,10 +62,87 @@
     }
 }
 
+/// Ways of dividing the slots among the entries.
+struct division {
+    char const* name;
+    bool share_by_demand;
+    bool move_refused_jobs;
+};
+constexpr std::array divisions {
+    division {"equal parts", false, false}, division {"parts by demand", true, false},
+    division {"equal parts, moved", false, true}, division {"by demand, moved", true, true}};
+
+/// One in four entries gets three times as much work as the others.
+std::vector<double> unequal_arrivals(std::size_t entries)
+{
+    std::vector<double> weights;
+    for (std::size_t index = 0; index < entries; ++index)
+        weights.push_back(index % 4 == 0 ? 3 : 1);
+    return weights;
+}
+
+void print_share_rows(target_simulation_settings settings, char const* arrivals)
+{
+    for (auto const& way : divisions) {
+        settings.share_by_demand = way.share_by_demand;
+        settings.move_refused_jobs = way.move_refused_jobs;
+        auto const result = run_target_simulation(settings);
+        std::uint32_t submitted = 0;
+        std::uint32_t in_target = 0;
+        std::uint32_t refused = 0;
+        for (auto const& kind : result.kinds) {
+            submitted += kind.submitted_jobs;
+            in_target += kind.in_target;
+            refused += kind.refused;
+        }
+        std::printf("shares, %2zu entries %3.0f%% load, %s arrivals, %-18s: credit %.3f jobs %u in "
+                    "target %.3f refused %.3f worst entry %.3f moved %u tables %llu refused "
+                    "starts %.2f slots used %.2f\n",
+                    settings.entry_weights.size(), settings.load * 100, arrivals, way.name,
+                    mean_credit(result), submitted, static_cast<double>(in_target) / submitted,
+                    static_cast<double>(refused) / submitted, result.worst_entry_refused,
+                    result.moved_jobs, static_cast<unsigned long long>(result.tables),
+                    result.refused_starts, result.utilization);
+        std::fflush(stdout);
+    }
+}
+
+/// Prints what the shares by demand and the moving of refused jobs change.
+void print_share_table(std::uint64_t seed)
+{
+    struct site {
+        std::size_t entries;
+        std::uint32_t endpoints;
+        std::uint32_t slots;
+        double mean_task_slots;
+    };
+    for (site const& size :
+         {site {3, 11, 640, 57}, site {4, 11, 640, 62}, site {10, 60, 640, 57},
+          site {13, 71, 320, 57}, site {14, 76, 640, 72}, site {35, 160, 640, 100}}) {
+        for (double const load : {0.9, 1.1}) {
+            target_simulation_settings settings;
+            settings.seed = seed;
+            settings.load = load;
+            settings.endpoints = size.endpoints;
+            settings.slots = size.slots;
+            settings.mean_task_slots = size.mean_task_slots;
+            settings.entry_weights.assign(size.entries, 1);
+            print_share_rows(settings, "equal");
+            settings.entry_weights = unequal_arrivals(size.entries);
+            print_share_rows(settings, "unequal");
+        }
+    }
+}
+
 } // namespace
 
+/// Arguments: the seed, and `shares` to print only the rows of the shares by demand.
 int main(int argc, char** argv)
 {
+    if (argc > 2 && std::string_view(argv[2]) == "shares") {
+        print_share_table(std::strtoull(argv[1], nullptr, 10));
+        return 0;
+    }
     print_target_table(argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1);
     for (std::uint32_t const endpoints : {12U, 120U}) {
         for (double const load : {0.3, 0.7, 0.9}) {
--- a/bench/policy/target_simulation.cpp
+++ b/bench/policy/target_simulation.cpp
@@ -11,6 +11,8 @@
 #include <string>
 
 #include "agent/endpoint_slots.h"
+#include "policy/capacity_shares.h"
+#include "policy/demand_meter.h"
 #include "policy/endpoint_health.h"
 #include "policy/endpoint_table.h"
 #include "policy/entry_names.h"
@@ -40,6 +42,7 @@
 constexpr microseconds initial_backoff(10'000);
 constexpr std::uint32_t max_doublings = 6;
 constexpr int speed_margin_percent = 15;
+constexpr microseconds renewal_interval(300'000);
 /// Step to which the slots of a task are rounded down for its placement class.
 constexpr std::uint32_t class_step_slots = 8;
 
@@ -71,6 +74,8 @@
     std::vector<simulated_task> tasks;
     std::size_t unfinished_tasks = 0;
     bool unsent = true; ///< No task has been sent to an agent.
+    bool moved = false; ///< Has come from another entry.
+    std::size_t first_entry = 0; ///< Index of the entry that the caller chose.
     bool counted = false;
 };
 
@@ -79,6 +84,11 @@
     endpoint_health health;
     std::unique_ptr<placement_policy> placement;
     target_queue waiting;
+    demand_meter arrivals;
+    share_follower shares;
+    share_member known; ///< As the control leader knows this entry.
+    std::uint32_t submitted_jobs = 0; ///< That callers sent to this entry.
+    std::uint32_t refused_jobs = 0;
 };
 
 struct simulated_agent {
@@ -100,6 +110,13 @@
     simulated_job make_job(std::size_t kind);
     [[nodiscard]] std::size_t draw_index(std::vector<double> const& weights);
     void submit(std::string const& id);
+    void admit_or_refuse(std::string const& id);
+    void count_refusal(simulated_job const& job);
+    [[nodiscard]] bool is_refused(simulated_job const& job, std::size_t entry) const;
+    /// Another entry that would admit the job, with the shortest queue; empty without one.
+    [[nodiscard]] std::optional<std::size_t> choose_other_entry(simulated_job const& job) const;
+    /// Renewal of an entry at the control leader, if slots are divided by demand.
+    void renew(std::size_t entry);
     void enqueue(protocol::task_ref const& task);
     void place(std::size_t entry);
     std::optional<std::string> choose(simulated_entry& entry_state, std::uint32_t slots);
@@ -123,11 +140,13 @@
     target_simulation_settings settings;
     std::mt19937_64 random;
     event_queue events;
+    steady_time started {this->events.now()};
     steady_time arrivals_end; ///< No job arrives from this time on.
     std::deque<simulated_entry> entries;
     std::vector<simulated_agent> agents;
     std::vector<std::size_t> all_entries; ///< Indexes of all entries.
     std::map<std::string, simulated_job> jobs;
+    share_issuer leader; ///< Of the control group.
     std::uint64_t job_count = 0;
     std::uint64_t accepted_tasks = 0;
     std::uint64_t refused_starts = 0;
@@ -162,6 +181,10 @@
         this->entries[rank].endpoints.set_entries(entry_names(count), entry_name(rank));
         this->entries[rank].placement
             = make_placement_policy("least_loaded", initial_settings.seed * 1000 + rank);
+        this->entries[rank].known.name = entry_name(rank);
+        if (initial_settings.share_by_demand)
+            this->events.after(renewal_interval * rank / count,
+                               [this, rank] { this->renew(rank); });
     }
     for (std::size_t agent_index = 0; agent_index < this->agents.size(); ++agent_index) {
         agent::announcement announced;
@@ -225,6 +248,7 @@
     };
     simulated_job job;
     job.entry = this->draw_index(this->settings.entry_weights);
+    job.first_entry = job.entry;
     job.kind = kind;
     job.submitted = this->events.now();
     auto const task_count = std::clamp(lognormal(job_mix.at(kind).mean_tasks, job_sigma), 1.0,
@@ -253,23 +277,76 @@
     return job;
 }
 
+/// Work of a job as its entry expects it.
+slot_time expected_work(simulated_job const& job)
+{
+    slot_time work {0};
+    for (auto const& simulated : job.tasks)
+        work += milliseconds(static_cast<int>(job_mix.at(job.kind).mean_run_ms)) * simulated.slots;
+    return work;
+}
+
 void target_simulation::submit(std::string const& id)
 {
-    auto& job = this->jobs.at(id);
+    auto const& job = this->jobs.at(id);
     auto& entry_state = this->entries[job.entry];
     ++this->result.kinds.at(job.kind).submitted_jobs;
+    ++entry_state.submitted_jobs;
+    entry_state.arrivals.add(expected_work(job), this->events.now());
+    this->admit_or_refuse(id);
+}
+
+bool target_simulation::is_refused(simulated_job const& job, std::size_t entry) const
+{
     protocol::job_request request;
     protocol::task_request task;
     task.kind = "k";
     request.tasks.assign(job.tasks.size(), task);
     request.priority = job_mix.at(job.kind).priority;
-    slot_time work {0};
-    for (auto const& simulated : job.tasks)
-        work += milliseconds(static_cast<int>(job_mix.at(job.kind).mean_run_ms)) * simulated.slots;
-    if (check_target({&request, work, job.latest_start}, entry_state.endpoints, entry_state.waiting,
-                     this->events.now())) {
-        ++this->result.kinds.at(job.kind).refused;
-        this->jobs.erase(id);
+    auto const& entry_state = this->entries[entry];
+    return check_target({&request, expected_work(job), job.latest_start}, entry_state.endpoints,
+                        entry_state.waiting, this->events.now())
+        .has_value();
+}
+
+std::optional<std::size_t> target_simulation::choose_other_entry(simulated_job const& job) const
+{
+    std::optional<std::size_t> chosen;
+    slot_time least {0};
+    for (std::size_t entry = 0; entry < this->entries.size(); ++entry) {
+        if (entry == job.entry || this->is_refused(job, entry))
+            continue;
+        auto const work = this->entries[entry].waiting.work_before(job.latest_start);
+        if (chosen && work >= least)
+            continue;
+        chosen = entry;
+        least = work;
+    }
+    return chosen;
+}
+
+void target_simulation::count_refusal(simulated_job const& job)
+{
+    ++this->result.kinds.at(job.kind).refused;
+    ++this->entries[job.first_entry].refused_jobs;
+}
+
+void target_simulation::admit_or_refuse(std::string const& id)
+{
+    auto& job = this->jobs.at(id);
+    if (this->is_refused(job, job.entry)) {
+        auto const other = this->settings.move_refused_jobs && !job.moved
+            ? this->choose_other_entry(job)
+            : std::nullopt;
+        if (!other) {
+            this->count_refusal(job);
+            this->jobs.erase(id);
+            return;
+        }
+        ++this->result.moved_jobs;
+        job.moved = true;
+        job.entry = *other;
+        this->events.after(this->settings.latency, [this, id] { this->admit_or_refuse(id); });
         return;
     }
     this->accepted_tasks += job.tasks.size();
@@ -281,6 +358,37 @@
     this->place(job.entry);
 }
 
+void target_simulation::renew(std::size_t entry)
+{
+    auto& entry_state = this->entries[entry];
+    auto const arriving = entry_state.arrivals.per_second(this->events.now());
+    auto const applied = entry_state.shares.applied();
+    this->events.after(this->settings.latency, [this, entry, arriving, applied] {
+        auto& state = this->entries[entry];
+        state.known.renewed = true;
+        state.known.sends_demand = true;
+        state.known.demand_settled = this->events.now() - this->started >= demand_averaging_time;
+        state.known.arriving = arriving;
+        state.known.applied_table = applied;
+        state.known.renewed_at = this->events.now();
+        std::vector<share_member> members;
+        for (auto const& other : this->entries)
+            members.push_back(other.known);
+        this->result.tables += this->leader.update(members, this->events.now()) ? 1 : 0;
+        auto const answer = this->leader.current();
+        this->events.after(this->settings.latency, [this, entry, answer] {
+            auto& receiver = this->entries[entry];
+            if (receiver.shares.on_grant(answer))
+                receiver.endpoints.set_entries(
+                    receiver.shares.in_use(entry_names(this->entries.size()), true),
+                    entry_name(entry));
+            this->place(entry);
+        });
+    });
+    if (this->events.now() < this->arrivals_end)
+        this->events.after(renewal_interval, [this, entry] { this->renew(entry); });
+}
+
 void target_simulation::enqueue(protocol::task_ref const& task)
 {
     auto const& job = this->jobs.at(task.job);
@@ -343,7 +451,7 @@
         auto const found = this->jobs.find(task.job);
         if (found == this->jobs.end() || !found->second.unsent)
             continue;
-        ++this->result.kinds.at(found->second.kind).refused;
+        this->count_refusal(found->second);
         for (std::uint32_t index = 0; index < found->second.tasks.size(); ++index)
             this->entries[entry].waiting.remove({task.job, index});
         this->jobs.erase(found);
@@ -496,6 +604,12 @@
     }
     this->result.refused_starts = static_cast<double>(this->refused_starts)
         / static_cast<double>(std::max(this->accepted_tasks, 1UL));
+    for (auto const& entry : this->entries) {
+        if (entry.submitted_jobs > 0)
+            this->result.worst_entry_refused
+                = std::max(this->result.worst_entry_refused,
+                           static_cast<double>(entry.refused_jobs) / entry.submitted_jobs);
+    }
     auto const slots = static_cast<double>(this->settings.endpoints) * this->settings.slots;
     this->result.utilization = this->busy_slot_seconds / slots
         / std::chrono::duration<double>(this->settings.length).count();
--- a/bench/policy/target_simulation.h
+++ b/bench/policy/target_simulation.h
@@ -26,6 +26,11 @@
     std::chrono::microseconds latency {3000}; ///< One way, between entry and agent.
     std::chrono::seconds length {12}; ///< Jobs arrive during this time.
     std::uint64_t seed = 1;
+    /// Slots are divided by demand. Otherwise each entry has an equal part.
+    bool share_by_demand = false;
+    /// A job that its entry would refuse goes to the entry that would make it wait least, once. The
+    /// entry knows the queues of all others, which real entries do not: an upper bound.
+    bool move_refused_jobs = false;
 };
 
 /// Outcomes of the jobs of one kind.
@@ -48,6 +53,10 @@
     /// Quotes (8 tasks of 60 ms), holds (2 of 200 ms) and confirmations (4 of 900 ms).
     std::array<kind_result, job_kind_count> kinds;
     double refused_starts = 0; ///< Per accepted task.
+    std::uint32_t moved_jobs = 0; ///< Jobs that went to another entry.
+    std::uint64_t tables = 0; ///< Tables of weights that were issued.
+    /// Highest share of refused jobs of one entry.
+    double worst_entry_refused = 0;
     /// Slot time of the started tasks relative to the capacity of all slots during `length`.
     double utilization = 0;
 };
