Merge the way of demands and share tables, and send the use of accounts with renewals

The rows of accounts go out with each renewal while entry.fair_accounts is set; those of a renewal without an answer are put back. A request that was held counts once as demand.

--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -27,6 +27,7 @@
     core.controls = control_names(controls);
     core.placement = settings.placement;
     core.fair_accounts = settings.fair_accounts;
+    core.share_by_demand = settings.share_by_demand;
     core.seed = core.id.incarnation;
     core.answer_retention = settings.timing.claim_retention;
     core.recovery_hold = {settings.recovery_hold, settings.recovery_hold_bytes};
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -54,7 +54,8 @@
     : settings(std::move(initial_settings)), sender(output, this->counters.messages_sent),
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      placement(policy_of(this->settings)), jobs(this->settings.finished_bytes), copies(copy_bytes),
+      shares(this->settings, this->endpoints), placement(policy_of(this->settings)),
+      jobs(this->settings.finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents),
       held(this->settings.recovery_hold, this->counters), dispatch(*this), attempts(*this),
       monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
@@ -66,9 +67,12 @@
     using entry_components::entry_components;
 
     void connect();
+    /// Reports the use of accounts with renewals, and applies the sums of the fleet.
+    void connect_accounts();
     void handle(std::string const& peer, protocol::message const& body, base::steady_time now);
     void update_control_group(protocol::control_group const& group);
     void on_view(base::steady_time now);
+    void on_shares(protocol::grant_lease const& grant, base::steady_time now);
     void on_report(protocol::agent_report const& report, base::steady_time now);
     void check_agents(base::steady_time now);
     void run_timers(base::steady_time now);
@@ -84,6 +88,8 @@
     view_signal view_applied;
     controls_signal control_group_changed;
     recovery_logger recovery;
+    /// Rows of accounts in the last renewal, until it is answered.
+    std::vector<protocol::account_use> unanswered_uses;
     bool control_linked = false; ///< A link to a control member was ready.
     base::steady_time started;
     base::steady_time next_agent_check;
@@ -92,6 +98,9 @@
 
 void entry_core::impl::connect()
 {
+    this->leases.demand = [this](base::steady_time now) { return this->shares.demand(now); };
+    if (this->settings.fair_accounts)
+        this->connect_accounts();
     this->leases.view_applied.connect([this](base::steady_time now) { this->on_view(now); });
     this->leases.ownership_in_doubt.connect(
         [this](base::steady_time now) { this->lifecycle.check_ownership(now); });
@@ -113,6 +122,19 @@
     });
 }
 
+void entry_core::impl::connect_accounts()
+{
+    this->shares.account_uses = [this] {
+        this->accounts.restore(std::exchange(this->unanswered_uses, {}));
+        this->unanswered_uses = this->accounts.take_rows();
+        return this->unanswered_uses;
+    };
+    this->shares.shares_received.connect([this](protocol::capacity_shares const& received) {
+        this->unanswered_uses.clear();
+        this->accounts.apply(received.accounts);
+    });
+}
+
 void entry_core::impl::update_control_group(protocol::control_group const& group)
 {
     if (this->control.update_group(group))
@@ -130,12 +152,21 @@
     std::vector<std::string> entry_names;
     for (auto const& item : view.entries)
         entry_names.push_back(item.id.name);
-    this->endpoints.set_entries(std::move(entry_names), this->settings.id.name);
+    this->shares.on_view(std::move(entry_names));
     this->submission_consent.on_view(now);
     this->resubmitted.on_view(now);
     this->dispatch.capacity_changed();
 }
 
+void entry_core::impl::on_shares(protocol::grant_lease const& grant, base::steady_time now)
+{
+    if (grant.incarnation != this->settings.id.incarnation)
+        return;
+    this->shares.set_lease_valid(this->leases.valid(now));
+    this->shares.on_grant(grant);
+    this->dispatch.capacity_changed();
+}
+
 void entry_core::impl::on_report(protocol::agent_report const& report, base::steady_time now)
 {
     auto const previous = this->agents.find(report.agent.name) != nullptr
@@ -239,6 +270,7 @@
             using type = std::decay_t<decltype(message)>;
             if constexpr (std::is_same_v<type, protocol::grant_lease>) {
                 this->leases.on_grant(peer, message, now);
+                this->on_shares(message, now);
                 this->update_control_group(message.group);
             } else if constexpr (std::is_same_v<type, protocol::view_update>) {
                 this->control.record_leader(peer, now);
@@ -432,6 +464,7 @@
 void entry_core::tick(base::steady_time now)
 {
     this->pimpl->leases.tick(now);
+    this->pimpl->shares.set_lease_valid(this->pimpl->leases.valid(now));
     this->pimpl->control.tick(now);
     this->pimpl->check_agents(now);
     this->pimpl->run_timers(now);
@@ -511,6 +544,7 @@
     status.running_jobs = components.jobs.unfinished();
     status.held_requests = components.held.size();
     status.held_request_bytes = components.held.bytes();
+    status.shares = components.shares.status(now);
     for (auto const& [name, settings] : components.teams.all())
         status.teams.push_back(
             {name, components.queue.size(name), components.queue.in_progress(name)});
@@ -518,7 +552,7 @@
         status.endpoints.push_back({name, endpoint.agent.name, endpoint.zone,
                                     std::string(name_of(components.health.state(name))),
                                     endpoint.state.slots, endpoint.state.used_slots,
-                                    endpoint.state.draining});
+                                    endpoint.state.draining, endpoint.entry_share});
     return status;
 }
 
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -102,7 +102,7 @@
                                       false},
                                      now);
     }
-    this->components.accounts.record_asked(request.team, this->expected_work(request), now);
+    this->count_arrival(request, now);
     if (auto const refusal = this->check_admission(request, deadline, now))
         return this->refuse(request, id, std::move(caller), *refusal, now);
     auto& added = this->add_job(id, std::move(request), std::move(caller), now + deadline, now);
@@ -118,8 +118,7 @@
 void job_lifecycle::claim_or_refuse(unstarted_submission submission, base::steady_time now)
 {
     if (!std::exchange(submission.caller.counted, true))
-        this->components.accounts.record_asked(submission.request.team,
-                                               this->expected_work(submission.request), now);
+        this->count_arrival(submission.request, now);
     auto const refusal = this->check_submission(submission, submission.latest_start, now);
     if (refusal && this->hold_for_recovery(submission, now))
         return;
@@ -253,6 +252,13 @@
     return longest;
 }
 
+void job_lifecycle::count_arrival(protocol::job_request const& request, base::steady_time now)
+{
+    auto const work = this->expected_work(request);
+    this->components.accounts.record_asked(request.team, work, now);
+    this->components.shares.record_arrival(work, now);
+}
+
 microseconds job_lifecycle::expected_time(protocol::job_request const& request,
                                           protocol::task_request const& task)
 {
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -100,6 +100,8 @@
     /// Expected run times of all tasks times their slots.
     [[nodiscard]] policy::slot_time expected_work(protocol::job_request const& request);
     [[nodiscard]] std::chrono::microseconds longest_task(protocol::job_request const& request);
+    /// Counts the work of a job that has arrived as demand of its account and of this entry.
+    void count_arrival(protocol::job_request const& request, base::steady_time now);
     void refuse(protocol::job_request const& request, std::string const& id, waiter caller,
                 policy::refusal const& refusal, base::steady_time now);
     job& add_job(std::string const& id, protocol::job_request request, waiter caller,
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -72,6 +72,7 @@
     std::uint64_t recovery_hold_bytes = 4'194'304;
     bool fair_accounts
         = false; ///< Whether admission takes the recent use of accounts into account.
+    bool share_by_demand = false; ///< Entries divide the slots by demand instead of equally.
     /// Control members. If `control_link_port` is set, these are only the initial contacts, reached
     /// at that port.
     std::vector<peer_settings> controls;
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -124,6 +124,10 @@
                                 "Whether jobs of accounts below their fair part of the served "
                                 "slot time may wait longer, and those of accounts above it "
                                 "shorter."));
+    rules.push_back(number_rule("entry.share_by_demand", value_kind::flag, 0, 1,
+                                make_number_setter(&settings::share_by_demand),
+                                "Whether the slots are divided among the entries by demand. If "
+                                "false, or unless all entries have it, the parts are equal."));
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
