Limit what a process holds for its clients

evhttp goes on reading while an answer waits to be taken, bodies were read up to twice their limit, links accepted messages of 64 MiB before authentication, nothing bounded the sum, and a listener without a free descriptor tried again at once. All listeners now report to one guard for each process, which closes what policy::connection_budget names. A body over the limit is refused with 413 when it is announced, no further request is read while an answer waits, a peer that is not authenticated may send 32 KiB, and a listener without descriptors pauses. New settings limits.memory_mb, connections, address_connections, request_ms, answer_ms, idle_ms and handshake_ms; new event 1022; new metrics connections_closed_total, connections and connection_bytes.

--- a/src/api/entry_routes.cpp
+++ b/src/api/entry_routes.cpp
@@ -59,9 +59,10 @@
 } // namespace
 
 entry_routes::entry_routes(entry::entry_core& core, settings::process_settings const& settings,
-                           transport::message_counters const& messages)
-    : authenticator(settings.tokens), context {core, settings, this->authenticator, this->metrics,
-                                               messages}
+                           transport::message_counters const& messages,
+                           transport::connection_guard const& connections)
+    : authenticator(settings.tokens), context {core,          settings, this->authenticator,
+                                               this->metrics, messages, connections}
 {
 }
 
--- a/src/api/entry_routes.h
+++ b/src/api/entry_routes.h
@@ -12,7 +12,8 @@
 class entry_routes {
 public:
     entry_routes(entry::entry_core& core, settings::process_settings const& settings,
-                 transport::message_counters const& messages);
+                 transport::message_counters const& messages,
+                 transport::connection_guard const& connections);
 
     /// Responds with 404 or 405 when no route matches, and with 401 when the route needs a token
     /// and the request has no valid one.
--- a/src/api/route_context.h
+++ b/src/api/route_context.h
@@ -10,6 +10,7 @@
 #include "api/token_authenticator.h"
 #include "base/clock.h"
 #include "settings/process_settings.h"
+#include "transport/connection_guard.h"
 #include "transport/http_server.h"
 #include "transport/message_counters.h"
 
@@ -26,6 +27,7 @@
     token_authenticator const& authenticator;
     response_metrics& metrics;
     transport::message_counters const& messages; ///< On the links of this process.
+    transport::connection_guard const& connections; ///< Of this process.
     bool shutting_down = false; ///< `/readyz` fails while set.
 };
 
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -155,6 +155,22 @@
     }
 }
 
+void append_connections(std::string& text, transport::connection_counts const& counts)
+{
+    text += "# HELP greengagehead_connections_closed_total Connections closed or refused, by the "
+            "limit that was reached.\n"
+            "# TYPE greengagehead_connections_closed_total counter\n";
+    for (std::size_t index = 0; index < counts.closed.size(); ++index) {
+        auto const reason = std::string(to_string(static_cast<policy::close_reason>(index)));
+        append_sample(text, "connections_closed_total", "reason=\"" + reason + "\"",
+                      counts.closed.at(index));
+    }
+    text += "# TYPE greengagehead_connections gauge\n";
+    append_sample(text, "connections", "", counts.open);
+    text += "# TYPE greengagehead_connection_bytes gauge\n";
+    append_sample(text, "connection_bytes", "", counts.held_bytes);
+}
+
 void append_gauges(std::string& text, entry::entry_status const& status)
 {
     text += "# TYPE greengagehead_lease_valid gauge\n";
@@ -230,6 +246,7 @@
                    base::dropped_log_lines());
     append_restarts(text, context.core.restarts());
     append_messages(text, context.messages);
+    append_connections(text, context.connections.counts());
     append_gauges(text, context.core.status(base::steady_now()));
     context.metrics.append_to(text);
     call.exchange->respond({200, text, "text/plain; version=0.0.4; charset=utf-8", {}});
--- a/src/app/agent_task.cpp
+++ b/src/app/agent_task.cpp
@@ -29,9 +29,11 @@
 
 agent_task::agent_task(settings::process_settings const& initial_settings,
                        std::vector<settings::peer_settings> const& entries,
-                       adapter_set const& adapters)
+                       adapter_set const& adapters,
+                       std::shared_ptr<transport::connection_guard> connections)
     : role_task({settings::peer_name(settings::role::agent, initial_settings.name),
-                 initial_settings.fleet_key}),
+                 initial_settings.fleet_key},
+                std::move(connections)),
       settings(initial_settings), client(this->loop), runner(this->loop, this->client),
       adapter(adapters.agent ? adapters.agent(this->loop) : nullptr),
       core(core_settings(initial_settings), this->hub,
--- a/src/app/agent_task.h
+++ b/src/app/agent_task.h
@@ -25,7 +25,8 @@
     /// @param entries the entries to connect to. When empty, the agent asks the control members
     /// for the entries.
     agent_task(settings::process_settings const& initial_settings,
-               std::vector<settings::peer_settings> const& entries, adapter_set const& adapters);
+               std::vector<settings::peer_settings> const& entries, adapter_set const& adapters,
+               std::shared_ptr<transport::connection_guard> connections);
     ~agent_task() override;
     agent_task(agent_task const&) = delete;
     agent_task& operator=(agent_task const&) = delete;
--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -56,8 +56,10 @@
 
 } // namespace
 
-control_task::control_task(settings::process_settings const& settings, adapter_set const& adapters)
-    : role_task({settings::peer_name(role::control, settings.name), settings.fleet_key}),
+control_task::control_task(settings::process_settings const& settings, adapter_set const& adapters,
+                           std::shared_ptr<transport::connection_guard> connections)
+    : role_task({settings::peer_name(role::control, settings.name), settings.fleet_key},
+                std::move(connections)),
       requests(this->hub)
 {
     this->requests.connect([this](std::string const& peer, protocol::control_request const& request,
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -19,7 +19,8 @@
 /// Thread, links and stored log of the control role.
 class control_task : public role_task {
 public:
-    control_task(settings::process_settings const& settings, adapter_set const& adapters);
+    control_task(settings::process_settings const& settings, adapter_set const& adapters,
+                 std::shared_ptr<transport::connection_guard> connections);
     ~control_task() override;
     control_task(control_task const&) = delete;
     control_task& operator=(control_task const&) = delete;
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -35,12 +35,14 @@
 
 entry_task::entry_task(settings::process_settings const& initial_settings,
                        std::vector<settings::peer_settings> const& controls,
-                       adapter_set const& adapters)
+                       adapter_set const& adapters,
+                       std::shared_ptr<transport::connection_guard> connections)
     : role_task({settings::peer_name(settings::role::entry, initial_settings.name),
-                 initial_settings.fleet_key}),
+                 initial_settings.fleet_key},
+                std::move(connections)),
       settings(initial_settings),
       core(core_settings(initial_settings, controls), this->hub, base::steady_now()),
-      routes(this->core, this->settings, this->hub.messages()),
+      routes(this->core, this->settings, this->hub.messages(), this->loop.connections()),
       server(
           this->loop, {initial_settings.limits.body_bytes, initial_settings.limits.header_bytes},
           [this](auto& request, auto const& exchange) { this->routes.handle(request, exchange); })
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -21,7 +21,8 @@
 public:
     /// @param controls the control members to connect to.
     entry_task(settings::process_settings const& initial_settings,
-               std::vector<settings::peer_settings> const& controls, adapter_set const& adapters);
+               std::vector<settings::peer_settings> const& controls, adapter_set const& adapters,
+               std::shared_ptr<transport::connection_guard> connections);
     ~entry_task() override;
     entry_task(entry_task const&) = delete;
     entry_task& operator=(entry_task const&) = delete;
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -10,10 +10,12 @@
 #include <event2/event.h>
 
 #include "app/agent_task.h"
+#include "app/connection_settings.h"
 #include "app/control_task.h"
 #include "app/entry_task.h"
 #include "base/log_record.h"
 #include "base/log_sink.h"
+#include "transport/connection_guard.h"
 #include "transport/event_loop.h"
 
 namespace greengagehead::app {
@@ -33,7 +35,9 @@
 class role_set {
 public:
     role_set(settings::process_settings initial_settings, adapter_set adapter_factories)
-        : settings(std::move(initial_settings)), adapters(std::move(adapter_factories))
+        : settings(std::move(initial_settings)), adapters(std::move(adapter_factories)),
+          connections(std::make_shared<transport::connection_guard>(
+              connection_limits(this->settings.limits, descriptor_limit())))
     {
     }
 
@@ -92,7 +96,8 @@
 private:
     base::result<void> open_control()
     {
-        this->control = std::make_unique<control_task>(this->settings, this->adapters);
+        this->control
+            = std::make_unique<control_task>(this->settings, this->adapters, this->connections);
         BOOST_OUTCOME_TRY(address, this->control->open(this->settings));
         log_listening("control links", address);
         if (this->settings.controls.empty())
@@ -103,8 +108,9 @@
 
     base::result<void> open_entry()
     {
-        this->entry = std::make_unique<entry_task>(
-            this->settings, settings::control_links(this->settings), this->adapters);
+        this->entry
+            = std::make_unique<entry_task>(this->settings, settings::control_links(this->settings),
+                                           this->adapters, this->connections);
         BOOST_OUTCOME_TRY(links, this->entry->open_links());
         BOOST_OUTCOME_TRY(http, this->entry->open_http());
         log_listening("entry links", links);
@@ -117,8 +123,8 @@
 
     base::result<void> open_agent()
     {
-        this->agent
-            = std::make_unique<agent_task>(this->settings, this->settings.entries, this->adapters);
+        this->agent = std::make_unique<agent_task>(this->settings, this->settings.entries,
+                                                   this->adapters, this->connections);
         BOOST_OUTCOME_TRY(address, this->agent->open(this->settings));
         log_listening("announcements", address);
         this->agent->start();
@@ -127,6 +133,7 @@
 
     settings::process_settings settings;
     adapter_set adapters;
+    std::shared_ptr<transport::connection_guard> connections; // Of all roles.
     std::unique_ptr<control_task> control;
     std::unique_ptr<entry_task> entry;
     std::unique_ptr<agent_task> agent;
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -17,8 +17,9 @@
 
 } // namespace
 
-role_task::role_task(transport::link_identity identity)
-    : hub(this->loop, std::move(identity), transport::link_timing {})
+role_task::role_task(transport::link_identity identity,
+                     std::shared_ptr<transport::connection_guard> connections)
+    : loop(std::move(connections)), hub(this->loop, std::move(identity), transport::link_timing {})
 {
 }
 
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -22,7 +22,9 @@
 /// not public run on the thread of the task.
 class role_task {
 public:
-    explicit role_task(transport::link_identity identity);
+    /// @param connections shared by the roles of a process; with none, the role has its own limits.
+    explicit role_task(transport::link_identity identity,
+                       std::shared_ptr<transport::connection_guard> connections = nullptr);
     virtual ~role_task();
     role_task(role_task const&) = delete;
     role_task& operator=(role_task const&) = delete;
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -27,6 +27,7 @@
     callback_failed = 1015,
     http_rejected = 1020,
     request_dropped = 1021,
+    connections_closed = 1022,
     lease_granted = 2001,
     entry_joined = 2002,
     entry_removed = 2003,
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -39,6 +39,16 @@
     return links;
 }
 
+std::uint64_t connection_budget_bytes(limit_settings const& limits)
+{
+    constexpr std::uint64_t memory_part = 4;
+    constexpr std::uint64_t unknown_memory_budget = 32UL << 20U;
+    if (limits.memory_mb > 0)
+        return (limits.memory_mb << 20U) / memory_part;
+    // One connection may hold three quarters of it, and a body in chunks takes twice its size.
+    return std::max(unknown_memory_budget, 3 * (limits.body_bytes + limits.header_bytes));
+}
+
 process_settings embedded_settings()
 {
     process_settings embedded;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -24,13 +24,20 @@
     std::string sha256; ///< SHA-256 of the token, 64 lower-case hex digits.
 };
 
-/// Limits on the requests of callers.
+/// Limits on the requests of callers, and on the connections of all clients.
 struct limit_settings {
     std::uint64_t body_bytes = 8'388'608;
     std::uint64_t header_bytes = 16'384;
     std::uint64_t tasks_per_job = 2'000;
     std::chrono::milliseconds max_deadline {600'000};
     std::chrono::milliseconds max_wait {600'000};
+    std::uint64_t memory_mb = 0; ///< Memory that the process may use, in MiB; 0 if unknown.
+    std::uint64_t connections = 0; ///< 0 derives it from the descriptors of the process.
+    std::uint64_t address_connections = 0; ///< From one address; 0 derives it from `connections`.
+    std::chrono::milliseconds request_timeout {30'000}; ///< Until a request is complete.
+    std::chrono::milliseconds answer_timeout {30'000}; ///< Until the client has taken the answer.
+    std::chrono::milliseconds idle_timeout {45'000}; ///< Between requests.
+    std::chrono::milliseconds handshake_timeout {5'000}; ///< Of an accepted link.
 };
 
 struct timing_settings {
@@ -83,6 +90,10 @@
 /// Peer name of a role of the process `process_name`, for example `entry.recife-1`.
 [[nodiscard]] std::string peer_name(role process_role, std::string const& process_name);
 
+/// Bytes that may be held for all connections: a quarter of the memory of the process. If that is
+/// unknown, 32 MiB, or three times the largest request if that is more.
+[[nodiscard]] std::uint64_t connection_budget_bytes(limit_settings const& limits);
+
 /// The listed control members with the addresses for links to them: with `control_link_port` set,
 /// that port replaces the listed one.
 [[nodiscard]] std::vector<peer_settings> control_links(process_settings const& settings);
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -34,6 +34,7 @@
         this->read_tokens();
         this->check_unknown_keys(this->root, "");
         this->check_peers();
+        this->check_memory();
         auto& problems = this->result.problems;
         std::stable_sort(problems.begin(), problems.end(), [](auto const& left, auto const& right) {
             return left.line < right.line;
@@ -216,6 +217,21 @@
         }
     }
 
+    /// The budget must hold a request of the largest size, or none of that size is ever served.
+    void check_memory()
+    {
+        auto const& limits = this->result.settings.limits;
+        auto const budget = connection_budget_bytes(limits);
+        auto const request_bytes = limits.body_bytes + limits.header_bytes;
+        if (limits.memory_mb > 0 && budget - budget / 4 < request_bytes)
+            this->report(this->root.at_path("limits.memory_mb").node(), "limits.memory_mb",
+                         "is too small for limits.body_bytes: connections may hold a quarter of "
+                         "it, and one of them three quarters of that");
+        if (limits.connections > 0 && limits.address_connections > limits.connections)
+            this->report(this->root.at_path("limits.address_connections").node(),
+                         "limits.address_connections", "must not be above limits.connections");
+    }
+
     void check_peers()
     {
         auto const& parsed = this->result.settings;
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -145,6 +145,30 @@
     rules.push_back(number_rule("limits.longest_wait_ms", value_kind::duration, 0, 3'600'000,
                                 limit_setter(&limits::max_wait),
                                 "Longest wait for an answer in one call."));
+    rules.push_back(number_rule("limits.memory_mb", value_kind::number, 0, 1'048'576,
+                                limit_setter(&limits::memory_mb),
+                                "Memory that the process may use, in MiB; 0 if unknown. A quarter "
+                                "of it may be held for connections."));
+    rules.push_back(number_rule("limits.connections", value_kind::number, 0, 1'000'000,
+                                limit_setter(&limits::connections),
+                                "Largest number of accepted connections; 0 derives it from the "
+                                "descriptors of the process, which bound it in any case."));
+    rules.push_back(number_rule("limits.address_connections", value_kind::number, 0, 1'000'000,
+                                limit_setter(&limits::address_connections),
+                                "Largest number of accepted connections from one address; 0 is "
+                                "three quarters of all."));
+    rules.push_back(number_rule("limits.request_ms", value_kind::duration, 1'000, 600'000,
+                                limit_setter(&limits::request_timeout),
+                                "Longest time from the first byte of a request to its last one."));
+    rules.push_back(number_rule("limits.answer_ms", value_kind::duration, 1'000, 600'000,
+                                limit_setter(&limits::answer_timeout),
+                                "Longest time until a client has taken its answer."));
+    rules.push_back(number_rule("limits.idle_ms", value_kind::duration, 1'000, 600'000,
+                                limit_setter(&limits::idle_timeout),
+                                "Longest time between two requests of a connection."));
+    rules.push_back(number_rule("limits.handshake_ms", value_kind::duration, 1'000, 60'000,
+                                limit_setter(&limits::handshake_timeout),
+                                "Longest handshake of a link between processes."));
     rules.push_back(number_rule("timing.claim_retention_ms", value_kind::duration, 1'000,
                                 86'400'000, timing_setter(&timing::claim_retention),
                                 "How long answers of finished jobs are kept."));
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <event2/event.h>
 #include <event2/thread.h>
 
+#include "transport/connection_guard.h"
 #include "transport/guarded_call.h"
 
 namespace greengagehead::transport {
@@ -51,10 +52,12 @@
     guarded_call("timer", action);
 }
 
-event_loop::event_loop()
-    : libevent_base(new_base()),
+event_loop::event_loop(std::shared_ptr<connection_guard> process_connections)
+    : shared_connections(std::move(process_connections)), libevent_base(new_base()),
       wake_up_event(event_new(this->libevent_base, -1, EV_PERSIST, &event_loop::run_posted, this))
 {
+    if (!this->shared_connections)
+        this->shared_connections = std::make_shared<connection_guard>(policy::connection_limits {});
 }
 
 event_loop::~event_loop()
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -13,6 +13,7 @@
 
 namespace greengagehead::transport {
 
+class connection_guard;
 class event_loop;
 
 /// One-shot or repeating timer of an event loop. Destroying it cancels it.
@@ -39,7 +40,9 @@
 /// the loop, or before the loop runs.
 class event_loop {
 public:
-    event_loop();
+    /// @param process_connections shared by the loops of a process; with none, the loop has its own
+    /// one without limits on bytes and numbers.
+    explicit event_loop(std::shared_ptr<connection_guard> process_connections = nullptr);
     ~event_loop();
 
     event_loop(event_loop const&) = delete;
@@ -62,10 +65,13 @@
                                                     std::function<void()> action);
 
     [[nodiscard]] event_base* base() const { return this->libevent_base; }
+    /// Guard of the connections that listeners on this loop accept.
+    [[nodiscard]] connection_guard& connections() const { return *this->shared_connections; }
 
 private:
     static void run_posted(int socket, short what, void* self);
 
+    std::shared_ptr<connection_guard> shared_connections;
     event_base* libevent_base;
     event* wake_up_event;
     std::mutex posted_mutex;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -12,8 +12,13 @@
 #include <vector>
 
 #include "base/error.h"
+#include "transport/http_connection.h"
+#include "transport/listener_pause.h"
 #include "transport/socket_address.h"
 
+struct bufferevent;
+struct event;
+struct event_base;
 struct evhttp;
 struct evhttp_bound_socket;
 struct evhttp_connection;
@@ -21,8 +26,9 @@
 
 namespace greengagehead::transport {
 
-class close_watch;
+class connection_guard;
 class event_loop;
+class loop_timer;
 
 enum class http_method : std::uint8_t { get, post, put, del, other };
 
@@ -45,15 +51,13 @@
 /// last reference without a reply sends status 500.
 class http_exchange {
 public:
-    /// The watch and both flags must stay valid until the reply is written or the connection is
+    /// The connection and the flag must stay valid until the reply is written or the connection is
     /// closed.
     /// @param close_flag read when the reply is sent: whether the reply asks the client to close
     /// the connection.
-    /// @param writing_flag true from `respond` until the whole reply is written.
-    http_exchange(evhttp_request* request, close_watch const& connection_watch,
-                  bool const& close_flag, bool& writing_flag)
-        : pending_request(request), watch(connection_watch), connection_close(close_flag),
-          writing(writing_flag)
+    http_exchange(evhttp_request* request, http_connection& request_connection,
+                  bool const& close_flag)
+        : pending_request(request), connection(request_connection), connection_close(close_flag)
     {
     }
     ~http_exchange();
@@ -80,9 +84,8 @@
     friend class http_server;
 
     evhttp_request* pending_request; // Owned by evhttp; null once replied or closed.
-    close_watch const& watch; // Member of the connection, valid while `pending_request` is set.
+    http_connection& connection; // Member of the server, valid while `pending_request` is set.
     bool const& connection_close; // Member of the server.
-    bool& writing; // Member of the connection, valid while `pending_request` is set.
     std::function<void()> disconnect_callback;
 };
 
@@ -119,20 +122,15 @@
     [[nodiscard]] std::size_t open_exchanges() const;
 
 private:
-    /// State of a connection and its current request; evhttp handles one request at a time.
-    struct connection_state {
-        // evhttp does not read from a connection while a reply is pending, so it does not notice
-        // that the client has closed it.
-        std::unique_ptr<close_watch> watch;
-        std::weak_ptr<http_exchange> exchange;
-        /// Request that is not handled, kept alive until the watch has the connection freed, so
-        /// that no status 500 is sent.
-        std::shared_ptr<http_exchange> dropped_exchange;
-        bool writing = false; // A reply is not completely written yet.
-    };
-
     void accept_request(evhttp_request* request);
-    [[nodiscard]] connection_state& find_or_add_connection(evhttp_connection* connection);
+    [[nodiscard]] http_connection* find_connection(evhttp_connection* connection);
+    void admit_accepted();
+    void admit(std::unique_ptr<http_connection> accepted);
+    void close_ordered();
+    void close_refused();
+
+    static bufferevent* on_accept(event_base* base, void* self);
+    static void on_work(int socket, short what, void* self);
     static void on_request(evhttp_request* request, void* self);
     static void on_close(evhttp_connection* connection, void* self);
 
@@ -142,7 +140,15 @@
     evhttp_bound_socket* bound_socket = nullptr;
     bool connection_close = false; // Whether replies ask the client to close the connection.
     event_loop& loop;
-    std::map<evhttp_connection*, connection_state> connections;
+    connection_guard& guard;
+    std::uint64_t guard_owner = 0;
+    event* work_event; // Pending while connections have to be admitted or closed.
+    std::unique_ptr<loop_timer> sweep_timer;
+    std::unique_ptr<listener_pause> pause; // Of the bound socket; null while there is none.
+    std::vector<std::unique_ptr<http_connection>> accepted; // Not admitted yet.
+    std::vector<evhttp_connection*> refused; // Closed by the next `work_event`.
+    std::map<evhttp_connection*, std::unique_ptr<http_connection>> connections;
+    std::map<std::uint64_t, evhttp_connection*> by_id; // Admitted connections.
 };
 
 } // namespace greengagehead::transport
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -33,6 +33,11 @@
 
 constexpr std::size_t nonce_bytes = 16;
 constexpr std::size_t max_message_bytes = 64UL * 1024 * 1024;
+/// A hello or a proof has a nonce or a digest and a peer name.
+constexpr std::size_t max_handshake_message_bytes = 4UL * 1024;
+/// Bytes of a peer that is not authenticated: the HTTP headers of the handshake, a hello and a
+/// proof take under 2 KiB. The read that ends with the proof may hold 16 KiB of messages after it.
+constexpr std::size_t max_handshake_bytes = 32UL * 1024;
 
 std::string random_nonce()
 {
@@ -105,8 +110,8 @@
     callbacks.opened = [this] { this->begin_authentication(); };
     callbacks.closed = [this](std::string const& reason) { this->close(reason); };
     this->session = accepting
-        ? websocket_session::accept(std::move(callbacks), max_message_bytes)
-        : websocket_session::connect(host, std::move(callbacks), max_message_bytes);
+        ? websocket_session::accept(std::move(callbacks), max_handshake_message_bytes)
+        : websocket_session::connect(host, std::move(callbacks), max_handshake_message_bytes);
 
     bufferevent_setcb(this->stream, &link::on_read, nullptr, &link::on_event, this);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
@@ -173,6 +178,7 @@
     }
     this->peer_name = this->claimed_name;
     this->state = stage::ready;
+    this->session->set_max_message_bytes(max_message_bytes);
     this->became_ready.emit();
 }
 
@@ -225,6 +231,11 @@
         std::size_t const size = evbuffer_get_contiguous_space(input);
         if (size == 0)
             return;
+        if (self_link.state != stage::ready) {
+            self_link.handshake_bytes += size;
+            if (self_link.handshake_bytes > max_handshake_bytes)
+                return self_link.close(handshake_too_large);
+        }
         std::string bytes(size, '\0');
         evbuffer_remove(input, bytes.data(), size);
         if (!guarded_call("message", [&] { self_link.session->feed(bytes.data(), bytes.size()); }))
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -37,6 +37,9 @@
     std::chrono::milliseconds connect_timeout {300};
 };
 
+/// Reason of `closed` when a peer sends more than a handshake takes.
+inline constexpr char const* handshake_too_large = "too many bytes before authentication";
+
 struct link_identity {
     std::string name; ///< Peer name of this process, for example `entry.recife-1`.
     /// Shared secret of the fleet. With an empty one there is no authentication: a peer whose key
@@ -64,6 +67,9 @@
     /// is not ready, which returns 0, or breaks.
     std::size_t send(protocol::message const& body);
 
+    /// Closes the link. Does nothing when it is closed.
+    void close(std::string const& reason);
+
     [[nodiscard]] bool ready() const { return this->state == stage::ready; }
     /// Authenticated name of the peer; empty until the link is ready.
     [[nodiscard]] std::string const& peer() const { return this->peer_name; }
@@ -86,7 +92,6 @@
     void handle_proof(std::string const& body);
     void send_frame(frame kind, std::string_view body);
     void handle_heartbeat_timer();
-    void close(std::string const& reason);
 
     static void on_read(bufferevent* source, void* self);
     static void on_event(bufferevent* source, short what, void* self);
@@ -100,6 +105,7 @@
     std::unique_ptr<websocket_session> session;
     std::unique_ptr<loop_timer> heartbeat_timer;
     std::unique_ptr<loop_timer> connect_timer; // Closes an outgoing link that is not ready in time.
+    std::size_t handshake_bytes = 0; // Received before the peer was authenticated.
     std::string local_nonce; // Sent in this side's hello.
     std::string peer_nonce; // From the peer's hello.
     std::string claimed_name; // From the peer's hello, not authenticated yet.
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -3,15 +3,20 @@
 #include "transport/link_hub.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include <arpa/inet.h>
+#include <event2/event.h>
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <sigc++/functors/mem_fun.h>
 #include <sys/socket.h>
 
 #include "base/log_record.h"
+#include "transport/connection_guard.h"
 #include "transport/event_loop.h"
+#include "transport/listener_pause.h"
 
 namespace greengagehead::transport {
 
@@ -19,16 +24,31 @@
 
 constexpr std::chrono::milliseconds redial_interval {200};
 
+std::string host_of(sockaddr const* address)
+{
+    std::array<char, INET_ADDRSTRLEN> text {};
+    auto const* const native = reinterpret_cast<sockaddr_in const*>(address);
+    inet_ntop(AF_INET, &native->sin_addr, text.data(), text.size());
+    return text.data();
+}
+
 } // namespace
 
 link_hub::link_hub(event_loop& io_loop, link_identity local_identity, link_timing timing_settings)
-    : loop(io_loop), identity(std::move(local_identity)), timing(timing_settings),
+    : loop(io_loop), guard(io_loop.connections()), identity(std::move(local_identity)),
+      timing(timing_settings),
+      close_event(event_new(io_loop.base(), -1, 0, &link_hub::on_close_ordered, this)),
       redial_timer(io_loop.every(redial_interval, [this] { this->redial_disconnected(); }))
 {
+    this->guard_owner = this->guard.add_owner(
+        [pending = this->close_event] { event_active(pending, EV_TIMEOUT, 0); });
 }
 
 link_hub::~link_hub()
 {
+    this->guard.remove_owner(this->guard_owner);
+    event_free(this->close_event);
+    this->pause.reset();
     if (this->listener != nullptr)
         evconnlistener_free(this->listener);
 }
@@ -45,6 +65,7 @@
         return base::error {base::error_code::io, base::error_step::listen, address_text,
                             "cannot listen on " + address_text};
 
+    this->pause = std::make_unique<listener_pause>(this->loop, this->listener);
     sockaddr_in bound {};
     socklen_t bound_size = sizeof bound;
     getsockname(evconnlistener_get_fd(this->listener), reinterpret_cast<sockaddr*>(&bound),
@@ -106,6 +127,7 @@
 void link_hub::redial_disconnected()
 {
     this->remove_closed_links();
+    this->guard.sweep();
     for (auto const& [peer, entry] : this->dialled_peers) {
         if (entry.current_link == nullptr)
             this->dial(peer);
@@ -116,6 +138,8 @@
 {
     bool const was_connected = this->ready_links.contains(ready_link->peer());
     this->ready_links[ready_link->peer()] = ready_link;
+    if (auto const found = this->accepted_ids.find(ready_link); found != this->accepted_ids.end())
+        this->guard.enter(found->second, policy::connection_stage::established);
     base::log_record(base::log_event::peer_connected)
         .with("self", this->identity.name)
         .with("peer", ready_link->peer());
@@ -126,6 +150,8 @@
 void link_hub::handle_closed(link* closed_link, std::string const& reason)
 {
     this->closed_links.push_back(closed_link);
+    if (reason == handshake_too_large)
+        this->guard.count(policy::close_reason::handshake_bytes);
     for (auto& [peer, entry] : this->dialled_peers) {
         if (entry.current_link == closed_link)
             entry.current_link = nullptr;
@@ -144,17 +170,49 @@
 
 void link_hub::remove_closed_links()
 {
-    for (link* const closed_link : this->closed_links)
+    for (link* const closed_link : this->closed_links) {
+        if (auto const id = this->accepted_ids.extract(closed_link); !id.empty())
+            this->guard.close(id.mapped());
         std::erase_if(this->links,
                       [closed_link](auto const& owned) { return owned.get() == closed_link; });
+    }
     this->closed_links.clear();
 }
 
-void link_hub::on_accept(evconnlistener* /*listener*/, int socket, sockaddr* /*address*/,
-                         int /*size*/, void* self)
+void link_hub::accept(int socket, std::string const& address)
+{
+    auto const id
+        = this->guard.open(this->guard_owner, address, policy::connection_stage::handshake);
+    if (!id) {
+        evutil_closesocket(socket);
+        return;
+    }
+    auto accepted = std::make_unique<link>(this->loop, socket, this->identity, this->timing);
+    this->accepted_ids[accepted.get()] = *id;
+    this->add_link(std::move(accepted), {});
+}
+
+void link_hub::close_ordered()
+{
+    for (auto const id : this->guard.take_closed(this->guard_owner)) {
+        auto const found
+            = std::find_if(this->accepted_ids.begin(), this->accepted_ids.end(),
+                           [id](auto const& accepted) { return accepted.second == id; });
+        if (found != this->accepted_ids.end())
+            found->first->close("the limits on connections require it");
+    }
+    this->remove_closed_links();
+}
+
+void link_hub::on_close_ordered(int /*socket*/, short /*what*/, void* self)
+{
+    static_cast<link_hub*>(self)->close_ordered();
+}
+
+void link_hub::on_accept(evconnlistener* /*listener*/, int socket, sockaddr* address, int /*size*/,
+                         void* self)
 {
-    auto& hub = *static_cast<link_hub*>(self);
-    hub.add_link(std::make_unique<link>(hub.loop, socket, hub.identity, hub.timing), {});
+    static_cast<link_hub*>(self)->accept(socket, host_of(address));
 }
 
 } // namespace greengagehead::transport
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,12 +19,15 @@
 #include "transport/message_counters.h"
 #include "transport/socket_address.h"
 
+struct event;
 struct evconnlistener;
 struct sockaddr;
 
 namespace greengagehead::transport {
 
+class connection_guard;
 class event_loop;
+class listener_pause;
 class loop_timer;
 
 /// All calls and signals are on the thread of the event loop.
@@ -76,14 +80,22 @@
     void handle_ready(link* ready_link);
     void handle_closed(link* closed_link, std::string const& reason);
     void remove_closed_links();
+    void accept(int socket, std::string const& address);
+    void close_ordered();
 
+    static void on_close_ordered(int socket, short what, void* self);
     static void on_accept(evconnlistener* listener, int socket, sockaddr* address, int size,
                           void* self);
 
     event_loop& loop;
+    connection_guard& guard;
+    std::uint64_t guard_owner = 0;
     link_identity identity;
     link_timing timing;
     evconnlistener* listener = nullptr;
+    std::unique_ptr<listener_pause> pause; // Of the listener.
+    event* close_event; // Pending while links have to be closed.
+    std::map<link*, std::uint64_t> accepted_ids; // Of accepted links, in the guard.
     std::vector<std::unique_ptr<link>> links;
     std::map<std::string, link*> ready_links; // Newest ready link to each peer; owned by `links`.
     std::map<std::string, dialled_peer> dialled_peers;
--- a/src/transport/websocket_session.cpp
+++ b/src/transport/websocket_session.cpp
@@ -78,6 +78,11 @@
         }
     }
 
+    void set_max_message_bytes(std::size_t size) override
+    {
+        this->connection->set_max_message_size(size);
+    }
+
     bool send(std::string_view message) override
     {
         return !this->connection->send(message.data(), message.size(),
--- a/src/transport/websocket_session.h
+++ b/src/transport/websocket_session.h
@@ -41,6 +41,8 @@
     virtual void start() = 0;
     /// Processes bytes read from the socket.
     virtual void feed(char const* bytes, std::size_t size) = 0;
+    /// Changes the size of the largest message that is accepted.
+    virtual void set_max_message_bytes(std::size_t size) = 0;
     /// Sends one binary message. Returns false when the session is not open.
     virtual bool send(std::string_view message) = 0;
 };
