--- a/tests/settings/settings_file_test.cpp
+++ b/tests/settings/settings_file_test.cpp
@@ -64,6 +64,33 @@
         }
     }
 
+    // Guards against a process that starts although it could never serve a request of the largest
+    // size.
+    GIVEN("a file whose memory is too small for the largest body")
+    {
+        std::string text(entry_file);
+        text += "\n[limits]\nmemory_mb = 32\nconnections = 100\naddress_connections = 101\n";
+        auto const check = read_settings_text(text, "entry.toml");
+        THEN("it is reported, as is a limit for one address above that for all")
+        {
+            CHECK(check.problems.size() == 2);
+            CHECK(has_problem(check, "limits.memory_mb", 15));
+            CHECK(has_problem(check, "limits.address_connections", 17));
+        }
+    }
+    // Guards against a check that refuses the smallest machines of customers.
+    GIVEN("a file with the memory of a machine of 120 MB")
+    {
+        std::string text(entry_file);
+        text += "\n[limits]\nmemory_mb = 114\n";
+        auto const check = read_settings_text(text, "entry.toml");
+        THEN("it is accepted, and a quarter of it is for connections")
+        {
+            CHECK(check.problems.empty());
+            CHECK(connection_budget_bytes(check.settings.limits) == (114UL << 20U) / 4);
+        }
+    }
+
     // Guards against a process that starts without a setting that its role requires and fails
     // later.
     GIVEN("a control member without a data folder")
