--- a/src/control/demand_table.cpp
+++ b/src/control/demand_table.cpp
@@ -78,7 +78,7 @@
         return member;
     member.demand_settled
         = state.had_table || now - state.first_renewal >= policy::demand_averaging_time;
-    member.arriving = state.demand->arriving;
+    member.arriving = std::max(state.demand->arriving, std::chrono::microseconds(0));
     member.applied_table = state.demand->applied_table;
     return member;
 }
