Place tasks by learned speeds of endpoints

least_loaded treats a slow endpoint like any other: in the simulation with one endpoint in four at 0.55 and the others at 1.2 of the nominal speed, a third of the tasks of 760 ms ended late. With the setting entry.learn_speed (default false), it prefers endpoints on which a task ends by the target of its job, then those below the entry's share, then the least load by speed. A task that would be late on every free endpoint waits while a busy one could still end it in time. Expected run times come from normalized_run_times; the latest start follows from the median of the kind.

Placement classes are separate by expected time, so that a task that waits does not hold up shorter ones. task_placed has the field speed, and /metrics has endpoint_speed.

--- a/bench/policy/placement_report.cpp
+++ b/bench/policy/placement_report.cpp
@@ -83,10 +83,16 @@
             settings.declared_error = 0.4;
             settings.deadline = std::chrono::milliseconds(1500);
             settings.long_run_share = 0.03;
-            settings.knowledge = run_time_knowledge::learned;
-            print_target_row("equal speeds, learned times", settings);
-            settings.speeds = {0.55, 1.2, 1.2, 1.2};
-            print_target_row("speeds 0.55 1.2 1.2 1.2, learned times", settings);
+            for (bool const with_speeds : {false, true}) {
+                settings.knowledge = with_speeds ? run_time_knowledge::learned_with_speeds
+                                                 : run_time_knowledge::learned;
+                settings.speeds = {1};
+                print_target_row(with_speeds ? "equal speeds, learn_speed" : "equal speeds",
+                                 settings);
+                settings.speeds = {0.55, 1.2, 1.2, 1.2};
+                print_target_row(with_speeds ? "unequal speeds, learn_speed" : "unequal speeds",
+                                 settings);
+            }
         }
     }
 }
--- a/bench/policy/target_simulation.cpp
+++ b/bench/policy/target_simulation.cpp
@@ -18,6 +18,7 @@
 #include "policy/event_queue.h"
 #include "policy/placement_policy.h"
 #include "policy/run_time_estimator.h"
+#include "policy/speed_learner.h"
 #include "policy/target_admission.h"
 #include "policy/target_queue.h"
 #include "protocol/job.h"
@@ -84,6 +85,7 @@
     std::unique_ptr<placement_policy> placement;
     target_queue waiting;
     run_time_estimator estimator;
+    speed_learner learner;
 };
 
 struct simulated_agent {
@@ -106,6 +108,13 @@
     void draw_unevenness(simulated_job& job, microseconds mean_run_time);
     [[nodiscard]] steady_time target_for(microseconds run_time) const;
     void expect(simulated_job& job);
+    /// Run time that the latest start follows from.
+    [[nodiscard]] microseconds usual_time(simulated_job const& job) const;
+    [[nodiscard]] bool uses_speeds() const
+    {
+        return this->settings.knowledge == run_time_knowledge::learned_with_speeds;
+    }
+    void record_run(std::size_t agent_index, simulated_job const& job, simulated_task const& task);
     [[nodiscard]] microseconds mean_run_time(std::size_t kind) const;
     [[nodiscard]] microseconds time_of_run(std::size_t agent_index,
                                            simulated_task const& task) const;
@@ -113,7 +122,9 @@
     void submit(std::string const& id);
     void enqueue(protocol::task_ref const& task);
     void place(std::size_t entry);
-    std::optional<std::string> choose(simulated_entry& entry_state, std::uint32_t slots);
+    std::optional<std::string> choose(simulated_entry& entry_state, std::uint32_t slots,
+                                      simulated_job const* job);
+    [[nodiscard]] std::string placement_class(simulated_job const& job, std::uint32_t slots) const;
     void send(protocol::task_ref const& task, std::string const& endpoint);
     void drop_overdue(std::size_t entry);
     void receive(std::size_t agent_index, protocol::task_ref const& task);
@@ -180,8 +191,9 @@
     std::iota(this->all_entries.begin(), this->all_entries.end(), 0);
     for (std::uint32_t rank = 0; rank < count; ++rank) {
         this->entries[rank].endpoints.set_entries(entry_names(count), entry_name(rank));
-        this->entries[rank].placement
-            = make_placement_policy("least_loaded", initial_settings.seed * 1000 + rank);
+        this->entries[rank].placement = make_placement_policy(
+            "least_loaded", initial_settings.seed * 1000 + rank,
+            this->uses_speeds() ? &this->entries[rank].learner.speeds() : nullptr);
     }
     for (std::size_t agent_index = 0; agent_index < this->agents.size(); ++agent_index) {
         agent::announcement announced;
@@ -297,8 +309,19 @@
         job.expected = this->entries[job.entry]
                            .estimator.estimate(team_name, kind_name(job.kind), job.declared)
                            .typical;
-    job.latest_start
-        = this->target_for(job.expected) - job.expected * (100 + speed_margin_percent) / 100;
+    if (this->uses_speeds())
+        job.expected = this->entries[job.entry]
+                           .learner.estimate(team_name, kind_name(job.kind), job.declared)
+                           .typical;
+    auto const usual = this->usual_time(job);
+    job.latest_start = this->target_for(usual) - usual * (100 + speed_margin_percent) / 100;
+}
+
+microseconds target_simulation::usual_time(simulated_job const& job) const
+{
+    auto const& learner = this->entries[job.entry].learner;
+    auto const usual = learner.estimate(team_name, kind_name(job.kind), microseconds(0));
+    return this->uses_speeds() && usual.samples > 0 ? usual.typical : job.expected;
 }
 
 microseconds target_simulation::time_of_run(std::size_t agent_index,
@@ -342,16 +365,25 @@
     auto const& job = this->jobs.at(task.job);
     auto const slots = this->task_at(task).slots;
     this->entries[job.entry].waiting.push(
-        {task, std::to_string(slots / class_step_slots * class_step_slots), job.expected * slots,
-         job.latest_start});
+        {task, this->placement_class(job, slots), job.expected * slots, job.latest_start});
+}
+
+std::string target_simulation::placement_class(simulated_job const& job, std::uint32_t slots) const
+{
+    auto const size = std::to_string(slots / class_step_slots * class_step_slots);
+    return this->uses_speeds() ? size + " " + kind_name(job.kind) : size;
 }
 
 std::optional<std::string> target_simulation::choose(simulated_entry& entry_state,
-                                                     std::uint32_t slots)
+                                                     std::uint32_t slots, simulated_job const* job)
 {
     placement_request request;
     request.kind = "k";
     request.slots = std::max(slots, 1U);
+    if (job != nullptr) {
+        request.expected = job->expected;
+        request.target = job->latest_start + job->expected * (100 + speed_margin_percent) / 100;
+    }
     auto const choice = entry_state.placement->choose(request, entry_state.endpoints,
                                                       entry_state.health, this->events.now());
     return choice ? std::optional(choice->endpoint) : std::nullopt;
@@ -365,14 +397,17 @@
         auto const cached = choices.find(key);
         if (cached != choices.end() && !cached->second)
             return false;
-        choices[key] = this->choose(entry_state, static_cast<std::uint32_t>(std::stoul(key)));
+        choices[key]
+            = this->choose(entry_state, static_cast<std::uint32_t>(std::stoul(key)), nullptr);
         return choices[key].has_value();
     };
     while (auto const queued = entry_state.waiting.take(placeable)) {
         auto const& task = this->task_at(queued->task);
         auto endpoint = choices[queued->placement_class];
-        if (entry_state.endpoints.free_slots(*entry_state.endpoints.find(*endpoint)) < task.slots)
-            endpoint = this->choose(entry_state, task.slots);
+        if (this->uses_speeds()
+            || entry_state.endpoints.free_slots(*entry_state.endpoints.find(*endpoint))
+                < task.slots)
+            endpoint = this->choose(entry_state, task.slots, &this->jobs.at(queued->task.job));
         if (endpoint) {
             this->send(queued->task, *endpoint);
             continue;
@@ -471,14 +506,26 @@
     });
 }
 
+void target_simulation::record_run(std::size_t agent_index, simulated_job const& job,
+                                   simulated_task const& task)
+{
+    auto& entry = this->entries[job.entry];
+    auto const run_time = this->time_of_run(agent_index, task);
+    entry.estimator.record(team_name, kind_name(job.kind), run_time);
+    if (!this->uses_speeds())
+        return;
+    entry.learner.record({team_name, kind_name(job.kind), endpoint_name(agent_index),
+                          agent_id(agent_index), run_time, job.declared},
+                         this->events.now());
+}
+
 void target_simulation::on_outcome(std::size_t agent_index, protocol::task_ref const& task)
 {
     auto& job = this->jobs.at(task.job);
     auto const entry = job.entry;
     this->entries[entry].endpoints.record_outcome(endpoint_name(agent_index),
                                                   this->task_at(task).slots);
-    this->entries[entry].estimator.record(team_name, kind_name(job.kind),
-                                          this->time_of_run(agent_index, this->task_at(task)));
+    this->record_run(agent_index, job, this->task_at(task));
     if (--job.unfinished_tasks == 0) {
         auto& counts = this->result.kinds.at(job.kind);
         auto const now = this->events.now();
--- a/bench/policy/target_simulation.h
+++ b/bench/policy/target_simulation.h
@@ -18,6 +18,8 @@
 enum class run_time_knowledge : std::uint8_t {
     exact_means, ///< The mean of each kind.
     learned, ///< As run_time_estimator learns them.
+    /// As normalized_run_times learns them. Placement uses the learned speeds of the endpoints.
+    learned_with_speeds,
 };
 
 /// The defaults are the users' site after its growth: 60 endpoints of 64 cores, ten entries, tasks
--- a/src/api/status_routes.cpp
+++ b/src/api/status_routes.cpp
@@ -155,6 +155,20 @@
     }
 }
 
+/// Learned speeds of the endpoints, 1 for an ordinary one.
+void append_speeds(std::string& text, std::vector<entry::endpoint_status> const& endpoints)
+{
+    text += "# TYPE greengagehead_endpoint_speed gauge\n";
+    for (auto const& endpoint : endpoints)
+        text.append("greengagehead_endpoint_speed{endpoint=\"")
+            .append(endpoint.name)
+            .append("\",zone=\"")
+            .append(endpoint.zone)
+            .append("\"} ")
+            .append(std::to_string(endpoint.speed))
+            .append("\n");
+}
+
 void append_gauges(std::string& text, entry::entry_status const& status)
 {
     text += "# TYPE greengagehead_lease_valid gauge\n";
@@ -177,6 +191,8 @@
         append_sample(text, "used_slots",
                       "endpoint=\"" + endpoint.name + "\",zone=\"" + endpoint.zone + "\"",
                       endpoint.used_slots);
+    if (status.learns_speed)
+        append_speeds(text, status.endpoints);
 }
 
 } // namespace
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -26,6 +26,7 @@
     core.link_address = settings.entry_listen;
     core.controls = control_names(controls);
     core.placement = settings.placement;
+    core.learn_speed = settings.learn_speed;
     core.seed = core.id.incarnation;
     core.answer_retention = settings.timing.claim_retention;
     return core;
--- a/src/entry/attempt_tracker.cpp
+++ b/src/entry/attempt_tracker.cpp
@@ -139,7 +139,7 @@
     if (open == nullptr || this->components.agents.at(open->agent).id != agent)
         return false;
     auto const endpoint = open->endpoint;
-    this->record_run(job, index, outcome, now);
+    this->record_run(job, index, agent, outcome, now);
     this->close(job, task, *open, outcome.run_time);
     if (refused_by_agent(outcome)) {
         ++this->components.counters.refused_starts;
@@ -198,6 +198,7 @@
 }
 
 void attempt_tracker::record_run(job const& job, std::uint32_t index,
+                                 protocol::process_id const& agent,
                                  protocol::task_outcome const& outcome, base::steady_time now)
 {
     if (refused_by_agent(outcome) || outcome.kind == outcome_kind::cancelled
@@ -207,8 +208,15 @@
     auto const succeeded = outcome.kind == outcome_kind::succeeded;
     this->components.health.record(outcome.endpoint, succeeded, outcome.run_time,
                                    job.tasks[index].expected, now);
-    if (succeeded)
-        this->components.estimator.record(job.team, kind, outcome.run_time);
+    if (!succeeded)
+        return;
+    this->components.estimator.record(job.team, kind, outcome.run_time);
+    if (this->components.settings.learn_speed) {
+        auto const declared
+            = this->components.teams.declared_time(job.team, job.content->tasks[index]);
+        this->components.learner.record(
+            {job.team, kind, outcome.endpoint, agent, outcome.run_time, declared}, now);
+    }
 }
 
 void attempt_tracker::on_succeeded(job& job, std::uint32_t index, protocol::task_outcome& outcome,
--- a/src/entry/attempt_tracker.h
+++ b/src/entry/attempt_tracker.h
@@ -52,8 +52,9 @@
                              base::steady_time asked);
     void confirm_end(job& job, protocol::process_id const& agent,
                      protocol::task_outcome const& outcome);
-    void record_run(job const& job, std::uint32_t index, protocol::task_outcome const& outcome,
-                    base::steady_time now);
+    /// @param agent the incarnation at which the task ran.
+    void record_run(job const& job, std::uint32_t index, protocol::process_id const& agent,
+                    protocol::task_outcome const& outcome, base::steady_time now);
     void on_succeeded(job& job, std::uint32_t index, protocol::task_outcome& outcome,
                       base::steady_time now);
     void on_not_run(job& job, std::uint32_t index, protocol::task_outcome const& outcome,
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -33,7 +33,8 @@
 
 policy::placement_request make_request(std::string const& team, protocol::task_request const& task)
 {
-    return {team, task.kind, task.region, task.zone, task.cpu, task.memory_mb, task.slots, {}};
+    return {team,           task.kind,  task.region, task.zone, task.cpu,
+            task.memory_mb, task.slots, {},          {},        {}};
 }
 
 policy::placement_request make_class_request(protocol::task_request const& task)
@@ -45,9 +46,15 @@
     return request;
 }
 
-std::string placement_class_key(protocol::task_request const& task, bool ephemeral)
+/// @param expected run time; only given where tasks of different lengths are placed differently.
+std::string placement_class_key(protocol::task_request const& task, bool ephemeral,
+                                std::optional<microseconds> expected)
 {
     std::string key(1, ephemeral ? 'e' : 's');
+    if (expected) {
+        auto const milliseconds = duration_cast<std::chrono::milliseconds>(*expected).count();
+        key += std::to_string(size_class(static_cast<std::uint32_t>(milliseconds)));
+    }
     for (auto const* field : {&task.kind, &task.region, &task.zone}) {
         key += '\n';
         key += *field;
@@ -63,13 +70,27 @@
 
 dispatcher::dispatcher(entry_components& shared) : components(shared) { }
 
+policy::placement_request dispatcher::request_for(job const& job, std::uint32_t index)
+{
+    auto request = make_request(job.team, job.content->tasks[index]);
+    request.expected = job.tasks[index].expected;
+    // The job ends with its last task, so each task has the target of the job.
+    request.target = job.ephemeral
+        ? job.latest_start + job.longest * (100 + speed_margin_percent) / 100
+        : job.deadline;
+    return request;
+}
+
 void dispatcher::enqueue(job& job, std::uint32_t index, bool front)
 {
     auto& task = job.tasks[index];
     if (task.queued || task.done() || job.content == nullptr)
         return;
     auto const& request = job.content->tasks[index];
-    auto key = placement_class_key(request, job.ephemeral);
+    std::optional<microseconds> length;
+    if (this->components.settings.learn_speed)
+        length = task.expected;
+    auto key = placement_class_key(request, job.ephemeral, length);
     auto const work = task.expected * request.slots;
     this->find_or_add_class(job, index, key);
     task.queued = true;
@@ -220,7 +241,7 @@
 {
     auto choice = std::move(*group.choice);
     group.choice.reset();
-    auto request = make_request(job.team, job.content->tasks[index]);
+    auto request = request_for(job, index);
     auto const* endpoint = this->components.endpoints.find(choice.endpoint);
     auto const fits = endpoint != nullptr
         && this->components.endpoints.free_slots(*endpoint) >= request.slots
@@ -230,11 +251,13 @@
     auto const already_tried
         = std::find(request.avoid.begin(), request.avoid.end(), choice.endpoint)
         != request.avoid.end();
-    if (fits && !already_tried)
+    // With learned speeds, an endpoint that suits the class may be too slow for the task.
+    if (fits && !already_tried && !this->components.settings.learn_speed)
         return choice;
     auto other = this->components.placement->choose(request, this->components.endpoints,
                                                     this->components.health, now);
-    if (!other && fits)
+    // With learned speeds the task may wait for an endpoint on which it ends in time.
+    if (!other && fits && !this->components.settings.learn_speed)
         return choice;
     return other;
 }
@@ -272,8 +295,18 @@
     job.record_decision({now, hedge ? decision_kind::hedged : decision_kind::placed,
                          static_cast<std::int32_t>(index), added.number, choice.endpoint,
                          choice.reason, choice.candidates});
-    base::log_record(base::log_event::task_placed)
-        .with("job", job.id)
+    this->log_placement(job, index, added, choice, *endpoint, now);
+    this->send(job, index, task.attempts.back(), now);
+    this->components.monitor.schedule_check(job, index, added);
+    return true;
+}
+
+void dispatcher::log_placement(job const& job, std::uint32_t index, attempt const& added,
+                               policy::placement_choice const& choice,
+                               policy::endpoint_record const& endpoint, base::steady_time now) const
+{
+    base::log_record record(base::log_event::task_placed);
+    record.with("job", job.id)
         .with("submission", job.submission)
         .with("task", index)
         .with("attempt", added.number)
@@ -282,16 +315,15 @@
         .with("reason", choice.reason)
         .with("candidates", choice.candidates)
         .with("waited", duration_cast<microseconds>(now - job.submitted))
-        .with("report_age", duration_cast<microseconds>(now - endpoint->reported_at));
-    this->send(job, index, task.attempts.back(), now);
-    this->components.monitor.schedule_check(job, index, added);
-    return true;
+        .with("report_age", duration_cast<microseconds>(now - endpoint.reported_at));
+    if (this->components.settings.learn_speed)
+        record.with("speed", std::to_string(choice.speed));
 }
 
 bool dispatcher::has_room_elsewhere(job const& job, std::uint32_t index,
                                     std::string const& endpoint, base::steady_time now)
 {
-    auto request = make_request(job.team, job.content->tasks[index]);
+    auto request = request_for(job, index);
     request.avoid = {endpoint};
     auto const other = this->components.placement->choose(request, this->components.endpoints,
                                                           this->components.health, now);
@@ -302,7 +334,7 @@
 {
     if (!this->components.leases.valid(now) || !job.claim_committed)
         return false;
-    auto request = make_request(job.team, job.content->tasks[index]);
+    auto request = request_for(job, index);
     request.avoid = job.tasks[index].tried_endpoints;
     for (auto const& open : job.tasks[index].attempts)
         request.avoid.push_back(open.endpoint);
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "base/clock.h"
+#include "policy/endpoint_table.h"
 #include "policy/fair_queue.h"
 #include "policy/placement_policy.h"
 
@@ -51,6 +52,8 @@
         std::uint64_t blocked_generation = 0; ///< Generation in which no endpoint was free.
     };
 
+    /// Requirements of a task, with its expected run time and its target.
+    [[nodiscard]] static policy::placement_request request_for(job const& job, std::uint32_t index);
     bool placeable(std::string const& key, base::steady_time now);
     void place_ephemeral(base::steady_time now);
     /// Puts aside a task whose job may run at another entry. It is queued again when that is known
@@ -69,6 +72,9 @@
                                                    placement_class& group, base::steady_time now);
     bool start(job& job, std::uint32_t index, policy::placement_choice const& choice, bool hedge,
                base::steady_time now);
+    void log_placement(job const& job, std::uint32_t index, attempt const& added,
+                       policy::placement_choice const& choice,
+                       policy::endpoint_record const& endpoint, base::steady_time now) const;
     void send(job& job, std::uint32_t index, attempt const& open, base::steady_time now);
 
     entry_components& components;
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -30,6 +30,7 @@
 #include "policy/fair_queue.h"
 #include "policy/placement_policy.h"
 #include "policy/run_time_estimator.h"
+#include "policy/speed_learner.h"
 #include "policy/target_queue.h"
 
 namespace greengagehead::entry {
@@ -74,6 +75,7 @@
     policy::fair_queue queue; ///< Tasks of stored jobs.
     policy::target_queue ephemeral_queue; ///< Tasks of ephemeral jobs.
     policy::run_time_estimator estimator;
+    policy::speed_learner learner; ///< Only used with the setting `learn_speed`.
     std::unique_ptr<policy::placement_policy> placement;
 
     team_table teams;
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -38,11 +38,13 @@
     return "unknown";
 }
 
-std::unique_ptr<policy::placement_policy> policy_of(entry_settings const& settings)
+std::unique_ptr<policy::placement_policy> policy_of(entry_settings const& settings,
+                                                    policy::speed_learner const& learner)
 {
-    auto created = policy::make_placement_policy(settings.placement, settings.seed);
+    auto const* const speeds = settings.learn_speed ? &learner.speeds() : nullptr;
+    auto created = policy::make_placement_policy(settings.placement, settings.seed, speeds);
     return created ? std::move(created)
-                   : policy::make_placement_policy("least_loaded", settings.seed);
+                   : policy::make_placement_policy("least_loaded", settings.seed, speeds);
 }
 
 } // namespace
@@ -52,9 +54,9 @@
     : settings(std::move(initial_settings)), sender(output, this->counters.messages_sent),
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      placement(policy_of(this->settings)), jobs(this->settings.finished_bytes), copies(copy_bytes),
-      outbox(this->sender, this->leases, this->agents), dispatch(*this), attempts(*this),
-      monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
+      placement(policy_of(this->settings, this->learner)), jobs(this->settings.finished_bytes),
+      copies(copy_bytes), outbox(this->sender, this->leases, this->agents), dispatch(*this),
+      attempts(*this), monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
       submission_consent(*this), takeovers(*this)
 {
 }
@@ -465,6 +467,7 @@
     status.applied_view = components.leases.applied().number;
     status.settled_view = components.leases.settled();
     status.running_jobs = components.jobs.unfinished();
+    status.learns_speed = components.settings.learn_speed;
     for (auto const& [name, settings] : components.teams.all())
         status.teams.push_back(
             {name, components.queue.size(name), components.queue.in_progress(name)});
@@ -472,7 +475,8 @@
         status.endpoints.push_back({name, endpoint.agent.name, endpoint.zone,
                                     std::string(name_of(components.health.state(name))),
                                     endpoint.state.slots, endpoint.state.used_slots,
-                                    endpoint.state.draining});
+                                    endpoint.state.draining,
+                                    components.learner.speeds().speed(name, endpoint.agent, now)});
     return status;
 }
 
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -30,6 +30,7 @@
     std::string link_address; ///< Address at which agents and other entries reach this one.
     std::vector<std::string> controls; ///< Peer names of the control members.
     std::string placement = "least_loaded";
+    bool learn_speed = false; ///< Placement uses learned speeds of the endpoints.
     std::uint64_t seed = 1; ///< Seed of random choices.
     std::chrono::milliseconds renew_interval {300};
     std::chrono::milliseconds copy_timeout {20};
@@ -67,6 +68,7 @@
     std::uint32_t slots = 0;
     std::uint32_t used_slots = 0;
     bool draining = false;
+    double speed = 1; ///< Learned speed relative to the fleet; 1 if none is learned.
 };
 
 struct entry_status {
@@ -76,6 +78,7 @@
     protocol::view_number applied_view = 0;
     protocol::view_number settled_view = 0;
     std::size_t running_jobs = 0;
+    bool learns_speed = false; ///< Whether the speeds of the endpoints are learned.
     std::vector<team_status> teams;
     std::vector<endpoint_status> endpoints;
 };
--- a/src/entry/job.h
+++ b/src/entry/job.h
@@ -18,6 +18,10 @@
 
 namespace greengagehead::entry {
 
+/// Part of the run time that is left between the latest start and the target of a job. Allows for
+/// endpoints that differ in speed and for the delay of a start message.
+constexpr int speed_margin_percent = 15;
+
 /// One start that has no final outcome yet.
 struct attempt {
     std::uint32_t number = 1;
@@ -112,6 +116,7 @@
     bool recovery_pending = false; ///< Taken over; some agents have not answered yet.
 
     std::vector<task> tasks;
+    std::chrono::microseconds longest {0}; ///< Largest expected run time of the tasks.
     std::size_t unfinished = 0; ///< Tasks that are not done.
     std::size_t awaited = 0; ///< Attempts of all tasks whose outcome is awaited.
     std::uint32_t refused_starts = 0; ///< Attempts that an agent did not admit; logged at the end.
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -28,8 +28,6 @@
 /// wait or run again.
 constexpr int shutdown_time_percent = 150;
 constexpr milliseconds shutdown_margin {100};
-/// Allows for endpoints that differ in speed and for the delay of a start message.
-constexpr int speed_margin_percent = 15;
 constexpr std::size_t decisions_per_job = 200;
 constexpr std::size_t decisions_per_task = 6;
 
@@ -229,20 +227,36 @@
 microseconds job_lifecycle::expected_time(protocol::job_request const& request,
                                           protocol::task_request const& task)
 {
-    auto declared = task.expected;
-    if (declared.count() == 0)
-        declared = this->components.teams.kind(request.team, task.kind).expected;
+    auto const declared = this->components.teams.declared_time(request.team, task);
+    if (this->components.settings.learn_speed)
+        return this->components.learner.estimate(request.team, task.kind, declared).typical;
     return this->components.estimator.estimate(request.team, task.kind, declared).typical;
 }
 
+microseconds job_lifecycle::usual_time(protocol::job_request const& request,
+                                       protocol::task_request const& task)
+{
+    // With learned speeds, jobs of a kind have the same time to start. If it grew with the declared
+    // time, long jobs would be admitted in place of several short ones above capacity.
+    if (this->components.settings.learn_speed) {
+        auto const usual
+            = this->components.learner.estimate(request.team, task.kind, microseconds(0));
+        if (usual.samples > 0)
+            return usual.typical;
+    }
+    return this->expected_time(request, task);
+}
+
 policy::target_request job_lifecycle::make_target_request(protocol::job_request const& request,
                                                           milliseconds deadline,
                                                           base::steady_time now)
 {
     policy::target_request target {&request, {}, now + deadline};
-    auto const longest = this->longest_task(request);
-    for (auto const& task : request.tasks)
+    microseconds longest {0};
+    for (auto const& task : request.tasks) {
+        longest = std::max(longest, this->usual_time(request, task));
         target.work += this->expected_time(request, task) * task.slots;
+    }
     auto target_time = std::chrono::duration_cast<microseconds>(deadline);
     if (request.target_stretch_percent > 0)
         target_time = std::min(
@@ -265,6 +279,7 @@
     job.unfinished = job.tasks.size();
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         job.tasks[i].expected = this->expected_time(*job.content, job.content->tasks[i]);
+        job.longest = std::max(job.longest, job.tasks[i].expected);
     }
 }
 
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -127,6 +127,9 @@
     [[nodiscard]] std::string choose_backup() const;
     [[nodiscard]] std::chrono::microseconds expected_time(protocol::job_request const& request,
                                                           protocol::task_request const& task);
+    /// Run time of the task that its target follows from.
+    [[nodiscard]] std::chrono::microseconds usual_time(protocol::job_request const& request,
+                                                       protocol::task_request const& task);
     [[nodiscard]] policy::target_request make_target_request(protocol::job_request const& request,
                                                              std::chrono::milliseconds deadline,
                                                              base::steady_time now);
--- a/src/entry/team_table.cpp
+++ b/src/entry/team_table.cpp
@@ -95,6 +95,14 @@
     return found == kinds.end() ? kind_settings {} : found->second;
 }
 
+std::chrono::microseconds team_table::declared_time(std::string const& team,
+                                                    protocol::task_request const& task) const
+{
+    if (task.expected.count() != 0)
+        return task.expected;
+    return this->kind(team, task.kind).expected;
+}
+
 team_table::budgets& team_table::budgets_of(std::string const& team)
 {
     auto const found = this->budgets_by_team.find(team);
--- a/src/entry/team_table.h
+++ b/src/entry/team_table.h
@@ -12,6 +12,7 @@
 #include "policy/fair_queue.h"
 #include "policy/retry_budget.h"
 #include "protocol/command.h"
+#include "protocol/job.h"
 
 namespace greengagehead::entry {
 
@@ -39,6 +40,9 @@
 
     [[nodiscard]] team_settings const& settings_for(std::string const& team) const;
     [[nodiscard]] kind_settings kind(std::string const& team, std::string const& kind) const;
+    /// Run time as the caller or the settings of the kind declare it; 0 when neither does.
+    [[nodiscard]] std::chrono::microseconds declared_time(std::string const& team,
+                                                          protocol::task_request const& task) const;
     [[nodiscard]] policy::retry_budget& retries(std::string const& team);
     [[nodiscard]] policy::retry_budget& hedges(std::string const& team);
     [[nodiscard]] std::map<std::string, team_settings> const& all() const { return this->teams; }
--- a/src/policy/placement_policy.cpp
+++ b/src/policy/placement_policy.cpp
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <random>
+#include <tuple>
 
 #include "policy/endpoint_health.h"
+#include "policy/endpoint_speed.h"
 #include "policy/endpoint_table.h"
 
 namespace greengagehead::policy {
@@ -16,6 +18,9 @@
 /// of the endpoints, one decision in 256 gets that far.
 constexpr std::uint32_t max_draws = 8;
 constexpr std::size_t sample_size = 4;
+/// With learned speeds a decision compares more endpoints, because only some of them are fast
+/// enough for the task.
+constexpr std::size_t speed_sample_size = 8;
 
 bool is_avoided(placement_request const& request, std::string const& endpoint)
 {
@@ -37,6 +42,10 @@
     void draw(placement_request const& request, endpoint_table const& endpoints,
               endpoint_health& health, base::steady_time now, std::size_t max_results);
 
+    /// As draw(), but finds all such endpoints.
+    void draw_all(placement_request const& request, endpoint_table const& endpoints,
+                  endpoint_health& health, base::steady_time now);
+
     std::vector<endpoint_record const*> found;
     std::uint32_t candidates = 0;
     bool last_resort = false; ///< `found` holds one endpoint, which was to be avoided.
@@ -103,6 +112,21 @@
     }
 }
 
+void sampler::draw_all(placement_request const& request, endpoint_table const& endpoints,
+                       endpoint_health& health, base::steady_time now)
+{
+    auto const fleet = endpoints.usable_endpoints();
+    this->found.clear();
+    for (auto const& group : this->groups) {
+        for (auto const* record : group) {
+            if (endpoints.free_slots(*record) >= request.slots
+                && health.accepts(record->state.name, record->outstanding, fleet, now)
+                && !is_avoided(request, record->state.name))
+                this->found.push_back(record);
+        }
+    }
+}
+
 class random_policy final : public placement_policy {
 public:
     explicit random_policy(std::uint64_t seed) : sample(seed) { }
@@ -125,6 +149,19 @@
     sampler sample;
 };
 
+/// Endpoints where the entry is below its share come first: other entries usually leave these
+/// slots to it, whereas all entries see the same remaining slots as free.
+bool beyond_share(endpoint_record const& record)
+{
+    return record.outstanding >= record.entry_share;
+}
+
+/// Fraction of the slots in use, according to the last report and this entry's starts.
+double load(endpoint_record const& record)
+{
+    return static_cast<double>(slots_in_use(record)) / std::max(record.state.slots, 1U);
+}
+
 class least_loaded_policy final : public placement_policy {
 public:
     explicit least_loaded_policy(std::uint64_t seed) : sample(seed) { }
@@ -147,16 +184,9 @@
     [[nodiscard]] std::string_view name() const override { return "least_loaded"; }
 
 private:
-    /// Endpoints where the entry is below its share come first: other entries usually leave these
-    /// slots to it, whereas all entries see the same remaining slots as free.
     static std::pair<bool, double> sort_key(endpoint_record const& record)
     {
-        return {record.outstanding >= record.entry_share, load(record)};
-    }
-    /// Fraction of the slots in use, according to the last report and this entry's starts.
-    static double load(endpoint_record const& record)
-    {
-        return static_cast<double>(slots_in_use(record)) / std::max(record.state.slots, 1U);
+        return {beyond_share(record), load(record)};
     }
     [[nodiscard]] char const* reason() const
     {
@@ -169,10 +199,116 @@
     sampler sample;
 };
 
+/// Whether the endpoint gets tasks with these requirements, now or once it has free slots.
+bool serves(endpoint_record const& record, placement_request const& request)
+{
+    auto const& kinds = record.state.kinds;
+    return record.assigned && record.agent_registered && !record.zone_out && !record.drain_requested
+        && !record.state.draining && record.state.slots >= request.slots
+        && (request.region.empty() || record.region == request.region)
+        && (request.zone.empty() || record.zone == request.zone)
+        && std::find(kinds.begin(), kinds.end(), request.kind) != kinds.end()
+        && fits_size(record.state, {request.kind, {}, {}, request.cpu, request.memory_mb});
+}
+
+/// As least_loaded_policy, with regard to the time at which the task ends on each endpoint. Slots
+/// on which the task would be late are left to other tasks while it can still wait for an endpoint
+/// on which it ends in time.
+class speed_policy final : public placement_policy {
+public:
+    speed_policy(std::uint64_t seed, endpoint_speed const& learned) : sample(seed), speeds(learned)
+    {
+    }
+
+    std::optional<placement_choice> choose(placement_request const& request,
+                                           endpoint_table const& endpoints, endpoint_health& health,
+                                           base::steady_time now) override
+    {
+        this->sample.draw(request, endpoints, health, now, speed_sample_size);
+        auto best = this->best_of_sample(request, now);
+        if (best && best->late && !this->sample.last_resort) {
+            // One on which the task ends in time may be free outside the sample.
+            this->sample.draw_all(request, endpoints, health, now);
+            best = this->best_of_sample(request, now);
+        }
+        if (!best || (best->late && this->ends_in_time_on_any(request, endpoints, health, now)))
+            return std::nullopt;
+        auto const& name = best->record->state.name;
+        health.record_placement(name, now);
+        return placement_choice {name, this->reason(*best), this->sample.candidates, best->speed};
+    }
+    [[nodiscard]] std::string_view name() const override { return "least_loaded"; }
+
+private:
+    struct option {
+        endpoint_record const* record = nullptr;
+        double speed = 1;
+        bool late = false; ///< The task would end after its target.
+        double load = 0; ///< Load with the task, relative to the speed.
+    };
+
+    [[nodiscard]] std::optional<option> best_of_sample(placement_request const& request,
+                                                       base::steady_time now) const
+    {
+        std::optional<option> best;
+        for (auto const* record : this->sample.found) {
+            auto const candidate = this->evaluate(*record, request, now);
+            if (!best || sort_key(candidate) < sort_key(*best))
+                best = candidate;
+        }
+        return best;
+    }
+    [[nodiscard]] option evaluate(endpoint_record const& record, placement_request const& request,
+                                  base::steady_time now) const
+    {
+        option result {&record, this->speeds.speed(record.state.name, record.agent, now), false, 0};
+        result.late = request.expected.count() > 0
+            && now + std::chrono::duration<double>(request.expected) / result.speed
+                > request.target;
+        auto const slots = static_cast<double>(slots_in_use(record) + request.slots);
+        result.load = slots / std::max(record.state.slots, 1U) / result.speed;
+        return result;
+    }
+    /// Whether an endpoint that is busy now would end the task in time if it started it now.
+    [[nodiscard]] bool ends_in_time_on_any(placement_request const& request,
+                                           endpoint_table const& endpoints,
+                                           endpoint_health const& health,
+                                           base::steady_time now) const
+    {
+        auto const& all = endpoints.all();
+        return std::any_of(all.begin(), all.end(), [&](auto const& item) {
+            auto const& record = item.second;
+            return serves(record, request)
+                && health.state(record.state.name) == health_state::healthy
+                && !is_avoided(request, record.state.name)
+                && !this->evaluate(record, request, now).late;
+        });
+    }
+    static std::tuple<bool, bool, double> sort_key(option const& item)
+    {
+        return {item.late, beyond_share(*item.record), item.load};
+    }
+    [[nodiscard]] char const* reason(option const& chosen) const
+    {
+        if (this->sample.last_resort)
+            return "only an endpoint of an earlier attempt has a free slot";
+        if (chosen.late)
+            return "no endpoint ends the task in time";
+        return this->sample.found.size() > 1 ? "least loaded by speed of a sample"
+                                             : "only one accepts a task";
+    }
+
+    sampler sample;
+    endpoint_speed const& speeds;
+};
+
 } // namespace
 
-std::unique_ptr<placement_policy> make_placement_policy(std::string_view name, std::uint64_t seed)
+std::unique_ptr<placement_policy> make_placement_policy(std::string_view name, std::uint64_t seed,
+                                                        endpoint_speed const* speeds)
 {
+    if (name == "least_loaded" && speeds != nullptr)
+        return std::make_unique<speed_policy>(seed, *speeds);
     if (name == "least_loaded")
         return std::make_unique<least_loaded_policy>(seed);
     if (name == "random")
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -66,6 +66,7 @@
     std::string agent_announce; ///< Loopback address for endpoint announcements.
     std::string fleet_key; ///< Secret shared by all processes; empty accepts links from anyone.
     std::string placement = "least_loaded";
+    bool learn_speed = false; ///< Whether placement uses learned speeds of the endpoints.
     /// Control members. If `control_link_port` is set, these are only the initial contacts, reached
     /// at that port.
     std::vector<peer_settings> controls;
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -110,6 +110,10 @@
                               &settings::entry_http, "HTTP address for callers and operators."));
     rules.push_back(choice_rule("entry.placement", {"least_loaded", "random"}, &settings::placement,
                                 "Placement policy."));
+    rules.push_back(number_rule("entry.learn_speed", value_kind::flag, 0, 1,
+                                make_number_setter(&settings::learn_speed),
+                                "Whether an entry learns the speeds of the endpoints and places "
+                                "tasks by them."));
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
--- a/tests/settings/settings_file_test.cpp
+++ b/tests/settings/settings_file_test.cpp
@@ -47,6 +47,23 @@
         }
     }
 
+    // Guards against a part that is on without its setting, or that a misspelt value turns on.
+    GIVEN("files with and without a value for learn_speed")
+    {
+        auto const with_value = [](std::string const& value) {
+            std::string text(entry_file);
+            text.insert(text.find("http ="), "learn_speed = " + value + "\n");
+            return read_settings_text(text, "entry.toml");
+        };
+        THEN("it is off by default, and only true or false is accepted")
+        {
+            CHECK_FALSE(read_settings_text(entry_file, "entry.toml").settings.learn_speed);
+            CHECK(with_value("true").settings.learn_speed);
+            CHECK(with_value("true").problems.empty());
+            CHECK(has_problem(with_value("\"yes\""), "entry.learn_speed", 8));
+        }
+    }
+
     // Guards against reporting only the first problem, so that a file must be fixed one error at a
     // time.
     GIVEN("a file with an unknown key, a value out of range and a malformed address")
