--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -352,6 +352,7 @@
     settings.controls = {"control.a"};
     settings.claim_timeout = this->claim_timeout;
     settings.finished_bytes = this->finished_bytes;
+    settings.learn_speed = this->learn_speed;
     settings.seed = this->generator();
     auto& core = this->entries[name];
     core = std::make_unique<entry::entry_core>(settings, *sender, this->now);
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -133,6 +133,7 @@
     void thaw(std::string const& entry);
     milliseconds claim_timeout {5000};
     std::size_t finished_bytes = 128U << 20U; ///< As in entry_settings.
+    bool learn_speed = false; ///< As in entry_settings, for entries that are added later.
     double loss_rate = 0;
     double duplicate_rate = 0;
     std::uint32_t max_delay_ms = 1;
