--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -40,11 +40,13 @@
     return "unknown";
 }
 
-std::unique_ptr<policy::placement_policy> policy_of(entry_settings const& settings)
+std::unique_ptr<policy::placement_policy> policy_of(entry_settings const& settings,
+                                                    policy::speed_learner const& learner)
 {
-    auto created = policy::make_placement_policy(settings.placement, settings.seed);
+    auto const* const speeds = settings.learn_speed ? &learner.speeds() : nullptr;
+    auto created = policy::make_placement_policy(settings.placement, settings.seed, speeds);
     return created ? std::move(created)
-                   : policy::make_placement_policy("least_loaded", settings.seed);
+                   : policy::make_placement_policy("least_loaded", settings.seed, speeds);
 }
 
 } // namespace
@@ -54,7 +56,7 @@
     : settings(std::move(initial_settings)), sender(output, this->counters.messages_sent),
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      shares(this->settings, this->endpoints), placement(policy_of(this->settings)),
+      shares(this->settings, this->endpoints), placement(policy_of(this->settings, this->learner)),
       jobs(this->settings.finished_bytes), copies(copy_bytes),
       outbox(this->sender, this->leases, this->agents),
       held(this->settings.recovery_hold, this->counters), dispatch(*this), attempts(*this),
@@ -545,6 +547,7 @@
     status.held_requests = components.held.size();
     status.held_request_bytes = components.held.bytes();
     status.shares = components.shares.status(now);
+    status.learns_speed = components.settings.learn_speed;
     for (auto const& [name, settings] : components.teams.all())
         status.teams.push_back(
             {name, components.queue.size(name), components.queue.in_progress(name)});
@@ -552,7 +555,8 @@
         status.endpoints.push_back({name, endpoint.agent.name, endpoint.zone,
                                     std::string(name_of(components.health.state(name))),
                                     endpoint.state.slots, endpoint.state.used_slots,
-                                    endpoint.state.draining, endpoint.entry_share});
+                                    endpoint.state.draining, endpoint.entry_share,
+                                    components.learner.speeds().speed(name, endpoint.agent, now)});
     return status;
 }
 
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -37,6 +37,7 @@
     std::vector<std::string> controls; ///< Peer names of the control members.
     std::string placement = "least_loaded";
     bool share_by_demand = false; ///< Slots are divided by demand instead of equally.
+    bool learn_speed = false; ///< Placement uses learned speeds of the endpoints.
     std::uint64_t seed = 1; ///< Seed of random choices.
     std::chrono::milliseconds renew_interval {300};
     std::chrono::milliseconds copy_timeout {20};
@@ -79,6 +80,7 @@
     std::uint32_t used_slots = 0;
     bool draining = false;
     std::uint32_t entry_share = 0; ///< Part of this entry in the slots; 0 with a single entry.
+    double speed = 1; ///< Learned speed relative to the fleet; 1 if none is learned.
 };
 
 struct entry_status {
@@ -91,6 +93,7 @@
     std::size_t held_requests = 0;
     std::size_t held_request_bytes = 0;
     share_status shares;
+    bool learns_speed = false; ///< Whether the speeds of the endpoints are learned.
     std::vector<team_status> teams;
     std::vector<endpoint_status> endpoints;
 };
--- a/src/entry/team_table.h
+++ b/src/entry/team_table.h
@@ -13,6 +13,7 @@
 #include "policy/fair_queue.h"
 #include "policy/retry_budget.h"
 #include "protocol/command.h"
+#include "protocol/job.h"
 
 namespace greengagehead::entry {
 
@@ -42,6 +43,9 @@
 
     [[nodiscard]] team_settings const& settings_for(std::string const& team) const;
     [[nodiscard]] kind_settings kind(std::string const& team, std::string const& kind) const;
+    /// Run time as the caller or the settings of the kind declare it; 0 when neither does.
+    [[nodiscard]] std::chrono::microseconds declared_time(std::string const& team,
+                                                          protocol::task_request const& task) const;
     [[nodiscard]] policy::retry_budget& retries(std::string const& team);
     [[nodiscard]] policy::retry_budget& hedges(std::string const& team);
     /// Settings that decide the fair parts, of the teams with settings.
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -80,6 +80,7 @@
     bool fair_accounts
         = false; ///< Whether admission takes the recent use of accounts into account.
     bool share_by_demand = false; ///< Entries divide the slots by demand instead of equally.
+    bool learn_speed = false; ///< Whether placement uses learned speeds of the endpoints.
     /// Control members. If `control_link_port` is set, these are only the initial contacts, reached
     /// at that port.
     std::vector<peer_settings> controls;
