--- a/tests/control/capacity_shares_test.cpp
+++ b/tests/control/capacity_shares_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "control/process_simulation.h"
+#include "entry/account_usage.h"
 
 using namespace greengagehead;
 using namespace greengagehead::test;
@@ -18,6 +19,7 @@
         : process_simulation(seed, {"control.a", "control.b", "control.c"})
     {
         this->share_by_demand = true;
+        this->fair_accounts = true;
         for (auto const* name : {"control.a", "control.b", "control.c"})
             this->start_control(name);
         for (auto const* name : {"entry.a", "entry.b", "entry.c"})
@@ -35,6 +37,13 @@
         auto const status = core->status(this->now);
         return status.endpoints.empty() ? 0 : status.endpoints.front().entry_share;
     }
+    /// Slot time that the fleet asked for lately, as the entry knows it.
+    [[nodiscard]] std::chrono::microseconds asked_of_fleet(std::string const& entry) const
+    {
+        auto const sums = this->entries.at(entry).core->accounts().fleet;
+        auto const found = sums.find("recife");
+        return found == sums.end() ? std::chrono::microseconds(0) : found->second.asked;
+    }
     [[nodiscard]] std::uint32_t part_sum() const
     {
         std::uint32_t sum = 0;
@@ -160,3 +169,33 @@
         }
     }
 }
+
+SCENARIO("entries report the use of accounts while the leader changes", "[shares]")
+{
+    share_simulation simulation(1);
+    REQUIRE(simulation.run_until([&] { return simulation.all_leased(); }, 5s));
+    // One job of 100 ms every 20 ms at two entries, and three at the busy one: 25 s a second.
+    constexpr std::chrono::microseconds asked_each_second = 25s;
+    simulation.run(4000ms);
+
+    // Guards against rows that an entry does not send, or that the leader does not sum up.
+    THEN("each entry knows what the account asked for at all of them")
+    {
+        for (auto const* const entry : {"entry.a", "entry.b", "entry.c"}) {
+            CHECK(simulation.asked_of_fleet(entry) > 2 * asked_each_second);
+            CHECK(simulation.asked_of_fleet(entry) < 5 * asked_each_second);
+        }
+    }
+    // Guards against sums that are lost with the leader for good, or that count twice what had got
+    // no answer.
+    WHEN("the leader is killed")
+    {
+        simulation.kill(simulation.leader());
+        simulation.run(6000ms);
+        THEN("the sums are there again")
+        {
+            CHECK(simulation.asked_of_fleet("entry.b") > 2 * asked_each_second);
+            CHECK(simulation.asked_of_fleet("entry.b") < 8 * asked_each_second);
+        }
+    }
+}
--- a/tests/control/process_simulation.h
+++ b/tests/control/process_simulation.h
@@ -92,6 +92,7 @@
         settings.link_address = name + ":1";
         settings.controls = this->configured_members;
         settings.share_by_demand = this->share_by_demand;
+        settings.fair_accounts = this->fair_accounts;
         target.core = std::make_unique<entry::entry_core>(settings, target, this->now);
         target.core->control_group_changed.connect(
             [&target](auto const& group) { learn_addresses(target, group); });
@@ -179,6 +180,7 @@
     }
 
     bool share_by_demand = false; ///< As in entry_settings.
+    bool fair_accounts = false; ///< As in entry_settings.
     std::set<std::string> isolated; ///< All messages to and from these processes are lost.
     std::map<std::string, control_process> controls;
     std::map<std::string, entry_process> entries;
