--- a/src/agent/entry_directory.cpp
+++ b/src/agent/entry_directory.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds request_interval {500};
 /// Interval before the first answer with a view. A member that has lost its disk or is cut off has
 /// none.
-constexpr std::chrono::milliseconds empty_directory_interval {100};
+constexpr std::chrono::milliseconds empty_directory_interval {50};
 /// After this time without any answer, all configured members are asked, too.
 constexpr std::chrono::milliseconds answer_timeout {2000};
 
--- a/src/entry/lease_manager.cpp
+++ b/src/entry/lease_manager.cpp
@@ -145,7 +145,10 @@
         this->control.fail_over_from(this->control.target(), now);
     if (std::exchange(this->renewals_answered, false))
         this->unanswered_since = now;
-    this->next_renewal = now + this->settings.renew_interval;
+    // Without a view the entry serves nobody, and an elected member does not answer before its
+    // first commit.
+    this->next_renewal
+        = now + (this->current.number == 0 ? retry_interval : this->settings.renew_interval);
     if (this->control.target().empty())
         return;
     this->sender.send(this->control.target(),
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -18,12 +18,18 @@
 namespace {
 
 constexpr std::chrono::milliseconds redial_interval {200};
+/// After a power loss of a site, processes start within about a second of each other, and each of
+/// them waits for its first links.
+constexpr std::chrono::milliseconds startup_redial_interval {50};
+constexpr std::chrono::milliseconds startup_period {2000};
+constexpr std::uint32_t turns_per_redial = redial_interval / startup_redial_interval;
 
 } // namespace
 
 link_hub::link_hub(event_loop& io_loop, link_identity local_identity, link_timing timing_settings)
     : loop(io_loop), identity(std::move(local_identity)), timing(timing_settings),
-      redial_timer(io_loop.every(redial_interval, [this] { this->redial_disconnected(); }))
+      started(std::chrono::steady_clock::now()),
+      redial_timer(io_loop.every(startup_redial_interval, [this] { this->redial_disconnected(); }))
 {
 }
 
@@ -106,6 +112,9 @@
 void link_hub::redial_disconnected()
 {
     this->remove_closed_links();
+    bool const starting = std::chrono::steady_clock::now() - this->started < startup_period;
+    if (!starting && ++this->redial_turns % turns_per_redial != 0)
+        return;
     for (auto const& [peer, entry] : this->dialled_peers) {
         if (entry.current_link == nullptr)
             this->dial(peer);
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -88,6 +88,8 @@
     std::map<std::string, link*> ready_links; // Newest ready link to each peer; owned by `links`.
     std::map<std::string, dialled_peer> dialled_peers;
     std::vector<link*> closed_links; // Destroyed later, outside their own signals.
+    base::steady_time started;
+    std::uint32_t redial_turns = 0; ///< Calls of `redial_disconnected` after the startup period.
     std::unique_ptr<loop_timer> redial_timer;
     message_counters counters;
 };
