--- a/src/policy/connection_budget.cpp
+++ b/src/policy/connection_budget.cpp
@@ -80,7 +80,7 @@
             return verdict;
         }
         verdict.victim = closed_connection {*victim, reason};
-        this->condemn(this->connections.at(*victim));
+        this->mark_closing(this->connections.at(*victim));
     }
     ++this->by_address[address];
     this->connections[id] = {address, stage, now, now, 0, false};
@@ -101,11 +101,11 @@
 {
     std::vector<closed_connection> closed;
     auto const found = this->connections.find(id);
-    if (found == this->connections.end() || found->second.condemned)
+    if (found == this->connections.end() || found->second.closing)
         return closed;
     this->set_bytes(found->second, bytes, now);
     if (this->limits.connection_bytes > 0 && bytes > this->limits.connection_bytes) {
-        this->condemn(found->second);
+        this->mark_closing(found->second);
         closed.push_back({id, close_reason::connection_bytes});
     }
     auto const budget = this->limits.budget_bytes;
@@ -115,7 +115,7 @@
         auto const victim = this->largest_holder(now);
         if (!victim)
             break;
-        this->condemn(this->connections.at(*victim));
+        this->mark_closing(this->connections.at(*victim));
         closed.push_back({*victim, close_reason::budget});
     }
     return closed;
@@ -126,7 +126,7 @@
     auto const found = this->connections.find(id);
     if (found == this->connections.end())
         return;
-    if (!found->second.condemned)
+    if (!found->second.closing)
         this->total_bytes -= found->second.bytes;
     auto const count = this->by_address.find(found->second.address);
     if (--count->second == 0)
@@ -138,18 +138,18 @@
 {
     std::vector<closed_connection> closed;
     for (auto& [id, item] : this->connections) {
-        if (item.condemned)
+        if (item.closing)
             continue;
         auto const waited = now - item.stage_begin;
         if (item.stage == connection_stage::refused && waited > refusal_timeout) {
-            this->condemn(item);
+            this->mark_closing(item);
             closed.push_back({id, close_reason::body_bytes});
             continue;
         }
         auto const limit = limit_of(item.stage);
         if (!limit || waited <= this->limits.*(limit->timeout))
             continue;
-        this->condemn(item);
+        this->mark_closing(item);
         closed.push_back({id, limit->reason});
     }
     return closed;
@@ -161,7 +161,7 @@
     std::optional<connection_id> longest;
     auto earliest = now - min_wait;
     for (auto const& [id, item] : this->connections) {
-        bool const candidate = !item.condemned && waits_for_client(item.stage)
+        bool const candidate = !item.closing && waits_for_client(item.stage)
             && (address == nullptr || item.address == *address);
         if (!candidate || item.stage_begin > earliest)
             continue;
@@ -176,7 +176,7 @@
     std::optional<connection_id> largest;
     double highest = 0;
     for (auto const& [id, item] : this->connections) {
-        if (item.condemned || item.bytes == 0)
+        if (item.closing || item.bytes == 0)
             continue;
         // At least one millisecond, so that the size decides among connections of one instant.
         auto const held_for = std::max(
@@ -190,9 +190,9 @@
     return largest;
 }
 
-void connection_budget::condemn(connection& target)
+void connection_budget::mark_closing(connection& target)
 {
-    target.condemned = true;
+    target.closing = true;
     this->total_bytes -= target.bytes;
 }
 
--- a/src/policy/connection_budget.h
+++ b/src/policy/connection_budget.h
@@ -104,19 +104,19 @@
         base::steady_time stage_begin;
         base::steady_time held_since; ///< Since when `bytes` is above 0.
         std::size_t bytes = 0;
-        bool condemned = false; ///< Is being closed; its bytes no longer count.
+        bool closing = false; ///< Is being closed; its bytes no longer count.
     };
 
     [[nodiscard]] std::optional<connection_id> longest_waiting(std::string const* address,
                                                                base::steady_time now) const;
     [[nodiscard]] std::optional<connection_id> largest_holder(base::steady_time now) const;
-    void condemn(connection& target);
+    void mark_closing(connection& target);
     void set_bytes(connection& target, std::size_t bytes, base::steady_time now);
 
     connection_limits limits;
     std::unordered_map<connection_id, connection> connections;
     std::map<std::string, std::size_t> by_address;
-    std::size_t total_bytes = 0; ///< Of connections that are not condemned.
+    std::size_t total_bytes = 0; ///< Of connections that are not closing.
 };
 
 } // namespace greengagehead::policy
--- a/tests/fleet/client_limits_test.py
+++ b/tests/fleet/client_limits_test.py
@@ -51,7 +51,7 @@
     "limits": {"max_header_bytes": 16384, "max_body_bytes": BODY_LIMIT,
                "header_timeout_ms": 3000, "idle_timeout_ms": 15000}}
 # Longest time to wait for what happens at once on an idle machine.
-PATIENCE_S = 30
+ANSWER_LIMIT_S = 30
 # Clients that could neither connect nor send for this time have stopped. A connection that the full
 # queue of a listener did not take is tried again after a second.
 QUIET_S = 1.5
@@ -132,7 +132,7 @@
     def wait_until_answered(self, port_name, method, path, expected, body=None):
         begin = time.monotonic()
         status = None
-        while time.monotonic() - begin < PATIENCE_S:
+        while time.monotonic() - begin < ANSWER_LIMIT_S:
             status = self.call(port_name, method, path, body)
             if status == expected:
                 return
@@ -324,7 +324,7 @@
         begin = time.monotonic()
         answer = b""
         while not answer.startswith(b"HTTP/1.1 101 "):
-            self.assertLess(time.monotonic() - begin, PATIENCE_S, "no link is accepted")
+            self.assertLess(time.monotonic() - begin, ANSWER_LIMIT_S, "no link is accepted")
             with contextlib.suppress(OSError), socket.create_connection(
                     ("127.0.0.1", tree.ports[target]), timeout=5) as peer:
                 peer.sendall(upgrade_request())
