Links: accept at most 16 connections before closing those that they replace

The hub of links accepted all waiting connections in one turn of the event loop, and closed those that they replaced only after it; the HTTP server already paused after 16. In addition, a new connection is refused when those that are still being closed exceed the limit by a sixteenth, whichever listener has not got to closing them.

New tests: 60 connections at once with 24 free descriptors (the hub ran out of them before), and 100 connections before any is closed (all were accepted before, 12 now).

--- a/src/policy/connection_budget.h
+++ b/src/policy/connection_budget.h
@@ -78,6 +78,8 @@
 
     /// Adds a connection in the stage `idle` or `handshake`. When there are too many, the one that
     /// has waited longest for its client is closed. A connection whose request is handled is kept.
+    /// Those that are being closed count until `close`: when all together exceed the limit by a
+    /// sixteenth, the new one is refused.
     connection_verdict open(connection_id id, std::string const& address, connection_stage stage,
                             base::steady_time now);
     /// Begins a stage of a connection, whose time limit counts from now on.
@@ -92,10 +94,6 @@
 
     [[nodiscard]] std::size_t held_bytes() const { return this->total_bytes; }
     [[nodiscard]] std::size_t size() const { return this->connections.size(); }
-    [[nodiscard]] bool full() const
-    {
-        return this->limits.connections > 0 && this->size() >= this->limits.connections;
-    }
 
 private:
     struct connection {
@@ -107,6 +105,10 @@
         bool closing = false; ///< Is being closed; its bytes no longer count.
     };
 
+    [[nodiscard]] bool reaches(std::size_t number) const
+    {
+        return this->limits.connections > 0 && this->size() >= number;
+    }
     [[nodiscard]] std::optional<connection_id> longest_waiting(std::string const* address,
                                                                base::steady_time now) const;
     [[nodiscard]] std::optional<connection_id> largest_holder(base::steady_time now) const;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -27,9 +27,6 @@
 
 /// Interval at which connections that take too long are closed.
 constexpr std::chrono::milliseconds sweep_interval {250};
-/// Accepted before the first of them is admitted or refused, so that a crowd does not take all
-/// descriptors in one turn of the event loop.
-constexpr std::size_t max_accepted = 16;
 
 http_method to_method(evhttp_cmd_type type)
 {
@@ -308,7 +305,7 @@
     server.accepted.push_back(
         std::make_unique<http_connection>(stream, server.guard, server.body_limit_bytes));
     event_active(server.work_event, EV_TIMEOUT, 0);
-    if (server.accepted.size() >= max_accepted && server.pause)
+    if (server.accepted.size() >= max_accepted_in_turn && server.pause)
         server.pause->stop();
     return stream;
 }
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -190,6 +190,10 @@
 
 void link_hub::accept(int socket, std::string const& address)
 {
+    if (++this->accepted_in_turn >= max_accepted_in_turn) {
+        this->pause->stop();
+        event_active(this->close_event, EV_TIMEOUT, 0);
+    }
     auto const id
         = this->guard.open(this->guard_owner, address, policy::connection_stage::handshake);
     if (!id) {
@@ -211,6 +215,9 @@
             found->first->close("the limits on connections require it");
     }
     this->remove_closed_links();
+    this->accepted_in_turn = 0;
+    if (this->pause)
+        this->pause->resume();
 }
 
 void link_hub::on_close_ordered(int /*socket*/, short /*what*/, void* self)
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -95,6 +95,7 @@
     evconnlistener* listener = nullptr;
     std::unique_ptr<listener_pause> pause; // Of the listener.
     event* close_event; // Pending while links have to be closed.
+    std::size_t accepted_in_turn = 0; ///< Since links were last closed on order of the guard.
     std::map<link*, std::uint64_t> accepted_ids; // Of accepted links, in the guard.
     std::vector<std::unique_ptr<link>> links;
     std::map<std::string, link*> ready_links; // Newest ready link to each peer; owned by `links`.
--- a/src/transport/listener_pause.h
+++ b/src/transport/listener_pause.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <memory>
 
 struct evconnlistener;
@@ -11,6 +12,10 @@
 class event_loop;
 class loop_timer;
 
+/// Connections that a listener accepts before it closes those that they replace, so that a crowd
+/// does not take all descriptors in one turn of the event loop.
+constexpr std::size_t max_accepted_in_turn = 16;
+
 /// While the process has no free descriptor, a connection that waits to be accepted makes the
 /// listener readable all the time. It is paused then, and tries again after a moment.
 class listener_pause {
--- a/tests/policy/connection_budget_test.cpp
+++ b/tests/policy/connection_budget_test.cpp
@@ -172,6 +172,22 @@
                 CHECK_FALSE(verdict.victim);
             }
         }
+        // Guards against running out of descriptors while a listener has not closed its connections.
+        WHEN("100 connect a little later, before a listener has closed any")
+        {
+            this->now += milliseconds(500);
+            std::size_t refused = 0;
+            for (connection_id id = 1'000; id < 1'100; ++id) {
+                auto const verdict = this->budget.open(id, "10.2.0.1", stage::idle, this->now);
+                if (verdict.refused == close_reason::connections)
+                    ++refused;
+            }
+            THEN("a sixteenth more than the limit is accepted")
+            {
+                CHECK(this->budget.size() == 212);
+                CHECK(refused == 88);
+            }
+        }
         // Guards against work that is given up for a new connection.
         WHEN("the requests of all of them are handled")
         {
--- a/tests/transport/link_hub_test.cpp
+++ b/tests/transport/link_hub_test.cpp
@@ -2,7 +2,16 @@
 
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <vector>
+
+#include <netinet/in.h>
+#include <sys/resource.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include "protocol/codec.h"
+#include "transport/connection_guard.h"
 #include "transport/event_loop.h"
 #include "transport/link_hub.h"
 
@@ -20,6 +29,23 @@
     loop.run();
 }
 
+/// Lowers the limit of the process on descriptors while it exists.
+class descriptor_limit {
+public:
+    explicit descriptor_limit(rlim_t highest)
+    {
+        getrlimit(RLIMIT_NOFILE, &this->before);
+        rlimit const lowered {highest, this->before.rlim_max};
+        setrlimit(RLIMIT_NOFILE, &lowered);
+    }
+    ~descriptor_limit() { setrlimit(RLIMIT_NOFILE, &this->before); }
+    descriptor_limit(descriptor_limit const&) = delete;
+    descriptor_limit& operator=(descriptor_limit const&) = delete;
+
+private:
+    rlimit before {};
+};
+
 socket_address listen_on_free_port(link_hub& hub)
 {
     return hub.listen({"127.0.0.1", 0}).value();
@@ -151,3 +177,50 @@
         }
     }
 }
+
+SCENARIO("a crowd connects to a hub at once")
+{
+    GIVEN("a hub with as many silent connections as one address may have")
+    {
+        policy::connection_limits limits;
+        limits.connections = 64;
+        limits.address_connections = 40;
+        auto const guard = std::make_shared<connection_guard>(limits);
+        event_loop loop(guard);
+        link_hub server(loop, {"entry.a", "key"}, {milliseconds(20), milliseconds(10'000)});
+        auto const address = to_sockaddr(listen_on_free_port(server));
+        std::vector<int> sockets;
+        auto const open_connections = [&](int count) {
+            for (int index = 0; index < count; ++index) {
+                sockets.push_back(socket(AF_INET, SOCK_STREAM, 0));
+                REQUIRE(connect(sockets.back(), reinterpret_cast<sockaddr const*>(&address),
+                                sizeof address)
+                        == 0);
+            }
+        };
+        open_connections(40);
+        run_for(loop, milliseconds(200));
+        REQUIRE(guard->counts().open == 40);
+
+        WHEN("60 more connect before the hub can accept any")
+        {
+            open_connections(60);
+            descriptor_limit const limit(static_cast<rlim_t>(sockets.back()) + 24);
+            run_for(loop, milliseconds(100));
+            // Guards against accepting a whole crowd before the connections that it replaces are
+            // closed, which took all descriptors.
+            THEN("24 free descriptors are enough")
+            {
+                auto const counts = guard->counts();
+                auto const closed_by = [&](policy::close_reason reason) {
+                    return counts.closed.at(static_cast<std::size_t>(reason));
+                };
+                CHECK(closed_by(policy::close_reason::no_descriptors) == 0);
+                CHECK(closed_by(policy::close_reason::address_connections) == 60);
+                CHECK(counts.open == 40);
+            }
+        }
+        for (auto const descriptor : sockets)
+            close(descriptor);
+    }
+}
