Entry: hold and resume a job only while its answer is of use

A job that was held during a recovery and could no longer meet its target was given until its deadline. Its answer often came later than three times its target, which callers do not use, and its tasks took slots from others. Such a job is now held and admitted only if it can end within three times its target, and is refused otherwise.

Jobs without a target and entries that hold nothing behave as before.

--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -49,6 +49,14 @@
             "the submission already exists with different content"};
 }
 
+/// Time from the arrival of a job to its target; empty if it has only its deadline.
+std::optional<microseconds> target_of(protocol::job_request const& request, microseconds longest)
+{
+    if (request.target_stretch_percent == 0)
+        return std::nullopt;
+    return longest * request.target_stretch_percent / 100 + request.target_extra;
+}
+
 base::error expired_error()
 {
     return {base::error_code::expired,
@@ -280,29 +288,49 @@
     return this->expected_time(request, task);
 }
 
+microseconds job_lifecycle::longest_usual_time(protocol::job_request const& request)
+{
+    microseconds longest {0};
+    for (auto const& task : request.tasks)
+        longest = std::max(longest, this->usual_time(request, task));
+    return longest;
+}
+
 policy::target_request job_lifecycle::make_target_request(protocol::job_request const& request,
                                                           milliseconds deadline,
                                                           base::steady_time arrived,
                                                           base::steady_time now)
 {
-    policy::target_request target {&request, this->expected_work(request), now + deadline, {}};
-    microseconds longest {0};
-    for (auto const& task : request.tasks)
-        longest = std::max(longest, this->usual_time(request, task));
-    auto target_time = std::chrono::duration_cast<microseconds>(deadline);
+    policy::target_request target;
+    target.job = &request;
+    target.work = this->expected_work(request);
+    auto const longest = this->longest_usual_time(request);
     auto const needed = longest * (100 + speed_margin_percent) / 100;
-    auto const waited = std::chrono::duration_cast<microseconds>(now - arrived);
-    auto const stretched
-        = longest * request.target_stretch_percent / 100 + request.target_extra - waited;
-    // A held request that can no longer meet its target only has its deadline. It must not delay
-    // those that arrive now, whose answers are worth more.
-    bool const target_missed = waited.count() > 0 && stretched < needed;
-    if (request.target_stretch_percent > 0 && !target_missed)
-        target_time = std::min(target_time, stretched);
+    auto target_time = std::chrono::duration_cast<microseconds>(deadline);
+    if (auto const target_length = target_of(request, longest)) {
+        auto const waited = std::chrono::duration_cast<microseconds>(now - arrived);
+        bool const target_missed = waited.count() > 0 && *target_length - waited < needed;
+        // A held request that misses its target has until its answer is of no use. It must not
+        // delay those that arrive now, whose answers are worth more.
+        auto const usable_length
+            = target_missed ? *target_length * policy::useful_target_multiple : *target_length;
+        target_time = std::min(target_time, usable_length - waited);
+        target.too_late = target_missed && target_time < needed;
+    }
     target.latest_start = now + std::max(target_time - needed, microseconds(0));
     return target;
 }
 
+base::steady_time job_lifecycle::useful_until(unstarted_submission const& submission)
+{
+    auto const& request = submission.request;
+    auto const target_length = target_of(request, this->longest_usual_time(request));
+    if (!target_length)
+        return submission.deadline;
+    return std::min(submission.deadline,
+                    submission.submitted + *target_length * policy::useful_target_multiple);
+}
+
 std::string job_lifecycle::job_id_for(protocol::job_request const& request) const
 {
     if (request.ephemeral)
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -149,6 +149,10 @@
     /// Run time of the task that its target follows from.
     [[nodiscard]] std::chrono::microseconds usual_time(protocol::job_request const& request,
                                                        protocol::task_request const& task);
+    [[nodiscard]] std::chrono::microseconds
+    longest_usual_time(protocol::job_request const& request);
+    /// When an answer to a submission that is held has no use any more.
+    [[nodiscard]] base::steady_time useful_until(unstarted_submission const& submission);
     [[nodiscard]] policy::target_request make_target_request(protocol::job_request const& request,
                                                              std::chrono::milliseconds deadline,
                                                              base::steady_time arrived,
--- a/src/entry/recovery_submissions.cpp
+++ b/src/entry/recovery_submissions.cpp
@@ -61,7 +61,7 @@
         || !this->components.held.recovering(now) || !this->lacks_endpoint(submission.request))
         return false;
     held_request item;
-    item.needs = {submission.deadline, this->longest_task(submission.request),
+    item.needs = {this->useful_until(submission), this->longest_task(submission.request),
                   size_of(submission.request)};
     auto waiting = std::make_shared<unstarted_submission>();
     item.has_left = [waiting] { return waiting->caller.has_left && waiting->caller.has_left(); };
--- a/src/policy/recovery_hold.h
+++ b/src/policy/recovery_hold.h
@@ -19,7 +19,7 @@
 
 /// A request that lacks state of the entry.
 struct hold_request {
-    base::steady_time deadline; ///< The caller waits until then.
+    base::steady_time deadline; ///< Later answers are of no use to the caller.
     std::chrono::microseconds run_time {0}; ///< Expected, of its longest task.
     std::size_t bytes = 0;
 };
--- a/src/policy/target_admission.cpp
+++ b/src/policy/target_admission.cpp
@@ -67,6 +67,10 @@
     if (capacity.usable_slots == 0)
         return make_refusal(base::error_code::unavailable, "no endpoint accepts tasks now",
                             no_endpoint_retry_after, refusal_cause::no_endpoint);
+    if (request.too_late)
+        return make_refusal(base::error_code::unavailable,
+                            "the job would end too late after the wait for its endpoints",
+                            min_retry_after, refusal_cause::target_missed);
     auto const work_ahead = queue.work_before(request.latest_start);
     // Without this, an account above its share passes all waiting work with a later latest start.
     auto const& standing = request.standing;
--- a/src/policy/target_admission.h
+++ b/src/policy/target_admission.h
@@ -14,11 +14,15 @@
 
 class endpoint_table;
 
+/// An answer that takes longer than its target times this is of no use to its caller.
+constexpr int useful_target_multiple = 3;
+
 struct target_request {
     protocol::job_request const* job = nullptr; ///< Has at least one task.
     slot_time work {0}; ///< Total work of all its tasks.
     base::steady_time latest_start;
     account_standing standing {}; ///< Of the account of the job.
+    bool too_late = false; ///< The answer would be of no use even if the job started now.
 };
 
 /// Refuses a job when the predicted wait exceeds a percentage of the time until its latest start,
--- a/tests/entry/recovery_hold_test.cpp
+++ b/tests/entry/recovery_hold_test.cpp
@@ -268,6 +268,81 @@
     }
 }
 
+// The load: tasks of 200 ms with a target of 380 ms, whose callers use no answer after 1,140 ms.
+SCENARIO("a held job with a target", "[entry][recovery]")
+{
+    GIVEN("an entry that has not heard any agent, and a job that is held")
+    {
+        starting_fleet fleet;
+        fleet.run(milliseconds(200));
+        auto request = make_ephemeral("s1");
+        request.target_stretch_percent = 160;
+        request.target_extra = milliseconds(60);
+        auto const arrived = fleet.now;
+        auto const job = fleet.submit("entry.a", request);
+        REQUIRE(fleet.held() == 1);
+
+        // Guards against refusing a job because it misses its target, although its answer is of use.
+        WHEN("the agents are heard 500 ms later")
+        {
+            fleet.run(milliseconds(500));
+            fleet.isolated.clear();
+            THEN("it completes while its answer is of use")
+            {
+                REQUIRE(fleet.run_until([&] { return !job->replies.empty(); }, milliseconds(1000)));
+                CHECK(job->replies.front().answer.state == job_state::complete);
+                CHECK(fleet.now - arrived < milliseconds(1140));
+            }
+        }
+    }
+    // Guards against holding jobs whose answers will be of no use.
+    GIVEN("a job with a target of 124 ms, just after the start of the entry")
+    {
+        starting_fleet fleet;
+        fleet.run(milliseconds(200));
+        auto request = make_ephemeral("s1", 1, milliseconds(40));
+        request.target_stretch_percent = 160;
+        request.target_extra = milliseconds(60);
+        auto const job = fleet.submit("entry.a", request);
+        THEN("it is refused at once")
+        {
+            CHECK(job->replies.size() == 1);
+            CHECK(fleet.core->counters().hold_time_refusals == 1);
+        }
+    }
+    // Guards against jobs whose answers nobody uses, and which take slots from others.
+    GIVEN("more held jobs than the endpoints can run in time")
+    {
+        starting_fleet fleet;
+        fleet.run(milliseconds(200));
+        auto const arrived = fleet.now;
+        std::vector<std::shared_ptr<simulated_fleet::submission>> jobs;
+        for (int i = 0; i < 60; ++i) {
+            auto request = make_ephemeral("s" + std::to_string(i));
+            request.target_stretch_percent = 160;
+            request.target_extra = milliseconds(60);
+            jobs.push_back(fleet.submit("entry.a", request));
+        }
+        fleet.run(milliseconds(500));
+        fleet.isolated.clear();
+        THEN("no job completes after its answer is of use")
+        {
+            auto const complete = [&jobs] {
+                return std::count_if(jobs.begin(), jobs.end(), [](auto const& job) {
+                    return !job->replies.empty()
+                        && job->replies.front().answer.state == job_state::complete;
+                });
+            };
+            auto const useful_until = arrived + milliseconds(1140);
+            fleet.run(std::chrono::duration_cast<milliseconds>(useful_until - fleet.now));
+            auto const in_time = complete();
+            CHECK(in_time >= 8);
+            fleet.run(milliseconds(1000));
+            CHECK(complete() == in_time);
+        }
+    }
+}
+
 // Guards against a burst of held requests that runs too late, and against refusing most of them
 // because the first endpoint that is heard has few slots: 60 jobs of 200 ms arrive within 300 ms
 // before the agents, which have eight slots, are heard.
