--- a/tests/entry/recovery_hold_test.cpp
+++ b/tests/entry/recovery_hold_test.cpp
@@ -282,7 +282,7 @@
         auto const job = fleet.submit("entry.a", request);
         REQUIRE(fleet.held() == 1);
 
-        // Guards against refusing a job because it misses its target, although its answer is of use.
+        // Guards against refusing a job that misses its target although its answer is of use.
         WHEN("the agents are heard 500 ms later")
         {
             fleet.run(milliseconds(500));
--- a/tests/policy/connection_budget_test.cpp
+++ b/tests/policy/connection_budget_test.cpp
@@ -172,7 +172,7 @@
                 CHECK_FALSE(verdict.victim);
             }
         }
-        // Guards against running out of descriptors while a listener has not closed its connections.
+        // Guards against running out of descriptors while a listener does not close connections.
         WHEN("100 connect a little later, before a listener has closed any")
         {
             this->now += milliseconds(500);
