Entry: spend less processor time on queued tasks and on announcements

The queue now drops classes without tasks and asks in the order of latest starts until one is placeable; an unchanged incarnation is looked at only if submissions of another one were added. The decisions are the same.

--- a/src/policy/remote_submissions.cpp
+++ b/src/policy/remote_submissions.cpp
@@ -53,9 +53,17 @@
     if (!announced.held)
         this->remove(entry, announced.key, false);
     if (remaining > milliseconds(0))
-        this->running[announced.key].push_back({entry, true, false, announced.held, now, now - age,
-                                                now + remaining + longest_run_end,
-                                                announced.held ? 0 : claim, false});
+        this->add(announced.key,
+                  {entry, true, false, announced.held, now, now - age,
+                   now + remaining + longest_run_end, announced.held ? 0 : claim, false});
+}
+
+void remote_submissions::add(std::string const& key, remote_submission submission)
+{
+    auto const heard = this->heard_incarnations.find(submission.entry.name);
+    if (heard != this->heard_incarnations.end() && heard->second != submission.entry.incarnation)
+        this->unchecked.insert(submission.entry.name);
+    this->running[key].push_back(std::move(submission));
 }
 
 void remote_submissions::record_claim(std::string const& key, protocol::claim_ref const& holder,
@@ -70,8 +78,9 @@
         found->ends_by = std::max(found->ends_by, now + claimed_run_limit);
         return;
     }
-    items.push_back({holder.entry, connected, false, false, granted, granted,
-                     now + claimed_run_limit, holder.number, false});
+    this->add(key,
+              {holder.entry, connected, false, false, granted, granted, now + claimed_run_limit,
+               holder.number, false});
 }
 
 std::optional<std::uint64_t> remote_submissions::claim_number(protocol::process_id const& entry,
@@ -89,6 +98,13 @@
 
 void remote_submissions::record_incarnation(protocol::process_id const& entry)
 {
+    auto const [heard, added] = this->heard_incarnations.try_emplace(entry.name, entry.incarnation);
+    bool const changed
+        = std::exchange(heard->second, entry.incarnation) != entry.incarnation || added;
+    bool const has_unchecked = this->unchecked.erase(entry.name) > 0;
+    // Each announcement of each entry gets here, and the submissions of all entries are looked at.
+    if (!changed && !has_unchecked)
+        return;
     for (auto& [key, items] : this->running) {
         for (auto& item : items)
             item.replaced = item.replaced
--- a/src/policy/remote_submissions.h
+++ b/src/policy/remote_submissions.h
@@ -113,7 +113,8 @@
     /// Number of the claim under which the entry may run the submission; empty if it is not known.
     [[nodiscard]] std::optional<std::uint64_t> claim_number(protocol::process_id const& entry,
                                                             std::string const& key) const;
-    /// This incarnation of the entry is heard, so that former ones are not any more.
+    /// This incarnation of the entry is heard, so that former ones are not any more. Cheap while
+    /// the incarnation stays the same.
     void record_incarnation(protocol::process_id const& entry);
     /// The entry has stated that it does not know the submission, or that all its runs have ended.
     void record_ended(protocol::process_id const& entry, std::string const& key);
@@ -147,10 +148,15 @@
 
 private:
     void remove(protocol::process_id const& entry, std::string const& key, bool held);
+    void add(std::string const& key, remote_submission submission);
 
     /// By key. A submission runs at two other entries only when one of them did not know of the
     /// other.
     std::unordered_map<std::string, std::vector<remote_submission>> running;
+    /// Incarnations of the entries that were heard last, by name.
+    std::unordered_map<std::string, std::uint64_t> heard_incarnations;
+    /// Entries of which submissions of other incarnations were added since they were heard.
+    std::set<std::string> unchecked;
     struct cancellation {
         submission_name name;
         steady_time since;
--- a/src/policy/target_queue.cpp
+++ b/src/policy/target_queue.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/target_queue.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace greengagehead::policy {
@@ -31,22 +32,28 @@
 std::optional<target_task>
 target_queue::take(std::function<bool(std::string const&)> const& placeable)
 {
-    start_order* best = nullptr;
-    for (auto& [name, list] : this->classes) {
-        if (list.empty() || (best != nullptr && list.begin()->first >= best->begin()->first))
-            continue;
-        if (placeable(name))
-            best = &list;
-    }
-    if (best == nullptr)
+    // Whether a class is placeable costs a choice among endpoints, so the first one decides.
+    std::vector<std::pair<std::string const, start_order>*> by_start;
+    by_start.reserve(this->classes.size());
+    for (auto& item : this->classes)
+        by_start.push_back(&item);
+    std::stable_sort(by_start.begin(), by_start.end(), [](auto const* a, auto const* b) {
+        return a->second.begin()->first < b->second.begin()->first;
+    });
+    auto const found = std::find_if(by_start.begin(), by_start.end(),
+                                    [&placeable](auto* item) { return placeable(item->first); });
+    if (found == by_start.end())
         return std::nullopt;
-    return this->extract({best, best->begin()});
+    auto& list = (*found)->second;
+    return this->extract({&list, list.begin()});
 }
 
 target_task target_queue::extract(queue_position const& position)
 {
     auto task = std::move(position.item->second);
     position.list->erase(position.item);
+    if (position.list->empty())
+        this->classes.erase(task.placement_class);
     this->positions.erase(task.task);
     auto const step_work = this->work_by_step.find(step_of(task.latest_start));
     step_work->second -= task.work;
--- a/src/policy/target_queue.h
+++ b/src/policy/target_queue.h
@@ -64,6 +64,8 @@
 
     target_task extract(queue_position const& position);
 
+    /// By placement class. Invariant: no list is empty, so that `take` looks only at classes with
+    /// waiting tasks.
     std::map<std::string, start_order> classes;
     /// Invariant: holds exactly the tasks in `classes`.
     std::unordered_map<protocol::task_ref, queue_position, task_hash> positions;
