Protocol: write and read messages as CBOR without a document in between

Structs are now written to and read from the bytes directly. Bodies that are followed by further bytes, sizes beyond the bytes, and numbers out of range are refused as before.

--- a/src/consensus/encoding.cpp
+++ b/src/consensus/encoding.cpp
@@ -4,7 +4,7 @@
 
 #include <exception>
 
-#include "protocol/json_fields.h"
+#include "protocol/cbor_fields.h"
 #include "storage/checksum.h"
 
 namespace greengagehead::consensus {
--- a/src/protocol/codec.cpp
+++ b/src/protocol/codec.cpp
@@ -4,7 +4,7 @@
 
 #include <exception>
 
-#include "protocol/json_fields.h"
+#include "protocol/cbor_fields.h"
 
 namespace greengagehead::protocol {
 
@@ -13,7 +13,10 @@
 template <typename T> std::string encode_versioned(std::uint32_t version, T const& body)
 {
     std::string bytes;
-    detail::json::to_cbor(detail::json::array({version, detail::to_value(body)}), bytes);
+    cbor_writer writer(bytes);
+    writer.array(2);
+    writer.number(version);
+    detail::write(writer, body);
     return bytes;
 }
 
@@ -25,14 +28,18 @@
 template <typename T>
 base::result<T> decode_versioned(std::uint32_t expected, std::string_view bytes)
 {
-    BOOST_OUTCOME_TRY(value, parse_cbor(bytes));
     try {
-        auto const version = whole_number<std::uint32_t>(value.at(0));
+        cbor_reader reader(bytes);
+        if (reader.array() != 2)
+            return malformed("not a pair of version and body");
+        auto const version = reader.number<std::uint32_t>();
         if (version != expected)
             return malformed("version " + std::to_string(version) + " is not supported, expected "
                              + std::to_string(expected));
         T body;
-        detail::from_value(value.at(1), body);
+        detail::read(reader, body);
+        if (!reader.at_end())
+            return malformed("bytes follow the body");
         return body;
     } catch (std::exception const& failure) {
         return malformed(failure.what());
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "protocol/json_fields.h"
+#include "protocol/cbor_fields.h"
 #include "state/control_state.h"
 #include "state/snapshot_fields.h"
 
--- a/tests/state/snapshot_test.cpp
+++ b/tests/state/snapshot_test.cpp
@@ -4,7 +4,7 @@
 #include <rapidcheck/catch.h>
 
 #include "protocol/codec.h"
-#include "protocol/json_fields.h"
+#include "protocol/cbor_fields.h"
 #include "state/control_state.h"
 #include "state/random_command.h"
 
