Links: check the heartbeats of all links with one timer

Each link had a timer of 500 ms, so that an entry with 120 links was woken 240 times per second besides its tick of 10 ms, and the timer for redials fired every 50 ms beyond the first 2 s too. One timer of the hub now does both every 50 ms. Heartbeats go out up to 50 ms later than before.

--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -115,8 +115,7 @@
 
     bufferevent_setcb(this->stream, &link::on_read, nullptr, &link::on_event, this);
     bufferevent_enable(this->stream, EV_READ | EV_WRITE);
-    this->heartbeat_timer = this->loop.every(this->timing.heartbeat_interval,
-                                             [this] { this->handle_heartbeat_timer(); });
+    this->next_heartbeat_check = this->last_receive_time + this->timing.heartbeat_interval;
 }
 
 void link::begin_authentication()
@@ -199,13 +198,15 @@
     this->last_send_time = std::chrono::steady_clock::now();
 }
 
-void link::handle_heartbeat_timer()
+void link::check_heartbeat(base::steady_time now)
 {
-    auto const now = std::chrono::steady_clock::now();
+    if (this->state == stage::closed || now < this->next_heartbeat_check)
+        return;
+    this->next_heartbeat_check = now + this->timing.heartbeat_interval;
     if (now - this->last_receive_time > this->timing.heartbeat_timeout)
         return this->close("silent for too long");
     // Any frame shows the peer that the link works. The time without one is at most one and a half
-    // intervals.
+    // intervals, and the time between two calls.
     bool const sent_lately = now - this->last_send_time < this->timing.heartbeat_interval / 2;
     if (this->state == stage::ready && !sent_lately)
         this->send_frame(frame::heartbeat, {});
@@ -218,7 +219,6 @@
     this->state = stage::closed;
     this->connect_timer.reset();
     bufferevent_disable(this->stream, EV_READ | EV_WRITE);
-    this->heartbeat_timer.reset();
     this->closed.emit(reason);
 }
 
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -70,6 +70,11 @@
     /// Closes the link. Does nothing when it is closed.
     void close(std::string const& reason);
 
+    /// Sends a heartbeat or closes the link if it is time. To be called several times in each
+    /// `heartbeat_interval`; the hub calls it for all links together, because a timer of each link
+    /// would wake the process hundreds of times per second.
+    void check_heartbeat(base::steady_time now);
+
     [[nodiscard]] bool ready() const { return this->state == stage::ready; }
     /// Authenticated name of the peer; empty until the link is ready.
     [[nodiscard]] std::string const& peer() const { return this->peer_name; }
@@ -91,7 +96,6 @@
     void handle_hello(std::string const& body);
     void handle_proof(std::string const& body);
     void send_frame(frame kind, std::string_view body);
-    void handle_heartbeat_timer();
 
     static void on_read(bufferevent* source, void* self);
     static void on_event(bufferevent* source, short what, void* self);
@@ -103,13 +107,13 @@
     stage state = stage::handshake;
     bufferevent* stream = nullptr;
     std::unique_ptr<websocket_session> session;
-    std::unique_ptr<loop_timer> heartbeat_timer;
     std::unique_ptr<loop_timer> connect_timer; // Closes an outgoing link that is not ready in time.
     std::size_t handshake_bytes = 0; // Received before the peer was authenticated.
     std::string local_nonce; // Sent in this side's hello.
     std::string peer_nonce; // From the peer's hello.
     std::string claimed_name; // From the peer's hello, not authenticated yet.
     std::string peer_name; // Equals claimed_name once authenticated, else empty.
+    base::steady_time next_heartbeat_check;
     base::steady_time last_receive_time;
     base::steady_time last_send_time;
 };
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -27,7 +27,8 @@
 /// them waits for its first links.
 constexpr std::chrono::milliseconds startup_redial_interval {50};
 constexpr std::chrono::milliseconds startup_period {2000};
-constexpr std::uint32_t turns_per_redial = redial_interval / startup_redial_interval;
+/// Longest interval at which the hub looks at its links.
+constexpr std::chrono::milliseconds maintenance_interval {50};
 
 std::string host_of(sockaddr const* address)
 {
@@ -44,7 +45,9 @@
       timing(timing_settings),
       close_event(event_new(io_loop.base(), -1, 0, &link_hub::on_close_ordered, this)),
       started(std::chrono::steady_clock::now()),
-      redial_timer(io_loop.every(startup_redial_interval, [this] { this->redial_disconnected(); }))
+      maintenance_timer(
+          io_loop.every(std::min(maintenance_interval, timing_settings.heartbeat_interval / 4),
+                        [this] { this->maintain(); }))
 {
     this->guard_owner = this->guard.add_owner(
         [pending = this->close_event] { event_active(pending, EV_TIMEOUT, 0); });
@@ -130,13 +133,25 @@
                    peer);
 }
 
-void link_hub::redial_disconnected()
+void link_hub::maintain()
 {
     this->remove_closed_links();
-    bool const starting = std::chrono::steady_clock::now() - this->started < startup_period;
-    if (!starting && ++this->redial_turns % turns_per_redial != 0)
+    auto const now = std::chrono::steady_clock::now();
+    // Handlers of a link that is closed may add links.
+    for (std::size_t index = 0; index < this->links.size(); ++index)
+        this->links[index]->check_heartbeat(now);
+    if (now < this->next_redial)
         return;
+    bool const starting = now - this->started < startup_period;
+    // Half an interval less, because the timer is not exact.
+    this->next_redial
+        = now + (starting ? startup_redial_interval : redial_interval) - maintenance_interval / 2;
     this->guard.sweep();
+    this->redial_disconnected();
+}
+
+void link_hub::redial_disconnected()
+{
     for (auto const& [peer, entry] : this->dialled_peers) {
         if (entry.current_link == nullptr)
             this->dial(peer);
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -76,6 +76,8 @@
     /// @param dialled_peer_name empty for an accepted link.
     void add_link(std::unique_ptr<link> added, std::string const& dialled_peer_name);
     void dial(std::string const& peer);
+    /// Checks the heartbeats of all links, and dials again where it is time.
+    void maintain();
     void redial_disconnected();
     void handle_ready(link* ready_link);
     void handle_closed(link* closed_link, std::string const& reason);
@@ -102,8 +104,8 @@
     std::map<std::string, dialled_peer> dialled_peers;
     std::vector<link*> closed_links; // Destroyed later, outside their own signals.
     base::steady_time started;
-    std::uint32_t redial_turns = 0; ///< Calls of `redial_disconnected` after the startup period.
-    std::unique_ptr<loop_timer> redial_timer;
+    base::steady_time next_redial;
+    std::unique_ptr<loop_timer> maintenance_timer;
     message_counters counters;
 };
 
