Links: write to the socket at once while nothing is queued

A write through libevent's buffer registers for writability, wakes the loop, writes and takes the registration back: four system calls for each message. What the session has put out is now written directly, and only what the socket does not take is queued.

--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -19,6 +19,7 @@
 #include <openssl/hmac.h>
 #include <openssl/rand.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/log_record.h"
 #include "protocol/codec.h"
@@ -77,6 +78,7 @@
     set_no_delay(socket);
     this->open_session(true, {});
     this->session->start();
+    this->flush();
 }
 
 link::link(event_loop& io_loop, socket_address const& address, link_identity const& local_identity,
@@ -103,9 +105,8 @@
 void link::open_session(bool accepting, std::string const& host)
 {
     websocket_callbacks callbacks;
-    callbacks.output = [this](char const* bytes, std::size_t size) {
-        bufferevent_write(this->stream, bytes, size);
-    };
+    callbacks.output
+        = [this](char const* bytes, std::size_t size) { this->outgoing.append(bytes, size); };
     callbacks.message = [this](std::string&& message) { this->handle_frame(message); };
     callbacks.opened = [this] { this->begin_authentication(); };
     callbacks.closed = [this](std::string const& reason) { this->close(reason); };
@@ -195,9 +196,27 @@
     std::string bytes(1, static_cast<char>(kind));
     bytes += body;
     this->session->send(bytes);
+    this->flush();
     this->last_send_time = std::chrono::steady_clock::now();
 }
 
+void link::flush()
+{
+    auto const bytes = std::exchange(this->outgoing, {});
+    if (bytes.empty() || this->state == stage::closed)
+        return;
+    std::string_view rest = bytes;
+    // A write of libevent takes two changes of the poll set and a wake-up besides the write itself.
+    if (evbuffer_get_length(bufferevent_get_output(this->stream)) == 0) {
+        auto const written = write(bufferevent_getfd(this->stream), rest.data(), rest.size());
+        if (written > 0)
+            rest.remove_prefix(static_cast<std::size_t>(written));
+    }
+    // Errors of the write come up again there, and close the link.
+    if (!rest.empty())
+        bufferevent_write(this->stream, rest.data(), rest.size());
+}
+
 void link::check_heartbeat(base::steady_time now)
 {
     if (this->state == stage::closed || now < this->next_heartbeat_check)
@@ -240,6 +259,7 @@
         evbuffer_remove(input, bytes.data(), size);
         if (!guarded_call("message", [&] { self_link.session->feed(bytes.data(), bytes.size()); }))
             return self_link.close("a message caused an internal error");
+        self_link.flush();
     }
 }
 
@@ -249,6 +269,7 @@
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         set_no_delay(bufferevent_getfd(source));
         self_link.session->start();
+        self_link.flush();
         return;
     }
     if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -96,6 +96,8 @@
     void handle_hello(std::string const& body);
     void handle_proof(std::string const& body);
     void send_frame(frame kind, std::string_view body);
+    /// Writes what the session has put out, and queues what the socket does not take.
+    void flush();
 
     static void on_read(bufferevent* source, void* self);
     static void on_event(bufferevent* source, short what, void* self);
@@ -108,6 +110,7 @@
     bufferevent* stream = nullptr;
     std::unique_ptr<websocket_session> session;
     std::unique_ptr<loop_timer> connect_timer; // Closes an outgoing link that is not ready in time.
+    std::string outgoing; // Put out by the session, until `flush`.
     std::size_t handshake_bytes = 0; // Received before the peer was authenticated.
     std::string local_nonce; // Sent in this side's hello.
     std::string peer_nonce; // From the peer's hello.
