Learned speeds: decide by them only where an eighth of the endpoints differ

An entry now learns as before, but admission and placement follow what it learned only while at least one in eight known endpoints differs from the median.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -88,7 +88,7 @@
         return;
     auto const& request = job.content->tasks[index];
     std::optional<microseconds> length;
-    if (this->components.settings.learn_speed)
+    if (this->components.uses_speeds())
         length = task.expected;
     auto key = placement_class_key(request, job.ephemeral, length);
     auto const work = task.expected * request.slots;
@@ -252,12 +252,12 @@
         = std::find(request.avoid.begin(), request.avoid.end(), choice.endpoint)
         != request.avoid.end();
     // With learned speeds, an endpoint that suits the class may be too slow for the task.
-    if (fits && !already_tried && !this->components.settings.learn_speed)
+    if (fits && !already_tried && !this->components.uses_speeds())
         return choice;
     auto other = this->components.placement->choose(request, this->components.endpoints,
                                                     this->components.health, now);
     // With learned speeds the task may wait for an endpoint on which it ends in time.
-    if (!other && fits && !this->components.settings.learn_speed)
+    if (!other && fits && !this->components.uses_speeds())
         return choice;
     return other;
 }
@@ -317,7 +317,7 @@
         .with("candidates", choice.candidates)
         .with("waited", duration_cast<microseconds>(now - job.submitted))
         .with("report_age", duration_cast<microseconds>(now - endpoint.reported_at));
-    if (this->components.settings.learn_speed)
+    if (this->components.uses_speeds())
         record.with("speed", std::to_string(choice.speed));
 }
 
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -80,6 +80,11 @@
     policy::target_queue ephemeral_queue; ///< Tasks of ephemeral jobs.
     policy::run_time_estimator estimator;
     policy::speed_learner learner; ///< Only used with the setting `learn_speed`.
+    /// Whether decisions follow the learned speeds and run times.
+    [[nodiscard]] bool uses_speeds() const
+    {
+        return this->settings.learn_speed && this->learner.speeds().uneven();
+    }
     std::unique_ptr<policy::placement_policy> placement;
 
     team_table teams;
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -269,7 +269,7 @@
                                           protocol::task_request const& task)
 {
     auto const declared = this->components.teams.declared_time(request.team, task);
-    if (this->components.settings.learn_speed)
+    if (this->components.uses_speeds())
         return this->components.learner.estimate(request.team, task.kind, declared).typical;
     return this->components.estimator.estimate(request.team, task.kind, declared).typical;
 }
@@ -279,7 +279,7 @@
 {
     // With learned speeds, jobs of a kind have the same time to start. If it grew with the declared
     // time, long jobs would be admitted in place of several short ones above capacity.
-    if (this->components.settings.learn_speed) {
+    if (this->components.uses_speeds()) {
         auto const usual
             = this->components.learner.estimate(request.team, task.kind, microseconds(0));
         if (usual.samples > 0)
--- a/src/policy/endpoint_speed.cpp
+++ b/src/policy/endpoint_speed.cpp
@@ -38,6 +38,8 @@
 constexpr double max_log_speed = 2.302585; ///< ln 10.
 /// Endpoints that have a known speed before any of them counts as faster or slower than others.
 constexpr std::size_t min_known_endpoints = 3;
+/// One in this many known endpoints has to differ from the median for speeds to count.
+constexpr std::size_t min_uneven_divisor = 8;
 /// Runs after which the median over the fleet is computed again.
 constexpr std::uint64_t reference_interval = 32;
 constexpr seconds memory_time {60};
@@ -117,11 +119,12 @@
     std::uint64_t runs = 0;
     /// Median estimate of the known endpoints; empty with too few of them.
     std::optional<double> reference;
+    bool uneven = false; ///< As of the last update of `reference`.
     double deviation = initial_deviation; ///< Usual deviation of a run from the estimate.
 
-    void add(run_history& history, double log_speed);
+    void add(run_history& history, double log_speed, base::steady_time now);
     void make_room();
-    void update_reference();
+    void update_reference(base::steady_time now);
     [[nodiscard]] double log_speed(run_history const& history, base::steady_time now) const;
 };
 
@@ -135,7 +138,8 @@
     this->histories.erase(oldest);
 }
 
-void endpoint_speed::implementation::add(run_history& history, double log_speed)
+void endpoint_speed::implementation::add(run_history& history, double log_speed,
+                                         base::steady_time now)
 {
     if (history.known()) {
         auto const difference = std::min(std::abs(log_speed - history.estimate), max_deviation);
@@ -143,18 +147,24 @@
     }
     history.add(log_speed, this->deviation);
     if (++this->runs % reference_interval == 0)
-        this->update_reference();
+        this->update_reference(now);
 }
 
-void endpoint_speed::implementation::update_reference()
+void endpoint_speed::implementation::update_reference(base::steady_time now)
 {
     std::vector<double> estimates;
     for (auto const& [name, history] : this->histories)
         if (history.known())
             estimates.push_back(history.estimate);
     this->reference.reset();
-    if (estimates.size() >= min_known_endpoints)
-        this->reference = median_of(estimates);
+    this->uneven = false;
+    if (estimates.size() < min_known_endpoints)
+        return;
+    this->reference = median_of(estimates);
+    auto const different
+        = std::count_if(this->histories.begin(), this->histories.end(),
+                        [&](auto const& item) { return this->log_speed(item.second, now) != 0; });
+    this->uneven = static_cast<std::size_t>(different) * min_uneven_divisor >= estimates.size();
 }
 
 double endpoint_speed::implementation::log_speed(run_history const& history,
@@ -191,7 +201,13 @@
     history.last_run = now;
     self.add(history,
              std::log(static_cast<double>(run.expected.count())
-                      / static_cast<double>(run.run_time.count())));
+                      / static_cast<double>(run.run_time.count())),
+             now);
+}
+
+bool endpoint_speed::uneven() const
+{
+    return this->impl->uneven;
 }
 
 double endpoint_speed::speed(std::string const& endpoint, protocol::process_id const& agent,
--- a/src/policy/endpoint_speed.h
+++ b/src/policy/endpoint_speed.h
@@ -44,6 +44,9 @@
                                                         protocol::process_id const& agent,
                                                         std::chrono::microseconds ordinary,
                                                         base::steady_time now) const;
+    /// Whether an eighth or more of the known endpoints are faster or slower than the median.
+    /// Otherwise speeds say too little to decide by them.
+    [[nodiscard]] bool uneven() const;
     [[nodiscard]] std::size_t size() const; ///< Remembered endpoints; bounded.
 
 private:
--- a/src/policy/placement_policy.cpp
+++ b/src/policy/placement_policy.cpp
@@ -211,12 +211,13 @@
         && fits_size(record.state, {request.kind, {}, {}, request.cpu, request.memory_mb});
 }
 
-/// As least_loaded_policy, with regard to the time at which the task ends on each endpoint. Slots
-/// on which the task would be late are left to other tasks while it can still wait for an endpoint
-/// on which it ends in time.
+/// As least_loaded_policy while endpoints have similar speeds. Otherwise with regard to the time at
+/// which the task ends on each endpoint. Slots on which the task would be late are left to other
+/// tasks while it can still wait for an endpoint on which it ends in time.
 class speed_policy final : public placement_policy {
 public:
-    speed_policy(std::uint64_t seed, endpoint_speed const& learned) : sample(seed), speeds(learned)
+    speed_policy(std::uint64_t seed, endpoint_speed const& learned)
+        : sample(seed), speeds(learned), without_speeds(seed)
     {
     }
 
@@ -224,6 +225,8 @@
                                            endpoint_table const& endpoints, endpoint_health& health,
                                            base::steady_time now) override
     {
+        if (!this->speeds.uneven())
+            return this->without_speeds.choose(request, endpoints, health, now);
         this->sample.draw(request, endpoints, health, now, speed_sample_size);
         auto best = this->best_of_sample(request, now);
         if (best && best->late && !this->sample.last_resort) {
@@ -300,6 +303,7 @@
 
     sampler sample;
     endpoint_speed const& speeds;
+    least_loaded_policy without_speeds;
 };
 
 } // namespace
--- a/tests/policy/endpoint_speed_test.cpp
+++ b/tests/policy/endpoint_speed_test.cpp
@@ -171,3 +171,33 @@
         }
     }
 }
+
+// Guards against decisions by learned speeds in fleets where they only add errors of estimates.
+SCENARIO("speeds count where enough endpoints differ", "[policy][speed]")
+{
+    uneven_fleet fleet;
+    GIVEN("nothing is known")
+    {
+        CHECK_FALSE(fleet.learned.uneven());
+    }
+    GIVEN("one slow endpoint in four")
+    {
+        fleet.run_all(40);
+        CHECK(fleet.learned.uneven());
+    }
+    GIVEN("endpoints of equal speed")
+    {
+        fleet.speeds.assign(12, usual_speed);
+        for (int round = 0; round < 40; ++round) {
+            fleet.run_all(1);
+            CHECK_FALSE(fleet.learned.uneven());
+        }
+    }
+    GIVEN("one slow endpoint among twelve")
+    {
+        fleet.speeds.assign(12, usual_speed);
+        fleet.speeds.front() = slow_speed;
+        fleet.run_all(40);
+        CHECK_FALSE(fleet.learned.uneven());
+    }
+}
