Protocol: take the CBOR codec from libcbor

Heads and values now come from the streaming functions of libcbor (Debian: libcbor-dev), which build no document either. The bytes and the tests stay the same.

--- a/src/protocol/cbor.cpp
+++ b/src/protocol/cbor.cpp
@@ -1,105 +1,121 @@
-// Heads of CBOR items: a type and an argument of up to eight bytes in network byte order.
+// Calls of libcbor for single values.
 
 #include "protocol/cbor.h"
 
-#include <bit>
+#include <array>
+
+#include <cbor.h>
 
 namespace greengagehead::protocol {
 
 namespace {
 
-constexpr unsigned type_shift = 5;
-constexpr std::uint8_t argument_mask = 0x1f;
-/// Arguments below this are in the first byte.
-constexpr std::uint64_t first_long_argument = 24;
-/// Values in the first byte that announce an argument of 1, 2, 4 or 8 bytes.
-constexpr std::uint8_t one_byte_follows = 24;
-constexpr std::uint8_t eight_bytes_follow = 27;
-constexpr std::uint64_t simple_false = 20;
-constexpr std::uint64_t simple_true = 21;
-
-/// 0 for one byte, 1 for two, 2 for four and 3 for eight.
-unsigned size_exponent(std::uint64_t argument)
+/// A type and an argument of up to eight bytes.
+constexpr std::size_t longest_head = 9;
+
+template <typename Encode, typename Value>
+void append(std::string& bytes, Encode encode, Value value)
+{
+    std::array<unsigned char, longest_head> head {};
+    auto const size = encode(value, head.data(), head.size());
+    bytes.append(reinterpret_cast<char const*>(head.data()), size);
+}
+
+template <cbor_item::type Kind, typename Value> void on_value(void* item, Value value)
+{
+    *static_cast<cbor_item*>(item) = {Kind, value, {}};
+}
+
+void on_bytes(void* item, cbor_data bytes, std::size_t size)
+{
+    *static_cast<cbor_item*>(item)
+        = {cbor_item::type::byte_string, size, {reinterpret_cast<char const*>(bytes), size}};
+}
+
+/// Values of other types leave the item as it is.
+cbor_callbacks make_callbacks()
 {
-    auto const bytes = (static_cast<unsigned>(std::bit_width(argument)) + 7) / 8;
-    return static_cast<unsigned>(std::bit_width(bytes - 1));
+    using type = cbor_item::type;
+    auto callbacks = cbor_empty_callbacks;
+    callbacks.uint8 = &on_value<type::positive, std::uint8_t>;
+    callbacks.uint16 = &on_value<type::positive, std::uint16_t>;
+    callbacks.uint32 = &on_value<type::positive, std::uint32_t>;
+    callbacks.uint64 = &on_value<type::positive, std::uint64_t>;
+    callbacks.negint8 = &on_value<type::negative, std::uint8_t>;
+    callbacks.negint16 = &on_value<type::negative, std::uint16_t>;
+    callbacks.negint32 = &on_value<type::negative, std::uint32_t>;
+    callbacks.negint64 = &on_value<type::negative, std::uint64_t>;
+    callbacks.array_start = &on_value<type::array, std::size_t>;
+    callbacks.boolean = &on_value<type::boolean, bool>;
+    callbacks.byte_string = &on_bytes;
+    return callbacks;
 }
 
 } // namespace
 
-void cbor_writer::head(major_type kind, std::uint64_t argument)
+void cbor_writer::positive(std::uint64_t value)
+{
+    append(this->bytes, &cbor_encode_uint, value);
+}
+
+void cbor_writer::negative(std::uint64_t below_minus_one)
 {
-    auto const type = static_cast<unsigned>(kind) << type_shift;
-    if (argument < first_long_argument) {
-        this->bytes.push_back(static_cast<char>(type | argument));
-        return;
-    }
-    auto const exponent = size_exponent(argument);
-    this->bytes.push_back(static_cast<char>(type | (one_byte_follows + exponent)));
-    for (auto shift = 8U << exponent; shift > 0; shift -= 8)
-        this->bytes.push_back(static_cast<char>(argument >> (shift - 8)));
+    append(this->bytes, &cbor_encode_negint, below_minus_one);
 }
 
 void cbor_writer::boolean(bool value)
 {
-    this->head(simple, value ? simple_true : simple_false);
+    append(this->bytes, &cbor_encode_bool, value);
 }
 
 void cbor_writer::byte_string(std::string_view value)
 {
-    this->head(bytes_kind, value.size());
+    append(this->bytes, &cbor_encode_bytestring_start, value.size());
     this->bytes += value;
 }
 
-std::string_view cbor_reader::take(std::size_t size)
+void cbor_writer::array(std::size_t size)
 {
-    if (size > this->rest.size())
-        throw std::runtime_error("the bytes end within a value");
-    auto const taken = this->rest.substr(0, size);
-    this->rest.remove_prefix(size);
-    return taken;
+    append(this->bytes, &cbor_encode_array_start, size);
 }
 
-cbor_reader::item_head cbor_reader::head()
+cbor_item cbor_reader::next()
 {
-    auto const first = static_cast<std::uint8_t>(this->take(1).front());
-    auto const kind = static_cast<std::uint8_t>(first >> type_shift);
-    auto const low = static_cast<std::uint8_t>(first & argument_mask);
-    if (low < one_byte_follows)
-        return {kind, low};
-    if (low > eight_bytes_follow)
-        throw std::runtime_error("a value without a known size");
-    std::uint64_t argument = 0;
-    for (auto const byte : this->take(std::size_t {1} << (low - one_byte_follows)))
-        argument = argument << 8U | static_cast<std::uint8_t>(byte);
-    return {kind, argument};
+    static auto const callbacks = make_callbacks();
+    cbor_item item;
+    auto const* const source = reinterpret_cast<unsigned char const*>(this->rest.data());
+    auto const result = cbor_stream_decode(source, this->rest.size(), &callbacks, &item);
+    if (result.status != CBOR_DECODER_FINISHED)
+        throw std::runtime_error("the bytes end within a value, or begin none");
+    this->rest.remove_prefix(result.read);
+    return item;
 }
 
 bool cbor_reader::boolean()
 {
-    auto const [kind, argument] = this->head();
-    if (kind != cbor_writer::simple || (argument != simple_false && argument != simple_true))
+    auto const item = this->next();
+    if (item.kind != cbor_item::type::boolean)
         throw std::runtime_error("not a boolean");
-    return argument == simple_true;
+    return item.argument != 0;
 }
 
 std::string_view cbor_reader::byte_string()
 {
-    auto const [kind, argument] = this->head();
-    if (kind != cbor_writer::bytes_kind)
+    auto const item = this->next();
+    if (item.kind != cbor_item::type::byte_string)
         throw std::runtime_error("not a byte string");
-    return this->take(argument);
+    return item.bytes;
 }
 
 std::size_t cbor_reader::array()
 {
-    auto const [kind, argument] = this->head();
-    if (kind != cbor_writer::array_kind)
+    auto const item = this->next();
+    if (item.kind != cbor_item::type::array)
         throw std::runtime_error("not an array");
     // Each element has at least one byte.
-    if (argument > this->rest.size())
+    if (item.argument > this->rest.size())
         throw std::runtime_error("the bytes end within an array");
-    return argument;
+    return item.argument;
 }
 
 } // namespace greengagehead::protocol
--- a/src/protocol/cbor.h
+++ b/src/protocol/cbor.h
@@ -1,5 +1,6 @@
 // Writes and reads the parts of CBOR (RFC 8949) that messages, commands and snapshots consist of:
-// whole numbers, booleans, byte strings and arrays of a known size.
+// whole numbers, booleans, byte strings and arrays of a known size. Over the streaming functions of
+// libcbor, so that no document is built in between.
 
 #pragma once
 
@@ -22,30 +23,30 @@
     template <std::integral T> void number(T value)
     {
         if (std::cmp_less(value, 0))
-            this->head(negative,
-                       static_cast<std::uint64_t>(-(static_cast<std::int64_t>(value) + 1)));
+            this->negative(static_cast<std::uint64_t>(-(static_cast<std::int64_t>(value) + 1)));
         else
-            this->head(unsigned_number, static_cast<std::uint64_t>(value));
+            this->positive(static_cast<std::uint64_t>(value));
     }
     void boolean(bool value);
     void byte_string(std::string_view value);
     /// Its elements follow.
-    void array(std::size_t size) { this->head(array_kind, size); }
+    void array(std::size_t size);
 
 private:
-    friend class cbor_reader;
+    void positive(std::uint64_t value);
+    void negative(std::uint64_t below_minus_one); ///< Writes -1 less the argument.
 
-    enum major_type : std::uint8_t {
-        unsigned_number = 0,
-        negative = 1,
-        bytes_kind = 2,
-        array_kind = 4,
-        simple = 7,
-    };
+    std::string& bytes;
+};
 
-    void head(major_type kind, std::uint64_t argument);
+/// One value, or the start of an array.
+struct cbor_item {
+    enum class type : std::uint8_t { other, positive, negative, byte_string, array, boolean };
 
-    std::string& bytes;
+    type kind = type::other;
+    /// The number, -1 less the negative number, the size of the array, or whether it is true.
+    std::uint64_t argument = 0;
+    std::string_view bytes;
 };
 
 /// Reads values in their order. Each function throws std::runtime_error if the next value is
@@ -57,12 +58,11 @@
 
     template <std::integral T> T number()
     {
-        auto const [kind, argument] = this->head();
-        if (kind == cbor_writer::unsigned_number && std::in_range<T>(argument))
-            return static_cast<T>(argument);
-        auto const negated = ~argument; // -1 - argument, as a complement on two.
-        auto const value = static_cast<std::int64_t>(negated);
-        if (kind == cbor_writer::negative && value < 0 && std::in_range<T>(value))
+        auto const item = this->next();
+        if (item.kind == cbor_item::type::positive && std::in_range<T>(item.argument))
+            return static_cast<T>(item.argument);
+        auto const value = static_cast<std::int64_t>(~item.argument); // -1 less the argument.
+        if (item.kind == cbor_item::type::negative && value < 0 && std::in_range<T>(value))
             return static_cast<T>(value);
         throw std::runtime_error("not a whole number in range");
     }
@@ -75,13 +75,7 @@
     [[nodiscard]] bool at_end() const { return this->rest.empty(); }
 
 private:
-    struct item_head {
-        std::uint8_t kind = 0;
-        std::uint64_t argument = 0;
-    };
-
-    item_head head();
-    std::string_view take(std::size_t size);
+    cbor_item next();
 
     std::string_view rest;
 };
