--- a/tests/state/snapshot_test.cpp
+++ b/tests/state/snapshot_test.cpp
@@ -3,8 +3,8 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
-#include "protocol/codec.h"
 #include "protocol/cbor_fields.h"
+#include "protocol/codec.h"
 #include "state/control_state.h"
 #include "state/random_command.h"
 
