--- a/tests/policy/remote_submissions_test.cpp
+++ b/tests/policy/remote_submissions_test.cpp
@@ -213,3 +213,39 @@
         }
     }
 }
+
+SCENARIO("an entry is heard after a restart", "[policy][resubmission]")
+{
+    GIVEN("an incarnation that was heard, and submissions of it and of the one before")
+    {
+        protocol::process_id const former {"entry.a", 7};
+        protocol::process_id const present {"entry.a", 8};
+        base::steady_time const now {1000s};
+        policy::remote_submissions known;
+        auto const replaced
+            = [&](std::string const& key) { return known.find(key, now)->replaced; };
+        known.record(former, {"early", 400ms, 1s, false}, now);
+        known.record_incarnation(present);
+        known.record(present, {"own", 0ms, 1s, false}, now);
+        // As a witness states it that has not heard of the restart yet.
+        known.record_claim("late", {former, 3}, false, now, now);
+
+        // Guards against callers that wait for the runs of a process that has ended.
+        THEN("those of the former one are replaced once the entry is heard again")
+        {
+            CHECK(replaced("early"));
+            CHECK_FALSE(replaced("late"));
+            known.record_incarnation(present);
+            CHECK(replaced("late"));
+            CHECK_FALSE(replaced("own"));
+        }
+        // Guards against taking the runs of a process for ended because of an older one.
+        THEN("those of a later one are kept when it is heard")
+        {
+            known.record_claim("next", {{"entry.a", 9}, 4}, true, now, now);
+            known.record_incarnation({"entry.a", 9});
+            CHECK_FALSE(replaced("next"));
+            CHECK(replaced("own"));
+        }
+    }
+}
