Log how late an event loop is, and how many requests a role leaves unanswered

Event 1023 gives the delays of a loop from its 10 ms timer, at most one line a second; event 1024 counts the requests without a complete answer when a role has ended. No decision is changed.

--- a/src/app/adapter.h
+++ b/src/app/adapter.h
@@ -4,6 +4,7 @@
 
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,6 +46,9 @@
     virtual void begin_shutdown(base::steady_time /*now*/) { }
     /// True while no work is in progress.
     [[nodiscard]] virtual bool idle() const { return true; }
+    /// Number of requests whose answer is not completely written. Also called once the thread of
+    /// the role has ended.
+    [[nodiscard]] virtual std::size_t open_requests() const { return 0; }
 };
 
 /// Adapter for an agent. Also supplies the runner of the agent's endpoints.
--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -145,4 +145,9 @@
         && (this->adapter == nullptr || this->adapter->idle());
 }
 
+std::size_t entry_task::open_requests() const
+{
+    return this->server.open_exchanges() + (this->adapter ? this->adapter->open_requests() : 0);
+}
+
 } // namespace greengagehead::app
--- a/src/app/entry_task.h
+++ b/src/app/entry_task.h
@@ -37,6 +37,7 @@
     void tick(base::steady_time now) override;
     void begin_shutdown(base::steady_time now) override;
     [[nodiscard]] bool idle() const override;
+    [[nodiscard]] std::size_t open_requests() const override;
 
 private:
     /// Keeps links to the entries of the view, also to those that no setting names.
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "app/peer_wiring.h"
+#include "base/log_record.h"
 
 namespace greengagehead::app {
 
@@ -14,12 +15,14 @@
 /// A role ends only after it has been idle for this time, because a request that was sent before
 /// its caller could know of the shutdown may still arrive.
 constexpr std::chrono::milliseconds late_request_grace {100};
+constexpr std::chrono::milliseconds delay_log_interval {1'000};
 
 } // namespace
 
 role_task::role_task(transport::link_identity identity,
                      std::shared_ptr<transport::connection_guard> connections)
-    : loop(std::move(connections)), hub(this->loop, std::move(identity), transport::link_timing {})
+    : loop(std::move(connections)), hub(this->loop, identity, transport::link_timing {}),
+      name(std::move(identity.name)), delays(tick_interval)
 {
 }
 
@@ -32,6 +35,8 @@
 {
     this->tick_timer = this->loop.every(tick_interval, [this] {
         auto const now = base::steady_now();
+        this->delays.record(now);
+        this->log_delays(now);
         this->tick(now);
         this->check_shutdown(now);
     });
@@ -74,12 +79,37 @@
     done();
 }
 
+void role_task::log_delays(base::steady_time now)
+{
+    if (now - this->last_delay_log < delay_log_interval)
+        return;
+    this->last_delay_log = now;
+    auto const late = this->delays.take();
+    if (late.count == 0)
+        return;
+    base::log_record(base::log_event::event_loop_delayed)
+        .with("role", this->name)
+        .with("count", late.count)
+        .with("longest_ms",
+              std::chrono::duration_cast<std::chrono::milliseconds>(late.longest).count());
+}
+
 void role_task::stop()
 {
     if (!this->thread.joinable())
         return;
     this->loop.stop();
     this->thread.join();
+    this->log_requests_cut();
+}
+
+void role_task::log_requests_cut() const
+{
+    auto const count = this->open_requests();
+    if (count > 0)
+        base::log_record(base::log_event::requests_cut)
+            .with("role", this->name)
+            .with("count", count);
 }
 
 } // namespace greengagehead::app
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -12,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "policy/loop_delay.h"
 #include "settings/process_settings.h"
 #include "transport/event_loop.h"
 #include "transport/link_hub.h"
@@ -49,13 +51,21 @@
     virtual void begin_shutdown(base::steady_time now) = 0;
     /// True while no work is in progress.
     [[nodiscard]] virtual bool idle() const = 0;
+    /// Number of requests whose answer is not completely written. Also called once the thread has
+    /// ended.
+    [[nodiscard]] virtual std::size_t open_requests() const { return 0; }
 
     transport::event_loop loop;
     transport::link_hub hub;
 
 private:
     void check_shutdown(base::steady_time now);
+    void log_delays(base::steady_time now);
+    void log_requests_cut() const;
 
+    std::string name; // Of the role, as its peers know it.
+    policy::loop_delay delays;
+    base::steady_time last_delay_log;
     std::unique_ptr<transport::loop_timer> tick_timer;
     std::function<void()> on_shutdown_done; // Empty unless a shutdown is in progress.
     std::optional<base::steady_time> idle_since; // Set while idle during a shutdown.
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -25,6 +25,8 @@
     event_description {log_event::http_rejected, severity::info, "http_rejected"},
     event_description {log_event::request_dropped, severity::info, "request_dropped"},
     event_description {log_event::connections_closed, severity::warning, "connections_closed"},
+    event_description {log_event::event_loop_delayed, severity::warning, "event_loop_delayed"},
+    event_description {log_event::requests_cut, severity::warning, "requests_cut"},
     event_description {log_event::lease_granted, severity::debug, "lease_granted"},
     event_description {log_event::entry_joined, severity::info, "entry_joined"},
     event_description {log_event::entry_removed, severity::warning, "entry_removed"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -28,6 +28,8 @@
     http_rejected = 1020,
     request_dropped = 1021,
     connections_closed = 1022,
+    event_loop_delayed = 1023,
+    requests_cut = 1024,
     lease_granted = 2001,
     entry_joined = 2002,
     entry_removed = 2003,
