--- a/src/entry/job_id.cpp
+++ b/src/entry/job_id.cpp
@@ -1,4 +1,4 @@
-// SHA-256 digests of submissions.
+// Ids of submissions and jobs, and SHA-256 digests.
 
 #include "entry/job_id.h"
 
@@ -16,6 +16,8 @@
 
 constexpr std::size_t job_id_bytes = 16;
 constexpr std::size_t digest_bytes = 32;
+/// Ids of jobs are hexadecimal.
+constexpr std::string_view submission_prefix = "submission:";
 
 std::string sha256_hex(std::string_view data, std::size_t bytes)
 {
@@ -45,6 +47,18 @@
     return job_id_of(team, submission + '@' + entry.name + ':' + std::to_string(entry.incarnation));
 }
 
+std::string submission_id(std::string const& key)
+{
+    return std::string(submission_prefix) + key;
+}
+
+std::optional<std::string> key_of_submission(std::string const& id)
+{
+    if (!id.starts_with(submission_prefix))
+        return {};
+    return id.substr(submission_prefix.size());
+}
+
 std::string content_digest(protocol::job_request const& request)
 {
     return sha256_hex(protocol::encode(request), digest_bytes);
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -18,10 +18,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds expiry_interval {1000};
-/// A longer time between two ticks counts as a pause of this entry.
-constexpr milliseconds min_pause {300};
-/// What is read this soon after a pause may have been sent before it.
-constexpr milliseconds backlog_time {100};
 /// Longest wait in one query, so that a lost entry is noticed.
 constexpr milliseconds max_query_wait {1000};
 constexpr milliseconds answer_timeout {500};
@@ -33,19 +29,6 @@
 constexpr milliseconds repeat_delay {50};
 /// Names of entries as peers begin so.
 constexpr std::string_view entry_peer_prefix = "entry.";
-/// Entries name a submission to each other by this and its key, because the id of an ephemeral job
-/// differs between entries. Ids of jobs are hexadecimal.
-constexpr std::string_view submission_prefix = "submission:";
-
-std::string submission_id(std::string const& key)
-{
-    return std::string(submission_prefix) + key;
-}
-
-std::string submission_id(job const& job)
-{
-    return submission_id(job.key);
-}
 
 std::string key_of(protocol::job_request const& request)
 {
@@ -91,27 +74,9 @@
     this->unannounced.push_back(job.number);
 }
 
-void resubmissions::record_tick(base::steady_time now)
-{
-    if (this->last_tick != base::steady_time {} && now - this->last_tick > min_pause) {
-        this->pause_began = this->last_tick;
-        this->pause_ended = now;
-    }
-    this->last_tick = now;
-}
-
-base::steady_time resubmissions::earliest_sent(base::steady_time now) const
-{
-    if (this->last_tick == base::steady_time {})
-        return now;
-    if (now - this->last_tick > min_pause)
-        return this->last_tick;
-    return now < this->pause_ended + backlog_time ? this->pause_began : now;
-}
-
 void resubmissions::tick(base::steady_time now)
 {
-    this->record_tick(now);
+    this->pauses.record_tick(now);
     this->runs.tick(now);
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
@@ -295,21 +260,21 @@
         auto const id = this->components.remote.allocate_id();
         this->confirmations.begin_query(number, id, others, now);
         for (auto const& entry : others)
-            this->components.sender.send(entry,
-                                         protocol::job_query {id, submission_id(*job), false, {}});
+            this->components.sender.send(
+                entry, protocol::job_query {id, submission_id(job->key), false, {}});
     }
 }
 
 bool resubmissions::on_query(std::string const& peer, protocol::job_query const& query,
                              base::steady_time now)
 {
-    if (!query.job.starts_with(submission_prefix))
+    auto const key = key_of_submission(query.job);
+    if (!key)
         return false;
     protocol::job_reply reply;
     reply.query_id = query.query_id;
-    auto const* const job = this->find_job(query.job.substr(submission_prefix.size()));
-    bool const claimed
-        = this->components.submission_consent.contains(query.job.substr(submission_prefix.size()));
+    auto const* const job = this->find_job(*key);
+    bool const claimed = this->components.submission_consent.contains(*key);
     if (claimed || (job != nullptr && (!job->is_final() || !job->unconfirmed.empty()))) {
         // The entry that asks stops its job when this one is the later one.
         auto const running = job != nullptr ? this->describe_jobs({job->number}, now)
@@ -371,7 +336,7 @@
                                      std::move(request),
                                      std::move(caller),
                                      arrived,
-                                     std::min(this->earliest_sent(now), arrived),
+                                     std::min(this->pauses.earliest_sent(now), arrived),
                                      deadline,
                                      {},
                                      {},
@@ -667,9 +632,10 @@
 void resubmissions::on_cancelled_elsewhere(std::string const& peer, std::string const& id,
                                            base::steady_time now)
 {
-    if (!peer.starts_with(entry_peer_prefix) || !id.starts_with(submission_prefix))
+    if (!peer.starts_with(entry_peer_prefix))
         return;
-    this->record_cancelled(id.substr(submission_prefix.size()), now);
+    if (auto const key = key_of_submission(id))
+        this->record_cancelled(*key, now);
 }
 
 bool resubmissions::is_linked(protocol::process_id const& entry) const
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "entry/pause_detector.h"
 #include "entry/remote_runs.h"
 #include "entry/waiter.h"
 #include "policy/remote_submissions.h"
@@ -59,7 +60,10 @@
     bool on_query(std::string const& peer, protocol::job_query const& query, base::steady_time now);
     /// When the caller of a request that is read now has sent it at the earliest: before `now` when
     /// this entry has been paused.
-    [[nodiscard]] base::steady_time earliest_sent(base::steady_time now) const;
+    [[nodiscard]] base::steady_time earliest_sent(base::steady_time now) const
+    {
+        return this->pauses.earliest_sent(now);
+    }
 
     // --- submissions that were sent elsewhere before ---
 
@@ -172,7 +176,6 @@
     [[nodiscard]] std::set<std::string> other_entries() const;
     /// Job of this entry with this key; null if there is none.
     [[nodiscard]] job* find_job(std::string const& key) const;
-    void record_tick(base::steady_time now);
     /// Queues the tasks of a job that waits when all entries have answered. Returns false when the
     /// reply is not about such a job.
     bool on_start_reply(std::string const& peer, protocol::job_reply const& reply);
@@ -191,9 +194,7 @@
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
     std::unordered_map<std::string, std::uint64_t> jobs_by_key; ///< Local numbers of jobs.
     policy::start_confirmations confirmations;
-    base::steady_time last_tick;
-    base::steady_time pause_began; ///< Of the last pause of this entry.
-    base::steady_time pause_ended;
+    pause_detector pauses;
     std::set<std::string> linked; ///< Other entries with a link.
     /// The incarnation that has last announced something through a present link, by name.
     std::unordered_map<std::string, protocol::incarnation_number> incarnations;
