Entry: the links to other entries in a module of their own

Moved out of resubmissions.cpp without a change of behaviour. One function now tells whether an incarnation was replaced, in place of three comparisons.

--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -27,8 +27,6 @@
 constexpr milliseconds denial_delay {10};
 /// Pause before a job that is still in progress is looked at again.
 constexpr milliseconds repeat_delay {50};
-/// Names of entries as peers begin so.
-constexpr std::string_view entry_peer_prefix = "entry.";
 
 std::string key_of(protocol::job_request const& request)
 {
@@ -56,7 +54,10 @@
 
 } // namespace
 
-resubmissions::resubmissions(entry_components& shared) : components(shared), runs(shared) { }
+resubmissions::resubmissions(entry_components& shared)
+    : components(shared), links(shared), runs(shared)
+{
+}
 
 void resubmissions::record_admitted(job const& job)
 {
@@ -95,19 +96,8 @@
 
 void resubmissions::send_to_all(protocol::submissions_running const& message)
 {
-    if (message.submissions.empty())
-        return;
-    for (auto const& receiver : this->other_entries())
-        this->components.sender.send(receiver, message);
-}
-
-std::set<std::string> resubmissions::other_entries() const
-{
-    auto others = this->linked;
-    for (auto const& entry : this->components.leases.applied().entries)
-        others.insert(entry.id.name);
-    others.erase(this->components.settings.id.name);
-    return others;
+    if (!message.submissions.empty())
+        this->links.send_to_others(message);
 }
 
 protocol::submissions_running
@@ -152,9 +142,9 @@
 
 void resubmissions::peer_up(std::string const& peer, base::steady_time now)
 {
-    if (!peer.starts_with(entry_peer_prefix))
+    if (!entry_links::is_entry(peer))
         return;
-    this->linked.insert(peer);
+    this->links.record_connected(peer);
     auto message = this->describe_all(now);
     message.asks_for_all = true;
     this->components.sender.send(peer, message);
@@ -164,10 +154,9 @@
 
 void resubmissions::peer_down(std::string const& peer, base::steady_time now)
 {
-    if (!peer.starts_with(entry_peer_prefix))
+    if (!entry_links::is_entry(peer))
         return;
-    this->linked.erase(peer);
-    this->incarnations.erase(peer);
+    this->links.record_disconnected(peer);
     this->known.record_disconnected(peer);
     this->on_view(now);
 }
@@ -203,7 +192,7 @@
 {
     if (message.entry.name != peer)
         return;
-    this->incarnations[peer] = message.entry.incarnation;
+    this->links.record_incarnation(message.entry);
     this->known.record_incarnation(message.entry);
     for (auto const& item : message.submissions) {
         this->known.record(message.entry, item, now);
@@ -233,8 +222,7 @@
 
 bool resubmissions::may_start(job const& job, base::steady_time now)
 {
-    bool const alone = this->linked.empty() && this->components.leases.applied().entries.size() < 2;
-    return !job.ephemeral || alone
+    return !job.ephemeral || this->links.alone()
         || this->confirmations.may_start(job.number, job.earliest_sent, now);
 }
 
@@ -254,7 +242,7 @@
         return;
     // The others hold the jobs from now on, so that their answers stay true for a while.
     this->send_to_all(this->describe_jobs(due, now));
-    auto const others = this->other_entries();
+    auto const others = this->links.others();
     for (auto const number : due) {
         auto const* const job = this->components.jobs.find(number);
         auto const id = this->components.remote.allocate_id();
@@ -376,11 +364,7 @@
                          base::steady_time granted, base::steady_time now)
 {
     auto const& key = submission.key;
-    auto const found = this->incarnations.find(holder.entry.name);
-    bool const replaced
-        = found != this->incarnations.end() && found->second != holder.entry.incarnation;
-    bool const connected = this->linked.contains(holder.entry.name) && !replaced;
-    this->known.record_claim(key, holder, connected, granted, now);
+    this->known.record_claim(key, holder, this->links.may_be_linked(holder.entry), granted, now);
     // A former process of this entry, which is certainly gone.
     if (holder.entry.name == this->components.settings.id.name)
         this->known.record_incarnation(this->components.settings.id);
@@ -490,8 +474,7 @@
     if (peer != item.asked.name || (reply.answer && reply.answer->job != item.asked_job))
         return true;
     // Another incarnation of the entry knows nothing of the job.
-    if (auto const now_there = this->incarnations.find(peer);
-        now_there != this->incarnations.end() && now_there->second != item.asked.incarnation)
+    if (this->links.is_replaced(item.asked))
         return true;
     this->on_state(item, reply.answer ? &*reply.answer : nullptr, now);
     return true;
@@ -623,8 +606,7 @@
     if (elsewhere)
         this->send_cancel(key, {team, submission}, elsewhere->entry);
     // Its caller may have sent it to an entry that has not announced it yet, or may do so.
-    for (auto const& entry : this->other_entries())
-        this->components.sender.send(entry, protocol::job_cancel {submission_id(key)});
+    this->links.send_to_others(protocol::job_cancel {submission_id(key)});
     bool const claimed = this->components.submission_consent.cancel(key, now);
     return this->end_holds(key) || claimed || elsewhere.has_value();
 }
@@ -632,20 +614,12 @@
 void resubmissions::on_cancelled_elsewhere(std::string const& peer, std::string const& id,
                                            base::steady_time now)
 {
-    if (!peer.starts_with(entry_peer_prefix))
+    if (!entry_links::is_entry(peer))
         return;
     if (auto const key = key_of_submission(id))
         this->record_cancelled(*key, now);
 }
 
-bool resubmissions::is_linked(protocol::process_id const& entry) const
-{
-    auto const found = this->incarnations.find(entry.name);
-    return entry == this->components.settings.id
-        || (this->linked.contains(entry.name) && found != this->incarnations.end()
-            && found->second == entry.incarnation);
-}
-
 bool resubmissions::is_cancelled(std::string const& key, base::steady_time now) const
 {
     return this->known.cancelled(key, now) != nullptr;
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -5,13 +5,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
+#include "entry/entry_links.h"
 #include "entry/pause_detector.h"
 #include "entry/remote_runs.h"
 #include "entry/waiter.h"
@@ -99,7 +99,10 @@
         return this->runs.known_agents(now);
     }
     /// Whether this entry, or this incarnation of another one, has a link.
-    [[nodiscard]] bool is_linked(protocol::process_id const& entry) const;
+    [[nodiscard]] bool is_linked(protocol::process_id const& entry) const
+    {
+        return this->links.is_linked(entry);
+    }
     /// A caller has cancelled the submission, here or elsewhere, a while ago at most.
     [[nodiscard]] bool is_cancelled(std::string const& key, base::steady_time now) const;
     /// Another entry states that a caller has cancelled the submission: stops what this entry has
@@ -171,9 +174,6 @@
     [[nodiscard]] static protocol::submissions_running::submission
     describe_hold(held_submission const& item, base::steady_time now);
     void send_to_all(protocol::submissions_running const& message);
-    /// The other entries. One may serve callers without being in the view, and be in it without a
-    /// link.
-    [[nodiscard]] std::set<std::string> other_entries() const;
     /// Job of this entry with this key; null if there is none.
     [[nodiscard]] job* find_job(std::string const& key) const;
     /// Queues the tasks of a job that waits when all entries have answered. Returns false when the
@@ -189,15 +189,13 @@
                      protocol::process_id const& entry);
 
     entry_components& components;
+    entry_links links;
     policy::remote_submissions known;
     remote_runs runs;
     std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
     std::unordered_map<std::string, std::uint64_t> jobs_by_key; ///< Local numbers of jobs.
     policy::start_confirmations confirmations;
     pause_detector pauses;
-    std::set<std::string> linked; ///< Other entries with a link.
-    /// The incarnation that has last announced something through a present link, by name.
-    std::unordered_map<std::string, protocol::incarnation_number> incarnations;
     bool closing = false; ///< The process ends: nothing is held any more.
     base::steady_time next_announcement;
     base::steady_time next_expiry;
