--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -55,26 +55,10 @@
 } // namespace
 
 resubmissions::resubmissions(entry_components& shared)
-    : components(shared), links(shared), runs(shared)
+    : components(shared), links(shared), announcements(shared, this->links), runs(shared)
 {
 }
 
-void resubmissions::record_admitted(job const& job)
-{
-    this->jobs_by_key[job.key] = job.number;
-}
-
-job* resubmissions::find_job(std::string const& key) const
-{
-    auto const found = this->jobs_by_key.find(key);
-    return found == this->jobs_by_key.end() ? nullptr : this->components.jobs.find(found->second);
-}
-
-void resubmissions::announce(job const& job)
-{
-    this->unannounced.push_back(job.number);
-}
-
 void resubmissions::tick(base::steady_time now)
 {
     this->pauses.record_tick(now);
@@ -83,41 +67,9 @@
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
         this->confirmations.expire(now);
-        std::erase_if(this->jobs_by_key, [this](auto const& item) {
-            return this->components.jobs.find(item.second) == nullptr;
-        });
-    }
-    if (this->unannounced.empty() || now < this->next_announcement)
-        return;
-    this->next_announcement = now + policy::announcement_interval;
-    auto const numbers = std::exchange(this->unannounced, {});
-    this->send_to_all(this->describe_jobs(numbers, now));
-}
-
-void resubmissions::send_to_all(protocol::submissions_running const& message)
-{
-    if (!message.submissions.empty())
-        this->links.send_to_others(message);
-}
-
-protocol::submissions_running
-resubmissions::describe_jobs(std::vector<std::uint64_t> const& numbers, base::steady_time now)
-{
-    protocol::submissions_running message {this->components.settings.id, {}, false};
-    for (auto const number : numbers) {
-        auto const* const job = this->components.jobs.find(number);
-        if (job == nullptr)
-            continue;
-        if (job->is_final() && job->unconfirmed.empty())
-            continue;
-        auto const end = job->is_final() ? now + policy::unconfirmed_announcement : job->deadline;
-        if (end <= now)
-            continue;
-        message.submissions.push_back({job->key,
-                                       std::chrono::floor<milliseconds>(now - job->submitted),
-                                       std::chrono::ceil<milliseconds>(end - now), false});
+        this->announcements.expire();
     }
-    return message;
+    this->announcements.tick(now);
 }
 
 protocol::submissions_running::submission resubmissions::describe_hold(held_submission const& item,
@@ -127,14 +79,9 @@
             std::max(std::chrono::ceil<milliseconds>(item.deadline - now), milliseconds(1)), true};
 }
 
-protocol::submissions_running resubmissions::describe_all(base::steady_time now)
+protocol::submissions_running resubmissions::describe_all(base::steady_time now) const
 {
-    std::vector<std::uint64_t> numbers;
-    for (auto const& [number, job] : this->components.jobs.all()) {
-        if (job->ephemeral && now - job->submitted >= policy::announcement_age)
-            numbers.push_back(number);
-    }
-    auto message = this->describe_jobs(numbers, now);
+    auto message = this->announcements.describe_older_jobs(now);
     for (auto const& [id, item] : this->held)
         message.submissions.push_back(resubmissions::describe_hold(item, now));
     return message;
@@ -211,7 +158,7 @@
 void resubmissions::stop_superseded(protocol::submissions_running::submission const& announced,
                                     std::string const& peer, base::steady_time now)
 {
-    auto* const job = this->find_job(announced.key);
+    auto* const job = this->announcements.find_job(announced.key);
     auto const& self = this->components.settings.id.name;
     if (job == nullptr || announced.held || announced.remaining <= milliseconds(0)
         || !policy::is_later(now - announced.age, peer, job->submitted, self))
@@ -241,7 +188,7 @@
     if (due.empty())
         return;
     // The others hold the jobs from now on, so that their answers stay true for a while.
-    this->send_to_all(this->describe_jobs(due, now));
+    this->announcements.announce_jobs(due, now);
     auto const others = this->links.others();
     for (auto const number : due) {
         auto const* const job = this->components.jobs.find(number);
@@ -261,11 +208,11 @@
         return false;
     protocol::job_reply reply;
     reply.query_id = query.query_id;
-    auto const* const job = this->find_job(*key);
+    auto const* const job = this->announcements.find_job(*key);
     bool const claimed = this->components.submission_consent.contains(*key);
     if (claimed || (job != nullptr && (!job->is_final() || !job->unconfirmed.empty()))) {
         // The entry that asks stops its job when this one is the later one.
-        auto const running = job != nullptr ? this->describe_jobs({job->number}, now)
+        auto const running = job != nullptr ? this->announcements.describe_jobs({job->number}, now)
                                             : protocol::submissions_running {};
         if (!running.submissions.empty())
             this->components.sender.send(peer, running);
@@ -355,8 +302,7 @@
         .with("team", item.request.team)
         .with("entry", entry);
     // Another entry that holds it since earlier must not start it at the same time as this one.
-    this->send_to_all(
-        {this->components.settings.id, {resubmissions::describe_hold(item, now)}, false});
+    this->announcements.announce_hold(resubmissions::describe_hold(item, now));
     return item;
 }
 
@@ -526,28 +472,10 @@
         now);
 }
 
-void resubmissions::announce_start(std::string const& key, std::string const& job,
-                                   base::steady_time now)
-{
-    // A third entry may get the submission before the job has reached the age of announcements.
-    auto const* const started = this->components.jobs.find(job);
-    if (started != nullptr && !started->is_final())
-        return this->send_to_all(this->describe_jobs({started->number}, now));
-    this->announce_end(key);
-}
-
-void resubmissions::announce_end(std::string const& key)
-{
-    protocol::submissions_running::submission ended;
-    ended.key = key;
-    ended.held = true;
-    this->send_to_all({this->components.settings.id, {ended}, false});
-}
-
 void resubmissions::give_up(held_submission& item, std::string const& reason)
 {
     auto const released = this->release(item, reason);
-    this->announce_end(released.key);
+    this->announcements.announce_end(released.key);
     deliver_unknown(
         released.caller, answer_for(released.request, protocol::job_state::running),
         {base::error_code::unavailable, base::error_step::admission, released.asked.name, reason});
@@ -558,7 +486,7 @@
     // `answer` may belong to a job that ends with the hold.
     auto const final_answer = answer;
     auto const released = this->release(item, protocol::to_string(answer.state));
-    this->announce_end(released.key);
+    this->announcements.announce_end(released.key);
     deliver(released.caller, final_answer, {});
 }
 
@@ -628,7 +556,7 @@
 void resubmissions::record_cancelled(std::string const& key, base::steady_time now)
 {
     this->known.record_cancelled(key, {}, now);
-    if (auto* const job = this->find_job(key))
+    if (auto* const job = this->announcements.find_job(key))
         this->components.lifecycle.cancel_submission(*job, now);
     this->components.submission_consent.cancel(key, now);
     this->end_holds(key);
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -14,6 +14,7 @@
 #include "entry/entry_links.h"
 #include "entry/pause_detector.h"
 #include "entry/remote_runs.h"
+#include "entry/submission_announcements.h"
 #include "entry/waiter.h"
 #include "policy/remote_submissions.h"
 #include "policy/start_confirmations.h"
@@ -32,12 +33,10 @@
 
     // --- announcements of this entry's own jobs ---
 
-    /// An ephemeral job has been admitted here. Other entries may ask for it from now on.
-    void record_admitted(job const& job);
-    /// The job has reached `policy::announcement_age`, or its deadline has moved, or it has ended
-    /// with runs whose end is not confirmed.
-    void announce(job const& job);
-    /// Sends what `announce` has collected, and drops what has expired.
+    /// As in `submission_announcements`.
+    void record_admitted(job const& job) { this->announcements.record_admitted(job); }
+    void announce(job const& job) { this->announcements.announce(job); }
+    /// Sends the announcements that are due, and drops what has expired.
     void tick(base::steady_time now);
     /// Exchanges with an entry that has connected what is in progress.
     void peer_up(std::string const& peer, base::steady_time now);
@@ -84,10 +83,12 @@
     /// @param granted when it was granted.
     void hold(unstarted_submission submission, protocol::claim_ref const& holder,
               base::steady_time granted, base::steady_time now);
-    /// A submission that was held here has become a job, or was refused.
-    void announce_start(std::string const& key, std::string const& job, base::steady_time now);
-    /// Tells the other entries that this one holds the submission no longer and has not started it.
-    void announce_end(std::string const& key);
+    /// As in `submission_announcements`.
+    void announce_start(std::string const& key, std::string const& job, base::steady_time now) const
+    {
+        this->announcements.announce_start(key, job, now);
+    }
+    void announce_end(std::string const& key) const { this->announcements.announce_end(key); }
     /// Tells all other entries to stop the submission and to refuse it, also those that connect or
     /// announce it later. Returns whether it is known here.
     bool cancel(std::string const& team, std::string const& submission, base::steady_time now);
@@ -166,16 +167,10 @@
                                            base::steady_time now) const;
     /// Job of this entry with this submission that all callers have left; null if there is none.
     [[nodiscard]] job* find_abandoned(protocol::job_request const& request) const;
-    /// Announcement of the jobs with these local numbers.
-    [[nodiscard]] protocol::submissions_running
-    describe_jobs(std::vector<std::uint64_t> const& numbers, base::steady_time now);
     /// Announcement of everything that is in progress.
-    [[nodiscard]] protocol::submissions_running describe_all(base::steady_time now);
+    [[nodiscard]] protocol::submissions_running describe_all(base::steady_time now) const;
     [[nodiscard]] static protocol::submissions_running::submission
     describe_hold(held_submission const& item, base::steady_time now);
-    void send_to_all(protocol::submissions_running const& message);
-    /// Job of this entry with this key; null if there is none.
-    [[nodiscard]] job* find_job(std::string const& key) const;
     /// Queues the tasks of a job that waits when all entries have answered. Returns false when the
     /// reply is not about such a job.
     bool on_start_reply(std::string const& peer, protocol::job_reply const& reply);
@@ -190,14 +185,12 @@
 
     entry_components& components;
     entry_links links;
+    submission_announcements announcements;
     policy::remote_submissions known;
     remote_runs runs;
-    std::vector<std::uint64_t> unannounced; ///< Local numbers of jobs.
-    std::unordered_map<std::string, std::uint64_t> jobs_by_key; ///< Local numbers of jobs.
     policy::start_confirmations confirmations;
     pause_detector pauses;
     bool closing = false; ///< The process ends: nothing is held any more.
-    base::steady_time next_announcement;
     base::steady_time next_expiry;
     std::unordered_map<std::uint64_t, held_submission> held; ///< By id.
 };
