--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -55,7 +55,8 @@
 } // namespace
 
 resubmissions::resubmissions(entry_components& shared)
-    : components(shared), links(shared), announcements(shared, this->links), runs(shared)
+    : components(shared), links(shared), announcements(shared, this->links),
+      starts(shared, this->links, this->announcements), runs(shared)
 {
 }
 
@@ -66,7 +67,7 @@
     if (now >= this->next_expiry) {
         this->next_expiry = now + expiry_interval;
         this->known.expire(now);
-        this->confirmations.expire(now);
+        this->starts.expire(now);
         this->announcements.expire();
     }
     this->announcements.tick(now);
@@ -167,90 +168,6 @@
         *job, peer, "the entry has a later submission of the job", now);
 }
 
-bool resubmissions::may_start(job const& job, base::steady_time now)
-{
-    return !job.ephemeral || this->links.alone()
-        || this->confirmations.may_start(job.number, job.earliest_sent, now);
-}
-
-void resubmissions::ask_before_starts(base::steady_time now)
-{
-    for (auto const number : this->confirmations.take_expired(now))
-        this->give_up_unconfirmed(number, now);
-    std::vector<std::uint64_t> due;
-    for (auto const number : this->confirmations.take_due(now)) {
-        auto const* const job = this->components.jobs.find(number);
-        if (job != nullptr && job->phase == job_phase::running)
-            due.push_back(number);
-        else
-            this->confirmations.forget(number);
-    }
-    if (due.empty())
-        return;
-    // The others hold the jobs from now on, so that their answers stay true for a while.
-    this->announcements.announce_jobs(due, now);
-    auto const others = this->links.others();
-    for (auto const number : due) {
-        auto const* const job = this->components.jobs.find(number);
-        auto const id = this->components.remote.allocate_id();
-        this->confirmations.begin_query(number, id, others, now);
-        for (auto const& entry : others)
-            this->components.sender.send(
-                entry, protocol::job_query {id, submission_id(job->key), false, {}});
-    }
-}
-
-bool resubmissions::on_query(std::string const& peer, protocol::job_query const& query,
-                             base::steady_time now)
-{
-    auto const key = key_of_submission(query.job);
-    if (!key)
-        return false;
-    protocol::job_reply reply;
-    reply.query_id = query.query_id;
-    auto const* const job = this->announcements.find_job(*key);
-    bool const claimed = this->components.submission_consent.contains(*key);
-    if (claimed || (job != nullptr && (!job->is_final() || !job->unconfirmed.empty()))) {
-        // The entry that asks stops its job when this one is the later one.
-        auto const running = job != nullptr ? this->announcements.describe_jobs({job->number}, now)
-                                            : protocol::submissions_running {};
-        if (!running.submissions.empty())
-            this->components.sender.send(peer, running);
-        reply.answer.emplace();
-        reply.answer->job = query.job;
-        reply.answer->ran = protocol::ran_extent::unknown;
-    }
-    this->components.sender.send(peer, reply);
-    return true;
-}
-
-bool resubmissions::on_start_reply(std::string const& peer, protocol::job_reply const& reply)
-{
-    if (!this->confirmations.contains(reply.query_id))
-        return false;
-    auto const confirmed
-        = this->confirmations.record_reply(peer, reply.query_id, reply.answer.has_value());
-    auto* const job = confirmed ? this->components.jobs.find(*confirmed) : nullptr;
-    if (job != nullptr && job->phase == job_phase::running)
-        this->components.lifecycle.enqueue_waiting(*job);
-    return true;
-}
-
-void resubmissions::give_up_unconfirmed(std::uint64_t number, base::steady_time now)
-{
-    auto* const job = this->components.jobs.find(number);
-    if (job == nullptr || job->phase != job_phase::running)
-        return;
-    if (job->nothing_started())
-        return this->components.lifecycle.refuse_unstarted(*job, now);
-    this->components.lifecycle.fail(*job,
-                                    {base::error_code::unavailable,
-                                     base::error_step::placement,
-                                     {},
-                                     "not all entries have answered whether they run the job"},
-                                    now);
-}
-
 bool resubmissions::take(protocol::job_request& request, waiter& caller, std::string const& key,
                          bool abandoned_here, base::steady_time now)
 {
@@ -415,7 +332,7 @@
 {
     auto const found = this->held.find(reply.query_id);
     if (found == this->held.end())
-        return this->on_start_reply(peer, reply);
+        return this->starts.on_reply(peer, reply);
     auto& item = found->second;
     if (peer != item.asked.name || (reply.answer && reply.answer->job != item.asked_job))
         return true;
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -14,10 +14,10 @@
 #include "entry/entry_links.h"
 #include "entry/pause_detector.h"
 #include "entry/remote_runs.h"
+#include "entry/start_queries.h"
 #include "entry/submission_announcements.h"
 #include "entry/waiter.h"
 #include "policy/remote_submissions.h"
-#include "policy/start_confirmations.h"
 #include "protocol/job.h"
 #include "protocol/message.h"
 
@@ -48,15 +48,16 @@
 
     // --- jobs of this entry that may have gone elsewhere ---
 
-    /// Whether tasks of the job may be started. If not, the other entries are asked for it, and its
-    /// tasks are queued again when none of them runs it.
-    [[nodiscard]] bool may_start(job const& job, base::steady_time now);
-    /// Asks the other entries for the jobs that wait for it, and gives up those that have waited
-    /// for too long.
-    void ask_before_starts(base::steady_time now);
-    /// Another entry asks for a submission by its key. Returns false when the query is not for this
-    /// component.
-    bool on_query(std::string const& peer, protocol::job_query const& query, base::steady_time now);
+    /// As in `start_queries`.
+    [[nodiscard]] bool may_start(job const& job, base::steady_time now)
+    {
+        return this->starts.may_start(job, now);
+    }
+    void ask_before_starts(base::steady_time now) { this->starts.ask(now); }
+    bool on_query(std::string const& peer, protocol::job_query const& query, base::steady_time now)
+    {
+        return this->starts.on_query(peer, query, now);
+    }
     /// When the caller of a request that is read now has sent it at the earliest: before `now` when
     /// this entry has been paused.
     [[nodiscard]] base::steady_time earliest_sent(base::steady_time now) const
@@ -171,10 +172,6 @@
     [[nodiscard]] protocol::submissions_running describe_all(base::steady_time now) const;
     [[nodiscard]] static protocol::submissions_running::submission
     describe_hold(held_submission const& item, base::steady_time now);
-    /// Queues the tasks of a job that waits when all entries have answered. Returns false when the
-    /// reply is not about such a job.
-    bool on_start_reply(std::string const& peer, protocol::job_reply const& reply);
-    void give_up_unconfirmed(std::uint64_t number, base::steady_time now);
     /// Stops the job of this entry that another one runs too since its caller went there.
     void stop_superseded(protocol::submissions_running::submission const& announced,
                          std::string const& peer, base::steady_time now);
@@ -186,9 +183,9 @@
     entry_components& components;
     entry_links links;
     submission_announcements announcements;
+    start_queries starts;
     policy::remote_submissions known;
     remote_runs runs;
-    policy::start_confirmations confirmations;
     pause_detector pauses;
     bool closing = false; ///< The process ends: nothing is held any more.
     base::steady_time next_expiry;
