Entry: the holding of submissions that another entry may run in modules of its own

Moved out of resubmissions.cpp without a change of behaviour: held_submission has what follows from one hold alone, submission_holds its steps, submission_answers the answers.

--- a/src/entry/recovery_submissions.cpp
+++ b/src/entry/recovery_submissions.cpp
@@ -56,7 +56,7 @@
 
 bool job_lifecycle::hold_for_recovery(unstarted_submission& submission, base::steady_time now)
 {
-    // One that another entry may run is held by `resubmissions` for as long as that is so.
+    // One that another entry may run is held by `submission_holds` for as long as that is so.
     if (submission.was_held || submission.caller.hold_ended || this->shutdown_end
         || !this->components.held.recovering(now) || !this->lacks_endpoint(submission.request))
         return false;
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -1,62 +1,30 @@
-// Announcements between entries, and the holding of submissions that another entry may run.
+// Routes inputs about submissions to the parts, and decides which submissions are held or stopped.
 
 #include "entry/resubmissions.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "base/log_record.h"
 #include "entry/entry_components.h"
 #include "entry/job_id.h"
-#include "protocol/job_json.h"
+#include "entry/submission_answers.h"
 
 namespace greengagehead::entry {
 
 namespace {
 
-using policy::resubmission_step;
 using std::chrono::milliseconds;
 
 constexpr milliseconds expiry_interval {1000};
-/// Longest wait in one query, so that a lost entry is noticed.
-constexpr milliseconds max_query_wait {1000};
-constexpr milliseconds answer_timeout {500};
 /// A longer silence in a statement counts as this.
 constexpr milliseconds max_stated_silence {std::chrono::hours(24)};
-/// Pause after the denial of a claim.
-constexpr milliseconds denial_delay {10};
-/// Pause before a job that is still in progress is looked at again.
-constexpr milliseconds repeat_delay {50};
-
-std::string key_of(protocol::job_request const& request)
-{
-    return job_id_of(request.team, request.submission);
-}
-
-protocol::job_answer answer_for(protocol::job_request const& request, protocol::job_state state)
-{
-    protocol::job_answer answer;
-    answer.job = key_of(request);
-    answer.team = request.team;
-    answer.submission = request.submission;
-    answer.state = state;
-    answer.ran = protocol::ran_extent::unknown;
-    return answer;
-}
-
-protocol::job_answer cancelled_answer(protocol::job_request const& request)
-{
-    auto answer = answer_for(request, protocol::job_state::cancelled);
-    answer.failure
-        = base::error {base::error_code::refused, base::error_step::admission, {}, "cancelled"};
-    return answer;
-}
 
 } // namespace
 
 resubmissions::resubmissions(entry_components& shared)
     : components(shared), links(shared), announcements(shared, this->links),
-      starts(shared, this->links, this->announcements), runs(shared)
+      starts(shared, this->links, this->announcements), runs(shared),
+      holds(shared, this->links, this->announcements, this->known, this->runs)
 {
 }
 
@@ -73,18 +41,11 @@
     this->announcements.tick(now);
 }
 
-protocol::submissions_running::submission resubmissions::describe_hold(held_submission const& item,
-                                                                       base::steady_time now)
-{
-    return {item.key, std::chrono::floor<milliseconds>(now - item.submitted),
-            std::max(std::chrono::ceil<milliseconds>(item.deadline - now), milliseconds(1)), true};
-}
-
 protocol::submissions_running resubmissions::describe_all(base::steady_time now) const
 {
     auto message = this->announcements.describe_older_jobs(now);
-    for (auto const& [id, item] : this->held)
-        message.submissions.push_back(resubmissions::describe_hold(item, now));
+    for (auto const& held : this->holds.announcements_of_all(now))
+        message.submissions.push_back(held);
     return message;
 }
 
@@ -120,18 +81,7 @@
 void resubmissions::on_view(base::steady_time now)
 {
     this->record_present_entries();
-    this->proceed_all(now);
-}
-
-void resubmissions::proceed_all(base::steady_time now)
-{
-    std::vector<std::uint64_t> ids;
-    for (auto const& [id, item] : this->held)
-        ids.push_back(id);
-    for (auto const id : ids) {
-        if (auto const found = this->held.find(id); found != this->held.end())
-            this->proceed(found->second, now);
-    }
+    this->holds.proceed_all(now);
 }
 
 void resubmissions::on_announcement(std::string const& peer,
@@ -194,105 +144,26 @@
                                      {},
                                      {},
                                      true};
-    this->proceed(this->add_hold(std::move(submission), entry, now), now);
+    this->holds.hold(std::move(submission), entry, now);
     return true;
 }
 
-resubmissions::held_submission& resubmissions::add_hold(unstarted_submission submission,
-                                                        std::string const& entry,
-                                                        base::steady_time now)
-{
-    ++this->components.counters.submissions_held;
-    auto const id = this->components.remote.allocate_id();
-    auto& item = this->held[id];
-    item.id = id;
-    item.key = submission.key;
-    item.submitted = submission.submitted;
-    item.earliest_sent = submission.earliest_sent;
-    item.deadline = submission.deadline;
-    item.request = std::move(submission.request);
-    item.caller = std::move(submission.caller);
-    item.ended_claims = std::move(submission.ended_claims);
-    item.ended_reason = std::move(submission.ended_reason);
-    base::log_record(base::log_event::submission_held)
-        .with("submission", item.request.submission)
-        .with("team", item.request.team)
-        .with("entry", entry);
-    // Another entry that holds it since earlier must not start it at the same time as this one.
-    this->announcements.announce_hold(resubmissions::describe_hold(item, now));
-    return item;
-}
-
 void resubmissions::hold(unstarted_submission submission, protocol::claim_ref const& holder,
                          base::steady_time granted, base::steady_time now)
 {
-    auto const& key = submission.key;
-    this->known.record_claim(key, holder, this->links.may_be_linked(holder.entry), granted, now);
+    this->known.record_claim(submission.key, holder, this->links.may_be_linked(holder.entry),
+                             granted, now);
     // A former process of this entry, which is certainly gone.
     if (holder.entry.name == this->components.settings.id.name)
         this->known.record_incarnation(this->components.settings.id);
     this->record_present_entries();
-    // Not at once: this entry itself may be the witness, and a denial is to cost some time.
-    this->wait_until(this->add_hold(std::move(submission), holder.entry.name, now),
-                     now + denial_delay);
-}
-
-void resubmissions::record_ended(held_submission& item, protocol::process_id const& entry,
-                                 std::string const& reason)
-{
-    if (auto const number = this->known.claim_number(entry, item.key))
-        item.ended_claims.push_back({entry, *number});
-    item.ended_reason = reason;
-    this->known.record_ended(entry, item.key);
-}
-
-void resubmissions::proceed(held_submission& item, base::steady_time now)
-{
-    if (this->closing)
-        return this->give_up(item, "the entry is shutting down");
-    if (item.caller.has_left && item.caller.has_left())
-        return this->give_up(item, "the caller has left");
-    if (now >= item.deadline)
-        return this->give_up(item, "the deadline has passed");
-    if (auto* const abandoned = this->find_abandoned(item.request)) {
-        auto const state = settled_answer(*abandoned);
-        if (!abandoned->is_final() || policy::next_step(&state) == resubmission_step::ask_again)
-            return this->wait_for_ends(item, now);
-    }
-    auto const elsewhere = this->known.find(item.key, now);
-    if (!elsewhere && this->must_wait_for_newer(item, now))
-        return this->wait_until(item, now + repeat_delay);
-    if (!elsewhere)
-        return this->start_here(item, now);
-    if (elsewhere->out_of_contact)
-        return this->search(item, *elsewhere, now);
-    this->end_search(item);
-    if (elsewhere->connected)
-        return this->ask(item, elsewhere->entry, now);
-    this->wait_until(item, elsewhere->ends_by);
+    this->holds.hold_denied(std::move(submission), holder.entry.name, now);
 }
 
-void resubmissions::search(held_submission& item, policy::remote_submission const& elsewhere,
-                           base::steady_time now)
-{
-    auto const job = ephemeral_job_id(item.request.team, item.request.submission, elsewhere.entry);
-    if (item.searched_job != job) {
-        this->end_search(item);
-        item.searched_job = job;
-    }
-    this->runs.search(job, elsewhere.announced);
-    if (!this->runs.ended(job))
-        return this->wait_for_ends(item, now);
-    this->end_search(item);
-    this->record_ended(item, elsewhere.entry, "the agents run nothing of a lost entry");
-    this->proceed(item, now);
-}
-
-void resubmissions::end_search(held_submission& item)
+bool resubmissions::on_reply(std::string const& peer, protocol::job_reply const& reply,
+                             base::steady_time now)
 {
-    if (!item.searched_job.empty())
-        this->runs.forget(item.searched_job);
-    item.searched_job.clear();
+    return this->holds.on_reply(peer, reply, now) || this->starts.on_reply(peer, reply);
 }
 
 void resubmissions::on_report(protocol::outcome_report const& report, base::steady_time now)
@@ -309,139 +180,6 @@
     }
 }
 
-bool resubmissions::must_wait_for_newer(held_submission const& item, base::steady_time now) const
-{
-    return this->known.has_newer_holder(item.key, item.submitted, this->components.settings.id.name,
-                                        now);
-}
-
-void resubmissions::ask(held_submission& item, protocol::process_id const& entry,
-                        base::steady_time now)
-{
-    auto const left = std::chrono::ceil<milliseconds>(item.deadline - now);
-    auto const query_wait = std::min(left, max_query_wait);
-    item.asked = entry;
-    item.asked_job = ephemeral_job_id(item.request.team, item.request.submission, entry);
-    this->components.sender.send(entry.name,
-                                 protocol::job_query {item.id, item.asked_job, false, query_wait});
-    this->wait_until(item, now + query_wait + answer_timeout);
-}
-
-bool resubmissions::on_reply(std::string const& peer, protocol::job_reply const& reply,
-                             base::steady_time now)
-{
-    auto const found = this->held.find(reply.query_id);
-    if (found == this->held.end())
-        return this->starts.on_reply(peer, reply);
-    auto& item = found->second;
-    if (peer != item.asked.name || (reply.answer && reply.answer->job != item.asked_job))
-        return true;
-    // Another incarnation of the entry knows nothing of the job.
-    if (this->links.is_replaced(item.asked))
-        return true;
-    this->on_state(item, reply.answer ? &*reply.answer : nullptr, now);
-    return true;
-}
-
-void resubmissions::on_state(held_submission& item, protocol::job_answer const* state,
-                             base::steady_time now)
-{
-    switch (policy::next_step(state)) {
-    case resubmission_step::ask_again:
-        if (state->state != protocol::job_state::running || state->failure)
-            return this->wait_for_ends(item, now);
-        item.ends_awaited_since.reset();
-        return this->wait_until(item, now + repeat_delay);
-    case resubmission_step::answer:
-        return this->finish(item, *state);
-    case resubmission_step::start_here:
-        this->record_ended(item, item.asked, "its entry has stated the end");
-        item.asked = {};
-        // Somebody else may run or start it by now.
-        if (this->known.find(item.key, now) || this->must_wait_for_newer(item, now))
-            return this->wait_until(item, now + repeat_delay);
-        return this->start_here(item, now);
-    }
-}
-
-void resubmissions::start_here(held_submission& item, base::steady_time now)
-{
-    if (item.caller.has_left && item.caller.has_left())
-        return this->give_up(item, "the caller has left");
-    if (now >= item.deadline)
-        return this->give_up(item, "the deadline has passed");
-    auto released = this->release(item, "claimed");
-    released.request.deadline = std::chrono::ceil<milliseconds>(released.deadline - now);
-    auto const id = ephemeral_job_id(released.request.team, released.request.submission,
-                                     this->components.settings.id);
-    this->components.lifecycle.claim_or_refuse(
-        {released.key,
-         id,
-         std::move(released.request),
-         std::move(released.caller),
-         released.submitted,
-         std::min(released.earliest_sent, released.submitted),
-         released.deadline,
-         {},
-         std::move(released.ended_claims),
-         std::move(released.ended_reason),
-         true},
-        now);
-}
-
-void resubmissions::give_up(held_submission& item, std::string const& reason)
-{
-    auto const released = this->release(item, reason);
-    this->announcements.announce_end(released.key);
-    deliver_unknown(
-        released.caller, answer_for(released.request, protocol::job_state::running),
-        {base::error_code::unavailable, base::error_step::admission, released.asked.name, reason});
-}
-
-void resubmissions::finish(held_submission& item, protocol::job_answer const& answer)
-{
-    // `answer` may belong to a job that ends with the hold.
-    auto const final_answer = answer;
-    auto const released = this->release(item, protocol::to_string(answer.state));
-    this->announcements.announce_end(released.key);
-    deliver(released.caller, final_answer, {});
-}
-
-resubmissions::held_submission resubmissions::release(held_submission& item,
-                                                      std::string_view outcome)
-{
-    this->end_search(item);
-    auto released = std::move(item);
-    this->held.erase(released.id);
-    base::log_record(base::log_event::submission_released)
-        .with("submission", released.request.submission)
-        .with("team", released.request.team)
-        .with("outcome", outcome);
-    return released;
-}
-
-void resubmissions::wait_for_ends(held_submission& item, base::steady_time now)
-{
-    if (!item.ends_awaited_since)
-        item.ends_awaited_since = now;
-    if (now >= *item.ends_awaited_since + policy::unconfirmed_end_wait)
-        return this->give_up(item, "a run may go on at a machine that is not heard");
-    this->wait_until(item, now + repeat_delay);
-}
-
-void resubmissions::wait_until(held_submission& item, base::steady_time time)
-{
-    item.next_step_at = std::min(time, item.deadline);
-    this->components.timers.add({item.next_step_at, timer_kind::held_submission, item.id, 0, 0});
-}
-
-void resubmissions::on_timer(std::uint64_t id, base::steady_time now)
-{
-    auto const found = this->held.find(id);
-    if (found != this->held.end() && now >= found->second.next_step_at)
-        this->proceed(found->second, now);
-}
-
 bool resubmissions::cancel(std::string const& team, std::string const& submission,
                            base::steady_time now)
 {
@@ -453,7 +191,7 @@
     // Its caller may have sent it to an entry that has not announced it yet, or may do so.
     this->links.send_to_others(protocol::job_cancel {submission_id(key)});
     bool const claimed = this->components.submission_consent.cancel(key, now);
-    return this->end_holds(key) || claimed || elsewhere.has_value();
+    return this->holds.cancel(key) || claimed || elsewhere.has_value();
 }
 
 void resubmissions::on_cancelled_elsewhere(std::string const& peer, std::string const& id,
@@ -476,21 +214,7 @@
     if (auto* const job = this->announcements.find_job(key))
         this->components.lifecycle.cancel_submission(*job, now);
     this->components.submission_consent.cancel(key, now);
-    this->end_holds(key);
-}
-
-bool resubmissions::end_holds(std::string const& key)
-{
-    std::vector<std::uint64_t> affected;
-    for (auto const& [id, item] : this->held) {
-        if (item.key == key)
-            affected.push_back(id);
-    }
-    for (auto const id : affected) {
-        auto& item = this->held.at(id);
-        this->finish(item, cancelled_answer(item.request));
-    }
-    return !affected.empty();
+    this->holds.cancel(key);
 }
 
 void resubmissions::send_cancel(std::string const& key, policy::submission_name const& name,
@@ -502,18 +226,4 @@
         entry.name, protocol::job_cancel {ephemeral_job_id(name.team, name.submission, entry)});
 }
 
-job* resubmissions::find_abandoned(protocol::job_request const& request) const
-{
-    auto* const job = this->components.jobs.find(
-        ephemeral_job_id(request.team, request.submission, this->components.settings.id));
-    return job != nullptr && job->abandoned() ? job : nullptr;
-}
-
-void resubmissions::answer_all()
-{
-    this->closing = true;
-    while (!this->held.empty())
-        this->give_up(this->held.begin()->second, "the entry is shutting down");
-}
-
 } // namespace greengagehead::entry
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -1,13 +1,11 @@
 // Ephemeral submissions that callers send to more than one entry: each entry announces what it has
-// in progress, and holds a submission that another entry may still run.
+// in progress, and holds a submission that another entry may still run. Passes inputs on to the
+// parts, and carries out cancellations.
 
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <string>
-#include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "base/clock.h"
@@ -16,6 +14,7 @@
 #include "entry/remote_runs.h"
 #include "entry/start_queries.h"
 #include "entry/submission_announcements.h"
+#include "entry/submission_holds.h"
 #include "entry/waiter.h"
 #include "policy/remote_submissions.h"
 #include "protocol/job.h"
@@ -79,7 +78,7 @@
     bool on_reply(std::string const& peer, protocol::job_reply const& reply, base::steady_time now);
     /// An agent states what it has of some jobs, also of other entries.
     void on_report(protocol::outcome_report const& report, base::steady_time now);
-    void on_timer(std::uint64_t id, base::steady_time now);
+    void on_timer(std::uint64_t id, base::steady_time now) { this->holds.on_timer(id, now); }
     /// Holds a submission that a witness has granted to another entry.
     /// @param granted when it was granted.
     void hold(unstarted_submission submission, protocol::claim_ref const& holder,
@@ -115,81 +114,29 @@
     void on_cancelled_elsewhere(std::string const& peer, std::string const& id,
                                 base::steady_time now);
     /// Answers all callers that wait here that the state of their job is not known.
-    void answer_all();
-    [[nodiscard]] bool idle() const { return this->held.empty(); }
+    void answer_all() { this->holds.answer_all(); }
+    [[nodiscard]] bool idle() const { return this->holds.empty(); }
 
 private:
-    struct held_submission {
-        std::uint64_t id = 0;
-        std::string key;
-        protocol::job_request request;
-        waiter caller;
-        base::steady_time submitted;
-        base::steady_time deadline;
-        protocol::process_id asked; ///< Entry that was asked last; empty name if none was.
-        std::string asked_job; ///< Id of the job there.
-        /// Claims of other entries that have ended since, and why that is known.
-        std::vector<protocol::claim_ref> ended_claims;
-        std::string ended_reason;
-        base::steady_time earliest_sent; ///< As in `job`.
-        /// Since when only the ends of runs are awaited that are to stop.
-        std::optional<base::steady_time> ends_awaited_since;
-        std::string searched_job; ///< Id of the job that the agents are asked for.
-        base::steady_time next_step_at; ///< Timers that are due earlier are obsolete.
-    };
-
-    held_submission& add_hold(unstarted_submission submission, std::string const& entry,
-                              base::steady_time now);
-    /// Nothing of the submission runs at the entry any more, and it will start nothing.
-    void record_ended(held_submission& item, protocol::process_id const& entry,
-                      std::string const& reason);
     void record_present_entries();
-    void proceed_all(base::steady_time now);
-    // These may end the hold, after which `item` no longer exists.
-    /// Asks the entry that may run the job, or waits for its runs to end, or admits the job here.
-    void proceed(held_submission& item, base::steady_time now);
-    void ask(held_submission& item, protocol::process_id const& entry, base::steady_time now);
-    /// Asks the agents for runs of an entry that cannot be asked.
-    void search(held_submission& item, policy::remote_submission const& elsewhere,
-                base::steady_time now);
-    void on_state(held_submission& item, protocol::job_answer const* state, base::steady_time now);
-    void start_here(held_submission& item, base::steady_time now);
-    void give_up(held_submission& item, std::string const& reason);
-    void finish(held_submission& item, protocol::job_answer const& answer);
-
-    /// Ends the hold and returns the submission.
-    held_submission release(held_submission& item, std::string_view outcome);
-    void end_search(held_submission& item);
-    /// Waits for the ends of runs that are to stop, but not for long: their machine may not be
-    /// heard for a while. This may end the hold.
-    void wait_for_ends(held_submission& item, base::steady_time now);
-    void wait_until(held_submission& item, base::steady_time time);
-    [[nodiscard]] bool must_wait_for_newer(held_submission const& item,
-                                           base::steady_time now) const;
-    /// Job of this entry with this submission that all callers have left; null if there is none.
-    [[nodiscard]] job* find_abandoned(protocol::job_request const& request) const;
     /// Announcement of everything that is in progress.
     [[nodiscard]] protocol::submissions_running describe_all(base::steady_time now) const;
-    [[nodiscard]] static protocol::submissions_running::submission
-    describe_hold(held_submission const& item, base::steady_time now);
     /// Stops the job of this entry that another one runs too since its caller went there.
     void stop_superseded(protocol::submissions_running::submission const& announced,
                          std::string const& peer, base::steady_time now);
-    /// Ends the holds of a cancelled submission. Returns whether there were any.
-    bool end_holds(std::string const& key);
     void send_cancel(std::string const& key, policy::submission_name const& name,
                      protocol::process_id const& entry);
 
     entry_components& components;
+    // Later parts refer to earlier ones.
     entry_links links;
     submission_announcements announcements;
     start_queries starts;
-    policy::remote_submissions known;
-    remote_runs runs;
+    policy::remote_submissions known; ///< What other entries run and hold, and what was cancelled.
+    remote_runs runs; ///< Of entries that cannot be asked.
+    submission_holds holds;
     pause_detector pauses;
-    bool closing = false; ///< The process ends: nothing is held any more.
-    base::steady_time next_expiry;
-    std::unordered_map<std::uint64_t, held_submission> held; ///< By id.
+    base::steady_time next_expiry; ///< When the parts drop again what has expired.
 };
 
 } // namespace greengagehead::entry
