--- a/src/cli/job_verbs.cpp
+++ b/src/cli/job_verbs.cpp
@@ -50,6 +50,15 @@
     return std::nullopt;
 }
 
+/// The option `--wait`. Returns nothing, and reports the error, when it is malformed.
+std::optional<milliseconds> parse_wait(cxxopts::ParseResult const& parsed, verb_options& options)
+{
+    auto const wait = parse_duration(parsed["wait"].as<std::string>());
+    if (!wait)
+        options.report_usage_error(wait_usage);
+    return wait;
+}
+
 /// Reads a file, or standard input when `file` is "-". Returns nothing when the file cannot be
 /// opened.
 std::optional<std::string> read_input(std::string const& file)
@@ -141,11 +150,9 @@
     auto const parsed = options.parse(args);
     if (!parsed)
         return options.early_exit_code;
-    auto const wait = parse_duration((*parsed)["wait"].as<std::string>());
-    if (!wait) {
-        options.report_usage_error(wait_usage);
+    auto const wait = parse_wait(*parsed, options);
+    if (!wait)
         return options.early_exit_code;
-    }
     auto const text = read_input((*parsed)["FILE"].as<std::string>());
     auto body = text ? protocol::parse_json_or(*text, nullptr) : json();
     if (!body.is_object()) {
@@ -181,11 +188,9 @@
     auto const parsed = options.parse(args);
     if (!parsed)
         return options.early_exit_code;
-    auto const wait = parse_duration((*parsed)["wait"].as<std::string>());
-    if (!wait) {
-        options.report_usage_error(wait_usage);
+    auto const wait = parse_wait(*parsed, options);
+    if (!wait)
         return options.early_exit_code;
-    }
     entry_session session(*parsed);
     auto const path = "/v1/jobs/" + percent_encode_segment((*parsed)["ID"].as<std::string>());
     auto const answer = session.call({transport::http_method::get, path, "", {}});
--- a/src/entry/submission_claims.cpp
+++ b/src/entry/submission_claims.cpp
@@ -87,10 +87,16 @@
 
 void submission_claims::proceed(open_claim& claim, base::steady_time now)
 {
-    auto const number = claim.number;
     auto const likely
         = [this, now](std::string const& name) { return this->is_responsive(name, now); };
-    for (auto const& witness : claim.quorum.missing(likely)) {
+    this->ask_all(claim, claim.quorum.missing(likely), now);
+}
+
+void submission_claims::ask_all(open_claim& claim, std::vector<std::string> const& witnesses,
+                                base::steady_time now)
+{
+    auto const number = claim.number;
+    for (auto const& witness : witnesses) {
         this->ask(claim, witness, now);
         // The verdict of this entry itself may have ended the claim.
         if (!this->claims.contains(number))
@@ -129,14 +135,7 @@
     auto& claim = found->second;
     if (now >= claim.expires_at)
         return this->refuse(claim, "the other entries have not agreed in time", now);
-    for (auto const& witness : claim.quorum.without_consent()) {
-        this->ask(claim, witness, now);
-        if (!this->claims.contains(number))
-            return;
-    }
-    if (claim.quorum.complete())
-        return this->on_granted(claim, now);
-    this->set_timer(claim, now);
+    this->ask_all(claim, claim.quorum.without_consent(), now);
 }
 
 bool submission_claims::is_responsive(std::string const& witness, base::steady_time now) const
--- a/src/entry/submission_claims.h
+++ b/src/entry/submission_claims.h
@@ -90,6 +90,9 @@
 
     /// Asks further witnesses, and ends the claim when its quorum is complete.
     void proceed(open_claim& claim, base::steady_time now);
+    /// Asks these witnesses. Then the claim is granted, or has ended, or waits for their verdicts.
+    void ask_all(open_claim& claim, std::vector<std::string> const& witnesses,
+                 base::steady_time now);
     void ask(open_claim& claim, std::string const& witness, base::steady_time now);
     void on_granted(open_claim& claim, base::steady_time now);
     void on_denied(open_claim& claim, protocol::claim_verdict const& verdict,
