Refuse a part of the requests while the event loop of an entry runs behind

Cause: admission counts slots and waiting work only.

Admission also refuses jobs whose answer would be of no use after two more passes of the loop. Setting entry.max_loop_delay_ms (20; 0: off), event 3046, metric overload_refusals_total.

Not yet run with processes.

--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -29,6 +29,7 @@
     core.fair_accounts = settings.fair_accounts;
     core.share_by_demand = settings.share_by_demand;
     core.learn_speed = settings.learn_speed;
+    core.max_loop_delay = settings.max_loop_delay;
     core.seed = core.id.incarnation;
     core.answer_retention = settings.timing.claim_retention;
     core.recovery_hold = {settings.recovery_hold, settings.recovery_hold_bytes};
--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -78,6 +78,7 @@
     event_description {log_event::state_recovered, severity::info, "state_recovered"},
     event_description {log_event::refusals_counted, severity::info, "refusals_counted"},
     event_description {log_event::shares_applied, severity::debug, "shares_applied"},
+    event_description {log_event::overload_refusals, severity::warning, "overload_refusals"},
     event_description {log_event::endpoint_announced, severity::info, "endpoint_announced"},
     event_description {log_event::endpoint_left, severity::info, "endpoint_left"},
     event_description {log_event::start_refused, severity::info, "start_refused"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -80,6 +80,7 @@
     state_recovered = 3043,
     refusals_counted = 3044,
     shares_applied = 3045,
+    overload_refusals = 3046,
     endpoint_announced = 4001,
     endpoint_left = 4002,
     start_refused = 4003,
--- a/src/entry/entry_components.h
+++ b/src/entry/entry_components.h
@@ -31,6 +31,7 @@
 #include "policy/endpoint_health.h"
 #include "policy/endpoint_table.h"
 #include "policy/fair_queue.h"
+#include "policy/overload_control.h"
 #include "policy/placement_policy.h"
 #include "policy/run_time_estimator.h"
 #include "policy/speed_learner.h"
@@ -78,6 +79,7 @@
     policy::endpoint_health health;
     policy::fair_queue queue; ///< Tasks of stored jobs.
     policy::target_queue ephemeral_queue; ///< Tasks of ephemeral jobs.
+    policy::overload_control overload;
     policy::run_time_estimator estimator;
     policy::speed_learner learner; ///< Only used with the setting `learn_speed`.
     /// Whether decisions follow the learned speeds and run times.
--- a/src/entry/entry_core.cpp
+++ b/src/entry/entry_core.cpp
@@ -4,11 +4,13 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <map>
 #include <type_traits>
 #include <utility>
 #include <variant>
 
+#include "base/log_record.h"
 #include "entry/entry_components.h"
 #include "entry/job_id.h"
 #include "entry/recovery_logger.h"
@@ -24,6 +26,7 @@
 /// Three missed reports; a silent agent gets no new work.
 constexpr milliseconds agent_silence {1000};
 constexpr milliseconds cancel_wait {2000};
+constexpr milliseconds overload_line_interval {1000};
 
 std::string_view name_of(policy::health_state state)
 {
@@ -56,9 +59,9 @@
     : settings(std::move(initial_settings)), sender(output, this->counters.messages_sent),
       control(this->settings.id, this->settings.controls, this->sender),
       leases(this->settings, this->sender, this->control, this->agents), claims(this->control),
-      shares(this->settings, this->endpoints), placement(policy_of(this->settings, this->learner)),
-      jobs(this->settings.finished_bytes), copies(copy_bytes),
-      outbox(this->sender, this->leases, this->agents),
+      shares(this->settings, this->endpoints), overload(this->settings.max_loop_delay),
+      placement(policy_of(this->settings, this->learner)), jobs(this->settings.finished_bytes),
+      copies(copy_bytes), outbox(this->sender, this->leases, this->agents),
       held(this->settings.recovery_hold, this->counters), dispatch(*this), attempts(*this),
       monitor(*this), lifecycle(*this), remote(*this), resubmitted(*this),
       submission_consent(*this), takeovers(*this)
@@ -84,6 +87,10 @@
     /// Whether the entry has what it needs to serve callers: its configuration and an endpoint.
     [[nodiscard]] bool state_complete() const;
     [[nodiscard]] state_parts present_parts(base::steady_time now) const;
+    /// Whether the submission may have run or may run, here or at another entry.
+    [[nodiscard]] bool may_have_started(submission_head const& head, base::steady_time now) const;
+    /// Logs, at most once a second, how many requests were refused because the loop runs behind.
+    void log_overload(base::steady_time now);
     /// Called after each input: places waiting tasks and sends the collected messages.
     void place_and_send(base::steady_time now);
 
@@ -93,6 +100,8 @@
     /// Rows of accounts in the last renewal, until it is answered.
     std::vector<protocol::account_use> unanswered_uses;
     bool control_linked = false; ///< A link to a control member was ready.
+    std::uint64_t logged_overload_refusals = 0; ///< Counter value when it was logged last.
+    base::steady_time next_overload_line;
     base::steady_time started;
     base::steady_time next_agent_check;
     base::steady_time next_expiry;
@@ -256,6 +265,29 @@
             this->leases.applied().number > 0, this->endpoints.usable_endpoints() > 0};
 }
 
+bool entry_core::impl::may_have_started(submission_head const& head, base::steady_time now) const
+{
+    auto const key = job_id_of(head.team, head.submission);
+    return this->resubmitted.is_known(key, now) || this->submission_consent.contains(key)
+        || this->submission_consent.has_granted(key)
+        || this->jobs.find(ephemeral_job_id(head.team, head.submission, this->settings.id))
+        != nullptr;
+}
+
+void entry_core::impl::log_overload(base::steady_time now)
+{
+    auto const refused = this->counters.overload_refusals;
+    if (refused == this->logged_overload_refusals || now < this->next_overload_line)
+        return;
+    this->next_overload_line = now + overload_line_interval;
+    auto const count = refused - std::exchange(this->logged_overload_refusals, refused);
+    auto const delay = std::chrono::duration_cast<milliseconds>(this->overload.delay());
+    base::log_record(base::log_event::overload_refusals)
+        .with("count", count)
+        .with("delay_ms", delay.count())
+        .with("accepted_percent", std::lround(this->overload.accepted_part(0) * 100));
+}
+
 void entry_core::impl::place_and_send(base::steady_time now)
 {
     this->dispatch.run(now);
@@ -374,6 +406,27 @@
     this->pimpl->place_and_send(now);
 }
 
+bool entry_core::runs_behind() const
+{
+    return this->pimpl->overload.behind();
+}
+
+std::optional<std::chrono::seconds> entry_core::refuse_overloaded(submission_head const& head,
+                                                                  base::steady_time now)
+{
+    auto& overload = this->pimpl->overload;
+    // A recovery may hold another request of the submission.
+    if (!overload.behind() || this->recovering(now))
+        return std::nullopt;
+    bool const refused
+        = overload.misses(head.deadline, {}, now) || overload.refuse_next(head.team, head.priority);
+    if (!refused || this->pimpl->may_have_started(head, now))
+        return std::nullopt;
+    ++this->pimpl->counters.overload_refusals;
+    this->count_refusal(head.team, policy::refusal_cause::other);
+    return overload.next_retry_after();
+}
+
 bool entry_core::recovering(base::steady_time now) const
 {
     return this->pimpl->held.recovering(now);
@@ -465,6 +518,8 @@
 
 void entry_core::tick(base::steady_time now)
 {
+    this->pimpl->overload.record_tick(now);
+    this->pimpl->log_overload(now);
     this->pimpl->leases.tick(now);
     this->pimpl->shares.set_lease_valid(this->pimpl->leases.valid(now));
     this->pimpl->control.tick(now);
--- a/src/entry/entry_core.h
+++ b/src/entry/entry_core.h
@@ -50,6 +50,16 @@
     policy::recovery_hold_limits recovery_hold;
     /// While capacity is short, jobs of accounts below their fair part may wait longer.
     bool fair_accounts = false;
+    /// Delay of the event loop that `policy::overload_control` aims at; 0 refuses nothing for it.
+    std::chrono::milliseconds max_loop_delay {0};
+};
+
+/// What is known of an ephemeral submission before its content is read.
+struct submission_head {
+    std::string const& team;
+    std::string const& submission;
+    std::uint32_t priority = 0;
+    std::chrono::milliseconds deadline; ///< From when the request was sent.
 };
 
 /// Reply to a submission; exactly one per call.
@@ -116,6 +126,7 @@
     std::uint64_t held_requests_shut_down = 0;
     std::uint64_t hold_overflows = 0; ///< Not held because of the limit of bytes.
     std::uint64_t hold_time_refusals = 0; ///< Not held because too little time was left.
+    std::uint64_t overload_refusals = 0; ///< Before the content of the request was read.
     std::uint64_t messages_sent = 0;
     std::uint64_t wasted_outcomes = 0; ///< Outcomes that contributed nothing to an answer.
 };
@@ -136,6 +147,13 @@
                 std::function<void(submit_reply const&)> reply, base::steady_time now,
                 std::function<bool()> caller_left = {},
                 std::optional<base::steady_time> arrived = {});
+    /// Whether the event loop runs behind, so that `refuse_overloaded` may refuse.
+    [[nodiscard]] bool runs_behind() const;
+    /// Refuses an ephemeral submission that has just been read, because the event loop runs behind.
+    /// Never refuses one that may have run or may run, here or at another entry. Returns when its
+    /// caller may return; empty if it is not refused.
+    std::optional<std::chrono::seconds> refuse_overloaded(submission_head const& head,
+                                                          base::steady_time now);
     /// Whether a request that lacks state of this entry may be held now.
     [[nodiscard]] bool recovering(base::steady_time now) const;
     /// Holds the request until its state is back, or leaves it unchanged and returns false.
--- a/src/entry/job_lifecycle.cpp
+++ b/src/entry/job_lifecycle.cpp
@@ -144,6 +144,8 @@
     auto target = this->make_target_request(request, remaining, arrived, now);
     if (this->components.settings.fair_accounts)
         target.standing = this->components.accounts.standing(request.team, now);
+    if (!refusal)
+        refusal = this->check_loop_delay(request, now);
     if (!refusal)
         refusal = policy::check_target(target, this->components.endpoints,
                                        this->components.ephemeral_queue, now);
@@ -152,6 +154,23 @@
     return refusal;
 }
 
+std::optional<policy::refusal> job_lifecycle::check_loop_delay(protocol::job_request const& request,
+                                                               base::steady_time now)
+{
+    if (!this->components.overload.behind())
+        return std::nullopt;
+    auto const run_time = this->longest_usual_time(request);
+    auto const target_length = target_of(request, run_time);
+    if (!target_length
+        || !this->components.overload.misses(*target_length * policy::useful_target_multiple,
+                                             run_time, now))
+        return std::nullopt;
+    return policy::make_refusal(base::error_code::unavailable,
+                                "the target cannot be met: the entry runs behind its requests",
+                                this->components.overload.next_retry_after(),
+                                policy::refusal_cause::target_missed);
+}
+
 void job_lifecycle::admit(unstarted_submission submission, base::steady_time now)
 {
     // The answer of an abandoned job serves nobody, and the submission gets a job of its own.
--- a/src/entry/job_lifecycle.h
+++ b/src/entry/job_lifecycle.h
@@ -111,6 +111,9 @@
     [[nodiscard]] std::optional<policy::refusal>
     check_submission(unstarted_submission const& submission, base::steady_time& latest_start,
                      base::steady_time now);
+    /// Refusal of a submission whose answer would be of no use because the event loop runs behind.
+    [[nodiscard]] std::optional<policy::refusal>
+    check_loop_delay(protocol::job_request const& request, base::steady_time now);
     /// Whether a task has no endpoint that may get it.
     [[nodiscard]] bool lacks_endpoint(protocol::job_request const& request) const;
     /// Holds a refused submission if its endpoints are expected to come back in time. Otherwise
--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -381,6 +381,14 @@
     return true;
 }
 
+bool resubmissions::is_known(std::string const& key, base::steady_time now) const
+{
+    return this->find_job(key) != nullptr || this->known.cancelled(key, now) != nullptr
+        || this->known.find(key, now)
+        || std::any_of(this->held.begin(), this->held.end(),
+                       [&key](auto const& item) { return item.second.key == key; });
+}
+
 resubmissions::held_submission& resubmissions::add_hold(unstarted_submission submission,
                                                         std::string const& entry,
                                                         base::steady_time now)
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -96,6 +96,8 @@
     }
     /// Whether this entry, or this incarnation of another one, has a link.
     [[nodiscard]] bool is_linked(protocol::process_id const& entry) const;
+    /// Whether a job with this key is here, or may run or have been cancelled at another entry.
+    [[nodiscard]] bool is_known(std::string const& key, base::steady_time now) const;
     /// A caller has cancelled the submission, here or elsewhere, a while ago at most.
     [[nodiscard]] bool is_cancelled(std::string const& key, base::steady_time now) const;
     /// Another entry states that a caller has cancelled the submission: stops what this entry has
--- a/src/entry/submission_claims.h
+++ b/src/entry/submission_claims.h
@@ -70,6 +70,11 @@
 
     /// Whether a claim for the submission is open. The job may start at any time.
     [[nodiscard]] bool contains(std::string const& key) const;
+    /// Whether this entry has granted the submission, as a witness, to itself or to another one.
+    [[nodiscard]] bool has_granted(std::string const& key) const
+    {
+        return this->grants.contains(key);
+    }
     /// Cancels the job that waits for consent. Returns whether there is one.
     bool cancel(std::string const& key, base::steady_time now);
 
--- a/src/policy/submission_grants.h
+++ b/src/policy/submission_grants.h
@@ -42,6 +42,8 @@
     /// which this witness knows more.
     void adopt(std::string const& key, protocol::claim_ref const& claim, steady_time now);
     [[nodiscard]] std::vector<protocol::submission_ref> all() const;
+    /// Whether an entry holds the submission, as far as this witness knows.
+    [[nodiscard]] bool contains(std::string const& key) const { return this->grants.contains(key); }
     /// Drops what has expired.
     void expire(steady_time now);
     [[nodiscard]] std::size_t size() const { return this->grants.size(); }
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -81,6 +81,9 @@
         = false; ///< Whether admission takes the recent use of accounts into account.
     bool share_by_demand = false; ///< Entries divide the slots by demand instead of equally.
     bool learn_speed = false; ///< Whether placement uses learned speeds of the endpoints.
+    /// While the event loop of an entry stays late by more than this, it refuses a part of the
+    /// requests; 0 refuses none for it.
+    std::chrono::milliseconds max_loop_delay {20};
     /// Control members. If `control_link_port` is set, these are only the initial contacts, reached
     /// at that port.
     std::vector<peer_settings> controls;
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -132,6 +132,10 @@
                                 make_number_setter(&settings::learn_speed),
                                 "Whether an entry learns the speeds of the endpoints and places "
                                 "tasks by them."));
+    rules.push_back(number_rule("entry.max_loop_delay_ms", value_kind::duration, 0, 10'000,
+                                make_number_setter(&settings::max_loop_delay),
+                                "While the event loop of an entry stays late by more than this, "
+                                "it refuses a part of the requests; 0 refuses none for it."));
     rules.push_back(text_rule("agent.announce", value_kind::loopback_address, {role::agent},
                               &settings::agent_announce,
                               "Loopback HTTP address at which endpoints announce themselves."));
