--- a/tests/entry/simulated_fleet.cpp
+++ b/tests/entry/simulated_fleet.cpp
@@ -354,6 +354,7 @@
     settings.finished_bytes = this->finished_bytes;
     settings.recovery_hold = this->recovery_hold;
     settings.learn_speed = this->learn_speed;
+    settings.max_loop_delay = this->max_loop_delay;
     settings.seed = this->generator();
     auto& core = this->entries[name];
     core = std::make_unique<entry::entry_core>(settings, *sender, this->now);
@@ -428,6 +429,18 @@
         this->deliver(item);
 }
 
+void simulated_fleet::run_behind(std::string const& entry)
+{
+    constexpr int passes = 6;
+    constexpr milliseconds pass_length {300};
+    for (int pass = 0; pass < passes; ++pass) {
+        this->frozen.insert(entry);
+        this->run(pass_length);
+        this->thaw(entry);
+        this->entries.at(entry)->tick(this->now);
+    }
+}
+
 void simulated_fleet::run(milliseconds time)
 {
     auto const end = this->now + time;
--- a/tests/entry/simulated_fleet.h
+++ b/tests/entry/simulated_fleet.h
@@ -131,10 +131,13 @@
     std::set<std::string> frozen; ///< Entries that are paused; their messages wait.
     /// Lets the entry go on, with the messages that have waited.
     void thaw(std::string const& entry);
+    /// Makes the loop of the entry handle its inputs at intervals of 300 ms, for 1.8 s.
+    void run_behind(std::string const& entry);
     milliseconds claim_timeout {5000};
     std::size_t finished_bytes = 128U << 20U; ///< As in entry_settings.
     policy::recovery_hold_limits recovery_hold; ///< As in entry_settings.
     bool learn_speed = false; ///< As in entry_settings, for entries that are added later.
+    milliseconds max_loop_delay {0}; ///< As in entry_settings, for entries that are added later.
     double loss_rate = 0;
     double duplicate_rate = 0;
     std::uint32_t max_delay_ms = 1;
--- a/tests/platform/entry_adapter_test.cpp
+++ b/tests/platform/entry_adapter_test.cpp
@@ -32,12 +32,14 @@
 
 struct entry_fixture {
     // The simulated control acts at multiples of 200 ms, so the clock starts at a whole second.
-    explicit entry_fixture(policy::recovery_hold_limits hold = {})
+    explicit entry_fixture(policy::recovery_hold_limits hold = {},
+                           milliseconds max_loop_delay = milliseconds(0))
         : fleet(1,
                 base::steady_time(std::chrono::floor<std::chrono::seconds>(
                     std::chrono::steady_clock::now().time_since_epoch())))
     {
         this->fleet.recovery_hold = hold;
+        this->fleet.max_loop_delay = max_loop_delay;
         auto& core = this->fleet.add_entry("entry.a", "recife");
         for (auto const* name : {"agent.1", "agent.2"})
             this->fleet.add_agent(name, "recife").run_time = milliseconds(1500);
@@ -379,3 +381,36 @@
         }
     }
 }
+
+SCENARIO("an entry of the platform runs behind its requests", "[platform][entry][overload]")
+{
+    GIVEN("a job that runs at an entry whose loop is late")
+    {
+        entry_fixture entry({}, milliseconds(20));
+        entry.configure();
+        auto const running = entry.post("/q/0123456789abcdef");
+        REQUIRE(entry.run_until([&] { return entry.active_runs() == 2; }));
+        auto const runs = entry.fleet.runs.size();
+        for (auto& [name, agent] : entry.fleet.agents)
+            agent.run_time = milliseconds(20);
+        entry.fleet.run_behind("entry.a");
+
+        // Guards against requests that are all read and all answered late.
+        THEN("the next request is refused before its body is read, and the job starts nothing")
+        {
+            auto const refused = entry.post("/q/00000000000000aa");
+            REQUIRE(entry.run_until([&] { return refused->has_value(); }));
+            CHECK((*refused)->code == 503);
+            CHECK(std::stoi((*refused)->headers.find("retry-after")->second) >= 1);
+            CHECK(entry.fleet.entries.at("entry.a")->counters().overload_refusals == 1);
+            CHECK(entry.fleet.runs.size() == runs);
+        }
+        // Guards against telling a caller that a job will not run that has run.
+        THEN("a further request of the job is answered with its result")
+        {
+            auto const again = entry.post("/q/0123456789abcdef");
+            REQUIRE(entry.run_until([&] { return again->has_value(); }));
+            CHECK((*again)->code == 200);
+        }
+    }
+}
