--- a/tests/settings/settings_file_test.cpp
+++ b/tests/settings/settings_file_test.cpp
@@ -81,6 +81,24 @@
         }
     }
 
+    // Guards against an aim of a wrong unit, which refuses everybody or nobody.
+    GIVEN("files with and without a value for max_loop_delay_ms")
+    {
+        auto const with_value = [](std::string const& value) {
+            std::string text(entry_file);
+            text.insert(text.find("http ="), "max_loop_delay_ms = " + value + "\n");
+            return read_settings_text(text, "entry.toml");
+        };
+        THEN("it has a default, can be turned off, and is at most ten seconds")
+        {
+            auto const standard = read_settings_text(entry_file, "entry.toml");
+            CHECK(standard.settings.max_loop_delay > std::chrono::milliseconds(0));
+            CHECK(with_value("0").problems.empty());
+            CHECK(with_value("0").settings.max_loop_delay == std::chrono::milliseconds(0));
+            CHECK(has_problem(with_value("10001"), "entry.max_loop_delay_ms", 8));
+        }
+    }
+
     // Guards against reporting only the first problem, so that a file must be fixed one error at a
     // time.
     GIVEN("a file with an unknown key, a value out of range and a malformed address")
