Tests: overload control with a processor that is taken away periodically

Cause: a process with a tenth of a processor has ticks that are late by up to 90 ms although it keeps up with its requests; these must not count as an overload.

--- a/tests/policy/overload_control_test.cpp
+++ b/tests/policy/overload_control_test.cpp
@@ -76,6 +76,9 @@
     std::optional<microseconds> pause_at; ///< The process is paused for `pause_length` once.
     microseconds pause_length {500'000};
     unsigned seed = 1;
+    /// Whether the machine gives the process ten times the speed for the first tenth of each
+    /// `processor_period`, and no processor for the rest.
+    bool limited = false;
 };
 
 /// One pass of the loop handles all inputs that have arrived before it began, and then the timer.
@@ -166,6 +169,8 @@
     static constexpr base::steady_time start {1h};
     /// From a message to another process until its answer is here.
     static constexpr microseconds round_trip {1000};
+    static constexpr microseconds processor_period {100'000};
+    static constexpr int speed_up = 10;
 
     [[nodiscard]] microseconds time() const
     {
@@ -195,12 +200,12 @@
         auto& request = this->requests.at(item.request);
         auto const& kind = kinds.at(request.kind);
         if (item.step == 0 && this->refuses(kind)) {
-            this->now += refusal_cost;
+            this->compute(refusal_cost);
             request.refused = true;
             request.answered = this->now;
             return;
         }
-        this->now += serving_costs.at(item.step);
+        this->compute(serving_costs.at(item.step));
         if (item.step == 0)
             this->inputs.push({this->now + round_trip, item.request, 1});
         else if (item.step == 1)
@@ -216,6 +221,29 @@
                 || this->control.misses(3 * kind.target, kind.run_time, this->now));
     }
 
+    /// Advances the clock until the work is done.
+    void compute(microseconds work)
+    {
+        if (!this->settings.limited) {
+            this->now += work;
+            return;
+        }
+        auto const period = this->time() / processor_period;
+        if (period != this->last_period)
+            this->used = microseconds(0);
+        this->last_period = period;
+        for (auto left = work / speed_up; left.count() > 0;) {
+            auto const part = std::min(left, processor_period / speed_up - this->used);
+            this->now += part;
+            this->used += part;
+            left -= part;
+            if (left.count() == 0)
+                break;
+            this->now = start + processor_period * ++this->last_period;
+            this->used = microseconds(0);
+        }
+    }
+
     void pause()
     {
         if (!this->settings.pause_at || this->time() < *this->settings.pause_at)
@@ -231,6 +259,8 @@
     std::priority_queue<input, std::vector<input>, std::greater<>> inputs;
     base::steady_time now = start;
     base::steady_time next_tick = start + tick_interval;
+    std::int64_t last_period = 0; // Of the latest work, with a limited processor.
+    microseconds used {0}; // Processor time in that period.
 };
 
 loop_simulation play(simulation_settings settings)
@@ -315,6 +345,32 @@
     }
 }
 
+// Guards against taking the pauses of a process with a small part of a processor for an overload.
+SCENARIO("a process may use its processor for a tenth of the time", "[policy][overload]")
+{
+    auto const seed = GENERATE(1U, 2U, 3U);
+    CAPTURE(seed);
+    WHEN("the load is 80% of what it can handle")
+    {
+        auto const all
+            = play({max_delay, {{0us, 0.8}}, 10s, {}, 500ms, seed, true}).total(0s, last_sent);
+        THEN("nobody is refused, and nearly all are answered in time")
+        {
+            CHECK(all.refused == 0);
+            CHECK(all.in_target_share() >= 0.95);
+        }
+    }
+    WHEN("the load is 150% of what it can handle")
+    {
+        auto const all
+            = play({max_delay, {{0us, 1.5}}, 10s, {}, 500ms, seed, true}).total(warm_up, last_sent);
+        THEN("most of those who are not refused are answered in time")
+        {
+            CHECK(all.in_target * 2 > all.sent - all.refused);
+        }
+    }
+}
+
 // Guards against refusals that go on after their reason, and against a backlog that outlasts it.
 SCENARIO("an overload ends", "[policy][overload]")
 {
