--- a/src/entry/resubmissions.cpp
+++ b/src/entry/resubmissions.cpp
@@ -148,6 +148,13 @@
     return true;
 }
 
+bool resubmissions::is_known(std::string const& key, base::steady_time now) const
+{
+    return this->announcements.find_job(key) != nullptr
+        || this->known.cancelled(key, now) != nullptr || this->known.find(key, now)
+        || this->holds.contains(key);
+}
+
 void resubmissions::hold(unstarted_submission submission, protocol::claim_ref const& holder,
                          base::steady_time granted, base::steady_time now)
 {
--- a/src/entry/resubmissions.h
+++ b/src/entry/resubmissions.h
@@ -104,6 +104,8 @@
     {
         return this->links.is_linked(entry);
     }
+    /// Whether a job with this key is here, or may run or have been cancelled at another entry.
+    [[nodiscard]] bool is_known(std::string const& key, base::steady_time now) const;
     /// A caller has cancelled the submission, here or elsewhere, a while ago at most.
     [[nodiscard]] bool is_cancelled(std::string const& key, base::steady_time now) const;
     /// Another entry states that a caller has cancelled the submission: stops what this entry has
--- a/src/entry/submission_holds.cpp
+++ b/src/entry/submission_holds.cpp
@@ -256,6 +256,12 @@
     return released;
 }
 
+bool submission_holds::contains(std::string const& key) const
+{
+    return std::any_of(this->held.begin(), this->held.end(),
+                       [&key](auto const& item) { return item.second.submission.key == key; });
+}
+
 bool submission_holds::cancel(std::string const& key)
 {
     std::vector<std::uint64_t> affected;
--- a/src/entry/submission_holds.h
+++ b/src/entry/submission_holds.h
@@ -50,6 +50,8 @@
     [[nodiscard]] std::vector<protocol::submissions_running::submission>
     announcements_of_all(base::steady_time now) const;
     [[nodiscard]] bool empty() const { return this->held.empty(); }
+    /// Whether a submission with this key is held.
+    [[nodiscard]] bool contains(std::string const& key) const;
 
 private:
     held_submission& add(unstarted_submission submission, std::string const& entry,
