Answer or refuse what a role reads while it writes its last answers

A stop answered those who waited once, and kept listening when the loop was so late that the stop overtook the timer that ends listening. A request on a new connection, or the next one on a connection that got its last answer, was read and cut 250 ms later.

A stop now closes the listener, and answers again at every tick until all answers are written.

--- a/src/app/adapter.h
+++ b/src/app/adapter.h
@@ -48,7 +48,7 @@
     virtual void close_intake() { }
     /// True once no connection is accepted any more.
     [[nodiscard]] virtual bool intake_closed() const { return true; }
-    /// Closes the connections that have no request in progress.
+    /// Stops listening and closes the connections that have no request in progress.
     virtual void close_idle_connections() { }
     /// True while no work is in progress.
     [[nodiscard]] virtual bool idle() const { return true; }
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -117,9 +117,6 @@
 void role_task::begin_stop(base::steady_time now)
 {
     this->stop_limit = now + last_write_time;
-    // A loop that was late may reach its limit before the timers that were due earlier.
-    this->answer_all(now);
-    this->close_idle_connections();
     this->check_stop(now);
 }
 
@@ -127,7 +124,13 @@
 {
     if (!this->stop_limit)
         return;
-    if (this->open_requests() == 0 || now >= *this->stop_limit)
+    if (now >= *this->stop_limit)
+        return this->loop.stop();
+    // A loop that was late may reach its limit before the timers that were due earlier, and a
+    // client may have sent its next request before it got its last answer.
+    this->answer_all(now);
+    this->close_idle_connections();
+    if (this->open_requests() == 0)
         this->loop.stop();
 }
 
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -53,7 +53,7 @@
     virtual void close_intake() { }
     /// True once no request can arrive on a new connection.
     [[nodiscard]] virtual bool intake_closed() const { return true; }
-    /// Closes the connections that have no request in progress.
+    /// Stops listening and closes the connections that have no request in progress.
     virtual void close_idle_connections() { }
     /// Answers every request in progress with what is known.
     virtual void answer_all(base::steady_time /*now*/) { }
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -211,6 +211,7 @@
 
 void http_server::close_idle_connections()
 {
+    this->stop_listening();
     this->admit_accepted();
     std::vector<evhttp_connection*> idle;
     for (auto const& [connection, state] : this->connections) {
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -119,7 +119,8 @@
     /// the next turn of the loop.
     void finish_listening();
     [[nodiscard]] bool listening() const { return this->bound_socket != nullptr; }
-    /// Closes the connections that have no request in progress, so that none is read any more.
+    /// Stops listening and closes the connections that have no request in progress, so that no
+    /// request is read except on connections that still wait for an answer.
     void close_idle_connections();
     /// Adds "Connection: close" to every later reply, so that clients send their next request to
     /// another process.
