End a role whose ticks fail

The check for the end of a stop ran behind the tick of the role, so an exception of the tick, which the loop catches, kept a role with an open request running for ever.

--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -38,11 +38,12 @@
 {
     this->tick_timer = this->loop.every(tick_interval, [this] {
         auto const now = base::steady_now();
+        // First, so that an error in the rest of the tick does not keep the role from ending.
+        this->check_stop(now);
         this->delays.record(now);
         this->log_delays(now);
         this->tick(now);
         this->check_shutdown(now);
-        this->check_stop(now);
     });
     this->thread = std::thread([this] { this->loop.run(); });
 }
--- a/tests/app/shutdown_review_test.cpp
+++ b/tests/app/shutdown_review_test.cpp
@@ -201,3 +201,34 @@
         }
     }
 }
+
+// Guards against a process that is killed because an error on its last ticks keeps it from ending.
+SCENARIO("the ticks of a role fail while it stops", "[app]")
+{
+    GIVEN("a request that is not answered completely, and ticks that fail")
+    {
+        std::atomic<bool> failing {true};
+        hooked_task task(false);
+        auto const address = task.open();
+        task.hooks.on_tick = [&] {
+            if (failing)
+                throw std::runtime_error("tick");
+        };
+        task.start();
+        client_socket const client(address);
+        client.send_request();
+        task.wait_for_request();
+
+        WHEN("the role stops")
+        {
+            auto stopped = std::async(std::launch::async, [&] { task.stop(); });
+            bool const in_time = stopped.wait_for(seconds(2)) == std::future_status::ready;
+            failing = false;
+            stopped.wait();
+            THEN("it ends all the same")
+            {
+                CHECK(in_time);
+            }
+        }
+    }
+}
