Read the last accepted connections of an idle role also when its loop is late

The time for late requests counted from the tick that began to stop listening.

The test "a client connects in the last moment of an idle role whose loop is late" failed on (no answer) and passes.

--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -77,13 +77,17 @@
         return this->idle_since.reset();
     if (!this->idle_since)
         this->idle_since = now;
+    // What was accepted last needs the same time to be read. It counts from the first tick without
+    // a listener, because one turn of a late loop may take longer.
+    if (this->closing_intake && this->intake_closed()) {
+        this->closing_intake = false;
+        this->idle_since = now;
+    }
     if (now - *this->idle_since < late_request_grace)
         return;
-    this->close_intake();
     if (!this->intake_closed()) {
-        // What was still accepted needs the same time to be read.
-        this->idle_since = now;
-        return;
+        this->closing_intake = true;
+        return this->close_intake();
     }
     this->close_idle_connections();
     auto const done = std::move(this->on_shutdown_done);
--- a/src/app/role_task.h
+++ b/src/app/role_task.h
@@ -79,6 +79,7 @@
     std::unique_ptr<transport::loop_timer> tick_timer;
     std::function<void()> on_shutdown_done; // Empty unless a shutdown is in progress.
     std::optional<base::steady_time> idle_since; // Set while idle during a shutdown.
+    bool closing_intake = false; // Set while an idle role waits for `intake_closed`.
     std::optional<base::steady_time> stop_limit; // Set once the loop is to stop.
     std::thread thread;
 };
--- a/tests/app/shutdown_review_test.cpp
+++ b/tests/app/shutdown_review_test.cpp
@@ -232,3 +232,34 @@
         }
     }
 }
+
+// Guards against connections that a late loop accepts and closes before it has read their requests.
+SCENARIO("a client connects in the last moment of an idle role whose loop is late", "[app]")
+{
+    GIVEN("a role whose turns take longer than the time for late requests")
+    {
+        hooked_task task(true);
+        auto const address = task.open();
+        std::unique_ptr<client_socket> late;
+        task.hooks.on_tick = [] { std::this_thread::sleep_for(milliseconds(150)); };
+        task.hooks.on_close_intake = [&] {
+            if (late)
+                return;
+            late = std::make_unique<client_socket>(address);
+            late->send_request();
+        };
+        task.start();
+
+        WHEN("the role shuts down")
+        {
+            std::promise<void> done;
+            task.shut_down([&done] { done.set_value(); });
+            done.get_future().wait();
+            task.stop();
+            THEN("the request is answered")
+            {
+                CHECK(late->count_answers() == 1);
+            }
+        }
+    }
+}
