Watch signals before the first listener opens

The signals were watched only once all roles had started. A SIGTERM between the start of an entry's listener and that moment ended the process by the signal, with the connections it had. Not shown: that a whole request had been read then.

--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -196,8 +196,6 @@
         .with("zone", settings.zone)
         .with("data", settings.data_folder);
     auto roles = std::make_unique<role_set>(std::move(settings), std::move(adapters));
-    BOOST_OUTCOME_TRYV(roles->open());
-
     bool stopping = false;
     bool interrupted = false;
     std::unique_ptr<transport::loop_timer> limit_timer;
@@ -221,6 +219,9 @@
         interrupted = true;
         begin_stop();
     });
+    // The signals are watched before the first listener opens, so that none ends the process while
+    // it has requests. Those that arrive until then are handled when all roles have started.
+    BOOST_OUTCOME_TRYV(roles->open());
     main_loop.run();
     base::begin_last_lines();
     base::log_record(base::log_event::process_stopped).with("process", name);
