Test that a request which waits for control is answered at the limit (fails)

answer_all answers callers of jobs only. A request of the entry's own HTTP interface that waits for control (/v1/config 5 s, changes 18 s, /v1/status 1 s) is cut at the end of the process.

--- a/tests/fleet/shutdown_review_test.py
+++ b/tests/fleet/shutdown_review_test.py
@@ -73,6 +73,17 @@
         self.addCleanup(entry.stop)
         return entry
 
+    def test_read_of_control_at_the_limit(self):
+        """Guards against a limit that cuts a request which waits for control."""
+        entry = self.start()
+        wait_until(entry.listening, "the entry does not listen")
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            answer = pool.submit(entry.get, "/v1/config/teams")
+            time.sleep(0.5)
+            entry.process.send_signal(signal.SIGTERM)
+            self.assertIsInstance(answer.result(), int)
+        self.assertEqual(entry.process.wait(END_LIMIT_S), 0)
+
     def test_sigterm_at_the_start(self):
         """Guards against an end by the signal after the first connections were accepted."""
         codes = []
