Answer the operator's orders before a control member ends

A process with the control role ended it without a shutdown: its event loop stopped at once, with orders that waited for their commit or whose answers were not written.

--- a/src/app/control_task.cpp
+++ b/src/app/control_task.cpp
@@ -170,9 +170,31 @@
         this->adapter->begin_shutdown(now);
 }
 
+void control_task::close_intake()
+{
+    if (this->adapter)
+        this->adapter->close_intake();
+}
+
+bool control_task::intake_closed() const
+{
+    return this->adapter == nullptr || this->adapter->intake_closed();
+}
+
+void control_task::close_idle_connections()
+{
+    if (this->adapter)
+        this->adapter->close_idle_connections();
+}
+
 bool control_task::idle() const
 {
     return this->adapter == nullptr || this->adapter->idle();
 }
 
+std::size_t control_task::open_requests() const
+{
+    return this->adapter ? this->adapter->open_requests() : 0;
+}
+
 } // namespace greengagehead::app
--- a/src/app/control_task.h
+++ b/src/app/control_task.h
@@ -34,7 +34,11 @@
     void controls_configured(std::vector<std::string> const& peers) override;
     void tick(base::steady_time now) override;
     void begin_shutdown(base::steady_time now) override;
+    void close_intake() override;
+    [[nodiscard]] bool intake_closed() const override;
+    void close_idle_connections() override;
     [[nodiscard]] bool idle() const override;
+    [[nodiscard]] std::size_t open_requests() const override;
 
 private:
     base::result<void> open_log(settings::process_settings const& settings,
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Shuts down the entry, then the agent. The entry needs agents and control until its last
-    /// answer, so it stops first.
+    /// Shuts down the entry, then the agent, then control. The entry needs agents and control until
+    /// its last answer, so it stops first.
     void shut_down(transport::event_loop& main_loop, std::function<void()> done)
     {
         role_task* next = nullptr;
@@ -79,6 +79,8 @@
             next = this->entry.get();
         } else if (this->agent) {
             next = this->agent.get();
+        } else if (this->control) {
+            next = this->control.get();
         }
         if (next == nullptr)
             return done();
@@ -86,8 +88,10 @@
             main_loop.post([this, &main_loop, next, on_done] {
                 if (next == this->entry.get())
                     this->entry.reset();
-                else
+                else if (next == this->agent.get())
                     this->agent.reset();
+                else
+                    this->control.reset();
                 this->shut_down(main_loop, on_done);
             });
         });
