Answer requests that wait for control before an entry ends

The last answers went to callers of jobs only. A request of the entry's own HTTP interface that waited for control (reads 5 s, changes 18 s) was cut at the end of the process. It now gets status 503 with the code of a time-out, as after its own limit.

shutdown_review_test.py test_read_of_control_at_the_limit failed on (RemoteDisconnected) and passes (one run).

--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "api/json_replies.h"
 #include "app/peer_wiring.h"
 #include "base/random.h"
 
@@ -166,6 +167,10 @@
 void entry_task::answer_all(base::steady_time now)
 {
     this->core.answer_all_waiters(now);
+    // Requests to control may wait longer than this process lives.
+    this->server.answer_open_requests(api::error_response(
+        {base::error_code::timeout, base::error_step::replicate, {},
+         "the entry is shutting down and has no answer from control"}));
 }
 
 bool entry_task::idle() const
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -222,6 +222,19 @@
         evhttp_connection_free(connection);
 }
 
+void http_server::answer_open_requests(http_response const& response)
+{
+    std::vector<std::shared_ptr<http_exchange>> open;
+    for (auto const& [connection, state] : this->connections) {
+        auto exchange = state->exchange.lock();
+        // A dropped request is kept without a reply until its connection is freed.
+        if (exchange && exchange->open() && exchange != state->dropped_exchange)
+            open.push_back(std::move(exchange));
+    }
+    for (auto const& exchange : open)
+        exchange->respond(response);
+}
+
 std::size_t http_server::open_exchanges() const
 {
     return static_cast<std::size_t>(
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -122,6 +122,8 @@
     /// Stops listening and closes the connections that have no request in progress, so that no
     /// request is read except on connections that still wait for an answer.
     void close_idle_connections();
+    /// Sends `response` to every request that has no reply yet.
+    void answer_open_requests(http_response const& response);
     /// Adds "Connection: close" to every later reply, so that clients send their next request to
     /// another process.
     void close_after_replies() { this->connection_close = true; }
