--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Shuts down the entry, then the agent. The entry needs agents and control until its last
-    /// answer, so it stops first.
+    /// Shuts down the entry, then the agent, then control. The entry needs agents and control until
+    /// its last answer, so it stops first.
     void shut_down(transport::event_loop& main_loop, std::function<void()> done)
     {
         role_task* next = nullptr;
@@ -79,6 +79,8 @@
             next = this->entry.get();
         } else if (this->agent) {
             next = this->agent.get();
+        } else if (this->control) {
+            next = this->control.get();
         }
         if (next == nullptr)
             return done();
@@ -86,8 +88,10 @@
             main_loop.post([this, &main_loop, next, on_done] {
                 if (next == this->entry.get())
                     this->entry.reset();
-                else
+                else if (next == this->agent.get())
                     this->agent.reset();
+                else
+                    this->control.reset();
                 this->shut_down(main_loop, on_done);
             });
         });
@@ -196,8 +200,6 @@
         .with("zone", settings.zone)
         .with("data", settings.data_folder);
     auto roles = std::make_unique<role_set>(std::move(settings), std::move(adapters));
-    BOOST_OUTCOME_TRYV(roles->open());
-
     bool stopping = false;
     bool interrupted = false;
     std::unique_ptr<transport::loop_timer> limit_timer;
@@ -221,6 +223,9 @@
         interrupted = true;
         begin_stop();
     });
+    // The signals are watched before the first listener opens, so that none ends the process while
+    // it has requests. Those that arrive until then are handled when all roles have started.
+    BOOST_OUTCOME_TRYV(roles->open());
     main_loop.run();
     base::begin_last_lines();
     base::log_record(base::log_event::process_stopped).with("process", name);
--- a/src/app/role_task.cpp
+++ b/src/app/role_task.cpp
@@ -38,11 +38,12 @@
 {
     this->tick_timer = this->loop.every(tick_interval, [this] {
         auto const now = base::steady_now();
+        // First, so that an error in the rest of the tick does not keep the role from ending.
+        this->check_stop(now);
         this->delays.record(now);
         this->log_delays(now);
         this->tick(now);
         this->check_shutdown(now);
-        this->check_stop(now);
     });
     this->thread = std::thread([this] { this->loop.run(); });
 }
@@ -76,13 +77,17 @@
         return this->idle_since.reset();
     if (!this->idle_since)
         this->idle_since = now;
+    // What was accepted last needs the same time to be read. It counts from the first tick without
+    // a listener, because one turn of a late loop may take longer.
+    if (this->closing_intake && this->intake_closed()) {
+        this->closing_intake = false;
+        this->idle_since = now;
+    }
     if (now - *this->idle_since < late_request_grace)
         return;
-    this->close_intake();
     if (!this->intake_closed()) {
-        // What was still accepted needs the same time to be read.
-        this->idle_since = now;
-        return;
+        this->closing_intake = true;
+        return this->close_intake();
     }
     this->close_idle_connections();
     auto const done = std::move(this->on_shutdown_done);
@@ -117,9 +122,6 @@
 void role_task::begin_stop(base::steady_time now)
 {
     this->stop_limit = now + last_write_time;
-    // A loop that was late may reach its limit before the timers that were due earlier.
-    this->answer_all(now);
-    this->close_idle_connections();
     this->check_stop(now);
 }
 
@@ -127,7 +129,13 @@
 {
     if (!this->stop_limit)
         return;
-    if (this->open_requests() == 0 || now >= *this->stop_limit)
+    if (now >= *this->stop_limit)
+        return this->loop.stop();
+    // A loop that was late may reach its limit before the timers that were due earlier, and a
+    // client may have sent its next request before it got its last answer.
+    this->answer_all(now);
+    this->close_idle_connections();
+    if (this->open_requests() == 0)
         this->loop.stop();
 }
 
