Bound the bytes that the kernel holds unread for connections

Cause: bytes that have arrived and are not read count as memory of the process, and accepted sockets had the kernel's default receive buffer, 128 KiB and more. A process that stands still or runs little could exceed the memory of its machine while its own accounting saw nothing.

--- a/src/base/log_event.cpp
+++ b/src/base/log_event.cpp
@@ -27,6 +27,8 @@
     event_description {log_event::connections_closed, severity::warning, "connections_closed"},
     event_description {log_event::event_loop_delayed, severity::warning, "event_loop_delayed"},
     event_description {log_event::requests_cut, severity::warning, "requests_cut"},
+    event_description {log_event::receive_buffer_refused, severity::warning,
+                       "receive_buffer_refused"},
     event_description {log_event::lease_granted, severity::debug, "lease_granted"},
     event_description {log_event::entry_joined, severity::info, "entry_joined"},
     event_description {log_event::entry_removed, severity::warning, "entry_removed"},
--- a/src/base/log_event.h
+++ b/src/base/log_event.h
@@ -30,6 +30,7 @@
     connections_closed = 1022,
     event_loop_delayed = 1023,
     requests_cut = 1024,
+    receive_buffer_refused = 1025,
     lease_granted = 2001,
     entry_joined = 2002,
     entry_removed = 2003,
--- a/src/policy/connection_budget.cpp
+++ b/src/policy/connection_budget.cpp
@@ -14,9 +14,6 @@
 /// After the budget was exceeded, connections are closed until this part of it is free, so that the
 /// next bytes do not need another search.
 constexpr std::size_t free_part = 8;
-/// A connection that is being closed keeps its descriptor until its listener gets to it. All
-/// together may exceed the limit by this part of it.
-constexpr std::size_t closing_part = 16;
 /// A refusal that the client does not read is given up after this time.
 constexpr milliseconds refusal_timeout {1'000};
 /// A client inside the limits sends its request right after it has connected, so a connection that
@@ -70,7 +67,7 @@
                                            connection_stage stage, base::steady_time now)
 {
     connection_verdict verdict;
-    if (this->reaches(this->limits.connections + this->limits.connections / closing_part)) {
+    if (this->reaches(most_open_connections(this->limits.connections))) {
         verdict.refused = close_reason::connections;
         return verdict;
     }
--- a/src/policy/connection_budget.h
+++ b/src/policy/connection_budget.h
@@ -24,12 +24,24 @@
     std::size_t connection_bytes = 0; ///< Bytes held for one connection.
     std::size_t connections = 0;
     std::size_t address_connections = 0; ///< Connections from one address.
+    /// Bytes that the kernel may hold unread for each connection; 0 leaves its default.
+    std::size_t receive_buffer_bytes = 0;
     std::chrono::milliseconds request_timeout {30'000}; ///< From its first byte to its last one.
     std::chrono::milliseconds answer_timeout {30'000}; ///< Until the client has taken the answer.
     std::chrono::milliseconds idle_timeout {45'000}; ///< Between requests.
     std::chrono::milliseconds handshake_timeout {5'000}; ///< Of a link between processes.
 };
 
+/// A connection that is being closed keeps its descriptor until its listener gets to it. All
+/// together may exceed the limit by this part of it.
+constexpr std::size_t closing_part = 16;
+
+/// Connections that are open at once, with those that are being closed.
+[[nodiscard]] constexpr std::size_t most_open_connections(std::size_t limit)
+{
+    return limit + limit / closing_part;
+}
+
 enum class connection_stage : std::uint8_t {
     idle, ///< No byte of a request has arrived.
     reading, ///< A part of a request has arrived.
@@ -92,6 +104,10 @@
     /// Connections whose stage takes longer than its limit. Names each connection once.
     std::vector<closed_connection> overdue(base::steady_time now);
 
+    [[nodiscard]] std::size_t receive_buffer_bytes() const
+    {
+        return this->limits.receive_buffer_bytes;
+    }
     [[nodiscard]] std::size_t held_bytes() const { return this->total_bytes; }
     [[nodiscard]] std::size_t size() const { return this->connections.size(); }
 
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -8,6 +8,14 @@
 
 namespace greengagehead::settings {
 
+namespace {
+
+/// What is held for connections, and what they have sent and is not read, take this part each.
+constexpr std::uint64_t memory_part = 4;
+constexpr std::uint64_t unknown_memory_budget = 32UL << 20U;
+
+} // namespace
+
 bool process_settings::has(role value) const
 {
     return std::find(this->roles.begin(), this->roles.end(), value) != this->roles.end();
@@ -41,14 +49,17 @@
 
 std::uint64_t connection_budget_bytes(limit_settings const& limits)
 {
-    constexpr std::uint64_t memory_part = 4;
-    constexpr std::uint64_t unknown_memory_budget = 32UL << 20U;
     if (limits.memory_mb > 0)
         return (limits.memory_mb << 20U) / memory_part;
     // One connection may hold three quarters of it, and a body in chunks takes twice its size.
     return std::max(unknown_memory_budget, 3 * (limits.body_bytes + limits.header_bytes));
 }
 
+std::uint64_t unread_budget_bytes(limit_settings const& limits)
+{
+    return limits.memory_mb > 0 ? (limits.memory_mb << 20U) / memory_part : unknown_memory_budget;
+}
+
 process_settings embedded_settings()
 {
     process_settings embedded;
--- a/src/settings/process_settings.h
+++ b/src/settings/process_settings.h
@@ -34,6 +34,7 @@
     std::uint64_t memory_mb = 0; ///< Memory that the process may use, in MiB; 0 if unknown.
     std::uint64_t connections = 0; ///< 0 derives it from the descriptors of the process.
     std::uint64_t address_connections = 0; ///< From one address; 0 derives it from `connections`.
+    std::uint64_t receive_buffer_bytes = 16'384; ///< Least unread bytes for each connection.
     std::chrono::milliseconds request_timeout {30'000}; ///< Until a request is complete.
     std::chrono::milliseconds answer_timeout {30'000}; ///< Until the client has taken the answer.
     std::chrono::milliseconds idle_timeout {45'000}; ///< Between requests.
@@ -102,6 +103,10 @@
 /// unknown, 32 MiB, or three times the largest request if that is more.
 [[nodiscard]] std::uint64_t connection_budget_bytes(limit_settings const& limits);
 
+/// Bytes that may have arrived for all accepted connections and are not read: a quarter of the
+/// memory of the process, or 32 MiB if that is unknown.
+[[nodiscard]] std::uint64_t unread_budget_bytes(limit_settings const& limits);
+
 /// The listed control members with the addresses for links to them: with `control_link_port` set,
 /// that port replaces the listed one.
 [[nodiscard]] std::vector<peer_settings> control_links(process_settings const& settings);
--- a/src/settings/value_rules.cpp
+++ b/src/settings/value_rules.cpp
@@ -179,6 +179,11 @@
                                 limit_setter(&limits::address_connections),
                                 "Largest number of accepted connections from one address; 0 is "
                                 "three quarters of all."));
+    rules.push_back(number_rule("limits.receive_buffer_bytes", value_kind::number, 4'096, 1'048'576,
+                                limit_setter(&limits::receive_buffer_bytes),
+                                "Least number of bytes that may have arrived for each accepted "
+                                "connection and are not read. A quarter of the memory bounds them "
+                                "for all, so there are fewer connections if it is small."));
     rules.push_back(number_rule("limits.request_ms", value_kind::duration, 1'000, 600'000,
                                 limit_setter(&limits::request_timeout),
                                 "Longest time from the first byte of a request to its last one."));
--- a/src/transport/connection_guard.cpp
+++ b/src/transport/connection_guard.cpp
@@ -115,6 +115,12 @@
     return result;
 }
 
+std::size_t connection_guard::receive_buffer_bytes() const
+{
+    std::lock_guard const lock(this->mutex);
+    return this->budget.receive_buffer_bytes();
+}
+
 void connection_guard::order_close(policy::closed_connection const& closed)
 {
     // A refused body was counted when it was refused.
--- a/src/transport/connection_guard.h
+++ b/src/transport/connection_guard.h
@@ -56,6 +56,8 @@
     void count(policy::close_reason reason);
 
     [[nodiscard]] connection_counts counts() const;
+    /// Receive buffer of accepted sockets, in bytes; 0 leaves the default of the kernel.
+    [[nodiscard]] std::size_t receive_buffer_bytes() const;
 
 private:
     void order_close(policy::closed_connection const& closed);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -20,6 +20,7 @@
 #include "transport/event_loop.h"
 #include "transport/evhttp_message.h"
 #include "transport/guarded_call.h"
+#include "transport/listener_socket.h"
 
 namespace greengagehead::transport {
 
@@ -162,11 +163,7 @@
     auto const failure
         = base::error {base::error_code::io, base::error_step::listen, address.to_string(),
                        "cannot listen on " + address.to_string()};
-    auto native_address = to_sockaddr(address);
-    auto* const listener = evconnlistener_new_bind(
-        this->loop.base(), nullptr, nullptr,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-        reinterpret_cast<sockaddr*>(&native_address), sizeof native_address);
+    auto* const listener = open_listener(this->loop, address, nullptr, nullptr);
     if (listener == nullptr)
         return failure;
     this->bound_socket = evhttp_bind_listener(this->server, listener);
--- a/src/transport/link.cpp
+++ b/src/transport/link.cpp
@@ -102,6 +102,11 @@
     bufferevent_free(this->stream);
 }
 
+int link::descriptor() const
+{
+    return bufferevent_getfd(this->stream);
+}
+
 void link::open_session(bool accepting, std::string const& host)
 {
     websocket_callbacks callbacks;
--- a/src/transport/link.h
+++ b/src/transport/link.h
@@ -79,6 +79,8 @@
     /// Authenticated name of the peer; empty until the link is ready.
     [[nodiscard]] std::string const& peer() const { return this->peer_name; }
 
+    [[nodiscard]] int descriptor() const;
+
     /// Emitted once, when the peer is authenticated.
     sigc::signal<void()> became_ready;
     /// With the encoded length of the message.
--- a/src/transport/link_hub.cpp
+++ b/src/transport/link_hub.cpp
@@ -17,6 +17,7 @@
 #include "transport/connection_guard.h"
 #include "transport/event_loop.h"
 #include "transport/listener_pause.h"
+#include "transport/listener_socket.h"
 
 namespace greengagehead::transport {
 
@@ -29,6 +30,9 @@
 constexpr std::chrono::milliseconds startup_period {2000};
 /// Longest interval at which the hub looks at its links.
 constexpr std::chrono::milliseconds maintenance_interval {50};
+/// Peers send snapshots and configurations of several MiB. A window of 64 KiB, the most without
+/// window scaling, takes 32 MB/s at 1 ms one way.
+constexpr std::size_t peer_receive_buffer_bytes = 131'072;
 
 std::string host_of(sockaddr const* address)
 {
@@ -65,11 +69,7 @@
 base::result<socket_address> link_hub::listen(socket_address const& address)
 {
     std::string const address_text = address.to_string();
-    auto native_address = to_sockaddr(address);
-    this->listener = evconnlistener_new_bind(
-        this->loop.base(), &link_hub::on_accept, this,
-        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, -1,
-        reinterpret_cast<sockaddr*>(&native_address), sizeof native_address);
+    this->listener = open_listener(this->loop, address, &link_hub::on_accept, this);
     if (this->listener == nullptr)
         return base::error {base::error_code::io, base::error_step::listen, address_text,
                             "cannot listen on " + address_text};
@@ -163,7 +163,7 @@
     bool const was_connected = this->ready_links.contains(ready_link->peer());
     this->ready_links[ready_link->peer()] = ready_link;
     if (auto const found = this->accepted_ids.find(ready_link); found != this->accepted_ids.end())
-        this->guard.enter(found->second, policy::connection_stage::established);
+        this->admit_peer(*ready_link, found->second);
     base::log_record(base::log_event::peer_connected)
         .with("self", this->identity.name)
         .with("peer", ready_link->peer());
@@ -171,6 +171,13 @@
         this->peer_up.emit(ready_link->peer());
 }
 
+void link_hub::admit_peer(link& accepted, std::uint64_t id)
+{
+    this->guard.enter(id, policy::connection_stage::established);
+    if (this->guard.receive_buffer_bytes() > 0)
+        set_receive_buffer(accepted.descriptor(), peer_receive_buffer_bytes);
+}
+
 void link_hub::handle_closed(link* closed_link, std::string const& reason)
 {
     this->closed_links.push_back(closed_link);
--- a/src/transport/link_hub.h
+++ b/src/transport/link_hub.h
@@ -80,6 +80,8 @@
     void maintain();
     void redial_disconnected();
     void handle_ready(link* ready_link);
+    /// Ends the limits that hold for an accepted link before its peer is authenticated.
+    void admit_peer(link& accepted, std::uint64_t id);
     void handle_closed(link* closed_link, std::string const& reason);
     void remove_closed_links();
     void accept(int socket, std::string const& address);
--- a/tests/transport/link_hub_test.cpp
+++ b/tests/transport/link_hub_test.cpp
@@ -3,9 +3,13 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <string>
+#include <thread>
 #include <vector>
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
+#include <sys/ioctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -178,6 +182,57 @@
     }
 }
 
+SCENARIO("a hub bounds the bytes that arrive before a peer is authenticated")
+{
+    GIVEN("a hub whose accepted sockets have a receive buffer of 16 KiB")
+    {
+        constexpr std::size_t buffer = 16'384;
+        policy::connection_limits limits;
+        limits.receive_buffer_bytes = buffer;
+        event_loop loop(std::make_shared<connection_guard>(limits));
+        link_hub server(loop, {"entry.a", "key"}, test_timing);
+        auto const address = listen_on_free_port(server);
+
+        WHEN("a client sends while the hub does not run")
+        {
+            auto const native_address = to_sockaddr(address);
+            int const sender = socket(AF_INET, SOCK_STREAM, 0);
+            REQUIRE(connect(sender, reinterpret_cast<sockaddr const*>(&native_address),
+                            sizeof native_address)
+                    == 0);
+            std::string const bytes(1UL << 20U, 'x');
+            auto const sent = send(sender, bytes.data(), bytes.size(), MSG_DONTWAIT);
+            REQUIRE(sent > 0);
+            std::this_thread::sleep_for(milliseconds(50));
+            // Guards against a buffer that accepted sockets do not inherit.
+            THEN("no more arrives than the buffer takes")
+            {
+                int not_arrived = 0;
+                REQUIRE(ioctl(sender, SIOCOUTQ, &not_arrived) == 0);
+                CHECK(sent - not_arrived <= static_cast<ssize_t>(buffer));
+            }
+            close(sender);
+        }
+        WHEN("a peer is authenticated and sends a message of 4 MiB")
+        {
+            link_hub client(loop, {"agent.b", "key"}, test_timing);
+            client.keep_connected("entry.a", address);
+            run_for(loop, milliseconds(300));
+            REQUIRE(client.connected("entry.a"));
+            std::size_t received = 0;
+            server.message_received.connect(
+                [&](std::string const&, protocol::message&) { ++received; });
+            client.send("entry.a", protocol::job_cancel {std::string(4UL << 20U, 'j')});
+            run_for(loop, milliseconds(300));
+            // Guards against links that the small buffer blocks.
+            THEN("it arrives")
+            {
+                CHECK(received == 1);
+            }
+        }
+    }
+}
+
 SCENARIO("a crowd connects to a hub at once")
 {
     GIVEN("a hub with as many silent connections as one address may have")
