Entry: count the end of a shutdown from the signal, and keep the leave delay

The time that jobs may take was counted from a timer that may be late, so that a late loop admitted jobs that ended after the last replies. And a leave delay that is longer than the shutdown limit less 800 ms ended at that time, where docs/settings.md promises it. No test fails without this; shown by reading.

--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -135,12 +135,15 @@
     this->routes.begin_shutdown();
     auto const replies_at = this->settings.timing.shutdown_limit - last_reply_time;
     auto const leave_delay = std::min(this->settings.timing.leave_delay, replies_at);
-    this->intake_timer
-        = this->loop.after(replies_at - last_request_time, [this] { this->close_intake(); });
+    auto const intake_end = std::max(replies_at - last_request_time, leave_delay);
+    this->intake_timer = this->loop.after(intake_end, [this] { this->close_intake(); });
     this->last_reply_timer
         = this->loop.after(replies_at, [this] { this->answer_all(base::steady_now()); });
-    this->leave_timer = this->loop.after(leave_delay, [this, left = replies_at - leave_delay] {
-        this->core.begin_shutdown(base::steady_now(), left);
+    this->leave_timer = this->loop.after(leave_delay, [this, end = now + replies_at] {
+        // The timer itself may be late.
+        auto const later = base::steady_now();
+        auto const left = std::chrono::floor<std::chrono::milliseconds>(end - later);
+        this->core.begin_shutdown(later, std::max(left, std::chrono::milliseconds(0)));
         this->leave_pending = false;
     });
 }
@@ -169,9 +172,11 @@
 {
     this->core.answer_all_waiters(now);
     // Requests to control may wait longer than this process lives.
-    this->server.answer_open_requests(api::error_response(
-        {base::error_code::timeout, base::error_step::replicate, {},
-         "the entry is shutting down and has no answer from control"}));
+    this->server.answer_open_requests(
+        api::error_response({base::error_code::timeout,
+                             base::error_step::replicate,
+                             {},
+                             "the entry is shutting down and has no answer from control"}));
 }
 
 bool entry_task::idle() const
--- a/src/app/process.cpp
+++ b/src/app/process.cpp
@@ -200,6 +200,7 @@
         .with("zone", settings.zone)
         .with("data", settings.data_folder);
     auto roles = std::make_unique<role_set>(std::move(settings), std::move(adapters));
+
     bool stopping = false;
     bool interrupted = false;
     std::unique_ptr<transport::loop_timer> limit_timer;
