--- a/tests/fleet/single_process.py
+++ b/tests/fleet/single_process.py
@@ -1,7 +1,6 @@
 """Runs one process with all roles on loopback, with a stand-in endpoint. Ports are free ones."""
 
 import argparse
-import itertools
 import json
 import pathlib
 import re
@@ -9,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 import urllib.error
@@ -55,7 +55,8 @@
         self.endpoint = subprocess.Popen(
             [STAND_IN, "--name", "endpoint", "--announce", f"http://127.0.0.1:{announce_port}",
              "--kinds", "quote", "--run-ms", "1"], stdout=subprocess.DEVNULL)
-        self.requests = itertools.count(1)
+        self.requests = 0
+        self.lock = threading.Lock()
 
     def write_settings(self, announce_port, tables):
         path = pathlib.Path(self.folder.name) / "settings.toml"
@@ -100,7 +101,9 @@
 
     def submit_named(self, run_ms=1):
         """As `submit`, with the name of the submission before it."""
-        name = f"job-{next(self.requests)}"
+        with self.lock:
+            self.requests += 1
+            name = f"job-{self.requests}"
         body = {"submission": name, "team": "hospital", "deadline_ms": 5000,
                 "tasks": [{"kind": "quote", "idempotent": True, "payload": {"run_ms": run_ms}}]}
         request = urllib.request.Request(f"http://127.0.0.1:{self.http_port}/v1/jobs?wait=5000",
