--- a/src/app/entry_task.cpp
+++ b/src/app/entry_task.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-/// Time before the shutdown limit that is left for the last replies. An entry with a tenth of a
-/// core took 70 ms to write 75 of them.
+/// Time before the shutdown limit that is left for the last replies. An entry with a twentieth of a
+/// core needs about 1 ms for each.
 constexpr std::chrono::milliseconds last_reply_time {300};
 /// Time before the last replies in which the requests that were sent already are read and served.
 constexpr std::chrono::milliseconds last_request_time {500};
